--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup run test bench format lint types clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements-dev.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+run: setup
+	$(BIN)/python -m scripts.demo $(if $(KEEP),--keep)
+
+test: setup
+	$(BIN)/python -m scripts.run_tests
+
+bench: setup
+	$(BIN)/turmericproxy bench
+
+format: setup
+	$(BIN)/black .
+
+lint: setup
+	$(BIN)/black --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy
+
+clean:
+	rm -rf $(VENV) out build *.egg-info
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Run the demonstration and the test suites."""
--- /dev/null
+++ b/specifications/__init__.py
@@ -0,0 +1,1 @@
+"""Specify the core protocols for bounded search and induction."""
--- /dev/null
+++ b/turmericproxy/__init__.py
@@ -0,0 +1,1 @@
+"""Route language-model traffic with long shared prompts."""
--- /dev/null
+++ b/turmericproxy/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line."""
--- /dev/null
+++ b/turmericproxy/cli/app.py
@@ -0,0 +1,15 @@
+"""Assemble the commands of the ``turmericproxy`` program."""
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, help="Route language-model traffic with shared prompts.")
+
+
+@app.callback()
+def describe_program() -> None:
+    """Route language-model traffic with shared prompts."""
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/turmericproxy/core/__init__.py
@@ -0,0 +1,41 @@
+"""Share identifiers, result codes and clocks between all parts."""
+
+from turmericproxy.core.clock import TickWatch, read_boottime
+from turmericproxy.core.ids import (
+    AccountName,
+    AttemptId,
+    DomainName,
+    EngineName,
+    HostName,
+    Incarnation,
+    KeyId,
+    ModelName,
+    RequestId,
+    Revision,
+    RouteName,
+    UpstreamName,
+    create_id,
+)
+from turmericproxy.core.results import Refusal, ResultCode, RunState, refuse
+
+__all__ = [
+    "AccountName",
+    "AttemptId",
+    "DomainName",
+    "EngineName",
+    "HostName",
+    "Incarnation",
+    "KeyId",
+    "ModelName",
+    "Refusal",
+    "RequestId",
+    "ResultCode",
+    "Revision",
+    "RouteName",
+    "RunState",
+    "TickWatch",
+    "UpstreamName",
+    "create_id",
+    "read_boottime",
+    "refuse",
+]
--- /dev/null
+++ b/turmericproxy/core/ids.py
@@ -0,0 +1,22 @@
+"""Name the things that the system tells apart."""
+
+import uuid
+from typing import NewType
+
+AccountName = NewType("AccountName", str)
+AttemptId = NewType("AttemptId", str)
+DomainName = NewType("DomainName", str)
+EngineName = NewType("EngineName", str)
+HostName = NewType("HostName", str)
+Incarnation = NewType("Incarnation", str)
+KeyId = NewType("KeyId", str)
+ModelName = NewType("ModelName", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+RouteName = NewType("RouteName", str)
+UpstreamName = NewType("UpstreamName", str)
+
+
+def create_id() -> str:
+    """Return a new random identifier of 32 hexadecimal digits."""
+    return uuid.uuid4().hex
