--- /dev/null
+++ b/turmericproxy/configuration/resources.py
@@ -0,0 +1,105 @@
+"""Describe the resources that operators create, with their checks."""
+
+from enum import Enum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Digest = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Kind(Enum):
+    """Tell the kinds of resource apart."""
+
+    ACCOUNT = "account"
+    KEY = "key"
+    MODEL = "model"
+    ENGINE = "engine"
+    UPSTREAM = "upstream"
+    ROUTE = "route"
+
+
+class UpstreamState(Enum):
+    """Tell whether an engine or upstream takes new work."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+class Resource(BaseModel):
+    """Hold what every kind of resource has in common."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    name: Name
+
+
+class Account(Resource):
+    """Describe a client account: its rate in tokens a second and its burst in tokens."""
+
+    rate: float = Field(gt=0, le=1e9)
+    burst: int = Field(gt=0, le=1_000_000_000)
+
+
+class Key(Resource):
+    """Describe a caller's key by its digest; the name is the public key id."""
+
+    account: Name
+    digest: Digest
+
+
+class Model(Resource):
+    """Describe a model and the version of its weights that engines must serve."""
+
+    version: Annotated[str, StringConstraints(min_length=1, max_length=64)]
+
+
+class Engine(Resource):
+    """Describe a model engine. ``slots`` bounds the requests that one host keeps in flight."""
+
+    domain: Name
+    address: Address
+    models: tuple[Name, ...]
+    state: UpstreamState = UpstreamState.ACTIVE
+    checks_fence: bool = True
+    slots: int = Field(default=32, ge=1, le=4096)
+
+
+class Upstream(Resource):
+    """Describe a plain service that calls are routed to."""
+
+    domain: Name
+    address: Address
+    state: UpstreamState = UpstreamState.ACTIVE
+    slots: int = Field(default=64, ge=1, le=4096)
+
+
+class Route(Resource):
+    """Describe a plain route: where its calls go and who may use it.
+
+    An open route needs no key. Calls on a route that is not repeatable run at most once.
+    ``cost`` is charged against the client account's rate, in tokens a call. ``timeout`` is in
+    seconds.
+    """
+
+    upstreams: tuple[Name, ...] = Field(min_length=1)
+    open: bool = False
+    accounts: tuple[Name, ...] | None = None
+    repeatable: bool = False
+    cost: int = Field(default=1, ge=0, le=1_000_000)
+    timeout: float = Field(default=10.0, gt=0, le=600)
+
+
+AnyResource = Account | Key | Model | Engine | Upstream | Route
+KindName = Literal["account", "key", "model", "engine", "upstream", "route"]
+
+RESOURCE_TYPES: dict[Kind, type[Resource]] = {
+    Kind.ACCOUNT: Account,
+    Kind.KEY: Key,
+    Kind.MODEL: Model,
+    Kind.ENGINE: Engine,
+    Kind.UPSTREAM: Upstream,
+    Kind.ROUTE: Route,
+}
--- /dev/null
+++ b/turmericproxy/logs/__init__.py
@@ -0,0 +1,5 @@
+"""Write JSON log lines with a fixed prefix for each part."""
+
+from turmericproxy.logs.lines import Part, configure_logs, log_decision, log_event
+
+__all__ = ["Part", "configure_logs", "log_decision", "log_event"]
--- /dev/null
+++ b/turmericproxy/logs/lines.py
@@ -0,0 +1,48 @@
+"""Write one JSON line an event, each starting with the prefix of its part."""
+
+import logging
+import sys
+from enum import Enum
+
+from pythonjsonlogger.json import JsonFormatter
+
+_LOGGER = logging.getLogger("turmericproxy")
+
+
+class Part(Enum):
+    """Give each part its prefix."""
+
+    HOST = "host"
+    CALLERS = "callers"
+    OPERATORS = "operators"
+    PEERS = "peers"
+    PLATFORM = "platform"
+    CONFIGURATION = "configuration"
+    KEYS = "keys"
+    RATES = "rates"
+    BOOKINGS = "bookings"
+    CACHE = "cache"
+    ROUTING = "routing"
+    WEIGHTS = "weights"
+    STAND_IN = "stand-in"
+
+
+def configure_logs(level: str, host: str) -> None:
+    """Send JSON lines of at least ``level`` to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter("%(asctime)s %(levelname)s %(message)s", static_fields={"host": host})
+    )
+    _LOGGER.handlers[:] = [handler]
+    _LOGGER.setLevel(level.upper())
+    _LOGGER.propagate = False
+
+
+def log_event(part: Part, message: str, *, level: int = logging.INFO, **fields: object) -> None:
+    """Log a short sentence of a part, with its figures as fields."""
+    _LOGGER.log(level, f"{part.value}: {message}", extra=fields)
+
+
+def log_decision(part: Part, message: str, **terms: object) -> None:
+    """Log a routing or placement decision with the terms that decided it."""
+    _LOGGER.info(f"{part.value}: {message}", extra={"decision": True, **terms})
