--- /dev/null
+++ b/tests/web/test_server.py
@@ -0,0 +1,35 @@
+"""Check the server and the client against each other and against silent connections."""
+
+import socket
+
+from turmericproxy.web import CallFailure, FailureStage, HttpClient, HttpServer
+from turmericproxy.web.server import HttpRequest, HttpResponse, create_json_response
+
+
+def test_streamed_and_plain_answers_arrive_whole() -> None:
+    def handle(request: HttpRequest) -> HttpResponse:
+        if request.path == "/stream":
+            return HttpResponse(200, (b"part %d;" % n for n in range(3)))
+        return create_json_response(201, {"body": (request.read_body(100) or b"").decode()})
+
+    server = HttpServer("127.0.0.1:0", handle, threads=4)
+    server.start()
+    client = HttpClient(f"127.0.0.1:{server.port}")
+    try:
+        assert client.call_json("POST", "/", {"a": 1}) == (201, {"body": '{"a": 1}'})
+        answer = client.open("GET", "/stream", fresh=True)
+        assert not isinstance(answer, CallFailure)
+        assert answer.read() == b"part 0;part 1;part 2;"
+    finally:
+        client.close()
+        server.close()
+
+
+def test_failures_tell_whether_anything_was_sent() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        port = silent.getsockname()[1]
+        client = HttpClient(f"127.0.0.1:{port}", read_timeout=0.2)
+        failure = client.call_json("GET", "/")
+        assert isinstance(failure, CallFailure) and failure.stage is FailureStage.ANSWER
+    refused = HttpClient(f"127.0.0.1:{port}").call_json("GET", "/")
+    assert isinstance(refused, CallFailure) and refused.is_unsent
--- /dev/null
+++ b/turmericproxy/web/client.py
@@ -0,0 +1,136 @@
+"""Call HTTP services with urllib3 and tell at which stage a call failed."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+
+class FailureStage(Enum):
+    """Tell how far a failed call got."""
+
+    CONNECT = "connect"
+    SENT = "sent"
+    ANSWER = "answer"
+
+
+@dataclass(frozen=True)
+class CallFailure:
+    """Say at which stage a call failed and why; only ``CONNECT`` proves that nothing was sent."""
+
+    stage: FailureStage
+    reason: str
+
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no byte of the request can have reached the service."""
+        return self.stage is FailureStage.CONNECT
+
+
+class HttpClient:
+    """Call one service at ``address``; timeouts are in seconds.
+
+    With ``fresh`` set, a call opens its own connection and closes it: an idle pooled connection
+    may have gone silent, so it is not used for a call that may not be repeated.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        connect_timeout: float = 0.5,
+        read_timeout: float = 10.0,
+        connections: int = 64,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._headers = dict(headers or {})
+        self._timeout = urllib3.Timeout(connect=connect_timeout, read=read_timeout)
+        self._connect_timeout = connect_timeout
+        self._endpoint = (host, int(port))
+        self._pool = self._create_pool(connections)
+
+    def _create_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
+        host, port = self._endpoint
+        return urllib3.HTTPConnectionPool(
+            host, port, maxsize=connections, block=False, timeout=self._timeout, retries=False
+        )
+
+    def open(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        read_timeout: float | None = None,
+        fresh: bool = False,
+    ) -> urllib3.BaseHTTPResponse | CallFailure:
+        """Send a request and return the open answer, whose body is still to be read.
+
+        The caller releases the answer with ``release_conn`` or ends it with ``close``.
+        """
+        timeout = urllib3.Timeout(
+            connect=self._connect_timeout, read=read_timeout or self._timeout.read_timeout
+        )
+        sent = {**self._headers, **(headers or {})}
+        pool = self._create_pool(1) if fresh else self._pool
+        if fresh:
+            sent["Connection"] = "close"
+        try:
+            return pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=sent,
+                timeout=timeout,
+                preload_content=False,
+                redirect=False,
+                retries=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return CallFailure(FailureStage.CONNECT, type(error).__name__)
+        except ReadTimeoutError as error:
+            return CallFailure(FailureStage.ANSWER, type(error).__name__)
+        except (HTTPError, OSError) as error:
+            return CallFailure(FailureStage.SENT, type(error).__name__)
+
+    def call_json(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        *,
+        headers: Mapping[str, str] | None = None,
+        read_timeout: float | None = None,
+        fresh: bool = False,
+    ) -> tuple[int, Any] | CallFailure:
+        """Send ``value`` in JSON and return the status and the decoded answer."""
+        body = None if value is None else json.dumps(value).encode()
+        sent = {"Content-Type": "application/json", **(headers or {})}
+        answer = self.open(
+            method, path, body=body, headers=sent, read_timeout=read_timeout, fresh=fresh
+        )
+        if isinstance(answer, CallFailure):
+            return answer
+        try:
+            content = answer.read()
+            answer.release_conn()
+            return answer.status, json.loads(content) if content else None
+        except (HTTPError, OSError, ValueError) as error:
+            answer.close()
+            return CallFailure(FailureStage.ANSWER, type(error).__name__)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
