--- /dev/null
+++ b/turmericproxy/configuration/references.py
@@ -0,0 +1,81 @@
+"""Check that resources refer to what exists, and find who uses a resource."""
+
+from collections.abc import Iterable
+from functools import singledispatch
+
+from turmericproxy.configuration.resources import (
+    Engine,
+    FieldFault,
+    Key,
+    Kind,
+    Resource,
+    Route,
+)
+from turmericproxy.configuration.snapshot import Snapshot
+
+
+def _find_missing(
+    snapshot: Snapshot, field: str, kind: Kind, names: Iterable[str]
+) -> tuple[FieldFault, ...]:
+    table = snapshot.get_table(kind)
+    return tuple(
+        FieldFault(field, f"{kind.value} {name!r} does not exist")
+        for name in names
+        if name not in table
+    )
+
+
+@singledispatch
+def check_references(resource: Resource, snapshot: Snapshot) -> tuple[FieldFault, ...]:
+    """Return a fault for each name in the resource that the snapshot doesn't hold."""
+    return ()
+
+
+@check_references.register
+def _(resource: Key, snapshot: Snapshot) -> tuple[FieldFault, ...]:
+    return _find_missing(snapshot, "account", Kind.ACCOUNT, [resource.account])
+
+
+@check_references.register
+def _(resource: Engine, snapshot: Snapshot) -> tuple[FieldFault, ...]:
+    return _find_missing(snapshot, "models", Kind.MODEL, resource.models)
+
+
+@check_references.register
+def _(resource: Route, snapshot: Snapshot) -> tuple[FieldFault, ...]:
+    return _find_missing(
+        snapshot, "upstreams", Kind.UPSTREAM, resource.upstreams
+    ) + _find_missing(snapshot, "accounts", Kind.ACCOUNT, resource.accounts or ())
+
+
+@singledispatch
+def is_user(resource: Resource, kind: Kind, name: str) -> bool:
+    """Return whether the resource refers to the one of that kind and name."""
+    return False
+
+
+@is_user.register
+def _(resource: Key, kind: Kind, name: str) -> bool:
+    return kind is Kind.ACCOUNT and resource.account == name
+
+
+@is_user.register
+def _(resource: Engine, kind: Kind, name: str) -> bool:
+    return kind is Kind.MODEL and name in resource.models
+
+
+@is_user.register
+def _(resource: Route, kind: Kind, name: str) -> bool:
+    if kind is Kind.UPSTREAM:
+        return name in resource.upstreams
+    return kind is Kind.ACCOUNT and name in (resource.accounts or ())
+
+
+def find_users(snapshot: Snapshot, kind: Kind, name: str) -> tuple[str, ...]:
+    """Return ``KIND/NAME`` of every resource that refers to the given one."""
+    return tuple(
+        f"{user_kind.value}/{user}"
+        for user_kind, table in snapshot.tables.items()
+        for user, entry in sorted(table.items())
+        if is_user(entry.resource, kind, name)
+    )
--- a/turmericproxy/configuration/resources.py
+++ b/turmericproxy/configuration/resources.py
@@ -1,9 +1,11 @@
 """Describe the resources that operators create, with their checks."""
 
+from collections.abc import Mapping
+from dataclasses import dataclass
 from enum import Enum
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
 
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
@@ -103,3 +105,38 @@
     Kind.UPSTREAM: Upstream,
     Kind.ROUTE: Route,
 }
+
+
+@dataclass(frozen=True)
+class FieldFault:
+    """Name the field of one fault in a resource and say what is wrong."""
+
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.field}: {self.reason}"
+
+
+def parse_resource(
+    kind: Kind, name: str, spec: Mapping[str, Any]
+) -> Resource | tuple[FieldFault, ...]:
+    """Return the checked resource, or every fault that was found in it.
+
+    >>> parse_resource(Kind.MODEL, "small", {"version": "1"})
+    Model(name='small', version='1')
+    >>> [str(fault) for fault in parse_resource(Kind.MODEL, "small", {})]
+    ['version: Field required']
+    """
+    try:
+        return RESOURCE_TYPES[kind].model_validate({**spec, "name": name})
+    except ValidationError as error:
+        return tuple(
+            FieldFault(".".join(map(str, fault["loc"])) or "spec", fault["msg"])
+            for fault in error.errors()
+        )
+
+
+def describe_resource(resource: Resource) -> dict[str, Any]:
+    """Return the fields of a resource without its name, as plain values."""
+    return resource.model_dump(mode="json", exclude={"name"})
--- /dev/null
+++ b/turmericproxy/keys/controller.py
@@ -0,0 +1,255 @@
+"""Identify callers by their keys, and create and withdraw keys."""
+
+import random
+import threading
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from turmericproxy.configuration.changes import Accepted
+from turmericproxy.configuration.controller import ConfigurationController
+from turmericproxy.configuration.resources import Key, Kind
+from turmericproxy.configuration.snapshot import Snapshot, Table
+from turmericproxy.core.clock import read_boottime
+from turmericproxy.core.ids import AccountName, HostName, KeyId, Revision
+from turmericproxy.core.results import Refusal, ResultCode, refuse
+from turmericproxy.keys.marks import (
+    MarkRegister,
+    MarkSet,
+    compute_marks_digest,
+    decode_marks,
+    encode_marks,
+)
+from turmericproxy.keys.secrets import compute_digest, create_key_id, create_secret
+from turmericproxy.logs import Part, log_event
+from turmericproxy.peers.links import PeerLinks
+from turmericproxy.platform import PlatformClient
+from turmericproxy.settings.schema import ConfigurationSettings
+
+MARKS_KIND = "keys.marks"
+EXCHANGE_KIND = "keys.exchange"
+MARKS_DIGEST = "keys"
+EXCHANGE_TIMEOUT_SECONDS = 1.0
+CHECK_SECONDS = 0.2
+COVER_PAUSE_SECONDS = 2.0
+FOREIGN_COVER_DELAY_SECONDS = 15.0
+WITHDRAW_TIMEOUT_SECONDS = 2.0
+RELOAD_SECONDS = 1.0
+MISSING_MARKS_LIMIT = 10_000
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Name the client account and the key that a request came with."""
+
+    account: AccountName
+    key_id: KeyId
+
+
+@dataclass(frozen=True)
+class CreatedKey:
+    """Hold a new key; the secret is known nowhere else."""
+
+    key_id: KeyId
+    secret: str
+
+
+@dataclass(frozen=True)
+class Withdrawn:
+    """Say whether a withdrawal is written down at the platform already."""
+
+    durable: bool
+
+
+class KeyController:
+    """Tell which client account a key belongs to, and stop withdrawn keys on every host."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationController,
+        platform: PlatformClient,
+        links: PeerLinks,
+        settings: ConfigurationSettings,
+    ) -> None:
+        self._configuration = configuration
+        self._links = links
+        self._settings = settings
+        self._register = MarkRegister()
+        self._index: tuple[Table | None, Mapping[str, Identity]] = (None, {})
+        self._cover_at: dict[KeyId, float] = {}
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._wake = threading.Event()
+        self._outbox = MarkSet()
+        self._threads: list[threading.Thread] = []
+        links.register(MARKS_KIND, self._receive_marks)
+        links.register(EXCHANGE_KIND, self._answer_exchange)
+        self._publish_digest()
+
+    def start(self) -> None:
+        """Exchange marks with other hosts and write open ones down, in a thread each."""
+        for run in (self._follow_peers, self._cover_marks):
+            thread = threading.Thread(target=run, name=run.__name__, daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    def close(self) -> None:
+        """Stop the threads."""
+        self._closed.set()
+        self._wake.set()
+        for thread in self._threads:
+            thread.join(timeout=5)
+
+    def identify(self, secret: str) -> Identity | Refusal:
+        """Return whose key this is, or why it is refused."""
+        refusal = self._check_age()
+        if refusal is not None:
+            return refusal
+        identity = self._get_index().get(compute_digest(secret))
+        if identity is None:
+            return refuse(ResultCode.KEY_UNKNOWN, "the key is not known")
+        return self._check_withdrawn(identity) or identity
+
+    def check(self, identity: Identity) -> Refusal | None:
+        """Return why the key no longer works, or ``None`` if it does."""
+        return self._check_age() or self._check_withdrawn(identity)
+
+    def create(self, account: AccountName, name: str) -> CreatedKey | Refusal:
+        """Create a key of a client account; its id starts with ``name``."""
+        secret = create_secret()
+        key_id = KeyId(create_key_id(name))
+        spec = {"account": account, "digest": compute_digest(secret)}
+        result = self._configuration.change(Kind.KEY, key_id, spec, if_match=Revision(0))
+        return CreatedKey(key_id, secret) if isinstance(result, Accepted) else result
+
+    def is_withdrawn(self, key_id: KeyId) -> bool:
+        """Return whether the key carries a mark on this host."""
+        return self._register.is_marked(key_id)
+
+    def list_open_marks(self) -> tuple[KeyId, ...]:
+        """Return the withdrawn keys that are not written down yet."""
+        return tuple(sorted(self._register.marks().open))
+
+    def withdraw(self, key_id: KeyId) -> Withdrawn | Refusal:
+        """Mark the key on this host and its peers at once, then write it down if possible."""
+        is_known = self._is_configured(key_id) or self._register.is_marked(key_id)
+        self._add_marks(MarkSet(frozenset({key_id})))
+        log_event(Part.KEYS, "key withdrawn", key_id=key_id)
+        result = self._cover(key_id, WITHDRAW_TIMEOUT_SECONDS)
+        if result is not None and result.code is ResultCode.RESOURCE_NOT_FOUND and not is_known:
+            return result
+        return Withdrawn(durable=result is None or result.code is ResultCode.RESOURCE_NOT_FOUND)
+
+    def _check_age(self) -> Refusal | None:
+        age = self._configuration.measure_age()
+        if not self._configuration.snapshot().revision and age == float("inf"):
+            reason = "no configuration is loaded yet"
+            return refuse(ResultCode.KEYS_TOO_OLD, reason, retry_after=RELOAD_SECONDS)
+        limit = self._settings.maximum_age
+        if limit is not None and age > limit:
+            reason = f"keys were last confirmed more than {limit:g} seconds ago"
+            return refuse(ResultCode.KEYS_TOO_OLD, reason, retry_after=RELOAD_SECONDS)
+        return None
+
+    def _check_withdrawn(self, identity: Identity) -> Refusal | None:
+        if self._register.is_marked(identity.key_id) or not self._is_configured(identity.key_id):
+            return refuse(ResultCode.KEY_WITHDRAWN, "the key was withdrawn")
+        return None
+
+    def _is_configured(self, key_id: KeyId) -> bool:
+        return key_id in self._configuration.snapshot().get_table(Kind.KEY)
+
+    def _get_index(self) -> Mapping[str, Identity]:
+        snapshot = self._configuration.snapshot()
+        table, index = self._index
+        if table is not snapshot.get_table(Kind.KEY):
+            index = _index_keys(snapshot)
+            self._index = (snapshot.get_table(Kind.KEY), index)
+        return index
+
+    def _add_marks(self, marks: MarkSet) -> None:
+        revision = self._configuration.snapshot().revision
+        new = self._register.add(marks, revision)
+        if not new.open and not new.covered:
+            return
+        delay = random.uniform(0.2, 1.0) * FOREIGN_COVER_DELAY_SECONDS
+        with self._lock:
+            self._outbox = MarkSet(
+                self._outbox.open | new.open, {**self._outbox.covered, **new.covered}
+            )
+            for key_id in new.open:
+                self._cover_at.setdefault(key_id, read_boottime() + delay)
+        self._publish_digest()
+        self._wake.set()
+
+    def _publish_digest(self) -> None:
+        with self._lock:
+            self._links.set_digest(MARKS_DIGEST, compute_marks_digest(self._register.marks()))
+
+    def _receive_marks(self, sender: HostName, body: object) -> None:
+        self._add_marks(decode_marks(body))
+
+    def _answer_exchange(self, sender: HostName, body: object) -> object:
+        theirs = decode_marks(body)
+        self._add_marks(theirs)
+        return encode_marks(self._register.list_for(theirs.open))
+
+    def _follow_peers(self) -> None:
+        while not self._closed.is_set():
+            self._wake.clear()
+            self._flush_outbox()
+            own = compute_marks_digest(self._register.marks())
+            for peer in self._links.list_reachable():
+                if peer.digest.get(MARKS_DIGEST, own) != own:
+                    self._exchange_marks(peer.host)
+            self._wake.wait(CHECK_SECONDS)
+
+    def _flush_outbox(self) -> None:
+        with self._lock:
+            marks, self._outbox = self._outbox, MarkSet()
+        if marks.open or marks.covered:
+            self._links.broadcast(MARKS_KIND, encode_marks(marks))
+
+    def _exchange_marks(self, host: HostName) -> None:
+        body = encode_marks(MarkSet(self._register.marks().open))
+        answer = self._links.call(host, EXCHANGE_KIND, body, EXCHANGE_TIMEOUT_SECONDS)
+        if not isinstance(answer, Refusal):
+            self._add_marks(decode_marks(answer))
+
+    def _cover_marks(self) -> None:
+        while not self._closed.wait(CHECK_SECONDS):
+            now = read_boottime()
+            for key_id in self._register.marks().open:
+                if self._cover_at.get(key_id, 0.0) <= now and not self._closed.is_set():
+                    self._cover(key_id, WITHDRAW_TIMEOUT_SECONDS)
+
+    def _cover(self, key_id: KeyId, timeout: float) -> Refusal | None:
+        """Delete the key's resource, and return why that can't be done yet.
+
+        Ids are never used twice, so a key that is missing at the platform's newest revision
+        stays missing.
+        """
+        result = self._configuration.change(Kind.KEY, key_id, None, timeout=timeout)
+        if isinstance(result, Accepted):
+            self._conclude_cover(key_id, result.revision)
+            return None
+        if result.code is ResultCode.RESOURCE_NOT_FOUND:
+            self._conclude_cover(key_id, self._configuration.snapshot().revision)
+            return result
+        pause = COVER_PAUSE_SECONDS * random.uniform(0.5, 1.5)
+        with self._lock:
+            self._cover_at[key_id] = read_boottime() + pause
+        return result
+
+    def _conclude_cover(self, key_id: KeyId, revision: Revision) -> None:
+        log_event(Part.KEYS, "withdrawal written down", key_id=key_id, revision=revision)
+        self._add_marks(MarkSet(frozenset(), {key_id: revision}))
+        with self._lock:
+            self._cover_at.pop(key_id, None)
+
+
+def _index_keys(snapshot: Snapshot) -> Mapping[str, Identity]:
+    return {
+        key.digest: Identity(AccountName(key.account), KeyId(key.name))
+        for key in snapshot.list_keys()
+        if isinstance(key, Key)
+    }
