--- /dev/null
+++ b/turmericproxy/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems by speaking their protocols."""
