--- /dev/null
+++ b/tests/configuration/test_controller.py
@@ -0,0 +1,140 @@
+"""Check changes and their spread under the platform's faults."""
+
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from tests.hosts import Fleet, create_host, run_fleet, wait_until
+from turmericproxy.configuration.changes import Accepted, UnknownChange
+from turmericproxy.configuration.controller import ConfigurationController
+from turmericproxy.configuration.resources import Kind
+from turmericproxy.core import Refusal, ResultCode, Revision, RunState
+
+ACCOUNT = {"rate": 100.0, "burst": 1000}
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    with run_fleet(3) as running:
+        yield running
+
+
+def accept(controller: ConfigurationController, name: str, rate: float = 100.0) -> Accepted:
+    result = controller.change(Kind.ACCOUNT, name, {**ACCOUNT, "rate": rate})
+    assert isinstance(result, Accepted), result
+    return result
+
+
+def test_change_comes_into_force_on_hosts_that_are_linked_by_others_only(fleet: Fleet) -> None:
+    first, _, last = (host.configuration for host in fleet.hosts)
+    fleet.set_faults(refuse_hosts=["h1", "h2"])
+    accepted = accept(first, "satnica")
+    fleet.wait_for_revision(accepted.revision)
+    assert last.snapshot().find_account("satnica") == first.snapshot().find_account("satnica")
+    assert last.find_change(accepted.change_id).is_accepted
+
+
+def test_lost_answer_is_settled_by_the_change_id(fleet: Fleet) -> None:
+    fleet.set_faults(lose_next=1)
+    accepted = accept(fleet.hosts[0].configuration, "a")
+    assert accepted.revision == 1
+    fleet.wait_for_revision(1)
+
+
+def test_late_commit_is_neither_doubled_nor_denied(fleet: Fleet) -> None:
+    fleet.set_faults(late_next=1, late=0.3)
+    accepted = accept(fleet.hosts[0].configuration, "a")
+    fleet.wait_for_revision(accepted.revision)
+    assert accept(fleet.hosts[1].configuration, "b").revision == accepted.revision + 1
+
+
+def test_change_that_can_not_be_proven_is_unknown_until_it_is_seen(fleet: Fleet) -> None:
+    controller = fleet.hosts[0].configuration
+    fleet.set_faults(lose_answers=1.0)
+    commit = fleet.hosts[0].platform.commit
+
+    def commit_and_lose_platform(transaction):  # type: ignore[no-untyped-def]
+        outcome = commit(transaction)
+        fleet.set_faults(down=True)
+        return outcome
+
+    fleet.hosts[0].platform.commit = commit_and_lose_platform  # type: ignore[method-assign]
+    result = controller.change(Kind.ACCOUNT, "a", ACCOUNT, timeout=0.5)
+    assert isinstance(result, UnknownChange)
+    assert (result.code, result.run) == (ResultCode.CHANGE_UNKNOWN, RunState.UNKNOWN)
+    assert controller.find_change(result.change_id).is_accepted is None
+    fleet.set_faults(down=False, lose_answers=0.0)
+    wait_until(lambda: controller.find_change(result.change_id).is_accepted is True)
+
+
+def test_only_one_of_racing_operators_wins(fleet: Fleet) -> None:
+    version = accept(fleet.hosts[0].configuration, "a").revision
+    fleet.wait_for_revision(version)
+    results: list[Accepted | Refusal] = []
+
+    def race(place: int) -> None:
+        controller = fleet.hosts[place % 3].configuration
+        spec = {**ACCOUNT, "rate": place + 1.0}
+        results.append(controller.change(Kind.ACCOUNT, "a", spec, if_match=version))
+
+    threads = [threading.Thread(target=race, args=(place,)) for place in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    refused = [result for result in results if isinstance(result, Refusal)]
+    assert len(refused) == 5
+    assert {refusal.code for refusal in refused} == {ResultCode.RESOURCE_CONFLICT}
+
+
+def test_unrelated_changes_all_come_through_a_lost_race(fleet: Fleet) -> None:
+    threads = [
+        threading.Thread(target=accept, args=(fleet.hosts[n % 3].configuration, f"a{n}"))
+        for n in range(6)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    fleet.wait_for_revision(6)
+    assert len(fleet.hosts[2].configuration.snapshot().list_accounts()) == 6
+
+
+def test_platform_that_lost_its_rows_takes_no_change() -> None:
+    with run_fleet(1) as fleet, run_fleet(1) as empty:
+        accept(fleet.hosts[0].configuration, "a")
+        controller = empty.hosts[0].configuration
+        controller._follower.install_deltas(  # as if a peer had told it
+            fleet.hosts[0].configuration.list_changes(Revision(0)) or ()
+        )
+        result = controller.change(Kind.ACCOUNT, "b", ACCOUNT)
+        assert isinstance(result, Refusal) and result.code is ResultCode.PLATFORM_UNAVAILABLE
+        assert controller.snapshot().revision == 1
+
+
+def test_starting_host_is_served_by_a_peer_while_the_platform_is_down(fleet: Fleet) -> None:
+    fleet.wait_for_revision(accept(fleet.hosts[0].configuration, "a").revision)
+    fleet.set_faults(down=True)
+    late = create_host("late", fleet.address)
+    fleet.hosts.append(late)
+    late.start()
+    late.links.set_peers([fleet.hosts[2].address])
+    fleet.wait_for_revision(1, timeout=2.0)
+    assert late.configuration.snapshot().find_account("a")
+    wait_until(lambda: late.configuration.measure_age() < 60)
+
+
+def test_host_that_is_too_far_behind_takes_the_whole_state(monkeypatch) -> None:  # type: ignore[no-untyped-def]
+    for module in ("store", "follower"):
+        monkeypatch.setattr(f"turmericproxy.configuration.{module}.KEPT_CHANGES", 3)
+    with run_fleet(1) as fleet:
+        for number in range(8):
+            accept(fleet.hosts[0].configuration, f"a{number}")
+        rows = fleet.hosts[0].platform.list_rows("configuration", "changes/")
+        assert not isinstance(rows, Refusal) and len(rows) == 3
+        late = create_host("late", fleet.address)
+        fleet.hosts.append(late)
+        late.start()
+        fleet.wait_for_revision(8)
+        assert len(late.configuration.snapshot().list_accounts()) == 8
--- /dev/null
+++ b/tests/hosts.py
@@ -0,0 +1,127 @@
+"""Run the controllers of several hosts in one process, over real sockets."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from turmericproxy.configuration.controller import ConfigurationController
+from turmericproxy.core import DomainName, HostName, Incarnation, create_id
+from turmericproxy.keys import KeyController
+from turmericproxy.peers import PeerAddress, PeerLinks
+from turmericproxy.platform import PlatformClient
+from turmericproxy.settings.schema import (
+    ConfigurationSettings,
+    PeerLinkSettings,
+    PlatformSettings,
+)
+from turmericproxy.standins.platform import PlatformStandIn
+from turmericproxy.web import HttpClient
+
+LINKS = PeerLinkSettings(heartbeat=0.1, silence=1.0)
+PLATFORM_TIMEOUT_SECONDS = 0.4
+
+
+def wait_until(is_met: Callable[[], bool], timeout: float = 5.0) -> None:
+    """Wait for a condition; fail at the deadline."""
+    deadline = time.monotonic() + timeout
+    while not is_met():
+        assert time.monotonic() < deadline, "the condition was not met in time"
+        time.sleep(0.01)
+
+
+@dataclass
+class LocalHost:
+    """Hold the parts of one host."""
+
+    name: HostName
+    platform: PlatformClient
+    links: PeerLinks
+    configuration: ConfigurationController
+    keys: KeyController
+
+    def start(self) -> None:
+        self.links.start()
+        self.configuration.start()
+        self.keys.start()
+
+    def close(self) -> None:
+        self.keys.close()
+        self.configuration.close()
+        self.links.close()
+        self.platform.close()
+
+    @property
+    def address(self) -> PeerAddress:
+        return PeerAddress(self.name, self.links.domain, f"127.0.0.1:{self.links.port}")
+
+
+def create_host(
+    name: str, platform_address: str, settings: ConfigurationSettings | None = None
+) -> LocalHost:
+    settings = settings or ConfigurationSettings(poll=0.1)
+    platform = PlatformClient(
+        PlatformSettings(address=platform_address, timeout=PLATFORM_TIMEOUT_SECONDS),
+        HostName(name),
+    )
+    links = PeerLinks(
+        HostName(name), DomainName("d1"), Incarnation(create_id()), "127.0.0.1:0", LINKS
+    )
+    configuration = ConfigurationController(platform, links, settings)
+    keys = KeyController(configuration, platform, links, settings)
+    return LocalHost(HostName(name), platform, links, configuration, keys)
+
+
+def link_chain(hosts: list[LocalHost]) -> None:
+    """Link each host with its neighbours only."""
+    for place, host in enumerate(hosts):
+        neighbours = hosts[max(0, place - 1) : place] + hosts[place + 1 : place + 2]
+        host.links.set_peers([other.address for other in neighbours])
+
+
+class Fleet:
+    """Hold a platform stand-in and hosts linked in a chain."""
+
+    def __init__(self, platform: PlatformStandIn, hosts: list[LocalHost]) -> None:
+        self.hosts = hosts
+        self.address = f"127.0.0.1:{platform.port}"
+        self._control = HttpClient(self.address)
+
+    def set_faults(self, **faults: object) -> None:
+        """Bring faults about at the platform."""
+        answer = self._control.call_json("POST", "/control", faults)
+        assert isinstance(answer, tuple) and answer[0] == 200, answer
+
+    def wait_for_revision(self, revision: int, timeout: float = 5.0) -> None:
+        """Wait until every host has at least that revision in force."""
+        wait_until(
+            lambda: all(h.configuration.snapshot().revision >= revision for h in self.hosts),
+            timeout,
+        )
+
+    def wait_for_links(self) -> None:
+        """Wait until neighbours reach each other."""
+        wait_until(lambda: all(h.links.list_reachable() for h in self.hosts))
+
+
+@contextmanager
+def run_fleet(
+    count: int, settings: ConfigurationSettings | None = None, seed: int = 1
+) -> Iterator[Fleet]:
+    """Run a platform stand-in and ``count`` hosts; only neighbours are linked."""
+    platform = PlatformStandIn("127.0.0.1:0", 10_000, 10_000, 10_000, seed)
+    platform.start()
+    address = f"127.0.0.1:{platform.port}"
+    hosts = [create_host(f"h{n}", address, settings) for n in range(count)]
+    fleet = Fleet(platform, hosts)
+    try:
+        for host in hosts:
+            host.start()
+        link_chain(hosts)
+        if count > 1:
+            fleet.wait_for_links()
+        yield fleet
+    finally:
+        for host in fleet.hosts:
+            host.close()
+        platform.close()
--- /dev/null
+++ b/tests/keys/test_marks.py
@@ -0,0 +1,54 @@
+"""Check that marks merge in any order and are never taken back."""
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from turmericproxy.core import KeyId, Revision
+from turmericproxy.keys.marks import (
+    MarkRegister,
+    MarkSet,
+    compute_marks_digest,
+    decode_marks,
+    drop_oldest,
+    encode_marks,
+    merge_marks,
+)
+
+SEED = 20261203
+KEYS = st.sampled_from([KeyId(name) for name in "abcdef"])
+
+
+@st.composite
+def mark_sets(draw: st.DrawFn) -> MarkSet:
+    """Draw marks; the revision that covers a key is the same wherever it is told."""
+    covered = {key: Revision(ord(key)) for key in draw(st.frozensets(KEYS))}
+    return MarkSet(draw(st.frozensets(KEYS)) - covered.keys(), covered)
+
+
+@seed(SEED)
+@settings(max_examples=150, deadline=None, database=None)
+@given(st.lists(mark_sets(), max_size=6), st.randoms(use_true_random=False))
+def test_marks_merge_in_any_order(sets: list[MarkSet], random) -> None:  # type: ignore[no-untyped-def]
+    register, other = MarkRegister(), MarkRegister()
+    told: set[KeyId] = set()
+    for marks in sets:
+        told |= marks.open | marks.covered.keys()
+        register.add(decode_marks(encode_marks(marks)), Revision(0))
+        assert all(register.is_marked(key) for key in told)
+    for marks in random.sample(sets * 2, len(sets) * 2):
+        other.add(marks, Revision(0))
+    assert register.marks() == other.marks()
+    assert compute_marks_digest(register.marks()) == compute_marks_digest(other.marks())
+    assert merge_marks(register.marks(), MarkSet()) == register.marks()
+
+
+def test_only_marks_that_the_revision_covers_are_dropped() -> None:
+    covered = {KeyId(f"k{n}"): Revision(n) for n in range(10)}
+    kept = drop_oldest(MarkSet(frozenset({KeyId("open")}), covered), Revision(4), kept=2)
+    assert kept.open == {"open"}
+    assert set(kept.covered) == {f"k{n}" for n in range(5, 10)}
+
+
+def test_marks_that_can_not_be_understood_bring_nothing() -> None:
+    for broken in (None, 3, {"open": 3, "covered": {}}, {"covered": {"a": "x"}, "open": []}):
+        assert decode_marks(broken) == MarkSet()
--- a/turmericproxy/configuration/references.py
+++ b/turmericproxy/configuration/references.py
@@ -33,7 +33,11 @@
 
 @check_references.register
 def _(resource: Key, snapshot: Snapshot) -> tuple[FieldFault, ...]:
-    return _find_missing(snapshot, "account", Kind.ACCOUNT, [resource.account])
+    missing = _find_missing(snapshot, "account", Kind.ACCOUNT, [resource.account])
+    is_taken = any(
+        key.digest == resource.digest and key.name != resource.name for key in snapshot.list_keys()
+    )
+    return missing + ((FieldFault("digest", "belongs to another key"),) if is_taken else ())
 
 
 @check_references.register
@@ -43,9 +47,9 @@
 
 @check_references.register
 def _(resource: Route, snapshot: Snapshot) -> tuple[FieldFault, ...]:
-    return _find_missing(
-        snapshot, "upstreams", Kind.UPSTREAM, resource.upstreams
-    ) + _find_missing(snapshot, "accounts", Kind.ACCOUNT, resource.accounts or ())
+    return _find_missing(snapshot, "upstreams", Kind.UPSTREAM, resource.upstreams) + _find_missing(
+        snapshot, "accounts", Kind.ACCOUNT, resource.accounts or ()
+    )
 
 
 @singledispatch
--- a/turmericproxy/configuration/snapshot.py
+++ b/turmericproxy/configuration/snapshot.py
@@ -92,4 +92,7 @@
         table.pop(name, None)
     else:
         table[name] = VersionedResource(resource, revision)
-    return Snapshot(revision, {**snapshot.tables, kind: MappingProxyType(table)})
+    tables = {k: t for k, t in snapshot.tables.items() if k is not kind}
+    if table:
+        tables[kind] = MappingProxyType(table)
+    return Snapshot(revision, tables)
--- a/turmericproxy/configuration/spread.py
+++ b/turmericproxy/configuration/spread.py
@@ -25,6 +25,11 @@
     snapshot: Snapshot | None
 
 
+def read_revision(digest: Mapping[str, Any]) -> Revision:
+    """Return the revision in another host's heartbeat; 0 if it holds none."""
+    return Revision(int(digest.get(REVISION_DIGEST, 0)))
+
+
 def encode_deltas(deltas: Iterable[Delta]) -> list[Any]:
     """Return the deltas as plain values."""
     return [encode_delta(delta) for delta in deltas]
--- a/turmericproxy/configuration/state.py
+++ b/turmericproxy/configuration/state.py
@@ -24,10 +24,6 @@
         """Return the newest snapshot."""
         return self._snapshot
 
-    def has_gap(self) -> bool:
-        """Return whether deltas wait for one that is missing."""
-        return bool(self._waiting)
-
     def install_deltas(self, deltas: Iterable[Delta]) -> tuple[Delta, ...]:
         """Install the deltas that follow without a gap, and return those."""
         with self._changed:
--- a/turmericproxy/keys/controller.py
+++ b/turmericproxy/keys/controller.py
@@ -11,6 +11,7 @@
 from turmericproxy.configuration.snapshot import Snapshot, Table
 from turmericproxy.core.clock import read_boottime
 from turmericproxy.core.ids import AccountName, HostName, KeyId, Revision
+from turmericproxy.core.loops import Loop
 from turmericproxy.core.results import Refusal, ResultCode, refuse
 from turmericproxy.keys.marks import (
     MarkRegister,
@@ -34,7 +35,6 @@
 FOREIGN_COVER_DELAY_SECONDS = 15.0
 WITHDRAW_TIMEOUT_SECONDS = 2.0
 RELOAD_SECONDS = 1.0
-MISSING_MARKS_LIMIT = 10_000
 
 
 @dataclass(frozen=True)
@@ -77,27 +77,22 @@
         self._index: tuple[Table | None, Mapping[str, Identity]] = (None, {})
         self._cover_at: dict[KeyId, float] = {}
         self._lock = threading.Lock()
-        self._closed = threading.Event()
-        self._wake = threading.Event()
         self._outbox = MarkSet()
-        self._threads: list[threading.Thread] = []
+        self._peer_loop = Loop(Part.KEYS, "mark-exchange", self._check_peers)
+        self._cover_loop = Loop(Part.KEYS, "mark-cover", self._cover_marks)
         links.register(MARKS_KIND, self._receive_marks)
         links.register(EXCHANGE_KIND, self._answer_exchange)
         self._publish_digest()
 
     def start(self) -> None:
         """Exchange marks with other hosts and write open ones down, in a thread each."""
-        for run in (self._follow_peers, self._cover_marks):
-            thread = threading.Thread(target=run, name=run.__name__, daemon=True)
-            thread.start()
-            self._threads.append(thread)
+        self._peer_loop.start()
+        self._cover_loop.start()
 
     def close(self) -> None:
         """Stop the threads."""
-        self._closed.set()
-        self._wake.set()
-        for thread in self._threads:
-            thread.join(timeout=5)
+        self._peer_loop.close()
+        self._cover_loop.close()
 
     def identify(self, secret: str) -> Identity | Refusal:
         """Return whose key this is, or why it is refused."""
@@ -179,7 +174,7 @@
             for key_id in new.open:
                 self._cover_at.setdefault(key_id, read_boottime() + delay)
         self._publish_digest()
-        self._wake.set()
+        self._peer_loop.wake()
 
     def _publish_digest(self) -> None:
         with self._lock:
@@ -193,15 +188,13 @@
         self._add_marks(theirs)
         return encode_marks(self._register.list_for(theirs.open))
 
-    def _follow_peers(self) -> None:
-        while not self._closed.is_set():
-            self._wake.clear()
-            self._flush_outbox()
-            own = compute_marks_digest(self._register.marks())
-            for peer in self._links.list_reachable():
-                if peer.digest.get(MARKS_DIGEST, own) != own:
-                    self._exchange_marks(peer.host)
-            self._wake.wait(CHECK_SECONDS)
+    def _check_peers(self) -> float:
+        self._flush_outbox()
+        own = compute_marks_digest(self._register.marks())
+        for peer in self._links.list_reachable():
+            if peer.digest.get(MARKS_DIGEST, own) != own:
+                self._exchange_marks(peer.host)
+        return CHECK_SECONDS
 
     def _flush_outbox(self) -> None:
         with self._lock:
@@ -215,12 +208,12 @@
         if not isinstance(answer, Refusal):
             self._add_marks(decode_marks(answer))
 
-    def _cover_marks(self) -> None:
-        while not self._closed.wait(CHECK_SECONDS):
-            now = read_boottime()
-            for key_id in self._register.marks().open:
-                if self._cover_at.get(key_id, 0.0) <= now and not self._closed.is_set():
-                    self._cover(key_id, WITHDRAW_TIMEOUT_SECONDS)
+    def _cover_marks(self) -> float:
+        now = read_boottime()
+        for key_id in self._register.marks().open:
+            if self._cover_at.get(key_id, 0.0) <= now:
+                self._cover(key_id, WITHDRAW_TIMEOUT_SECONDS)
+        return CHECK_SECONDS
 
     def _cover(self, key_id: KeyId, timeout: float) -> Refusal | None:
         """Delete the key's resource, and return why that can't be done yet.
--- /dev/null
+++ b/turmericproxy/operators/answers.py
@@ -0,0 +1,71 @@
+"""Write resources, changes and refusals as answers to operators."""
+
+import math
+from functools import singledispatch
+from typing import Any
+
+from turmericproxy.configuration.changes import Accepted, InvalidResource, UnknownChange
+from turmericproxy.configuration.deltas import Delta
+from turmericproxy.configuration.resources import Kind, describe_resource
+from turmericproxy.configuration.snapshot import VersionedResource
+from turmericproxy.core.results import Refusal
+from turmericproxy.web import HttpResponse, create_json_response
+
+
+def create_etag(version: int) -> str:
+    """Return the entity tag of a resource's version."""
+    return f'"{version}"'
+
+
+def describe_entry(kind: Kind, entry: VersionedResource) -> dict[str, Any]:
+    """Return a resource with its kind, name and the revision that last changed it."""
+    fields = describe_resource(entry.resource)
+    return {"kind": kind.value, "name": entry.resource.name, "revision": entry.version, **fields}
+
+
+def describe_delta(delta: Delta) -> dict[str, Any]:
+    """Return one change; ``spec`` is null for a deletion."""
+    return {
+        "revision": delta.revision,
+        "change_id": delta.change_id,
+        "kind": delta.kind.value,
+        "name": delta.name,
+        "spec": delta.spec,
+    }
+
+
+@singledispatch
+def describe_details(refusal: Refusal) -> dict[str, Any]:
+    """Return what a refusal says beyond its code and reason."""
+    return {}
+
+
+@describe_details.register
+def _(refusal: InvalidResource) -> dict[str, Any]:
+    return {"faults": [{"field": f.field, "reason": f.reason} for f in refusal.faults]}
+
+
+@describe_details.register
+def _(refusal: UnknownChange) -> dict[str, Any]:
+    return {"change_id": refusal.change_id}
+
+
+def create_refusal_response(refusal: Refusal) -> HttpResponse:
+    """Return the answer that tells an operator of a refusal."""
+    error = {
+        "code": int(refusal.code),
+        "name": refusal.code.name.lower(),
+        "reason": refusal.reason,
+        "run": refusal.run.value,
+        **describe_details(refusal),
+    }
+    headers = {}
+    if refusal.retry_after is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after)))
+    return create_json_response(refusal.http_status, {"error": error}, headers)
+
+
+def create_accepted_response(accepted: Accepted, status: int = 200) -> HttpResponse:
+    """Return the answer to a change that was committed."""
+    body = {"revision": accepted.revision, "change_id": accepted.change_id}
+    return create_json_response(status, body, {"ETag": create_etag(accepted.revision)})
