Name prompt blocks by the hash of their chain

Engines and hosts need the same block names; both import these three functions. Block text is length-prefixed so that salt and text can't run into each other.

--- /dev/null
+++ b/turmericproxy/cache/__init__.py
@@ -0,0 +1,1 @@
+"""Know which engines hold which blocks of prompts."""
--- /dev/null
+++ b/turmericproxy/cache/blocks.py
@@ -0,0 +1,45 @@
+"""Cut prompts into blocks and name each by the hash of its chain."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+
+CHARACTERS_PER_TOKEN = 4
+TOKENS_PER_BLOCK = 2_000
+CHARACTERS_PER_BLOCK = CHARACTERS_PER_TOKEN * TOKENS_PER_BLOCK
+HASH_BYTES = 16
+
+
+def render_prompt(messages: Iterable[Mapping[str, str]]) -> str:
+    r"""Return the text of the messages in the form that engines tokenize.
+
+    >>> render_prompt([{"role": "user", "content": "Which notes are flat?"}])
+    'user:Which notes are flat?\n'
+    """
+    return "".join(f"{message['role']}:{message['content']}\n" for message in messages)
+
+
+def count_tokens(text: str) -> int:
+    """Return the number of tokens of a text, rounded up.
+
+    >>> count_tokens("abcde")
+    2
+    """
+    return -(-len(text) // CHARACTERS_PER_TOKEN)
+
+
+def chain_blocks(prompt: str, salt: str, model: str, version: str) -> tuple[str, ...]:
+    """Return the chain hashes of the full blocks of a prompt, the outermost first."""
+    parent = f"{model}@{version}"
+    chain = []
+    for start in range(0, len(prompt) - CHARACTERS_PER_BLOCK + 1, CHARACTERS_PER_BLOCK):
+        parent = _hash_block(parent, salt, prompt[start : start + CHARACTERS_PER_BLOCK])
+        chain.append(parent)
+    return tuple(chain)
+
+
+def _hash_block(parent: str, salt: str, text: str) -> str:
+    digest = hashlib.blake2b(digest_size=HASH_BYTES)
+    for part in (parent, salt, text):
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part.encode())
+    return digest.hexdigest()
