Choose engines by expected time to the first token

A first selector: prefix index, learnt speed and residence, health, fair queue, retry budget and notes of dispatches between hosts. Ruled out: counting a dispatch only when the engine's next load report shows it, since reports lag.

--- /dev/null
+++ b/tests/routing/test_selector.py
@@ -0,0 +1,85 @@
+from tests.routing.support import (
+    Clock,
+    create_chain,
+    create_request,
+    create_selector,
+    create_snapshot,
+    report_load,
+)
+from turmericproxy.core import EngineName, Incarnation, Refusal, ResultCode
+from turmericproxy.routing import Choice, FinishKind, Usage
+
+
+def send(selector, request) -> Choice:
+    choice = selector.choose(request)
+    assert isinstance(choice, Choice), choice
+    selector.record_dispatch(choice)
+    return choice
+
+
+def test_repeated_prefix_returns_to_its_engine():
+    clock = Clock()
+    selector = create_selector(create_snapshot(), clock)
+    chain = create_chain("rules", "notes", "more")
+    first = send(selector, create_request(1, chain))
+    selector.record_first_piece(first, 0.35)
+    selector.record_finish(first, FinishKind.COMPLETED, Usage(7000, 0, 20))
+    second = send(selector, create_request(2, chain))
+    assert second.engine == first.engine
+    assert (first.cached_blocks, second.cached_blocks) == (0, 3)
+
+
+def test_new_incarnation_forgets_its_blocks():
+    clock = Clock()
+    selector = create_selector(create_snapshot(engines=1), clock)
+    report_load(selector, 0, clock)
+    chain = create_chain("rules", "notes")
+    send(selector, create_request(1, chain))
+    assert send(selector, create_request(2, chain)).cached_blocks == 2
+    report_load(selector, 0, clock, incarnation=Incarnation("second"))
+    assert send(selector, create_request(3, chain)).cached_blocks == 0
+
+
+def test_leaving_and_excluded_engines_get_nothing():
+    selector = create_selector(create_snapshot(engines=3, leaving=(0,)), Clock())
+    excluded = frozenset({EngineName("engine-1")})
+    for number in range(20):
+        assert send(selector, create_request(number, excluded=excluded)).engine == "engine-2"
+
+
+def test_other_version_is_not_served():
+    clock = Clock()
+    selector = create_selector(create_snapshot(engines=1), clock)
+    report_load(selector, 0, clock, versions={"notes": "v2"})
+    refusal = selector.choose(create_request(1))
+    assert isinstance(refusal, Refusal) and refusal.code is ResultCode.NO_UPSTREAM
+
+
+def test_late_deadline_is_refused_at_once_with_the_wait():
+    clock = Clock()
+    selector = create_selector(create_snapshot(engines=1), clock)
+    report_load(selector, 0, clock, queued=4, queued_tokens=100_000)
+    refusal = selector.choose(create_request(1, deadline=clock() + 1.0))
+    assert isinstance(refusal, Refusal) and refusal.code is ResultCode.DEADLINE_UNREACHABLE
+    assert 3.9 < refusal.retry_after < 4.3
+
+
+def test_full_slots_are_refused():
+    selector = create_selector(create_snapshot(engines=1, slots=2), Clock())
+    send(selector, create_request(1))
+    send(selector, create_request(2))
+    refusal = selector.choose(create_request(3))
+    assert isinstance(refusal, Refusal) and refusal.code is ResultCode.OVERLOADED
+
+
+def test_unreachable_engine_is_ejected_and_returns_slowly():
+    clock = Clock()
+    selector = create_selector(create_snapshot(engines=1, slots=10), clock)
+    selector.record_finish(send(selector, create_request(1)), FinishKind.UNREACHABLE)
+    refusal = selector.choose(create_request(2))
+    assert isinstance(refusal, Refusal) and refusal.code is ResultCode.NO_UPSTREAM
+    clock.now += 0.6
+    send(selector, create_request(3))
+    assert isinstance(selector.choose(create_request(4)), Refusal)
+    clock.now += 10.0
+    send(selector, create_request(5))
--- /dev/null
+++ b/turmericproxy/routing/__init__.py
@@ -0,0 +1,24 @@
+"""Choose engines and plain services for requests."""
+
+from turmericproxy.routing.budget import RetryBudget
+from turmericproxy.routing.queue import FairQueue, Ticket
+from turmericproxy.routing.requests import (
+    Choice,
+    FinishKind,
+    RoutingRequest,
+    UpstreamChoice,
+    Usage,
+)
+from turmericproxy.routing.selector import Selector
+
+__all__ = [
+    "Choice",
+    "FairQueue",
+    "FinishKind",
+    "RetryBudget",
+    "RoutingRequest",
+    "Selector",
+    "Ticket",
+    "UpstreamChoice",
+    "Usage",
+]
--- /dev/null
+++ b/turmericproxy/routing/engines.py
@@ -0,0 +1,80 @@
+"""Hold what a host knows of each engine's work."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from turmericproxy.core import HostName, Incarnation, RequestId
+from turmericproxy.routing.health import Health
+from turmericproxy.routing.speed import Speed
+
+PEER_WORK_LIFETIME = 2.0
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """Hold an engine's lagged report of its load, as received at a boot time in seconds."""
+
+    incarnation: Incarnation
+    running: int
+    queued: int
+    queued_tokens: int
+    versions: Mapping[str, str]
+    received_at: float
+    own_tokens: float = 0.0
+
+
+@dataclass(frozen=True)
+class PeerWork:
+    """Hold the tokens that a peer's requests still wait for at an engine."""
+
+    tokens: float
+    received_at: float
+
+
+@dataclass
+class PendingWork:
+    """Hold an own request from its dispatch to its end."""
+
+    missing_tokens: int
+    ahead_tokens: float
+    dispatched_at: float
+    ages: list[float] = field(default_factory=list)
+    first_piece_seconds: float | None = None
+
+
+@dataclass
+class EngineState:
+    """Gather the load, speed, health and own requests of one engine."""
+
+    report: LoadReport | None = None
+    speed: Speed = Speed()
+    health: Health = Health()
+    distance: float = 0.0
+    in_flight: dict[RequestId, PendingWork] = field(default_factory=dict)
+    peer_work: dict[HostName, PeerWork] = field(default_factory=dict)
+
+    def count_own_tokens(self) -> float:
+        """Return the tokens of own requests that wait for their first piece."""
+        return float(
+            sum(
+                work.missing_tokens
+                for work in self.in_flight.values()
+                if work.first_piece_seconds is None
+            )
+        )
+
+    def count_other_tokens(self, now: float) -> float:
+        """Return the tokens that other hosts' requests are expected to wait for."""
+        told = sum(
+            work.tokens
+            for work in self.peer_work.values()
+            if now - work.received_at < PEER_WORK_LIFETIME
+        )
+        return max(told, self._count_reported_tokens(now))
+
+    def _count_reported_tokens(self, now: float) -> float:
+        if self.report is None:
+            return 0.0
+        others = self.report.queued_tokens - self.report.own_tokens
+        done = (now - self.report.received_at) * self.speed.tokens_per_second
+        return max(0.0, others - done)
--- /dev/null
+++ b/turmericproxy/routing/policies.py
@@ -0,0 +1,105 @@
+"""Choose one of the candidates for a request, by the policy of the host."""
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+
+from turmericproxy.routing.candidates import Candidate
+from turmericproxy.routing.requests import RoutingRequest
+
+NEAR_SECONDS = 0.005
+NEAR_SHARE = 0.05
+
+
+@dataclass(frozen=True)
+class ExpectedTime:
+    """Take the engine with the least expected time to the first token.
+
+    Among engines that differ by less than ``near_seconds`` or ``near_share``, all hosts agree
+    on one by the hash of the prompt's last block.
+    """
+
+    near_seconds: float = NEAR_SECONDS
+    near_share: float = NEAR_SHARE
+
+
+@dataclass(frozen=True)
+class RoundRobin:
+    """Take the engines in turn."""
+
+
+@dataclass(frozen=True)
+class LeastLoaded:
+    """Take the engine with the fewest requests."""
+
+
+@dataclass(frozen=True)
+class HashFirst:
+    """Take the engine given by the hash of the prompt's first block."""
+
+
+Policy = ExpectedTime | RoundRobin | LeastLoaded | HashFirst
+
+
+def create_policy(name: str) -> Policy:
+    """Return the policy of that name in the settings."""
+    policies: dict[str, Policy] = {
+        "expected_time": ExpectedTime(),
+        "round_robin": RoundRobin(),
+        "least_loaded": LeastLoaded(),
+        "hash_first": HashFirst(),
+    }
+    return policies[name]
+
+
+def weigh_rendezvous(key: str, name: str) -> int:
+    """Return the weight of a name for a key in rendezvous hashing."""
+    digest = hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+@singledispatch
+def select(
+    policy: Policy, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
+) -> Candidate:
+    """Return the candidate that the policy takes; ``turn`` counts the host's choices."""
+    raise TypeError(f"no selection for {type(policy).__name__}")
+
+
+@select.register
+def _(
+    policy: ExpectedTime, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
+) -> Candidate:
+    best = min(candidate.expected_seconds for candidate in candidates)
+    limit = max(best + policy.near_seconds, best * (1 + policy.near_share))
+    near = [candidate for candidate in candidates if candidate.expected_seconds <= limit]
+    key = request.blocks[-1] if request.blocks else request.request_id
+    return max(near, key=lambda candidate: weigh_rendezvous(key, candidate.engine))
+
+
+@select.register
+def _(
+    policy: RoundRobin, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
+) -> Candidate:
+    ordered = sorted(candidates, key=lambda candidate: candidate.engine)
+    return ordered[turn % len(ordered)]
+
+
+@select.register
+def _(
+    policy: LeastLoaded, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
+) -> Candidate:
+    key = request.request_id
+    return min(
+        candidates,
+        key=lambda candidate: (candidate.requests, weigh_rendezvous(key, candidate.engine)),
+    )
+
+
+@select.register
+def _(
+    policy: HashFirst, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
+) -> Candidate:
+    key = request.blocks[0] if request.blocks else request.account
+    return max(candidates, key=lambda candidate: weigh_rendezvous(key, candidate.engine))
--- /dev/null
+++ b/turmericproxy/routing/polling.py
@@ -0,0 +1,222 @@
+"""Poll engines and plain services for their load, and engines for cache events."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from turmericproxy.cache.index import PrefixIndex, create_key
+from turmericproxy.configuration import Kind, Snapshot
+from turmericproxy.core import EngineName, Incarnation, UpstreamName, read_boottime
+from turmericproxy.logs import Part, log_event
+from turmericproxy.routing.engines import LoadReport
+from turmericproxy.routing.plain import PlainSelector
+from turmericproxy.routing.requests import FinishKind
+from turmericproxy.settings.schema import RoutingSettings, UpstreamSettings
+from turmericproxy.web import CallFailure, HttpClient
+
+EVENTS_PER_CALL = 512
+EVENTS_WAIT = 1.0
+REPORT_TIMEOUT = 1.0
+
+
+class PolledState(Protocol):
+    """Take in what the polls bring."""
+
+    index: PrefixIndex
+    plain: PlainSelector
+
+    def record_report(self, engine: EngineName, report: LoadReport, distance: float) -> None:
+        """Take in an engine's report and the seconds that its answer took."""
+
+    def record_silence(self, engine: EngineName, kind: FinishKind) -> None:
+        """Take in that an engine did not report its load."""
+
+    def count_own_tokens(self, engine: EngineName) -> float:
+        """Return the tokens that own requests wait for at an engine."""
+
+
+class _Loop:
+    """Run a step again and again in a thread until closed."""
+
+    def __init__(self, name: str, step: Callable[[], float], address: str) -> None:
+        self.address = address
+        self._step = step
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def close(self) -> None:
+        self._closed.set()
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            self._closed.wait(self._step())
+
+
+class EventReader:
+    """Follow the cache events of one engine."""
+
+    def __init__(self, engine: EngineName, client: HttpClient, state: PolledState) -> None:
+        self._engine = engine
+        self._client = client
+        self._state = state
+        self._incarnation: Incarnation | None = None
+        self._next = 0
+
+    def step(self) -> float:
+        """Read one batch of events, and return the seconds to wait for the next call."""
+        path = f"/v1/events?after={self._next}&limit={EVENTS_PER_CALL}&wait={EVENTS_WAIT}"
+        answer = self._client.call_json("GET", path, read_timeout=EVENTS_WAIT + REPORT_TIMEOUT)
+        if isinstance(answer, CallFailure) or answer[0] != 200:
+            return EVENTS_WAIT
+        self.apply(answer[1])
+        return 0.0
+
+    def apply(self, body: dict[str, Any]) -> None:
+        """Take in a batch of events; a gap in their numbers makes the index doubt the engine."""
+        incarnation = Incarnation(body["incarnation"])
+        if incarnation != self._incarnation:
+            is_first = self._incarnation is None
+            self._incarnation = incarnation
+            self._state.index.observe_incarnation(self._engine, incarnation)
+            self._next = 0
+            if not is_first:
+                return
+        now = read_boottime()
+        for event in body["events"]:
+            if event["seq"] > self._next + 1 and self._next:
+                self._state.index.doubt(self._engine, now)
+            self._next = max(self._next, event["seq"])
+            self._apply_event(event, incarnation, now)
+        self._next = max(self._next, int(body["next"]))
+
+    def _apply_event(self, event: dict[str, Any], incarnation: Incarnation, now: float) -> None:
+        index, engine = self._state.index, self._engine
+        match event["kind"]:
+            case "stored":
+                index.confirm(engine, incarnation, create_key(event["block"]), now)
+            case "removed":
+                index.remove(engine, incarnation, create_key(event["block"]), now)
+            case "cleared":
+                index.clear(engine)
+
+
+class Pollers:
+    """Keep two loops for each engine and one for each plain service of the configuration."""
+
+    def __init__(
+        self, state: PolledState, settings: RoutingSettings, upstreams: UpstreamSettings
+    ) -> None:
+        self._state = state
+        self._pause = settings.load_poll
+        self._connect_timeout = upstreams.connect_timeout
+        self._lock = threading.Lock()
+        self._loops: dict[str, _Loop] = {}
+
+    def follow(self, snapshot: Snapshot) -> None:
+        """Poll exactly the engines and services of the configuration."""
+        engines = {engine.name: engine.address for engine in snapshot.list_engines()}
+        services = {
+            name: entry.resource.address  # type: ignore[attr-defined]
+            for name, entry in snapshot.get_table(Kind.UPSTREAM).items()
+        }
+        wanted: dict[str, tuple[str, Callable[[], Callable[[], float]]]] = {}
+        for name, address in engines.items():
+            wanted[f"load {name}"] = (address, self._bind(self._create_load_step, name, address))
+            wanted[f"events {name}"] = (address, self._bind(self._create_reader, name, address))
+        for name, address in services.items():
+            step = self._bind(self._create_service_step, name, address)
+            wanted[f"service {name}"] = (address, step)
+        with self._lock:
+            self._replace_loops(wanted)
+
+    def close(self) -> None:
+        """End all loops."""
+        with self._lock:
+            for loop in self._loops.values():
+                loop.close()
+            self._loops = {}
+
+    def _bind(
+        self, create: Callable[[str, str], Callable[[], float]], name: str, address: str
+    ) -> Callable[[], Callable[[], float]]:
+        return lambda: create(name, address)
+
+    def _replace_loops(
+        self, wanted: dict[str, tuple[str, Callable[[], Callable[[], float]]]]
+    ) -> None:
+        for name, loop in list(self._loops.items()):
+            if name not in wanted or wanted[name][0] != loop.address:
+                loop.close()
+                del self._loops[name]
+        for name, (address, create) in wanted.items():
+            if name not in self._loops:
+                self._loops[name] = _Loop(name, create(), address)
+                self._loops[name].start()
+
+    def _create_client(self, address: str) -> HttpClient:
+        return HttpClient(
+            address,
+            connect_timeout=self._connect_timeout,
+            read_timeout=REPORT_TIMEOUT,
+            connections=1,
+        )
+
+    def _create_reader(self, name: str, address: str) -> Callable[[], float]:
+        return EventReader(EngineName(name), self._create_client(address), self._state).step
+
+    def _create_load_step(self, name: str, address: str) -> Callable[[], float]:
+        client = self._create_client(address)
+        engine = EngineName(name)
+
+        def step() -> float:
+            started = time.monotonic()
+            answer = client.call_json("GET", "/v1/load")
+            elapsed = time.monotonic() - started
+            if isinstance(answer, CallFailure) or answer[0] != 200:
+                kind = _classify(answer)
+                log_event(Part.ROUTING, "engine gave no load report", engine=name, kind=kind.value)
+                self._state.record_silence(engine, kind)
+                return self._pause
+            own_tokens = self._state.count_own_tokens(engine)
+            self._state.record_report(engine, _parse_report(answer[1], own_tokens), elapsed)
+            return self._pause
+
+        return step
+
+    def _create_service_step(self, name: str, address: str) -> Callable[[], float]:
+        client = self._create_client(address)
+        upstream = UpstreamName(name)
+
+        def step() -> float:
+            answer = client.call_json("GET", "/load")
+            if isinstance(answer, CallFailure) or answer[0] != 200:
+                self._state.plain.record_silence(upstream, _classify(answer))
+            else:
+                self._state.plain.record_report(upstream, int(answer[1]["running"]))
+            return self._pause
+
+        return step
+
+
+def _classify(answer: tuple[int, Any] | CallFailure) -> FinishKind:
+    if isinstance(answer, CallFailure) and answer.is_unsent:
+        return FinishKind.UNREACHABLE
+    if isinstance(answer, CallFailure):
+        return FinishKind.TIMEOUT
+    return FinishKind.BROKEN
+
+
+def _parse_report(body: dict[str, Any], own_tokens: float) -> LoadReport:
+    return LoadReport(
+        incarnation=Incarnation(body["incarnation"]),
+        running=int(body["running"]),
+        queued=int(body["queued"]),
+        queued_tokens=int(body["queued_tokens"]),
+        versions=dict(body["versions"]),
+        received_at=read_boottime(),
+        own_tokens=own_tokens,
+    )
--- /dev/null
+++ b/turmericproxy/routing/requests.py
@@ -0,0 +1,82 @@
+"""Define what the selector is asked and what it answers."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from types import MappingProxyType
+
+from turmericproxy.core import (
+    AccountName,
+    DomainName,
+    EngineName,
+    ModelName,
+    RequestId,
+    UpstreamName,
+)
+
+_NO_TERMS: Mapping[str, float] = MappingProxyType({})
+
+
+class FinishKind(Enum):
+    """Tell how an attempt at an upstream ended."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    BROKEN = "broken"
+    WRONG_VERSION = "wrong_version"
+    CROSSED = "crossed"
+
+    @property
+    def is_fault(self) -> bool:
+        """Return whether the ending counts against the health of the upstream."""
+        return self not in (FinishKind.COMPLETED, FinishKind.CANCELLED, FinishKind.WRONG_VERSION)
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Count the tokens of an answer as the engine reported them."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+@dataclass(frozen=True)
+class RoutingRequest:
+    """Describe a request to a model; ``deadline`` is a boot time in seconds for its first token."""
+
+    request_id: RequestId
+    account: AccountName
+    model: ModelName
+    version: str
+    blocks: tuple[str, ...]
+    prompt_tokens: int
+    max_tokens: int
+    deadline: float
+    excluded: frozenset[EngineName] = frozenset()
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Name the engine chosen for an attempt, with the terms of its score in seconds."""
+
+    request: RoutingRequest
+    engine: EngineName
+    address: str
+    version: str
+    expected_seconds: float
+    cached_blocks: int
+    missing_tokens: int
+    priority: int
+    terms: Mapping[str, float] = field(default_factory=lambda: _NO_TERMS)
+
+
+@dataclass(frozen=True)
+class UpstreamChoice:
+    """Name the plain service chosen for a call."""
+
+    upstream: UpstreamName
+    address: str
+    domain: DomainName
--- /dev/null
+++ b/turmericproxy/routing/sharing.py
@@ -0,0 +1,164 @@
+"""Tell peers of dispatches, so that they need not wait for late reports and events."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgpack
+
+from turmericproxy.cache.index import BlockKey, PrefixIndex
+from turmericproxy.core import EngineName, HostName, read_boottime
+from turmericproxy.routing.engines import PeerWork
+
+NOTE_KIND = "routing.dispatches"
+SHORTEST_PAUSE = 0.05
+REFRESH_PAUSE = 1.0
+BYTES_PER_SECOND = 6_000
+REMEMBERED_CHAINS = 4_096
+LONGEST_NOTE = 256
+KEY_BYTES = 8
+
+
+@dataclass(frozen=True)
+class DispatchNote:
+    """Say that a chain of blocks was sent to an engine, of which the first ones were there."""
+
+    engine: EngineName
+    keys: tuple[BlockKey, ...]
+    known: int
+
+
+class _Chains:
+    """Remember chains by their last block, the lately used ones."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._chains: OrderedDict[BlockKey, tuple[BlockKey, ...]] = OrderedDict()
+
+    def add(self, keys: Sequence[BlockKey]) -> None:
+        """Remember a chain."""
+        self._chains[keys[-1]] = tuple(keys)
+        self._chains.move_to_end(keys[-1])
+        if len(self._chains) > self._limit:
+            self._chains.popitem(last=False)
+
+    def find(self, last: BlockKey) -> tuple[BlockKey, ...]:
+        """Return the chain that ends with a block, or that block alone."""
+        return self._chains.get(last, (last,))
+
+
+class SharedState(Protocol):
+    """Offer what the notes tell of and what they change."""
+
+    index: PrefixIndex
+
+    def count_own_tokens(self, engine: EngineName) -> float:
+        """Return the tokens that own requests wait for at an engine."""
+
+    def record_peer_work(self, engine: EngineName, host: HostName, work: PeerWork) -> None:
+        """Take in the tokens that a peer's requests wait for at an engine."""
+
+
+class WorkSharing:
+    """Send notes of own dispatches in small batches and take in those of peers.
+
+    The pause between two batches grows with their size and the number of peers, so that a host
+    sends at most ``BYTES_PER_SECOND`` on average.
+    """
+
+    def __init__(self, links: Any, state: SharedState) -> None:
+        self._links = links
+        self._state = state
+        self._lock = threading.Lock()
+        self._notes: list[DispatchNote] = []
+        self._changed: set[EngineName] = set()
+        self._chains = _Chains(REMEMBERED_CHAINS)
+        self._wake = threading.Event()
+        self._closed = threading.Event()
+        self._hosts = 1
+
+    def start(self) -> None:
+        """Start to send and receive notes."""
+        if self._links is None:
+            return
+        self._links.register(NOTE_KIND, self.receive)
+        threading.Thread(target=self._run, name="work-sharing", daemon=True).start()
+
+    def close(self) -> None:
+        """Stop sending."""
+        self._closed.set()
+        self._wake.set()
+
+    def count_hosts(self) -> int:
+        """Return the number of hosts that share the traffic, this one included."""
+        return self._hosts
+
+    def add(self, note: DispatchNote) -> None:
+        """Tell peers of a dispatch with the next batch."""
+        with self._lock:
+            if note.keys:
+                self._chains.add(note.keys)
+            if len(self._notes) < LONGEST_NOTE:
+                self._notes.append(note)
+            self._changed.add(note.engine)
+        self._wake.set()
+
+    def mark_changed(self, engine: EngineName) -> None:
+        """Tell peers of an engine's outstanding work with the next batch."""
+        with self._lock:
+            self._changed.add(engine)
+        self._wake.set()
+
+    def receive(self, host: HostName, body: Any) -> None:
+        """Take in a batch of a peer."""
+        now = read_boottime()
+        for engine, tokens in body["work"].items():
+            self._state.record_peer_work(EngineName(engine), host, PeerWork(float(tokens), now))
+        for engine, known_last, new in body["dispatches"]:
+            keys = self._unpack_chain(known_last, new)
+            self._state.index.predict(EngineName(engine), keys, now)
+
+    def create_batch(self) -> dict[str, Any] | None:
+        """Return the next batch, or ``None`` if there is nothing to tell."""
+        with self._lock:
+            notes, self._notes = self._notes, []
+            changed, self._changed = self._changed, set()
+        if not notes and not changed:
+            return None
+        return {
+            "work": {engine: round(self._state.count_own_tokens(engine)) for engine in changed},
+            "dispatches": [_pack_note(note) for note in notes if note.keys],
+        }
+
+    def _unpack_chain(self, known_last: bytes, new: bytes) -> tuple[BlockKey, ...]:
+        known: tuple[BlockKey, ...] = ()
+        with self._lock:
+            if known_last:
+                known = self._chains.find(int.from_bytes(known_last, "big"))
+            added = tuple(
+                int.from_bytes(new[place : place + KEY_BYTES], "big")
+                for place in range(0, len(new), KEY_BYTES)
+            )
+            keys = known + added
+            if keys:
+                self._chains.add(keys)
+        return keys
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            self._wake.wait(REFRESH_PAUSE)
+            self._wake.clear()
+            self._hosts = 1 + len(self._links.list_reachable())
+            batch = self.create_batch()
+            sent = self._links.broadcast(NOTE_KIND, batch) if batch else 0
+            size = len(msgpack.packb(batch)) if sent else 0
+            self._closed.wait(max(SHORTEST_PAUSE, size * sent / BYTES_PER_SECOND))
+
+
+def _pack_note(note: DispatchNote) -> tuple[str, bytes, bytes]:
+    known = min(note.known, len(note.keys))
+    known_last = note.keys[known - 1].to_bytes(KEY_BYTES, "big") if known else b""
+    new = b"".join(key.to_bytes(KEY_BYTES, "big") for key in note.keys[known:])
+    return note.engine, known_last, new
