Ask a connection whether its client is gone without waiting

Cause: a Python socket with a timeout waits for data in recv, MSG_DONTWAIT or not, so is_client_gone slept for the server's timeout (30 s) on a waiting client and then called it gone. Ruled out: the batch of the engine stand-in, which had finished. The new test fails on the old code (no check returned within 5 s) and passes with poll before recv.

--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -1,6 +1,7 @@
 """Check the server and the client against each other and against silent connections."""
 
 import socket
+import time
 
 from turmericproxy.web import CallFailure, FailureStage, HttpClient, HttpServer
 from turmericproxy.web.server import HttpRequest, HttpResponse, create_json_response
@@ -33,3 +34,32 @@
         assert isinstance(failure, CallFailure) and failure.stage is FailureStage.ANSWER
     refused = HttpClient(f"127.0.0.1:{port}").call_json("GET", "/")
     assert isinstance(refused, CallFailure) and refused.is_unsent
+
+
+def test_waiting_client_is_told_from_a_gone_one_at_once() -> None:
+    seen: list[tuple[bool, float]] = []
+
+    def handle(request: HttpRequest) -> HttpResponse:
+        deadline = time.monotonic() + 5.0
+        while time.monotonic() < deadline:
+            started = time.monotonic()
+            is_gone = request.is_client_gone()
+            seen.append((is_gone, time.monotonic() - started))
+            if is_gone:
+                break
+        return HttpResponse(204)
+
+    server = HttpServer("127.0.0.1:0", handle, threads=2)
+    server.start()
+    try:
+        with socket.create_connection(("127.0.0.1", server.port)) as connection:
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: test\r\n\r\n")
+            deadline = time.monotonic() + 5.0
+            while not seen and time.monotonic() < deadline:
+                time.sleep(0.01)
+            assert seen and not seen[0][0]
+        while not seen[-1][0] and time.monotonic() < deadline:
+            time.sleep(0.01)
+        assert seen[-1][0] and max(spent for _, spent in seen) < 1.0
+    finally:
+        server.close()
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -1,6 +1,7 @@
 """Serve HTTP requests with cheroot through one handler function."""
 
 import json
+import select
 import socket
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -35,10 +36,13 @@
     def is_client_gone(self) -> bool:
         """Return whether the client has closed the connection."""
         try:
-            return self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
+            poll = select.poll()
+            poll.register(self.connection, select.POLLIN)
+            # A socket with a timeout would wait in recv, so recv is asked only when it is ready.
+            if not poll.poll(0):
+                return False
+            return self.connection.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
             return True
 
 
