Stand in for engines and plain services

The engine batches continuously (one scheduler thread, a prefill budget and one token a running request each step), evicts blocks by least recent use, resumes, cancels, exports and imports, takes orders with a fence, and brings about crashes, late, crossed, silent and broken answers. Pieces depend on prompt, model, version and index alone, so that tests know every answer.

--- a/turmericproxy/cli/app.py
+++ b/turmericproxy/cli/app.py
@@ -2,7 +2,10 @@
 
 import typer
 
+from turmericproxy.cli.standin import stand_in_app
+
 app = typer.Typer(no_args_is_help=True, help="Route language-model traffic with shared prompts.")
+app.add_typer(stand_in_app, name="stand-in")
 
 
 @app.callback()
--- /dev/null
+++ b/turmericproxy/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems in tests and demonstrations."""
--- /dev/null
+++ b/turmericproxy/standins/engine/answers.py
@@ -0,0 +1,119 @@
+"""Answer requests from the batch, with the faults that a control call set."""
+
+import json
+import time
+from collections.abc import Iterator
+from typing import Any
+
+from turmericproxy.standins.engine.batch import Job, JobState
+from turmericproxy.standins.engine.core import EngineCore
+from turmericproxy.standins.engine.generation import digest_prompt, generate_piece
+from turmericproxy.standins.engine.options import EngineFaults
+from turmericproxy.standins.exchange import cut_connection
+from turmericproxy.web import HttpRequest
+
+POLL = 0.25
+CROSSED_DIGEST = digest_prompt("user:another request\n")
+
+
+class ConnectionCut(Exception):
+    """End a response before its end, so that the connection is cut."""
+
+
+class Answer:
+    """Deliver the pieces of one request after an index to one connection."""
+
+    def __init__(
+        self, core: EngineCore, faults: EngineFaults, job: Job, request: HttpRequest
+    ) -> None:
+        self._core = core
+        self._faults = faults
+        self._job = job
+        self._request = request
+        self._crossed_from = faults.take_crossed()
+        self._break_at: int | None = None
+        self.is_silent = faults.silent
+
+    def stream(self, first: int) -> Iterator[bytes]:
+        """Yield one server-sent event a piece, then the usage, then the end mark."""
+        job = self._job
+        self._break_at = self._faults.take_break()
+        try:
+            self._delay()
+            for index in range(first, job.max_tokens):
+                self._await_piece(index)
+                if self._break_at is not None and index - first >= self._break_at:
+                    raise ConnectionCut
+                yield _encode(self._describe_piece(index))
+            self._await_end()
+            yield _encode(self._describe_usage(job.max_tokens))
+            yield b"data: [DONE]\n\n"
+        except ConnectionCut:
+            self._core.detach(job)
+            cut_connection(self._request.connection)
+        except GeneratorExit:
+            self._core.detach(job)
+            raise
+
+    def build(self) -> dict[str, Any]:
+        """Return the whole answer as one value."""
+        job = self._job
+        self._delay()
+        try:
+            self._await_end()
+        except ConnectionCut:
+            self._core.detach(job)
+            raise
+        pieces = [self._describe_piece(n)["text"] for n in range(job.start, job.max_tokens)]
+        return {**self._describe_usage(0), "text": "".join(pieces)}
+
+    def _delay(self) -> None:
+        time.sleep(self._faults.late)
+
+    def _await_piece(self, index: int) -> None:
+        self._wait(lambda: self._job.produced > index or self._job.is_ended)
+        if self._job.produced <= index:
+            raise ConnectionCut
+
+    def _await_end(self) -> None:
+        self._wait(lambda: self._job.is_ended)
+        if self._job.state is not JobState.DONE:
+            raise ConnectionCut
+
+    def _wait(self, is_ready: Any) -> None:
+        while not is_ready() or self.is_silent:
+            with self._job.changed:
+                if not is_ready() or self.is_silent:
+                    self._job.changed.wait(timeout=POLL)
+            if self._request.is_client_gone() or self._job.state is JobState.LOST:
+                raise ConnectionCut
+
+    def _is_crossed(self, index: int) -> bool:
+        return self._crossed_from is not None and index >= self._crossed_from
+
+    def _describe(self, index: int) -> dict[str, Any]:
+        is_crossed = self._is_crossed(index)
+        return {
+            "id": f"crossed-{self._job.request_id[:8]}" if is_crossed else self._job.request_id,
+            "version": self._job.version,
+            "incarnation": self._core.incarnation,
+        }
+
+    def _describe_piece(self, index: int) -> dict[str, Any]:
+        job = self._job
+        digest = CROSSED_DIGEST if self._is_crossed(index) else job.prompt_digest
+        text = generate_piece(digest, job.model, job.version, index)
+        return {**self._describe(index), "index": index, "text": text}
+
+    def _describe_usage(self, index: int) -> dict[str, Any]:
+        job = self._job
+        usage = {
+            "prompt_tokens": job.prompt_tokens,
+            "cached_tokens": job.cached_tokens,
+            "completion_tokens": job.max_tokens - job.start,
+        }
+        return {**self._describe(index), "usage": usage}
+
+
+def _encode(value: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(value, separators=(",", ":")).encode() + b"\n\n"
--- /dev/null
+++ b/turmericproxy/standins/engine/core.py
@@ -0,0 +1,214 @@
+"""Run one incarnation of an engine: its batch, cache, events and load report."""
+
+import threading
+import time
+from collections import deque
+from dataclasses import asdict, dataclass, field
+
+from turmericproxy.core import create_id
+from turmericproxy.standins.engine.batch import Batcher, Job, JobState
+from turmericproxy.standins.engine.cache import PrefixCache
+from turmericproxy.standins.engine.events import EventLog
+from turmericproxy.standins.engine.options import EngineFaults, EngineOptions
+
+REPORT_INTERVAL = 0.02
+LONGEST_STEPS = 5
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """Report what an engine is doing; ``as_of`` is in seconds of the epoch."""
+
+    incarnation: str
+    running: int
+    queued: int
+    queued_tokens: int
+    cached_blocks: int
+    capacity_blocks: int
+    versions: dict[str, str]
+    role: str
+    loading: list[str]
+    as_of: float
+
+
+@dataclass
+class Weights:
+    """Hold which model versions an engine serves and loads, and its role."""
+
+    versions: dict[str, str]
+    role: str
+    loading: set[str] = field(default_factory=set)
+
+
+class EngineCore:
+    """Step one incarnation in a thread of its own."""
+
+    def __init__(self, options: EngineOptions, faults: EngineFaults) -> None:
+        self.incarnation = create_id()
+        self.options = options
+        self.events = EventLog(faults, options.seed)
+        self.cache = PrefixCache(options.capacity_blocks, self.events.publish)
+        self.weights = Weights(dict(options.models), options.role)
+        self._faults = faults
+        self._batcher = Batcher(options.slots, options.decode_time, self.cache)
+        self._jobs: dict[str, Job] = {}
+        self._ended: deque[tuple[float, Job]] = deque()
+        self._reports: deque[LoadReport] = deque(maxlen=10_000)
+        self._work = threading.Condition()
+        self._is_closed = False
+        self._thread = threading.Thread(target=self._run, name="batch", daemon=True)
+
+    def start(self) -> None:
+        """Start the scheduler."""
+        with self._work:
+            self._record_report()
+        self._thread.start()
+
+    def close(self) -> None:
+        """End all requests as lost and stop the scheduler."""
+        with self._work:
+            self._is_closed = True
+            lost = [job for job in self._jobs.values() if self._batcher.end(job, JobState.LOST)]
+            self._work.notify_all()
+        for job in lost:
+            job.notify()
+        self._thread.join(timeout=2.0)
+
+    def submit(self, job: Job) -> None:
+        """Take in a request; one of the same id that still runs is cancelled."""
+        self.cancel(job.request_id)
+        with self._work:
+            self._jobs[job.request_id] = job
+            if self._is_closed:
+                job.state = JobState.LOST
+            else:
+                self._batcher.submit(job)
+            self._work.notify_all()
+
+    def find(self, request_id: str) -> Job | None:
+        """Return a request that is held, and keep it from being given up."""
+        with self._work:
+            job = self._jobs.get(request_id)
+            if job:
+                job.detached_at = None
+            return job
+
+    def detach(self, job: Job) -> None:
+        """Note that the connection of a request broke: it is held some seconds for resume."""
+        with self._work:
+            job.detached_at = time.monotonic()
+
+    def cancel(self, request_id: str) -> bool:
+        """Stop a request and return whether it was running."""
+        with self._work:
+            job = self._jobs.get(request_id)
+            is_cancelled = job is not None and self._end(job, JobState.CANCELLED)
+        if job and is_cancelled:
+            job.notify()
+        return is_cancelled
+
+    def install(self, model: str, version: str | None) -> None:
+        """Serve another version of a model, or none, and drop what the old one cached."""
+        with self._work:
+            self.weights.loading.discard(model)
+            old = self.weights.versions.pop(model, None)
+            if version is not None:
+                self.weights.versions[model] = version
+            if old is not None and old != version:
+                self.cache.remove_model(f"{model}@{old}")
+            self._record_report()
+
+    def mark_loading(self, model: str) -> None:
+        """Note that a model is being loaded."""
+        with self._work:
+            self.weights.loading.add(model)
+            self._record_report()
+
+    def set_role(self, role: str) -> None:
+        """Change the role that the engine reports."""
+        with self._work:
+            self.weights.role = role
+            self._record_report()
+
+    def store_blocks(self, blocks: list[str], weights: str) -> None:
+        """Add imported blocks to the cache."""
+        with self._work:
+            for block in blocks:
+                self.cache.store(block, weights)
+
+    def list_blocks(self) -> list[str]:
+        """Return the cached blocks."""
+        with self._work:
+            return self.cache.list_blocks()
+
+    def clear_cache(self) -> None:
+        """Drop every cached block."""
+        with self._work:
+            self.cache.clear()
+
+    def read_load(self) -> dict[str, object]:
+        """Return the load report as it was ``load_lag`` seconds ago."""
+        with self._work:
+            self._record_report()
+            latest = time.time() - self._faults.load_lag
+            while len(self._reports) > 1 and self._reports[1].as_of <= latest:
+                self._reports.popleft()
+            return asdict(self._reports[0])
+
+    def _record_report(self) -> None:
+        batch, weights = self._batcher, self.weights
+        self._reports.append(
+            LoadReport(
+                incarnation=self.incarnation,
+                running=len(batch.running),
+                queued=len(batch.queued),
+                queued_tokens=batch.count_queued_tokens(),
+                cached_blocks=len(self.cache),
+                capacity_blocks=self.cache.capacity,
+                versions=dict(weights.versions),
+                role=weights.role,
+                loading=sorted(weights.loading),
+                as_of=time.time(),
+            )
+        )
+
+    def _end(self, job: Job, state: JobState) -> bool:
+        is_ended = self._batcher.end(job, state)
+        if is_ended:
+            self._ended.append((time.monotonic(), job))
+        return is_ended
+
+    def _run(self) -> None:
+        last = time.monotonic()
+        while True:
+            with self._work:
+                if self._batcher.is_idle() and not self._is_closed:
+                    self._record_report()
+                    self._work.wait(timeout=self.options.resume_hold)
+                    last = time.monotonic() - self.options.step_time
+                if self._is_closed:
+                    return
+                now = time.monotonic()
+                elapsed = min(now - last, LONGEST_STEPS * self.options.step_time)
+                last = now
+                moved = self._batcher.step(now, elapsed * self.options.prefill_rate)
+                self._ended.extend((now, job) for job in moved if job.is_ended)
+                moved += self._give_up(now)
+                if time.time() - self._reports[-1].as_of > REPORT_INTERVAL:
+                    self._record_report()
+            for job in moved:
+                job.notify()
+            time.sleep(max(0.0, now + self.options.step_time - time.monotonic()))
+
+    def _give_up(self, now: float) -> list[Job]:
+        limit = now - self.options.resume_hold
+        late = [
+            job
+            for job in self._jobs.values()
+            if job.detached_at and job.detached_at < limit and self._end(job, JobState.CANCELLED)
+        ]
+        while self._ended and self._ended[0][0] < limit:
+            _, job = self._ended.popleft()
+            if self._jobs.get(job.request_id) is job:
+                del self._jobs[job.request_id]
+        return late
--- /dev/null
+++ b/turmericproxy/standins/engine/orders.py
@@ -0,0 +1,72 @@
+"""Take orders to load models and adapters or to change role."""
+
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from turmericproxy.standins.engine.core import EngineCore
+from turmericproxy.web import CallFailure, HttpClient
+
+ADAPTER_LOAD_SHARE = 0.2
+WEIGHT_RETRY = 0.1
+
+
+@dataclass(frozen=True)
+class OrderReply:
+    """Say whether an order was accepted, and the highest fence seen when it was not."""
+
+    accepted: bool
+    fence: int
+
+
+class OrderBook:
+    """Check the fence of orders, unless told to ignore it, and carry them out."""
+
+    def __init__(self, core: EngineCore, weight_store: HttpClient | None, fence: int) -> None:
+        self._core = core
+        self._weight_store = weight_store
+        self._lock = threading.Lock()
+        self._loads = threading.Lock()
+        self.fence = fence
+        self.accepted: list[dict[str, Any]] = []
+
+    def take(self, order: dict[str, Any]) -> OrderReply:
+        """Accept an order and carry it out in the background, or refuse an old fence."""
+        fence = int(order["fence"])
+        with self._lock:
+            if self._core.options.checks_fence and fence < self.fence:
+                return OrderReply(False, self.fence)
+            self.fence = max(fence, self.fence)
+            self.accepted.append({**order, "at": time.time()})
+        self._carry_out(order)
+        return OrderReply(True, self.fence)
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        core, model = self._core, str(order.get("model", ""))
+        kind, version = order["kind"], str(order.get("version", ""))
+        if kind == "set_role":
+            core.set_role(str(order["role"]))
+        elif kind == "unload":
+            core.install(model, None)
+        elif core.weights.versions.get(model) != version:
+            core.mark_loading(model)
+            share = ADAPTER_LOAD_SHARE if kind == "load_adapter" else 1.0
+            threading.Thread(
+                target=self._load, args=(model, version, share), name="load", daemon=True
+            ).start()
+
+    def _load(self, model: str, version: str, share: float) -> None:
+        with self._loads:
+            self._fetch_weights(model, version)
+            time.sleep(self._core.options.load_time * share)
+            self._core.install(model, version)
+
+    def _fetch_weights(self, model: str, version: str) -> None:
+        if self._weight_store is None:
+            return
+        while True:
+            answer = self._weight_store.call_json("GET", f"/v1/weights/{model}/{version}")
+            if not isinstance(answer, CallFailure) and answer[0] not in (429, 503):
+                return
+            time.sleep(WEIGHT_RETRY)
--- /dev/null
+++ b/turmericproxy/standins/engine/records.py
@@ -0,0 +1,59 @@
+"""Keep the truth about what an engine served, for tests to compare with."""
+
+import threading
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from turmericproxy.standins.engine.batch import Job, JobState
+
+KEPT_RECORDS = 20_000
+
+
+@dataclass(frozen=True)
+class ServedRecord:
+    """Pair a request in the engine with what came over the wire."""
+
+    job: Job
+    incarnation: str
+    headers: dict[str, str]
+    body: str | None
+
+    def describe(self) -> dict[str, Any]:
+        """Return the record as a value for JSON."""
+        job = self.job
+        return {
+            "request_id": job.request_id,
+            "model": job.model,
+            "version": job.version,
+            "salt": job.salt,
+            "prompt_tokens": job.prompt_tokens,
+            "cached_tokens": job.cached_tokens,
+            "start": job.start,
+            "produced": job.produced,
+            "priority": job.priority,
+            "cancelled": job.state is JobState.CANCELLED,
+            "done": job.state is JobState.DONE,
+            "incarnation": self.incarnation,
+            "headers": self.headers,
+            "body": self.body,
+        }
+
+
+class ServedLog:
+    """Keep the last records over all incarnations."""
+
+    def __init__(self) -> None:
+        self._records: deque[ServedRecord] = deque(maxlen=KEPT_RECORDS)
+        self._lock = threading.Lock()
+
+    def add(self, record: ServedRecord) -> None:
+        """Add the record of a request that was taken in."""
+        with self._lock:
+            self._records.append(record)
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return all records in their order."""
+        with self._lock:
+            records = list(self._records)
+        return [record.describe() for record in records]
--- /dev/null
+++ b/turmericproxy/standins/engine/surface.py
@@ -0,0 +1,228 @@
+"""Serve the HTTP surface of an engine stand-in and crash it on request."""
+
+import json
+import socket
+import threading
+import time
+import weakref
+from collections.abc import Callable
+from typing import Any
+
+from turmericproxy.cache.blocks import chain_blocks, count_tokens, render_prompt
+from turmericproxy.standins.engine.answers import Answer, ConnectionCut
+from turmericproxy.standins.engine.batch import Job
+from turmericproxy.standins.engine.core import EngineCore
+from turmericproxy.standins.engine.generation import digest_prompt
+from turmericproxy.standins.engine.kept_cache import export_blocks, import_blocks
+from turmericproxy.standins.engine.options import EngineOptions, create_faults
+from turmericproxy.standins.engine.orders import OrderBook
+from turmericproxy.standins.engine.records import ServedLog, ServedRecord
+from turmericproxy.standins.exchange import BODY_LIMIT, cut_connection, read_json
+from turmericproxy.web import HttpClient, HttpRequest, HttpResponse, HttpServer
+from turmericproxy.web.server import create_json_response
+
+BIND_ATTEMPTS = 200
+BIND_PAUSE = 0.05
+EVENT_STREAM = {"Content-Type": "text/event-stream"}
+
+
+class EngineStandIn:
+    """Speak the engine's protocol; a crash cuts all connections and comes back empty."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.faults = create_faults(options)
+        self.served = ServedLog()
+        self._answers: weakref.WeakSet[Answer] = weakref.WeakSet()
+        self._connections: weakref.WeakSet[socket.socket] = weakref.WeakSet()
+        self._lock = threading.Lock()
+        self._store = HttpClient(options.platform) if options.platform else None
+        self._routes: dict[tuple[str, str], Callable[[HttpRequest], HttpResponse]] = {
+            ("POST", "/v1/chat/completions"): self._chat,
+            ("POST", "/v1/resume"): self._resume,
+            ("POST", "/v1/cancel"): self._cancel,
+            ("GET", "/v1/load"): self._read_load,
+            ("GET", "/v1/events"): self._read_events,
+            ("POST", "/v1/orders"): self._take_order,
+            ("POST", "/v1/kv/export"): self._export,
+            ("POST", "/v1/kv/import"): self._import,
+            ("POST", "/control"): self._control,
+            ("GET", "/control"): self._describe_truth,
+        }
+        self._server = self._create_server(options.address)
+        self._core, self._orders = self._create_incarnation()
+
+    @property
+    def address(self) -> str:
+        """Return the address that the engine listens on."""
+        host = self.options.address.rpartition(":")[0]
+        return f"{host}:{self._server.port}"
+
+    def start(self) -> None:
+        """Start the scheduler and the listener."""
+        self._core.start()
+        self._server.start()
+
+    def close(self) -> None:
+        """Cut all connections and stop."""
+        self._core.close()
+        self._cut_connections()
+        self._server.close()
+
+    def crash(self, seconds_down: float) -> None:
+        """Lose everything, stay down, and come back under a new incarnation."""
+        address = self.address
+        self.close()
+        time.sleep(seconds_down)
+        self._core, self._orders = self._create_incarnation()
+        self._core.start()
+        for _ in range(BIND_ATTEMPTS):
+            self._server = self._create_server(address)
+            try:
+                self._server.start()
+                return
+            except OSError:
+                time.sleep(BIND_PAUSE)
+
+    def _create_server(self, address: str) -> HttpServer:
+        return HttpServer(address, self._handle, threads=self.options.threads)
+
+    def _create_incarnation(self) -> tuple[EngineCore, OrderBook]:
+        core = EngineCore(self.options, self.faults)
+        return core, OrderBook(core, self._store, fence=0)
+
+    def _cut_connections(self) -> None:
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            cut_connection(connection)
+
+    def _handle(self, request: HttpRequest) -> HttpResponse:
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            return create_json_response(404, {"error": "unknown path"})
+        if request.path != "/control":
+            with self._lock:
+                self._connections.add(request.connection)
+        try:
+            return route(request)
+        except ConnectionCut:
+            cut_connection(request.connection)
+            return HttpResponse(503)
+        except (KeyError, TypeError, ValueError) as error:
+            return create_json_response(400, {"error": f"{type(error).__name__}: {error}"})
+
+    def _chat(self, request: HttpRequest) -> HttpResponse:
+        raw = request.read_body(BODY_LIMIT) or b""
+        core, body = self._core, json.loads(raw)
+        version = core.weights.versions.get(str(body["model"]))
+        if version is None or body.get("version", version) != version:
+            return create_json_response(409, {"error": "version", "version": version})
+        job = _create_job(body, version)
+        kept_body = raw.decode() if self.options.record_bodies else None
+        self.served.add(ServedRecord(job, core.incarnation, dict(request.headers), kept_body))
+        core.submit(job)
+        answer = self._create_answer(core, job, request)
+        if body.get("stream"):
+            return HttpResponse(200, answer.stream(job.start), EVENT_STREAM)
+        return create_json_response(200, answer.build())
+
+    def _resume(self, request: HttpRequest) -> HttpResponse:
+        core, body = self._core, read_json(request)
+        job = core.find(body["request_id"])
+        if job is None:
+            return create_json_response(404, {"error": "unknown request"})
+        answer = self._create_answer(core, job, request)
+        return HttpResponse(200, answer.stream(int(body["after"]) + 1), EVENT_STREAM)
+
+    def _create_answer(self, core: EngineCore, job: Job, request: HttpRequest) -> Answer:
+        answer = Answer(core, self.faults, job, request)
+        with self._lock:
+            self._answers.add(answer)
+        return answer
+
+    def _cancel(self, request: HttpRequest) -> HttpResponse:
+        is_cancelled = self._core.cancel(read_json(request)["request_id"])
+        return create_json_response(200, {"cancelled": is_cancelled})
+
+    def _read_load(self, request: HttpRequest) -> HttpResponse:
+        return create_json_response(200, self._core.read_load())
+
+    def _read_events(self, request: HttpRequest) -> HttpResponse:
+        core, query = self._core, request.query
+        page = core.events.read(
+            int(query.get("after", 0)), int(query.get("limit", 1000)), float(query.get("wait", 0))
+        )
+        events = [
+            {"seq": event.seq, "kind": event.kind.value, "block": event.block}
+            for event in page.events
+        ]
+        value = {"incarnation": core.incarnation, "events": events, "next": page.next}
+        return create_json_response(200, value)
+
+    def _take_order(self, request: HttpRequest) -> HttpResponse:
+        reply = self._orders.take(read_json(request))
+        if reply.accepted:
+            return create_json_response(200, {"accepted": True})
+        return create_json_response(409, {"accepted": False, "fence": reply.fence})
+
+    def _export(self, request: HttpRequest) -> HttpResponse:
+        blocks = read_json(request)["blocks"]
+        count = export_blocks(self._core, self._store, blocks) if self._store else 0
+        return create_json_response(200, {"blocks": count})
+
+    def _import(self, request: HttpRequest) -> HttpResponse:
+        body = read_json(request)
+        weights = f"{body.get('model', '')}@{body.get('version', '')}"
+        count = 0
+        if self._store:
+            count = import_blocks(self._core, self._store, body["blocks"], weights)
+        return create_json_response(200, {"blocks": count})
+
+    def _control(self, request: HttpRequest) -> HttpResponse:
+        changes = read_json(request)
+        self.faults.apply(changes)
+        if changes.get("silent"):
+            with self._lock:
+                answers = list(self._answers)
+            for answer in answers:
+                answer.is_silent = True
+        if changes.get("evict"):
+            self._core.clear_cache()
+        if changes.get("crash") is not None:
+            down = float(changes["crash"])
+            threading.Thread(target=self.crash, args=(down,), name="crash").start()
+        return create_json_response(200, {"applied": sorted(changes)})
+
+    def _describe_truth(self, request: HttpRequest) -> HttpResponse:
+        core = self._core
+        truth = {
+            "incarnation": core.incarnation,
+            "cached": core.list_blocks(),
+            "versions": dict(core.weights.versions),
+            "orders": list(self._orders.accepted),
+            "served": self.served.describe(),
+        }
+        return create_json_response(200, truth)
+
+
+def _create_job(body: dict[str, Any], version: str) -> Job:
+    prompt, model = render_prompt(body["messages"]), str(body["model"])
+    salt = str(body.get("cache_salt", ""))
+    return Job(
+        request_id=str(body["request_id"]),
+        model=model,
+        version=version,
+        salt=salt,
+        prompt_digest=digest_prompt(prompt),
+        prompt_tokens=count_tokens(prompt),
+        blocks=chain_blocks(prompt, salt, model, version),
+        max_tokens=int(body["max_tokens"]),
+        start=int(body.get("start", 0)),
+        priority=int(body.get("priority", 0)),
+    )
+
+
+def create_engine(options: EngineOptions) -> EngineStandIn:
+    """Return an engine stand-in that is not started yet."""
+    return EngineStandIn(options)
--- /dev/null
+++ b/turmericproxy/standins/service.py
@@ -0,0 +1,164 @@
+"""Stand in for a plain service that counts what it runs."""
+
+import threading
+import time
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any
+
+from turmericproxy.core import create_id
+from turmericproxy.standins.exchange import BODY_LIMIT, cut_connection, read_json
+from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
+
+POLL = 0.1
+CROSSED_NAME = "another-service"
+
+
+@dataclass(frozen=True)
+class ServiceOptions:
+    """Hold what stays fixed while a service stand-in runs; times are in seconds."""
+
+    address: str = "127.0.0.1:0"
+    name: str = "service"
+    work_time: float = 0.002
+    threads: int = 64
+
+
+@dataclass
+class ServiceFaults:
+    """Hold the faults that a control call sets; the counts are of calls still to fail."""
+
+    late: float = 0.0
+    silent: bool = False
+    fail_before: int = 0
+    fail_after: int = 0
+    crossed: int = 0
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def apply(self, changes: Mapping[str, Any]) -> None:
+        """Set the faults that a control call names."""
+        names = {item.name for item in fields(self) if not item.name.startswith("_")}
+        with self._lock:
+            for name in names & changes.keys():
+                setattr(self, name, changes[name])
+
+    def take(self, name: str) -> bool:
+        """Return whether the fault hits this call, and count it."""
+        with self._lock:
+            left = int(getattr(self, name))
+            setattr(self, name, max(0, left - 1))
+            return left > 0
+
+
+@dataclass(frozen=True)
+class Run:
+    """Hold one call that the service ran."""
+
+    method: str
+    path: str
+    idempotency_key: str | None
+    body: str
+    headers: dict[str, str]
+
+
+class ServiceStandIn:
+    """Run every call, count it, and fail as the control calls say."""
+
+    def __init__(self, options: ServiceOptions) -> None:
+        self.options = options
+        self.faults = ServiceFaults()
+        self._runs: list[Run] = []
+        self._running = 0
+        self._down_until = 0.0
+        self._lock = threading.Lock()
+        self._open: dict[str, HttpRequest] = {}
+        self._server = HttpServer(options.address, self._handle, threads=options.threads)
+
+    @property
+    def address(self) -> str:
+        """Return the address that the service listens on."""
+        return f"{self.options.address.rpartition(':')[0]}:{self._server.port}"
+
+    def start(self) -> None:
+        """Start the listener."""
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop the listener."""
+        self._server.close()
+
+    def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path == "/control/runs":
+            return create_json_response(200, [asdict(run) for run in list(self._runs)])
+        if request.path == "/control":
+            return self._control(request)
+        if time.monotonic() < self._down_until:
+            return _drop(request)
+        if request.path == "/load":
+            value = {"running": self._running, "as_of": time.time()}
+            return create_json_response(200, value)
+        return self._track(request)
+
+    def _track(self, request: HttpRequest) -> HttpResponse:
+        call_id = create_id()
+        with self._lock:
+            self._open[call_id] = request
+            self._running += 1
+        try:
+            return self._serve(request)
+        finally:
+            with self._lock:
+                del self._open[call_id]
+                self._running -= 1
+
+    def _serve(self, request: HttpRequest) -> HttpResponse:
+        body = (request.read_body(BODY_LIMIT) or b"").decode(errors="replace")
+        if self.faults.silent:
+            return _stay_silent(request)
+        if self.faults.take("fail_before"):
+            return _drop(request)
+        run = self._run(request, body)
+        if self.faults.take("fail_after"):
+            return _drop(request)
+        time.sleep(self.faults.late)
+        name = CROSSED_NAME if self.faults.take("crossed") else self.options.name
+        value = {"service": name, "path": request.path, "run": run, "echo": body}
+        return create_json_response(200, value)
+
+    def _run(self, request: HttpRequest, body: str) -> int:
+        time.sleep(self.options.work_time)
+        key = request.headers.get("idempotency-key")
+        run = Run(request.method, request.path, key, body, dict(request.headers))
+        with self._lock:
+            self._runs.append(run)
+            return len(self._runs)
+
+    def _control(self, request: HttpRequest) -> HttpResponse:
+        changes = read_json(request)
+        self.faults.apply(changes)
+        if changes.get("crash") is not None:
+            self._crash(float(changes["crash"]))
+        return create_json_response(200, {"applied": sorted(changes)})
+
+    def _crash(self, seconds_down: float) -> None:
+        self._down_until = time.monotonic() + seconds_down
+        with self._lock:
+            requests = list(self._open.values())
+        for request in requests:
+            cut_connection(request.connection)
+
+
+def _drop(request: HttpRequest) -> HttpResponse:
+    cut_connection(request.connection)
+    return HttpResponse(503)
+
+
+def _stay_silent(request: HttpRequest) -> HttpResponse:
+    while not request.is_client_gone():
+        time.sleep(POLL)
+    return _drop(request)
+
+
+def create_service(options: ServiceOptions) -> ServiceStandIn:
+    """Return a service stand-in that is not started yet."""
+    return ServiceStandIn(options)
