--- a/turmericproxy/cli/standin.py
+++ b/turmericproxy/cli/standin.py
@@ -17,8 +17,8 @@
     """Describe what the command line needs of a stand-in."""
 
     @property
-    def address(self) -> str:
-        """Return the address that the stand-in listens on."""
+    def port(self) -> int:
+        """Return the port that the stand-in listens on."""
 
     def start(self) -> None:
         """Start the listener."""
@@ -27,12 +27,12 @@
         """Stop the listener."""
 
 
-def _run(kind: str, stand_in: StandIn) -> None:
+def _run(kind: str, address: str, stand_in: StandIn) -> None:
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
     stand_in.start()
-    typer.echo(f"{kind} listens on {stand_in.address}")
+    typer.echo(f"{kind} listens on {address.rpartition(':')[0]}:{stand_in.port}")
     stopped.wait()
     stand_in.close()
 
@@ -40,12 +40,18 @@
 @stand_in_app.command("platform")
 def run_platform(
     address: Address = "127.0.0.1:0",
-    host_list_lag: Annotated[float, typer.Option(help="Lag of the host list, seconds.")] = 1.0,
+    writes: Annotated[float, typer.Option(help="Writes allowed, calls a second.")] = 600.0,
+    reads: Annotated[float, typer.Option(help="Reads allowed, calls a second.")] = 2_000.0,
+    weight_reads: Annotated[float, typer.Option(help="Weight reads, calls a second.")] = 20.0,
+    seed: Annotated[int, typer.Option(help="Seed of the lost answers.")] = 0,
 ) -> None:
     """Stand in for the platform: tables, objects, weights and the list of hosts."""
     from turmericproxy.standins.platform import create_platform
 
-    _run("platform", create_platform(address, lag=host_list_lag))
+    platform = create_platform(
+        address, writes=writes, reads=reads, weight_reads=weight_reads, seed=seed
+    )
+    _run("platform", address, platform)
 
 
 @stand_in_app.command("engine")
@@ -100,7 +106,7 @@
         threads=threads,
         seed=seed,
     )
-    _run("engine", create_engine(options))
+    _run("engine", address, create_engine(options))
 
 
 def _parse_models(models: list[str]) -> dict[str, str]:
@@ -121,4 +127,4 @@
     """Stand in for a plain service that counts the calls that it runs."""
     from turmericproxy.standins.service import ServiceOptions, create_service
 
-    _run("service", create_service(ServiceOptions(address, name, work_time, threads)))
+    _run("service", address, create_service(ServiceOptions(address, name, work_time, threads)))
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -52,6 +52,11 @@
         self._server = self._create_server(options.address)
         self._core, self._orders = self._create_incarnation()
 
+    @property
+    def port(self) -> int:
+        """Return the port that the engine listens on."""
+        return self._server.port
+
     @property
     def address(self) -> str:
         """Return the address that the engine listens on."""
--- a/turmericproxy/standins/service.py
+++ b/turmericproxy/standins/service.py
@@ -74,6 +74,11 @@
         self._open: dict[str, HttpRequest] = {}
         self._server = HttpServer(options.address, self._handle, threads=options.threads)
 
+    @property
+    def port(self) -> int:
+        """Return the port that the service listens on."""
+        return self._server.port
+
     @property
     def address(self) -> str:
         """Return the address that the service listens on."""
