Launch local clusters of real processes behind relays

A relay has one listener a target and names each connection source->target; the source is found in the system's socket table, so that hosts need no address of their own for each other process.

--- /dev/null
+++ b/turmericproxy/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Run local clusters of real processes and measure them."""
--- /dev/null
+++ b/turmericproxy/bench/cluster.py
@@ -0,0 +1,252 @@
+"""Launch a local cluster of real processes on loopback."""
+
+import contextlib
+import secrets
+import shutil
+import signal
+import tempfile
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from turmericproxy.bench.layout import (
+    build_platform_command,
+    build_service_command,
+    create_layout,
+)
+from turmericproxy.bench.plan import ClusterPlan
+from turmericproxy.bench.processes import ManagedProcess
+from turmericproxy.bench.relay import Relay
+from turmericproxy.keys.secrets import compute_digest
+from turmericproxy.web import CallFailure, HttpClient
+
+READY_SECONDS = 20.0
+POLL_SECONDS = 0.05
+CALL_SECONDS = 5.0
+
+
+class ClusterError(Exception):
+    """Say what of a cluster did not come up."""
+
+
+class Cluster:
+    """Own the processes of a cluster, its folder and its relay."""
+
+    def __init__(self, plan: ClusterPlan, folder: Path, operator_key: str) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.operator_key = operator_key
+        self.keys: dict[str, str] = {}
+        self.key_ids: dict[str, str] = {}
+        self.layout = create_layout(plan)
+        self._processes = self._create_processes()
+
+    @property
+    def relay(self) -> Relay:
+        """Return the relay; the plan must ask for one."""
+        if self.layout.relay is None:
+            raise ClusterError("the plan has no relays")
+        return self.layout.relay
+
+    @property
+    def host_names(self) -> tuple[str, ...]:
+        """Return the names of the hosts in their order."""
+        return tuple(host.name for host in self.plan.hosts)
+
+    def get_address(self, name: str, listener: str = "") -> str:
+        """Return where a process listens; hosts have ``callers``, ``operators`` and ``peers``."""
+        return self.layout.get_address(f"{name}.{listener}" if listener else name)
+
+    def get_process(self, name: str) -> ManagedProcess:
+        """Return the process of that name."""
+        return self._processes[name]
+
+    def start(self) -> None:
+        """Start every process, wait until the hosts are ready, and seed the resources."""
+        stand_ins = [p for name, p in self._processes.items() if name not in self.host_names]
+        for process in stand_ins:
+            process.start()
+        for process in stand_ins:
+            self._await_answer(
+                process.name, "/control" if process.name != "platform" else "/healthz"
+            )
+        self.set_host_list()
+        for name in self.host_names:
+            self._processes[name].start()
+        for name in self.host_names:
+            self.await_ready(name)
+        self._seed_resources()
+
+    def close(self) -> None:
+        """End exactly the processes that the cluster started, and remove its folder."""
+        for process in self._processes.values():
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        for process in self._processes.values():
+            process.close()
+        self.layout.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def kill_host(self, name: str) -> None:
+        """Kill a host without warning."""
+        self._processes[name].send(signal.SIGKILL)
+        self._processes[name].wait(CALL_SECONDS)
+
+    def pause_host(self, name: str) -> None:
+        """Freeze a host."""
+        self._processes[name].send(signal.SIGSTOP)
+
+    def resume_host(self, name: str) -> None:
+        """Let a frozen host go on."""
+        self._processes[name].send(signal.SIGCONT)
+
+    def stop_host(self, name: str) -> None:
+        """Ask a host to drain and stop, without waiting for it."""
+        self._processes[name].send(signal.SIGTERM)
+
+    def start_host(self, name: str, wait: bool = True) -> None:
+        """Start a host again, and wait until it is ready unless told not to."""
+        self._processes[name].start()
+        if wait:
+            self.await_ready(name)
+
+    def await_ready(self, name: str, timeout: float = READY_SECONDS) -> None:
+        """Wait until a host says that it is ready."""
+        self._await_answer(name, "/readyz", self.get_address(name, "callers"), timeout)
+
+    def set_host_list(self, leaving: tuple[str, ...] = ()) -> None:
+        """Tell the platform which hosts there are, and which of them leave."""
+        hosts = {"hosts": self.layout.describe_hosts(leaving)}
+        self.call("platform", "PUT", "/control/hosts", hosts)
+
+    def set_faults(self, name: str, **faults: object) -> None:
+        """Set faults of a stand-in over its control call."""
+        self.call(name, "POST", "/control", faults)
+
+    def read_truth(self, name: str) -> Any:
+        """Return what an engine or a service says that it ran."""
+        is_service = name in {service.name for service in self.plan.services}
+        return self.call(name, "GET", "/control/runs" if is_service else "/control")
+
+    def operate(self, host: str, method: str, path: str, value: object = None) -> Any:
+        """Call the operators' API of a host and return the decoded answer."""
+        headers = {"Authorization": f"Bearer {self.operator_key}"}
+        return self.call(f"{host}.operators", method, path, value, headers)
+
+    def put_resource(self, kind: str, name: str, fields: Mapping[str, Any], host: str = "") -> Any:
+        """Create or replace a resource through a host, the first one by default."""
+        path = f"/v1/resources/{kind}/{name}"
+        return self.operate(host or self.host_names[0], "PUT", path, dict(fields))
+
+    def create_key(self, account: str, name: str = "caller") -> tuple[str, str]:
+        """Create a key of a client account and return its id and its secret."""
+        body = {"account": account, "name": name}
+        created = self.operate(self.host_names[0], "POST", "/v1/keys", body)
+        return created["id"], created["secret"]
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        value: object = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Any:
+        """Call a process and return the decoded answer; raise unless it succeeds."""
+        client = HttpClient(self.layout.get_address(name), read_timeout=CALL_SECONDS)
+        answer = client.call_json(method, path, value, headers=headers, fresh=True)
+        if isinstance(answer, CallFailure) or answer[0] >= 300:
+            raise ClusterError(f"{method} {path} at {name}: {answer}")
+        return answer[1]
+
+    def await_condition(
+        self, describe: str, is_met: Callable[[], bool], timeout: float = 10.0
+    ) -> float:
+        """Wait until a condition is met and return the seconds that it took."""
+        started = time.monotonic()
+        while not is_met():
+            if time.monotonic() - started > timeout:
+                raise ClusterError(f"{describe}: not met within {timeout} s")
+            time.sleep(POLL_SECONDS)
+        return time.monotonic() - started
+
+    def _create_processes(self) -> dict[str, ManagedProcess]:
+        plan, layout = self.plan, self.layout
+        commands = {"platform": build_platform_command(plan)}
+        for engine in plan.engines:
+            commands[engine.name] = layout.build_engine_command(engine)
+        for service in plan.services:
+            commands[service.name] = build_service_command(service)
+        for name, command in commands.items():
+            commands[name] = ["stand-in", *command, "--address", layout.get_address(name)]
+        for host in plan.hosts:
+            path = self.folder / f"{host.name}.yaml"
+            settings = layout.build_settings(host, compute_digest(self.operator_key))
+            path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+            commands[host.name] = ["serve", "--settings", str(path)]
+        processes = {
+            name: ManagedProcess(name, command, self.folder) for name, command in commands.items()
+        }
+        layout.sources.set_processes(list(processes.values()))
+        return processes
+
+    def _await_answer(
+        self, name: str, path: str, address: str = "", timeout: float = READY_SECONDS
+    ) -> None:
+        client = HttpClient(address or self.layout.get_address(name), read_timeout=1.0)
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            answer = client.call_json("GET", path, fresh=True)
+            if not isinstance(answer, CallFailure) and answer[0] in (200, 204):
+                return
+            if not self._processes[name].is_running():
+                break
+            time.sleep(POLL_SECONDS)
+        raise ClusterError(f"{name} is not ready:\n{self._processes[name].read_tail()}")
+
+    def _seed_resources(self) -> None:
+        plan = self.plan
+        for model, version in plan.list_models().items():
+            self.put_resource("model", model, {"version": version})
+        for engine in plan.engines:
+            self.put_resource("engine", engine.name, self.layout.describe_engine(engine))
+        for service in plan.services:
+            self.put_resource("upstream", service.name, self.layout.describe_service(service))
+        for account in plan.accounts:
+            self.put_resource(
+                "account", account.name, {"rate": account.rate, "burst": account.burst}
+            )
+            self.key_ids[account.name], self.keys[account.name] = self.create_key(account.name)
+        for route in plan.routes:
+            self.put_resource(
+                "route", route.name, {"upstreams": list(route.upstreams), **route.fields}
+            )
+        self._await_revision()
+
+    def read_revision(self, host: str) -> int:
+        """Return the revision that is in force at a host."""
+        return int(self.operate(host, "GET", "/v1/status")["revision"])
+
+    def _await_revision(self) -> None:
+        wanted = self.read_revision(self.host_names[0])
+        self.await_condition(
+            f"revision {wanted} at every host",
+            lambda: all(self.read_revision(name) >= wanted for name in self.host_names),
+        )
+
+
+def start_cluster(plan: ClusterPlan, folder: Path | None = None) -> Cluster:
+    """Start a cluster and return it when all hosts are ready and know their resources."""
+    folder = folder or Path(tempfile.mkdtemp(prefix="turmericproxy-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    cluster = Cluster(plan, folder, secrets.token_urlsafe(24))
+    try:
+        cluster.start()
+    except BaseException:
+        with contextlib.suppress(OSError):
+            cluster.close()
+        raise
+    return cluster
--- /dev/null
+++ b/turmericproxy/bench/layout.py
@@ -0,0 +1,118 @@
+"""Assign the addresses of a cluster and build the commands and settings of its processes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from turmericproxy.bench.plan import ClusterPlan, EnginePlan, HostPlan, ServicePlan
+from turmericproxy.bench.processes import Sources, build_options, pick_ports
+from turmericproxy.bench.relay import Relay
+
+HOST_LISTENERS = ("callers", "operators", "peers")
+
+
+@dataclass(frozen=True)
+class Layout:
+    """Hold the addresses of all listeners, and those of the relay that lead to them."""
+
+    plan: ClusterPlan
+    addresses: dict[str, str]
+    relayed: dict[str, str]
+    relay: Relay | None
+    sources: Sources
+
+    def get_address(self, name: str) -> str:
+        """Return where a listener is bound."""
+        return self.addresses[name]
+
+    def get_route(self, name: str) -> str:
+        """Return the address that other processes use for a listener."""
+        return self.relayed.get(name, self.addresses[name])
+
+    def close(self) -> None:
+        """Close the relay."""
+        if self.relay:
+            self.relay.close()
+
+    def build_engine_command(self, engine: EnginePlan) -> list[str]:
+        """Return the arguments that start an engine stand-in."""
+        command = ["engine", "--name", engine.name, "--platform", self.get_route("platform")]
+        for model, version in engine.models.items():
+            command += ["--model", f"{model}@{version}"]
+        return command + build_options(engine.options)
+
+    def build_settings(self, host: HostPlan, operator_digest: str) -> dict[str, Any]:
+        """Return the settings of a host."""
+        listen = {part: self.get_address(f"{host.name}.{part}") for part in HOST_LISTENERS}
+        peers = [
+            {
+                "host": other.name,
+                "domain": other.domain,
+                "address": self.get_route(f"{other.name}.peers"),
+            }
+            for other in self.plan.hosts
+            if other.name != host.name
+        ]
+        return {
+            "host": host.name,
+            "domain": host.domain,
+            "listen": listen,
+            "platform": {"address": self.get_route("platform")},
+            "operator_key_digests": [operator_digest],
+            "peers": peers,
+            **host.settings,
+        }
+
+    def describe_hosts(self, leaving: tuple[str, ...]) -> list[dict[str, str]]:
+        """Return the list of hosts that the platform is told."""
+        return [
+            {
+                "host": host.name,
+                "domain": host.domain,
+                "callers": self.get_route(f"{host.name}.callers"),
+                "peers": self.get_route(f"{host.name}.peers"),
+                "state": "leaving" if host.name in leaving else "live",
+            }
+            for host in self.plan.hosts
+        ]
+
+    def describe_engine(self, engine: EnginePlan) -> dict[str, Any]:
+        """Return the resource of an engine."""
+        return {
+            "domain": engine.domain,
+            "address": self.get_route(engine.name),
+            "models": list(engine.models),
+            **engine.resource,
+        }
+
+    def describe_service(self, service: ServicePlan) -> dict[str, Any]:
+        """Return the resource of a plain service."""
+        return {"domain": service.domain, "address": self.get_route(service.name)}
+
+
+def build_platform_command(plan: ClusterPlan) -> list[str]:
+    """Return the arguments that start the platform stand-in."""
+    return ["platform", *build_options(plan.platform_options)]
+
+
+def build_service_command(service: ServicePlan) -> list[str]:
+    """Return the arguments that start a service stand-in."""
+    return ["service", "--name", service.name, *build_options(service.options)]
+
+
+def create_layout(plan: ClusterPlan) -> Layout:
+    """Pick free ports for all listeners, and open the relay if the plan asks for it."""
+    names = ["platform", *(item.name for item in plan.engines)]
+    names += [service.name for service in plan.services]
+    names += [f"{host.name}.{part}" for host in plan.hosts for part in HOST_LISTENERS]
+    ports = pick_ports(len(names))
+    addresses = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
+    sources = Sources()
+    if not plan.relays:
+        return Layout(plan, addresses, {}, None, sources)
+    relay = Relay(sources.identify)
+    relayed = {
+        name: relay.open_target(name, address)
+        for name, address in addresses.items()
+        if not name.endswith(".operators")
+    }
+    return Layout(plan, addresses, relayed, relay, sources)
--- /dev/null
+++ b/turmericproxy/bench/processes.py
@@ -0,0 +1,136 @@
+"""Start, pause and end processes, and tell whose a loopback connection is."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+
+PROGRAM = str(Path(sys.executable).with_name("turmericproxy"))
+UNKNOWN_SOURCE = "outside"
+LOG_TAIL_BYTES = 2_000
+
+
+class ManagedProcess:
+    """Own one process, whose output goes to a log file."""
+
+    def __init__(self, name: str, arguments: Sequence[str], folder: Path) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self._command = [PROGRAM, *arguments]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int | None:
+        """Return the process id, or ``None`` if the process does not run."""
+        return self._process.pid if self._process and self.is_running() else None
+
+    def is_running(self) -> bool:
+        """Return whether the process has been started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process, with its output appended to the log."""
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self._process and self.is_running():
+            self._process.send_signal(number)
+
+    def wait(self, timeout: float) -> int | None:
+        """Return the exit code, or ``None`` if the process still runs after ``timeout`` seconds."""
+        if self._process is None:
+            return None
+        try:
+            return self._process.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def close(self, timeout: float = 5.0) -> None:
+        """End the process, by force if it does not end in time."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        if self.wait(timeout) is None:
+            self.send(signal.SIGKILL)
+            self.wait(timeout)
+
+    def read_tail(self) -> str:
+        """Return the end of the log."""
+        return self.log.read_bytes()[-LOG_TAIL_BYTES:].decode(errors="replace")
+
+
+class Sources:
+    """Tell by the system's socket tables which process opened a loopback connection."""
+
+    def __init__(self) -> None:
+        self._processes: Iterable[ManagedProcess] = ()
+
+    def set_processes(self, processes: Iterable[ManagedProcess]) -> None:
+        """Set the processes that are told apart."""
+        self._processes = processes
+
+    def identify(self, accepted: socket.socket) -> str:
+        """Return the name of the process at the other end of an accepted connection."""
+        try:
+            inode = _find_inode(accepted.getpeername()[1], accepted.getsockname()[1])
+        except OSError:
+            return UNKNOWN_SOURCE
+        owners = (process for process in self._processes if _owns(process.pid, inode))
+        return next((process.name for process in owners), UNKNOWN_SOURCE)
+
+
+def _find_inode(local_port: int, remote_port: int) -> str:
+    local, remote = f":{local_port:04X}", f":{remote_port:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for line in table:
+            columns = line.split()
+            if columns[1].endswith(local) and columns[2].endswith(remote):
+                return columns[9]
+    return ""
+
+
+def _owns(pid: int | None, inode: str) -> bool:
+    if pid is None or not inode:
+        return False
+    folder, link = f"/proc/{pid}/fd", f"socket:[{inode}]"
+    try:
+        descriptors = os.listdir(folder)
+    except OSError:
+        return False
+    return any(_read_link(f"{folder}/{number}") == link for number in descriptors)
+
+
+def _read_link(path: str) -> str:
+    try:
+        return os.readlink(path)
+    except OSError:
+        return ""
+
+
+def pick_ports(count: int) -> list[int]:
+    """Return free loopback ports; they are all held until the last is picked."""
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports: list[int] = [server.getsockname()[1] for server in held]
+    for server in held:
+        server.close()
+    return ports
+
+
+def build_options(options: Mapping[str, object]) -> list[str]:
+    """Return command-line options; ``{"load_lag": 0.1}`` becomes ``--load-lag 0.1``."""
+    arguments = []
+    for name, value in options.items():
+        flag = "--" + name.replace("_", "-")
+        if value is True:
+            arguments.append(flag)
+        elif value is False:
+            arguments.append(flag.replace("--", "--no-", 1))
+        else:
+            arguments += [flag, str(value)]
+    return arguments
