--- /dev/null
+++ b/tests/operators/test_api.py
@@ -0,0 +1,180 @@
+"""Check the resource API and the command line against running hosts."""
+
+import json
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from tests.hosts import Fleet, run_fleet
+from turmericproxy.cli.app import app
+from turmericproxy.cli.exits import ExitCode
+from turmericproxy.keys import compute_digest
+from turmericproxy.operators import create_operator_server
+from turmericproxy.settings.schema import HostSettings, ListenSettings, PlatformSettings
+from turmericproxy.web import HttpClient, HttpServer
+
+OPERATOR_KEY = "an-operator-key"
+ACCOUNT = {"rate": 10.0, "burst": 100}
+
+
+@dataclass
+class Console:
+    """Call the operators' API of one host."""
+
+    fleet: Fleet
+    server: HttpServer
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.port}"
+
+    def call(
+        self, method: str, path: str, value: object = None, key: str = OPERATOR_KEY, **headers: str
+    ) -> tuple[int, Any]:
+        sent = {name.replace("_", "-"): text for name, text in headers.items()}
+        sent["Authorization"] = f"Bearer {key}"
+        answer = HttpClient(self.address).call_json(method, path, value, headers=sent, fresh=True)
+        assert isinstance(answer, tuple), answer
+        return answer
+
+    def put(self, path: str, value: object, **headers: str) -> tuple[int, Any]:
+        return self.call("PUT", f"/v1/resources/{path}", value, **headers)
+
+    def run(self, *arguments: str, key: str = OPERATOR_KEY) -> tuple[int, str]:
+        environment = {
+            "TURMERICPROXY_OPERATORS": self.address,
+            "TURMERICPROXY_OPERATOR_KEY": key,
+        }
+        result = CliRunner().invoke(app, list(arguments), env=environment)
+        assert OPERATOR_KEY not in result.output
+        return result.exit_code, result.output
+
+
+@pytest.fixture
+def console() -> Iterator[Console]:
+    with run_fleet(2) as fleet:
+        host = fleet.hosts[0]
+        listen = ListenSettings(callers="127.0.0.1:0", operators="127.0.0.1:0", peers="127.0.0.1:0")
+        settings = HostSettings(
+            host=host.name,
+            domain="d1",
+            listen=listen,
+            platform=PlatformSettings(address=fleet.address),
+            operator_key_digests=(compute_digest(OPERATOR_KEY),),
+        )
+        sources = {"buckets": lambda: {"a": 1}}
+        server = create_operator_server(
+            settings, host.configuration, host.keys, sources, lambda: "requests_total 1\n"
+        )
+        server.start()
+        yield Console(fleet, server)
+        server.close()
+
+
+def test_versions_settle_who_wins(console: Console) -> None:
+    status, body = console.put("account/a", ACCOUNT, If_None_Match="*")
+    assert (status, body["revision"]) == (200, 1)
+    assert console.put("account/a", ACCOUNT, If_None_Match="*")[0] == 409
+    assert console.put("account/a", {**ACCOUNT, "rate": 20}, If_Match='"1"')[0] == 200
+    status, body = console.put("account/a", {**ACCOUNT, "rate": 30}, If_Match='"1"')
+    assert (status, body["error"]["name"]) == (409, "resource_conflict")
+    assert console.put("account/a", ACCOUNT, If_Match="x")[0] == 400
+    shown = console.call("GET", "/v1/resources/account/a")[1]
+    assert (shown["rate"], shown["revision"]) == (20.0, 2)
+
+
+def test_every_fault_is_told_with_its_field(console: Console) -> None:
+    status, body = console.put("account/a", {"rate": -1, "speed": 3})
+    assert status == 422
+    assert {fault["field"] for fault in body["error"]["faults"]} == {"rate", "burst", "speed"}
+    route = {"upstreams": ["gone"], "accounts": ["nobody"]}
+    status, body = console.put("route/r", route)
+    assert {fault["field"] for fault in body["error"]["faults"]} == {"upstreams", "accounts"}
+    assert console.put("account/a", {**ACCOUNT, "name": "b"})[0] == 422
+    assert console.put("account/A_B", ACCOUNT)[0] == 422
+    assert console.put("planet/a", ACCOUNT)[0] == 404
+    status, body = console.call("POST", "/v1/keys", {"account": "nobody", "name": "k"})
+    assert (status, body["error"]["faults"][0]["field"]) == (422, "account")
+    assert console.call("POST", "/v1/keys", {"account": 3, "more": 1})[0] == 422
+
+
+def test_resource_in_use_is_kept(console: Console) -> None:
+    console.put("account/a", ACCOUNT)
+    assert console.call("POST", "/v1/keys", {"account": "a", "name": "k"})[0] == 201
+    status, body = console.call("DELETE", "/v1/resources/account/a")
+    assert (status, body["error"]["name"]) == (409, "resource_in_use")
+    assert console.call("DELETE", "/v1/resources/account/b")[0] == 404
+
+
+def test_only_operator_keys_open_the_api(console: Console) -> None:
+    console.put("account/a", ACCOUNT)
+    created = console.call("POST", "/v1/keys", {"account": "a", "name": "k"})[1]
+    for key in (created["secret"], "", "wrong"):
+        for path in ("/v1/status", "/v1/resources/key", "/metrics", "/v1/watch"):
+            assert console.call("GET", path, key=key)[0] == 401
+    digest = compute_digest(created["secret"])
+    assert (
+        console.call("PUT", "/v1/resources/key/twin", {"account": "a", "digest": digest})[0] == 422
+    )
+
+
+def test_watch_waits_for_the_next_change(console: Console) -> None:
+    console.put("account/a", ACCOUNT)
+    answers: list[Any] = []
+    waiter = threading.Thread(
+        target=lambda: answers.append(console.call("GET", "/v1/watch?since=1&wait=5"))
+    )
+    waiter.start()
+    console.put("account/b", ACCOUNT)
+    waiter.join(timeout=6)
+    status, body = answers[0]
+    assert (status, body["revision"], body["changes"][0]["name"]) == (200, 2, "b")
+    assert console.call("GET", "/v1/watch?since=-1")[0] == 400
+    assert console.call("GET", "/v1/watch?since=9&wait=0")[1] == {"revision": 9, "changes": []}
+
+
+def test_commands_apply_show_and_delete(console: Console, tmp_path: Path) -> None:
+    file = tmp_path / "resources.yaml"
+    file.write_text(
+        "kind: account\nname: a\nrate: 10\nburst: 100\n---\nkind: model\nname: m\nversion: '1'\n"
+    )
+    code, output = console.run("apply", str(file), "--wait")
+    assert code == 0 and "revision 2 in force on 2 of 2 hosts" in output
+    assert "account/a: unchanged at revision 1" in console.run("apply", str(file))[1]
+    assert console.run("get", "model", "m") == (
+        0,
+        "kind: model\nname: m\nrevision: 2\nversion: '1'\n",
+    )
+    code, output = console.run("keys", "create", "a", "--name", "phone")
+    key_id = output.splitlines()[0].removeprefix("id: ")
+    assert code == 0 and console.run("delete", "account", "a")[0] == ExitCode.CONFLICT
+    code, output = console.run("keys", "withdraw", key_id)
+    assert (code, output) == (0, f"{key_id}: withdrawn, written down\n")
+    assert console.run("delete", "account", "a", "--wait")[0] == 0
+    code, output = console.run("watch", "--count", "5")
+    assert [json.loads(line)["revision"] for line in output.splitlines()] == [1, 2, 3, 4, 5]
+    code, output = console.run("status")
+    assert "revision 5" in output and 'buckets: {"a": 1}' in output
+
+
+def test_commands_tell_failures_by_their_exit_codes(console: Console, tmp_path: Path) -> None:
+    file = tmp_path / "resources.yaml"
+    file.write_text("kind: account\nname: a\nrate: -1\n---\nkind: planet\n--- 3\n")
+    code, output = console.run("apply", str(file))
+    assert code == ExitCode.INVALID
+    for part in ("document 1: rate", "document 1: burst", "document 2: kind", "document 3"):
+        assert part in output
+    assert console.run("get", "model", "m")[0] == ExitCode.NOT_FOUND
+    assert console.run("status", key="wrong")[0] == ExitCode.KEY_REFUSED
+    console.fleet.set_faults(down=True)
+    file.write_text("kind: account\nname: a\nrate: 1\nburst: 1\n")
+    assert console.run("apply", str(file))[0] == ExitCode.UNREACHABLE
+    settings = tmp_path / "host.yaml"
+    settings.write_text("host: h1\nlisten: {callers: nowhere}\n")
+    code, output = console.run("check", "--settings", str(settings))
+    assert code == ExitCode.INVALID and "listen.callers" in output and "domain" in output
--- a/turmericproxy/cli/app.py
+++ b/turmericproxy/cli/app.py
@@ -2,9 +2,24 @@
 
 import typer
 
+from turmericproxy.cli.keys import keys_app
+from turmericproxy.cli.resources import (
+    apply_resources,
+    delete_resource,
+    get_resources,
+    watch_resources,
+)
 from turmericproxy.cli.standin import stand_in_app
+from turmericproxy.cli.status import check_settings, show_status
 
 app = typer.Typer(no_args_is_help=True, help="Route language-model traffic with shared prompts.")
+app.command("check")(check_settings)
+app.command("apply")(apply_resources)
+app.command("get")(get_resources)
+app.command("delete")(delete_resource)
+app.command("watch")(watch_resources)
+app.command("status")(show_status)
+app.add_typer(keys_app, name="keys")
 app.add_typer(stand_in_app, name="stand-in")
 
 
