--- /dev/null
+++ b/turmericproxy/callers/attempts.py
@@ -0,0 +1,135 @@
+"""Run one attempt of a chat at one engine and read its events."""
+
+import contextlib
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from turmericproxy.callers.calls import ChatCall
+from turmericproxy.callers.pieces import Event, parse_events
+from turmericproxy.core import RequestId, read_boottime
+from turmericproxy.routing import Choice, FinishKind
+from turmericproxy.settings.schema import UpstreamSettings
+from turmericproxy.web import CallFailure, HttpClient, set_idle_timeout
+
+CHAT_PATH = "/v1/chat/completions"
+RESUME_PATH = "/v1/resume"
+CANCEL_PATH = "/v1/cancel"
+CANCEL_TIMEOUT_SECONDS = 0.5
+READ_BYTES = 65536
+HTTP_OK = 200
+REFUSED_KINDS = {409: FinishKind.WRONG_VERSION}
+
+
+@dataclass(frozen=True)
+class AttemptFailure:
+    """Describe the end of an attempt that did not complete the stream."""
+
+    kind: FinishKind
+    reason: str
+
+
+class Attempt:
+    """Hold one request at one engine; ``close`` cancels it unless it has finished."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        settings: UpstreamSettings,
+        choice: Choice,
+        call: ChatCall,
+        request_id: RequestId,
+        salt: str,
+    ) -> None:
+        self.choice = choice
+        self.request_id = request_id
+        self._client = client
+        self._settings = settings
+        self._call = call
+        self._salt = salt
+        self._answer: urllib3.BaseHTTPResponse | None = None
+        self._is_finished = False
+        self._started = read_boottime()
+
+    def measure_age(self) -> float:
+        """Return the seconds since the attempt was made."""
+        return read_boottime() - self._started
+
+    def dispatch(self, start: int) -> AttemptFailure | None:
+        """Send the request for the pieces from ``start`` on."""
+        body = {
+            "request_id": self.request_id,
+            "model": self._call.model,
+            "version": self.choice.version,
+            "messages": list(self._call.messages),
+            "max_tokens": self._call.max_tokens,
+            "priority": self.choice.priority,
+            "cache_salt": self._salt,
+            "stream": True,
+            "start": start,
+        }
+        return self._open(CHAT_PATH, body, fresh=False)
+
+    def resume(self, after: int) -> AttemptFailure | None:
+        """Ask the same engine for the pieces after the last one that arrived."""
+        self._drop_answer()
+        return self._open(RESUME_PATH, {"request_id": self.request_id, "after": after}, fresh=True)
+
+    def read_events(self) -> Iterator[Event | AttemptFailure]:
+        """Return the events as they come, and a failure if the connection breaks."""
+        assert self._answer is not None
+        try:
+            yield from parse_events(self._answer.stream(READ_BYTES))
+        except (HTTPError, OSError) as error:
+            yield AttemptFailure(FinishKind.BROKEN, f"the stream broke: {type(error).__name__}")
+
+    def finish(self) -> None:
+        """Record that the stream is complete, and give the connection back."""
+        self._is_finished = True
+        if self._answer is not None:
+            with contextlib.suppress(HTTPError, OSError):
+                self._answer.drain_conn()
+            self._answer.release_conn()
+            self._answer = None
+
+    def close(self) -> None:
+        """End the connection, and cancel the request at the engine unless it has finished."""
+        self._drop_answer()
+        if self._is_finished:
+            return
+        self._is_finished = True
+        self._client.call_json(
+            "POST",
+            CANCEL_PATH,
+            {"request_id": self.request_id},
+            read_timeout=CANCEL_TIMEOUT_SECONDS,
+            fresh=True,
+        )
+
+    def _open(self, path: str, body: object, *, fresh: bool) -> AttemptFailure | None:
+        answer = self._client.open(
+            "POST",
+            path,
+            body=json.dumps(body).encode(),
+            headers={"Content-Type": "application/json", "X-Request-Id": self.request_id},
+            read_timeout=self._settings.first_byte_timeout,
+            fresh=fresh,
+        )
+        if isinstance(answer, CallFailure):
+            kind = FinishKind.UNREACHABLE if answer.is_unsent else FinishKind.TIMEOUT
+            return AttemptFailure(kind, f"no answer: {answer.reason}")
+        if answer.status != HTTP_OK:
+            answer.close()
+            kind = REFUSED_KINDS.get(answer.status, FinishKind.UNREACHABLE)
+            return AttemptFailure(kind, f"the engine answered {answer.status}")
+        set_idle_timeout(answer, self._settings.idle_timeout)
+        self._answer = answer
+        return None
+
+    def _drop_answer(self) -> None:
+        if self._answer is not None:
+            self._answer.close()
+            self._answer = None
--- /dev/null
+++ b/turmericproxy/cli/serve.py
@@ -0,0 +1,33 @@
+"""Run one host until it is told to stop."""
+
+import signal
+import threading
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from turmericproxy.host import HostDaemon
+from turmericproxy.logs import configure_logs
+from turmericproxy.settings import HostSettings, load_settings
+
+EXIT_SETTINGS_INVALID = 2
+
+
+def serve_host(
+    settings: Annotated[Path, typer.Option(help="The YAML file with the host's settings.")],
+) -> None:
+    """Run one host until SIGTERM or SIGINT; every running request is finished first."""
+    loaded = load_settings(settings)
+    if not isinstance(loaded, HostSettings):
+        for fault in loaded:
+            typer.echo(str(fault), err=True)
+        raise typer.Exit(EXIT_SETTINGS_INVALID)
+    configure_logs(loaded.log_level, loaded.host)
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    daemon = HostDaemon(loaded)
+    daemon.start()
+    stopped.wait()
+    daemon.close()
--- a/turmericproxy/configuration/controller.py
+++ b/turmericproxy/configuration/controller.py
@@ -149,7 +149,9 @@
             if result is not None:
                 return result
             if read_boottime() >= deadline:
-                return refuse(ResultCode.RESOURCE_CONFLICT, "other changes came first", retry_after=1)
+                return refuse(
+                    ResultCode.RESOURCE_CONFLICT, "other changes came first", retry_after=1
+                )
             self._closed.wait(random.uniform(0, RETRY_PAUSE_SECONDS))
 
     def _try_change(
--- a/turmericproxy/configuration/references.py
+++ b/turmericproxy/configuration/references.py
@@ -43,9 +43,9 @@
 
 @check_references.register
 def _(resource: Route, snapshot: Snapshot) -> tuple[FieldFault, ...]:
-    return _find_missing(
-        snapshot, "upstreams", Kind.UPSTREAM, resource.upstreams
-    ) + _find_missing(snapshot, "accounts", Kind.ACCOUNT, resource.accounts or ())
+    return _find_missing(snapshot, "upstreams", Kind.UPSTREAM, resource.upstreams) + _find_missing(
+        snapshot, "accounts", Kind.ACCOUNT, resource.accounts or ()
+    )
 
 
 @singledispatch
--- a/turmericproxy/configuration/store.py
+++ b/turmericproxy/configuration/store.py
@@ -70,9 +70,7 @@
     return rows if isinstance(rows, Refusal) else tuple(_decode_change(row) for row in rows)
 
 
-def create_transaction(
-    delta: Delta, head: Head, resource_row_version: int | None
-) -> Transaction:
+def create_transaction(delta: Delta, head: Head, resource_row_version: int | None) -> Transaction:
     """Build the one transaction of a change.
 
     It is conditional on the head and on the resource's row, and deletes the one change row that
--- /dev/null
+++ b/turmericproxy/host/__init__.py
@@ -0,0 +1,5 @@
+"""Assemble one host from its parts."""
+
+from turmericproxy.host.daemon import HostDaemon
+
+__all__ = ["HostDaemon"]
--- /dev/null
+++ b/turmericproxy/host/daemon.py
@@ -0,0 +1,111 @@
+"""Start the parts of one host in order, and close them in the opposite order."""
+
+from turmericproxy.bookings import ClaimController
+from turmericproxy.callers import CallerApi
+from turmericproxy.callers.api import CallerParts
+from turmericproxy.configuration.controller import ConfigurationController
+from turmericproxy.core import DomainName, HostName, Incarnation, create_id
+from turmericproxy.keys import KeyController
+from turmericproxy.logs import Part, log_event
+from turmericproxy.metrics import Metrics
+from turmericproxy.operators import create_operator_server
+from turmericproxy.peers import PeerAddress, PeerLinks
+from turmericproxy.platform import PlatformClient
+from turmericproxy.rates import RateController
+from turmericproxy.routing import FairQueue, Selector
+from turmericproxy.settings import HostSettings
+from turmericproxy.weights import WeightController
+
+
+class HostDaemon:
+    """Own every part of one host."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        host, domain = HostName(settings.host), DomainName(settings.domain)
+        incarnation = Incarnation(create_id())
+        self.settings = settings
+        self.metrics = Metrics()
+        self.platform = PlatformClient(settings.platform, host)
+        self.links = PeerLinks(host, domain, incarnation, settings.listen.peers, settings.links)
+        self.configuration = ConfigurationController(
+            self.platform, self.links, settings.configuration
+        )
+        self.keys = KeyController(
+            self.configuration, self.platform, self.links, settings.configuration
+        )
+        self.rates = RateController(
+            self.platform,
+            self.links,
+            self.configuration,
+            settings.rates,
+            host,
+            domain,
+            incarnation,
+        )
+        self.claims = ClaimController(self.platform, host, incarnation)
+        self.selector = Selector(
+            self.configuration, self.links, settings.routing, settings.upstreams, host, domain
+        )
+        self.queue = FairQueue()
+        self.weights = WeightController(self.configuration, self.platform, settings.upstreams, host)
+        self.callers = CallerApi(settings, self._collect_caller_parts())
+        self.operators = create_operator_server(
+            settings,
+            self.configuration,
+            self.keys,
+            {
+                "peers": self._describe_peers,
+                "buckets": self.rates.list_buckets,
+                "upstreams": self.selector.describe_upstreams,
+            },
+            self.metrics.write_text,
+        )
+
+    def _collect_caller_parts(self) -> CallerParts:
+        return CallerParts(
+            configuration=self.configuration,
+            keys=self.keys,
+            rates=self.rates,
+            claims=self.claims,
+            selector=self.selector,
+            queue=self.queue,
+            metrics=self.metrics,
+        )
+
+    def start(self) -> None:
+        """Start every part; callers are served last, when the configuration is known."""
+        self.links.start()
+        self.links.set_peers(
+            PeerAddress(HostName(peer.host), DomainName(peer.domain), peer.address)
+            for peer in self.settings.peers
+        )
+        self.configuration.start()
+        self.keys.start()
+        self.rates.start()
+        self.claims.start()
+        self.selector.start()
+        self.weights.start()
+        self.operators.start()
+        self.callers.start()
+        log_event(Part.HOST, "started", incarnation=self.links.incarnation)
+
+    def close(self) -> None:
+        """Drain callers, give back what is held, and close every part."""
+        is_drained = self.callers.drain()
+        self.callers.close()
+        self.weights.close()
+        self.selector.close()
+        self.claims.close()
+        self.rates.close()
+        self.operators.close()
+        self.keys.close()
+        self.configuration.close()
+        self.links.close()
+        self.platform.close()
+        log_event(Part.HOST, "stopped", drained=is_drained)
+
+    def _describe_peers(self) -> object:
+        return [
+            {"host": peer.host, "domain": peer.domain, "incarnation": peer.incarnation}
+            for peer in self.links.list_reachable()
+        ]
--- a/turmericproxy/web/client.py
+++ b/turmericproxy/web/client.py
@@ -95,6 +95,7 @@
                 headers=sent,
                 timeout=timeout,
                 preload_content=False,
+                decode_content=False,
                 redirect=False,
                 retries=False,
             )
@@ -134,3 +135,11 @@
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
+
+
+def set_idle_timeout(answer: urllib3.BaseHTTPResponse, seconds: float) -> None:
+    """Limit how long the rest of an open answer may stay silent between two reads."""
+    connection = getattr(answer, "connection", None)
+    sock = getattr(connection, "sock", None)
+    if sock is not None:
+        sock.settimeout(seconds)
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -14,10 +14,11 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """Hold one request; header names are in lower case."""
+    """Hold one request; header names are in lower case, and ``target`` is as it was sent."""
 
     method: str
     path: str
+    target: str
     query: Mapping[str, str]
     query_string: str
     headers: Mapping[str, str]
@@ -84,6 +85,7 @@
     return HttpRequest(
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
+        target=environ.get("REQUEST_URI", environ["PATH_INFO"]),
         query=dict(parse_qsl(query_string, keep_blank_values=True)),
         query_string=query_string,
         headers=headers,
@@ -117,6 +119,13 @@
         )
         self._server.gateway = _Gateway
         self._thread: threading.Thread | None = None
+        self._active = 0
+        self._lock = threading.Lock()
+
+    @property
+    def active(self) -> int:
+        """Return how many requests have not yet been answered to the last byte."""
+        return self._active
 
     @property
     def port(self) -> int:
@@ -138,7 +147,12 @@
     def _run_application(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        response = self._handler(_create_request(environ))
+        self._count_active(1)
+        try:
+            response = self._handler(_create_request(environ))
+        except BaseException:
+            self._count_active(-1)
+            raise
         headers = dict(response.headers)
         body = response.body
         if isinstance(body, bytes):
@@ -146,20 +160,31 @@
             body = (body,)
         status = f"{response.status} {_get_phrase(response.status)}"
         start_response(status, list(headers.items()))
-        return body if hasattr(body, "close") else _ClosableBody(body)
+        return _SentBody(body, lambda: self._count_active(-1))
 
+    def _count_active(self, change: int) -> None:
+        with self._lock:
+            self._active += change
 
-class _ClosableBody:
-    """Give an iterable body the ``close`` that the server calls at its end."""
 
-    def __init__(self, parts: Iterable[bytes]) -> None:
+class _SentBody:
+    """Run an action when the server has sent the last part of a body or given it up."""
+
+    def __init__(self, parts: Iterable[bytes], action: Callable[[], None]) -> None:
         self._parts = parts
+        self._action = action
 
     def __iter__(self) -> Iterator[bytes]:
         return iter(self._parts)
 
     def close(self) -> None:
-        """Do nothing: the parts hold no resource."""
+        """Close the parts; the server calls this once."""
+        try:
+            close_parts = getattr(self._parts, "close", None)
+            if close_parts:
+                close_parts()
+        finally:
+            self._action()
 
 
 def _get_phrase(status: int) -> str:
