Claim bookings at the platform before their dispatch

One conditional write by attempt id, gathered into transactions; a claim that was given up is fenced in the background: a released row is written where there is none yet, so that the lost write can't take effect later.

--- /dev/null
+++ b/turmericproxy/bookings/controller.py
@@ -0,0 +1,219 @@
+"""Claim bookings before their dispatch, and store how they ended."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from turmericproxy.bookings.batch import Batcher, RowConflict, Written
+from turmericproxy.bookings.claims import (
+    Claim,
+    ClaimRecord,
+    ClaimState,
+    Outcome,
+    Settlement,
+    StoredClaim,
+    StoredOutcome,
+    answer_repeat,
+    confirm_claim,
+    create_row_key,
+    finish_claim,
+    is_claimable,
+    mark_claim_unknown,
+    release_record,
+    write_claim,
+)
+from turmericproxy.bookings.settlement import Settler, read_stored
+from turmericproxy.core import (
+    AccountName,
+    AttemptId,
+    HostName,
+    Incarnation,
+    Refusal,
+    ResultCode,
+    RunState,
+    create_id,
+    refuse,
+)
+from turmericproxy.logs import Part, log_event
+from turmericproxy.platform import AnswerLost, PlatformClient
+
+CLAIM_TIMEOUT_SECONDS = 2.5
+RETRY_PAUSE_SECONDS = 0.05
+FINISH_WAIT_SECONDS = 0.25
+CLOSE_WAIT_SECONDS = 5.0
+LEAST_RETRY_AFTER_SECONDS = 0.5
+
+IsAlive = Callable[[HostName, Incarnation], bool | None]
+
+
+@dataclass
+class _Attempt:
+    """Follow one attempt at a claim; ``outstanding`` as in ``Settlement``."""
+
+    row_key: str
+    record: ClaimRecord
+    deadline: float
+    outstanding: set[int | None] = field(default_factory=set)
+
+
+class ClaimController:
+    """Give each idempotency key of a client account to one attempt at a time.
+
+    ``is_alive`` tells whether a host still runs under an incarnation, and ``None`` when that is
+    not known.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        host: HostName,
+        incarnation: Incarnation,
+        is_alive: IsAlive = lambda host, incarnation: None,
+    ) -> None:
+        self._platform = platform
+        self._host = host
+        self._incarnation = incarnation
+        self._is_alive = is_alive
+        self._batcher = Batcher(platform)
+        self._settler = Settler(platform, self._batcher)
+        self._open: dict[AttemptId, bool] = {}
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Start the threads that write."""
+        self._batcher.start()
+        self._settler.start()
+
+    def close(self) -> None:
+        """Store what is left, within ``CLOSE_WAIT_SECONDS``, and end the threads."""
+        left = self._settler.close(CLOSE_WAIT_SECONDS)
+        self._batcher.close()
+        if left:
+            log_event(Part.BOOKINGS, "records were not stored", level=logging.ERROR, records=left)
+
+    def claim(
+        self, account: AccountName, key: str, body_digest: str
+    ) -> Claim | StoredOutcome | Refusal:
+        """Claim an idempotency key, within ``CLAIM_TIMEOUT_SECONDS``.
+
+        Only a returned claim may be dispatched. An attempt that got none never is, and its row,
+        should it appear, is released in the background.
+        """
+        attempt = _Attempt(
+            create_row_key(account, key),
+            ClaimRecord(
+                AttemptId(create_id()),
+                self._host,
+                self._incarnation,
+                ClaimState.CLAIMED,
+                body_digest,
+                time.time(),
+            ),
+            time.monotonic() + CLAIM_TIMEOUT_SECONDS,
+        )
+        result = self._run_attempt(attempt)
+        if isinstance(result, Claim):
+            with self._lock:
+                self._open[result.record.attempt] = False
+        elif attempt.outstanding:
+            self._give_up_claim(attempt)
+        return result
+
+    def record_dispatch(self, claim: Claim) -> None:
+        """Record that request bytes may have been sent: from now on no release is possible."""
+        with self._lock:
+            if claim.record.attempt in self._open:
+                self._open[claim.record.attempt] = True
+
+    def finish(self, claim: Claim, outcome: Outcome) -> None:
+        """Store the outcome; waits up to ``FINISH_WAIT_SECONDS`` until it is stored."""
+        if self._close_attempt(claim) is None:
+            return
+        record = finish_claim(claim, outcome, time.time())
+        write = write_claim(claim.row_key, StoredClaim(claim.record, claim.version), record)
+        result = self._batcher.submit(write, FINISH_WAIT_SECONDS)
+        if not isinstance(result, Written):
+            self._settler.add(Settlement(claim.row_key, record, frozenset({claim.version})))
+
+    def mark_unknown(self, claim: Claim) -> None:
+        """Store in the background that nobody knows whether the request ran."""
+        if self._close_attempt(claim) is not None:
+            record = mark_claim_unknown(claim, time.time())
+            self._settler.add(Settlement(claim.row_key, record, frozenset({claim.version})))
+
+    def release(self, claim: Claim) -> None:
+        """Give a claim back in the background, before its first request byte was sent.
+
+        A claim whose dispatch was recorded is marked unknown instead.
+        """
+        was_dispatched = self._close_attempt(claim)
+        if was_dispatched is None:
+            return
+        if was_dispatched:
+            log_event(Part.BOOKINGS, "a dispatched claim is not released", level=logging.ERROR)
+            record = mark_claim_unknown(claim, time.time())
+        else:
+            record = release_record(claim.record, time.time())
+        self._settler.add(Settlement(claim.row_key, record, frozenset({claim.version})))
+
+    def count_waiting(self) -> int:
+        """Return how many records are not stored yet."""
+        return self._settler.count_waiting()
+
+    def _close_attempt(self, claim: Claim) -> bool | None:
+        with self._lock:
+            return self._open.pop(claim.record.attempt, None)
+
+    def _run_attempt(self, attempt: "_Attempt") -> Claim | StoredOutcome | Refusal:
+        stored: StoredClaim | None = None
+        while (left := attempt.deadline - time.monotonic()) > 0:
+            write = write_claim(attempt.row_key, stored, attempt.record)
+            result = self._batcher.submit(write, left)
+            if isinstance(result, Written):
+                return Claim(attempt.row_key, attempt.record, result.version)
+            if isinstance(result, Refusal):
+                if not attempt.outstanding:
+                    return _refuse_claim(result.reason, result.retry_after)
+                time.sleep(RETRY_PAUSE_SECONDS)
+            elif isinstance(result, AnswerLost):
+                attempt.outstanding.add(write.version)
+            elif isinstance(result, RowConflict):
+                read = read_stored(self._platform, attempt.row_key)
+                if isinstance(read, Refusal):
+                    return replace(
+                        _refuse_claim(read.reason, read.retry_after), run=RunState.UNKNOWN
+                    )
+                if claim := confirm_claim(attempt.row_key, read, attempt.record.attempt):
+                    return claim
+                if read is not None and not is_claimable(read):
+                    return self._answer_repeat(attempt, read)
+                stored = read
+        return _refuse_claim("the platform did not confirm the claim in time", None)
+
+    def _answer_repeat(self, attempt: "_Attempt", stored: StoredClaim) -> StoredOutcome | Refusal:
+        record = stored.record
+        if record.host == self._host:
+            is_alive: bool | None = record.incarnation == self._incarnation
+        else:
+            is_alive = self._is_alive(record.host, record.incarnation)
+        return answer_repeat(stored, attempt.record.body_digest, time.time(), is_alive)
+
+    def _give_up_claim(self, attempt: "_Attempt") -> None:
+        log_event(
+            Part.BOOKINGS,
+            "a claim is given up",
+            row=attempt.row_key,
+            attempt=attempt.record.attempt,
+        )
+        record = release_record(attempt.record, time.time())
+        self._settler.add(Settlement(attempt.row_key, record, frozenset(attempt.outstanding)))
+
+
+def _refuse_claim(reason: str, retry_after: float | None) -> Refusal:
+    return refuse(
+        ResultCode.CLAIM_UNAVAILABLE,
+        f"this request was not run, as its idempotency key could not be claimed: {reason}",
+        retry_after=max(retry_after or 0.0, LEAST_RETRY_AFTER_SECONDS),
+    )
--- /dev/null
+++ b/turmericproxy/bookings/settlement.py
@@ -0,0 +1,123 @@
+"""Store the last records of attempts in the background until they are in force."""
+
+import heapq
+import itertools
+import logging
+import threading
+import time
+
+from turmericproxy.bookings.batch import TABLE, Batcher, Written
+from turmericproxy.bookings.claims import (
+    ClaimState,
+    Settlement,
+    StoredClaim,
+    read_record,
+    settle_claim,
+)
+from turmericproxy.core import Refusal
+from turmericproxy.logs import Part, log_event
+from turmericproxy.platform import PlatformClient, Row
+
+WORKERS = 4
+WRITE_TIMEOUT_SECONDS = 3.0
+FIRST_DELAY_SECONDS = 0.05
+LONGEST_DELAY_SECONDS = 2.0
+
+
+def read_stored(platform: PlatformClient, row_key: str) -> StoredClaim | None | Refusal:
+    """Return the claim in a row, or ``None`` if there is no such row."""
+    row = platform.read_row(TABLE, row_key)
+    if isinstance(row, Row):
+        return StoredClaim(read_record(row.value), row.version)
+    return row
+
+
+class Settler:
+    """Retry settlements with growing delays; they are kept in memory only while they wait."""
+
+    def __init__(self, platform: PlatformClient, batcher: Batcher) -> None:
+        self._platform = platform
+        self._batcher = batcher
+        self._waiting: list[tuple[float, int, int, Settlement]] = []
+        self._numbers = itertools.count()
+        self._running = 0
+        self._is_closed = False
+        self._changed = threading.Condition()
+        self._threads = [
+            threading.Thread(target=self._run, name=f"claim-settle-{n}", daemon=True)
+            for n in range(WORKERS)
+        ]
+
+    def start(self) -> None:
+        """Start the threads that store."""
+        for thread in self._threads:
+            thread.start()
+
+    def close(self, timeout: float) -> int:
+        """Wait up to ``timeout`` seconds for what is left, and return how many were not stored."""
+        deadline = time.monotonic() + timeout
+        with self._changed:
+            while self.count_waiting() and time.monotonic() < deadline:
+                self._changed.wait(deadline - time.monotonic())
+            left = self.count_waiting()
+            self._is_closed = True
+            self._changed.notify_all()
+        for thread in self._threads:
+            thread.join(timeout=5)
+        return left
+
+    def count_waiting(self) -> int:
+        """Return how many settlements are not in force yet."""
+        return len(self._waiting) + self._running
+
+    def add(self, settlement: Settlement, tries: int = 0) -> None:
+        """Store a settlement in the background."""
+        delay = min(FIRST_DELAY_SECONDS * 2**tries, LONGEST_DELAY_SECONDS) if tries else 0.0
+        with self._changed:
+            entry = (time.monotonic() + delay, next(self._numbers), tries, settlement)
+            heapq.heappush(self._waiting, entry)
+            self._changed.notify()
+
+    def _run(self) -> None:
+        while taken := self._take():
+            tries, settlement = taken
+            is_settled = self._settle(settlement)
+            if not is_settled:
+                self.add(settlement, tries + 1)
+            with self._changed:
+                self._running -= 1
+                self._changed.notify_all()
+
+    def _take(self) -> tuple[int, Settlement] | None:
+        with self._changed:
+            while not self._is_closed:
+                wait = self._waiting[0][0] - time.monotonic() if self._waiting else None
+                if wait is not None and wait <= 0:
+                    _, _, tries, settlement = heapq.heappop(self._waiting)
+                    self._running += 1
+                    return tries, settlement
+                self._changed.wait(wait)
+            return None
+
+    def _settle(self, settlement: Settlement) -> bool:
+        stored = read_stored(self._platform, settlement.row_key)
+        if isinstance(stored, Refusal):
+            return False
+        write = settle_claim(settlement, stored)
+        if write is None:
+            self._report_lost(settlement, stored)
+            return True
+        result = self._batcher.submit(write, WRITE_TIMEOUT_SECONDS)
+        return isinstance(result, Written)
+
+    def _report_lost(self, settlement: Settlement, stored: StoredClaim | None) -> None:
+        record = settlement.record
+        is_ours = stored is not None and stored.record.attempt == record.attempt
+        if record.state is not ClaimState.RELEASED and not is_ours:
+            log_event(
+                Part.BOOKINGS,
+                "the row of a dispatched claim is gone",
+                level=logging.ERROR,
+                row=settlement.row_key,
+                attempt=record.attempt,
+            )
--- a/turmericproxy/platform/client.py
+++ b/turmericproxy/platform/client.py
@@ -32,6 +32,9 @@
 class PlatformClient:
     """Call the platform; every call ends by the deadlines of the settings.
 
+    A call that the platform was too busy for is refused with ``OVERLOADED``, all others that
+    surely had no effect with ``PLATFORM_UNAVAILABLE``.
+
     While the platform is away, calls fail at once for short intervals that double. After a call
     without an answer all pooled connections are dropped, as the others may be silent too.
     """
@@ -129,7 +132,10 @@
         self._breaker.record(entered, status < SERVER_FAULT_STATUS)
         if status == 404 and method == "GET" or status in (200, 409):
             return status, content
-        if status in (OVERLOADED_STATUS, 503):
+        if status == OVERLOADED_STATUS:
+            wait = max(LEAST_RETRY_SECONDS, _read_retry_after(headers))
+            return refuse(ResultCode.OVERLOADED, "the platform is overloaded", retry_after=wait)
+        if status == 503:
             return self._refuse(f"the platform answered {status}", _read_retry_after(headers))
         if status >= SERVER_FAULT_STATUS:
             return AnswerLost(f"the platform answered {status}")
