Tell a silent connection from a long queue; keep sent calls apart from unsent ones

Cause: a pooled connection that went silent was found only after the first-byte limit of 10 s. Ruled out: a shorter limit alone, since a long queue at an engine looks the same; engines now send comment lines while a piece is awaited, and the limit is 2 s.

--- a/tests/standins/engine/test_surface.py
+++ b/tests/standins/engine/test_surface.py
@@ -91,7 +91,10 @@
     deadline = time.monotonic() + 5
     while time.monotonic() < deadline:
         answer = client.call_json("GET", "/control")
-        if not isinstance(answer, CallFailure) and answer[1]["incarnation"] != before["incarnation"]:
+        if (
+            not isinstance(answer, CallFailure)
+            and answer[1]["incarnation"] != before["incarnation"]
+        ):
             break
     assert answer[1]["cached"] == [] and answer[1]["incarnation"] != before["incarnation"]
     assert client.call_json("POST", "/v1/resume", {"request_id": "a", "after": 0})[0] == 404
--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import threading
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -43,6 +44,7 @@
         call: ChatCall,
         request_id: RequestId,
         salt: str,
+        start: int,
     ) -> None:
         self.choice = choice
         self.request_id = request_id
@@ -50,15 +52,17 @@
         self._settings = settings
         self._call = call
         self._salt = salt
+        self.start = start
         self._answer: urllib3.BaseHTTPResponse | None = None
         self._is_finished = False
+        self._was_sent = False
         self._started = read_boottime()
 
     def measure_age(self) -> float:
         """Return the seconds since the attempt was made."""
         return read_boottime() - self._started
 
-    def dispatch(self, start: int) -> AttemptFailure | None:
+    def dispatch(self) -> AttemptFailure | None:
         """Send the request for the pieces from ``start`` on."""
         body = {
             "request_id": self.request_id,
@@ -69,7 +73,7 @@
             "priority": self.choice.priority,
             "cache_salt": self._salt,
             "stream": True,
-            "start": start,
+            "start": self.start,
         }
         return self._open(CHAT_PATH, body, fresh=False)
 
@@ -98,9 +102,13 @@
     def close(self) -> None:
         """End the connection, and cancel the request at the engine unless it has finished."""
         self._drop_answer()
-        if self._is_finished:
+        if self._is_finished or not self._was_sent:
             return
         self._is_finished = True
+        # The caller does not wait for the cancellation: the engine may be unreachable.
+        threading.Thread(target=self._cancel, name="cancel", daemon=True).start()
+
+    def _cancel(self) -> None:
         self._client.call_json(
             "POST",
             CANCEL_PATH,
@@ -118,6 +126,7 @@
             read_timeout=self._settings.first_byte_timeout,
             fresh=fresh,
         )
+        self._was_sent |= not (isinstance(answer, CallFailure) and answer.is_unsent)
         if isinstance(answer, CallFailure):
             kind = FinishKind.UNREACHABLE if answer.is_unsent else FinishKind.TIMEOUT
             return AttemptFailure(kind, f"no answer: {answer.reason}")
--- a/turmericproxy/callers/chat.py
+++ b/turmericproxy/callers/chat.py
@@ -3,7 +3,7 @@
 import hashlib
 import json
 from collections.abc import Generator, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import chain
 from typing import Any
 
@@ -14,7 +14,6 @@
 from turmericproxy.callers.exchange import Answer, Exchange
 from turmericproxy.callers.pieces import (
     BadEvent,
-    Event,
     Expectation,
     KeepAlive,
     Piece,
@@ -151,7 +150,7 @@
         kind = FinishKind.CANCELLED
         self._parts.selector.record_dispatch(choice)
         try:
-            failure = attempt.dispatch(self._next_index)
+            failure = attempt.dispatch()
             if failure is None:
                 failure = yield from self._read_pieces(attempt)
             if failure is not None and failure.kind is FinishKind.BROKEN:
@@ -172,12 +171,18 @@
             self._call,
             RequestId(f"{self._exchange.request_id}-{number}"),
             self._salt,
+            self._next_index,
         )
 
     def _read_pieces(self, attempt: Attempt) -> Generator[Item, None, AttemptFailure | None]:
         """Pass on the pieces of one connection; return ``None`` when the stream is complete."""
         is_first = True
         for event in attempt.read_events():
+            if isinstance(event, KeepAlive):
+                if self._exchange.request.is_client_gone():
+                    yield refuse(ResultCode.STREAM_BROKEN, "the caller has gone", RunState.UNKNOWN)
+                    return None
+                continue
             failure = self._find_failure(event, attempt)
             if failure is not None:
                 return failure
@@ -190,20 +195,20 @@
             elif isinstance(event, StreamEnd):
                 self._usage = event.usage
                 attempt.finish()
-                yield event
+                yield replace(event, usage=replace(event.usage, completion_tokens=self._next_index))
                 return None
         return AttemptFailure(FinishKind.BROKEN, "the stream ended early")
 
     def _find_failure(
-        self, event: Event | AttemptFailure, attempt: Attempt
+        self, event: Piece | StreamEnd | BadEvent | AttemptFailure, attempt: Attempt
     ) -> AttemptFailure | None:
         if isinstance(event, AttemptFailure):
             return event
         if isinstance(event, BadEvent):
             return AttemptFailure(FinishKind.CROSSED, event.reason)
-        if isinstance(event, KeepAlive):
-            return None
-        expectation = Expectation(attempt.request_id, attempt.choice.version, self._next_index)
+        expectation = Expectation(
+            attempt.request_id, attempt.choice.version, self._next_index, attempt.start
+        )
         fault = expectation.find_fault(event)
         return AttemptFailure(FinishKind.CROSSED, fault) if fault else None
 
--- a/turmericproxy/callers/filters.py
+++ b/turmericproxy/callers/filters.py
@@ -122,7 +122,11 @@
             return claim
         if isinstance(claim, StoredOutcome):
             return create_stored_answer(claim.outcome)
-        answer = following(replace(exchange, claim=claim))
+        try:
+            answer = following(replace(exchange, claim=claim))
+        except Exception:
+            self._claims.mark_unknown(claim)
+            raise
         self._settle(claim, answer)
         return answer
 
--- a/turmericproxy/callers/pieces.py
+++ b/turmericproxy/callers/pieces.py
@@ -88,11 +88,12 @@
 
 @dataclass(frozen=True)
 class Expectation:
-    """Say which event of a stream may come next."""
+    """Say which event may come next; ``start`` is the first piece that was asked for."""
 
     request_id: str
     version: str
     next_index: int
+    start: int = 0
 
     def find_fault(self, event: Piece | StreamEnd) -> str | None:
         """Return why an event does not belong here, or ``None`` if it does.
@@ -106,6 +107,8 @@
             return f"the answer was made by version {event.version}"
         if isinstance(event, Piece) and event.index != self.next_index:
             return f"piece {event.index} came in place of piece {self.next_index}"
-        if isinstance(event, StreamEnd) and event.usage.completion_tokens != self.next_index:
-            return f"the stream ended at piece {self.next_index}"
+        if isinstance(event, StreamEnd):
+            end = self.start + event.usage.completion_tokens
+            if end != self.next_index:
+                return f"the stream ended at piece {self.next_index} in place of {end}"
         return None
--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -112,10 +112,10 @@
 def _read_answer(answer: urllib3.BaseHTTPResponse, exchange: Exchange) -> HttpResponse | _Failure:
     try:
         body = answer.read(LARGEST_ANSWER_BYTES + 1)
+        answer.release_conn()
         if len(body) > LARGEST_ANSWER_BYTES:
             answer.close()
             return _Failure(FinishKind.BROKEN, "the upstream's answer is too large")
-        answer.release_conn()
     except (HTTPError, OSError) as error:
         answer.close()
         reason = f"the upstream's answer broke off: {type(error).__name__}"
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -14,7 +14,6 @@
 from turmericproxy.rates import RateController
 from turmericproxy.routing import FairQueue, Selector
 from turmericproxy.settings import HostSettings
-from turmericproxy.weights import WeightController
 
 
 class HostDaemon:
@@ -42,12 +41,11 @@
             domain,
             incarnation,
         )
-        self.claims = ClaimController(self.platform, host, incarnation)
+        self.claims = ClaimController(self.platform, host, incarnation, self._is_alive)
         self.selector = Selector(
             self.configuration, self.links, settings.routing, settings.upstreams, host, domain
         )
         self.queue = FairQueue()
-        self.weights = WeightController(self.configuration, self.platform, settings.upstreams, host)
         self.callers = CallerApi(settings, self._collect_caller_parts())
         self.operators = create_operator_server(
             settings,
@@ -56,7 +54,7 @@
             {
                 "peers": self._describe_peers,
                 "buckets": self.rates.list_buckets,
-                "upstreams": self.selector.describe_upstreams,
+                "upstreams": self.selector.describe_engines,
             },
             self.metrics.write_text,
         )
@@ -84,7 +82,6 @@
         self.rates.start()
         self.claims.start()
         self.selector.start()
-        self.weights.start()
         self.operators.start()
         self.callers.start()
         log_event(Part.HOST, "started", incarnation=self.links.incarnation)
@@ -93,7 +90,6 @@
         """Drain callers, give back what is held, and close every part."""
         is_drained = self.callers.drain()
         self.callers.close()
-        self.weights.close()
         self.selector.close()
         self.claims.close()
         self.rates.close()
@@ -109,3 +105,10 @@
             {"host": peer.host, "domain": peer.domain, "incarnation": peer.incarnation}
             for peer in self.links.list_reachable()
         ]
+
+    def _is_alive(self, host: HostName, incarnation: Incarnation) -> bool | None:
+        """Return whether a host still runs under an incarnation, or ``None`` if it is not known."""
+        for peer in self.links.list_reachable():
+            if peer.host == host:
+                return peer.incarnation == incarnation
+        return None
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -51,7 +51,7 @@
     """Set the deadlines on calls to upstreams, in seconds."""
 
     connect_timeout: float = Field(default=0.5, gt=0)
-    first_byte_timeout: float = Field(default=10.0, gt=0)
+    first_byte_timeout: float = Field(default=2.0, gt=0)
     idle_timeout: float = Field(default=3.0, gt=0)
 
 
--- a/turmericproxy/standins/engine/answers.py
+++ b/turmericproxy/standins/engine/answers.py
@@ -13,6 +13,8 @@
 from turmericproxy.web import HttpRequest
 
 POLL = 0.25
+KEEP_ALIVE_SECONDS = 0.5
+KEEP_ALIVE = b": waiting\n\n"
 CROSSED_DIGEST = digest_prompt("user:another request\n")
 
 
@@ -40,8 +42,10 @@
         self._break_at = self._faults.take_break()
         try:
             self._delay()
+            yield KEEP_ALIVE
             for index in range(first, job.max_tokens):
-                self._await_piece(index)
+                while not self._is_ready(index):
+                    yield KEEP_ALIVE
                 if self._break_at is not None and index - first >= self._break_at:
                     raise ConnectionCut
                 yield _encode(self._describe_piece(index))
@@ -70,10 +74,17 @@
     def _delay(self) -> None:
         time.sleep(self._faults.late)
 
-    def _await_piece(self, index: int) -> None:
-        self._wait(lambda: self._job.produced > index or self._job.is_ended)
-        if self._job.produced <= index:
+    def _is_ready(self, index: int) -> bool:
+        """Wait for a piece, at most until the next keep-alive is due."""
+        due = time.monotonic() + KEEP_ALIVE_SECONDS
+        self._wait(
+            lambda: self._job.produced > index
+            or self._job.is_ended
+            or (time.monotonic() > due and not self.is_silent)
+        )
+        if self._job.is_ended and self._job.produced <= index:
             raise ConnectionCut
+        return self._job.produced > index
 
     def _await_end(self) -> None:
         self._wait(lambda: self._job.is_ended)
--- a/turmericproxy/web/client.py
+++ b/turmericproxy/web/client.py
@@ -4,9 +4,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from http.client import HTTPException
 from typing import Any
 
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -58,12 +60,13 @@
         self._timeout = urllib3.Timeout(connect=connect_timeout, read=read_timeout)
         self._connect_timeout = connect_timeout
         self._endpoint = (host, int(port))
-        self._pool = self._create_pool(connections)
-
-    def _create_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
-        host, port = self._endpoint
-        return urllib3.HTTPConnectionPool(
-            host, port, maxsize=connections, block=False, timeout=self._timeout, retries=False
+        self._pool = urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=connections,
+            block=False,
+            timeout=self._timeout,
+            retries=False,
         )
 
     def open(
@@ -80,30 +83,52 @@
 
         The caller releases the answer with ``release_conn`` or ends it with ``close``.
         """
-        timeout = urllib3.Timeout(
-            connect=self._connect_timeout, read=read_timeout or self._timeout.read_timeout
-        )
+        limit = read_timeout or float(self._timeout.read_timeout or 0)
         sent = {**self._headers, **(headers or {})}
-        pool = self._create_pool(1) if fresh else self._pool
         if fresh:
-            sent["Connection"] = "close"
+            return self._open_fresh(method, path, body, sent, limit)
         try:
-            return pool.urlopen(
+            return self._pool.urlopen(
                 method,
                 path,
                 body=body,
                 headers=sent,
-                timeout=timeout,
+                timeout=urllib3.Timeout(connect=self._connect_timeout, read=limit),
                 preload_content=False,
                 decode_content=False,
                 redirect=False,
                 retries=False,
             )
-        except (NewConnectionError, ConnectTimeoutError) as error:
+        except (HTTPError, OSError) as error:
+            return _describe_failure(error)
+
+    def _open_fresh(
+        self, method: str, path: str, body: bytes | None, headers: dict[str, str], limit: float
+    ) -> urllib3.BaseHTTPResponse | CallFailure:
+        """Send a request on a connection of its own, which is closed with the answer."""
+        host, port = self._endpoint
+        connection = HTTPConnection(host, port, timeout=self._connect_timeout)
+        try:
+            connection.connect()
+        except (HTTPError, OSError) as error:
+            connection.close()
             return CallFailure(FailureStage.CONNECT, type(error).__name__)
-        except ReadTimeoutError as error:
+        try:
+            connection.sock.settimeout(limit)
+            connection.request(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+            return connection.getresponse()
+        except TimeoutError as error:
+            connection.close()
             return CallFailure(FailureStage.ANSWER, type(error).__name__)
-        except (HTTPError, OSError) as error:
+        except (HTTPError, HTTPException, OSError) as error:
+            connection.close()
             return CallFailure(FailureStage.SENT, type(error).__name__)
 
     def call_json(
@@ -127,6 +152,8 @@
         try:
             content = answer.read()
             answer.release_conn()
+            if fresh:
+                answer.close()
             return answer.status, json.loads(content) if content else None
         except (HTTPError, OSError, ValueError) as error:
             answer.close()
@@ -137,6 +164,14 @@
         self._pool.close()
 
 
+def _describe_failure(error: Exception) -> CallFailure:
+    if isinstance(error, NewConnectionError | ConnectTimeoutError):
+        return CallFailure(FailureStage.CONNECT, type(error).__name__)
+    if isinstance(error, ReadTimeoutError):
+        return CallFailure(FailureStage.ANSWER, type(error).__name__)
+    return CallFailure(FailureStage.SENT, type(error).__name__)
+
+
 def set_idle_timeout(answer: urllib3.BaseHTTPResponse, seconds: float) -> None:
     """Limit how long the rest of an open answer may stay silent between two reads."""
     connection = getattr(answer, "connection", None)
