Check the platform client; decode paths in its stand-in

Cause: the server hands over path bytes as Latin-1 and the stand-in decoded escapes twice, so a row whose key is not ASCII was not found (test_rows_are_listed_in_pages failed). Decoded once now; the test passes.

--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,168 @@
+"""Check what the client concludes from the platform's answers and silences."""
+
+import socket
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import pytest
+
+from turmericproxy.core import HostName, Refusal, ResultCode
+from turmericproxy.platform import (
+    AnswerLost,
+    Committed,
+    Condition,
+    Conflict,
+    HostState,
+    PlatformClient,
+    Row,
+    Transaction,
+    Write,
+)
+from turmericproxy.platform.breaker import LONGEST_INTERVAL_SECONDS, Breaker
+from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.web import HttpClient, HttpServer, create_json_response
+
+
+@dataclass
+class Scene:
+    """Hold a stand-in with a client and its control."""
+
+    platform: PlatformStandIn
+    client: PlatformClient
+
+    def control(self, **faults: object) -> None:
+        """Set faults."""
+        http = HttpClient(f"127.0.0.1:{self.platform.port}")
+        assert http.call_json("POST", "/control", faults) == (200, {"ok": True})
+
+
+def create_client(port: int, timeout: float = 2.0) -> PlatformClient:
+    settings = PlatformSettings(address=f"127.0.0.1:{port}", timeout=timeout)
+    return PlatformClient(settings, HostName("h1"))
+
+
+@pytest.fixture
+def scene() -> Iterator[Scene]:
+    platform = create_platform("127.0.0.1:0")
+    platform.start()
+    client = create_client(platform.port)
+    yield Scene(platform, client)
+    client.close()
+    platform.close()
+
+
+def put(key: str, value: object, version: int | None) -> Transaction:
+    return Transaction((Condition("t", key, version),), (Write("t", key, value),))
+
+
+def test_transactions_are_whole_and_versions_never_return(scene: Scene) -> None:
+    first = scene.client.commit(put("a", 1, None))
+    assert isinstance(first, Committed)
+    version = first.get_version("t", "a")
+    both = Transaction(
+        (Condition("t", "a", version), Condition("t", "b", 7)),
+        (Write("t", "a", 2), Write("t", "b", 2)),
+    )
+    assert scene.client.commit(both) == Conflict((1,))
+    assert scene.client.read_row("t", "a") == Row("a", 1, version)
+    delete = Transaction((Condition("t", "a", version),), (Write("t", "a", delete=True),))
+    assert isinstance(scene.client.commit(delete), Committed)
+    assert scene.client.read_row("t", "a") is None
+    again = scene.client.commit(put("a", 3, None))
+    assert isinstance(again, Committed) and again.get_version("t", "a") > version
+
+
+def test_rows_are_listed_in_pages(scene: Scene) -> None:
+    keys = ["a/1", "a/2", "a/ü ?&", "b/1"]
+    scene.client.commit(Transaction((), tuple(Write("t", key, key) for key in reversed(keys))))
+    first = scene.client.list_rows("t", prefix="a/", limit=2)
+    assert isinstance(first, tuple) and [row.key for row in first] == keys[:2]
+    rest = scene.client.list_rows("t", prefix="a/", after=first[-1].key)
+    assert isinstance(rest, tuple) and [row.value for row in rest] == keys[2:3]
+    found = scene.client.read_row("t", keys[2])
+    assert isinstance(found, Row) and found.value == keys[2]
+
+
+def test_lost_answer_has_taken_effect_and_late_one_does_so_later(scene: Scene) -> None:
+    scene.control(lose_next=1)
+    assert isinstance(scene.client.commit(put("x", 1, None)), AnswerLost)
+    assert isinstance(scene.client.read_row("t", "x"), Row)
+    scene.control(late_next=1, late=0.3)
+    assert isinstance(scene.client.commit(put("y", 1, None)), AnswerLost)
+    assert scene.client.read_row("t", "y") is None
+    deadline = time.monotonic() + 5
+    while scene.client.read_row("t", "y") is None and time.monotonic() < deadline:
+        time.sleep(0.02)
+    assert isinstance(scene.client.read_row("t", "y"), Row)
+
+
+def test_refusal_means_that_nothing_was_written(scene: Scene) -> None:
+    scene.control(down=True)
+    assert isinstance(scene.client.commit(put("x", 1, None)), Refusal)
+    scene.control(down=False)
+    assert scene.client.read_row("t", "x") is None
+
+
+def test_rate_is_limited() -> None:
+    platform = create_platform("127.0.0.1:0", writes=10)
+    platform.start()
+    try:
+        client = create_client(platform.port)
+        results = [client.commit(put(f"k{n}", n, None)) for n in range(5)]
+        refused = [result for result in results if isinstance(result, Refusal)]
+        assert refused and all(r.code is ResultCode.OVERLOADED for r in refused)
+    finally:
+        platform.close()
+
+
+def test_silent_connections_end_by_deadline_and_calls_then_fail_at_once() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        client = create_client(silent.getsockname()[1], timeout=0.1)
+        for _ in range(2):
+            assert isinstance(client.commit(put("x", 1, None)), AnswerLost)
+        started = time.monotonic()
+        assert isinstance(client.commit(put("x", 1, None)), Refusal)
+        assert time.monotonic() - started < 0.05
+
+
+def test_breaker_lets_one_call_through_after_each_interval() -> None:
+    now = 0.0
+    breaker = Breaker(read_clock=lambda: now, draw=lambda: 0.0)
+    for _ in range(30):
+        entered = breaker.enter()
+        assert entered is not None and breaker.measure_wait() == 0
+        breaker.record(entered, succeeded=False)
+        wait = breaker.measure_wait()
+        assert wait <= LONGEST_INTERVAL_SECONDS + 1e-9
+        assert not wait or breaker.enter() is None
+        now += wait
+    probe = breaker.enter()
+    assert probe is not None and breaker.enter() is None
+    breaker.record(probe, succeeded=True)
+    assert breaker.enter() is not None and breaker.enter() is not None
+
+
+def test_host_that_does_not_answer_is_listed_as_gone_with_a_lag(scene: Scene) -> None:
+    host = HttpServer("127.0.0.1:0", lambda request: create_json_response(200, {}), threads=2)
+    host.start()
+    with socket.create_server(("127.0.0.1", 0)) as paused:
+        control = HttpClient(f"127.0.0.1:{scene.platform.port}")
+        hosts = [
+            {"host": name, "domain": "d", "callers": f"127.0.0.1:{port}", "peers": "127.0.0.1:1"}
+            for name, port in [("up", host.port), ("paused", paused.getsockname()[1])]
+        ]
+        control.call_json("PUT", "/control/hosts", {"hosts": hosts})
+        states: dict[str, HostState] = {}
+        deadline = time.monotonic() + 5
+        while states.get("paused") is not HostState.GONE and time.monotonic() < deadline:
+            listed = scene.client.list_hosts()
+            assert not isinstance(listed, Refusal)
+            states = {entry.host: entry.state for entry in listed.hosts}
+            time.sleep(0.02)
+        assert states == {"up": HostState.LIVE, "paused": HostState.GONE}
+        scene.control(lag=30)
+        lagged = scene.client.list_hosts()
+        assert not isinstance(lagged, Refusal) and lagged.hosts == ()
+    host.close()
--- a/turmericproxy/standins/platform.py
+++ b/turmericproxy/standins/platform.py
@@ -7,7 +7,6 @@
 import time
 from dataclasses import dataclass, fields, replace
 from typing import Any
-from urllib.parse import unquote
 
 from turmericproxy.standins.platform_hosts import HostProber, HostRecord
 from turmericproxy.standins.platform_tables import StoredRow, TableState
@@ -120,7 +119,7 @@
         return response
 
     def _route(self, request: HttpRequest, body: bytes) -> HttpResponse:
-        parts = request.path.strip("/").split("/", 2)
+        parts = _decode_path(request.path).strip("/").split("/", 2)
         if parts[:2] == ["v1", "transactions"] and request.method == "POST":
             return self._commit(request, json.loads(body))
         if parts[:2] == ["v1", "tables"] and request.method == "GET":
@@ -151,7 +150,7 @@
         table, _, rest = path.partition("/")
         key = rest.removeprefix("rows").removeprefix("/")
         if key:
-            row = self._tables.read_row(table, unquote(key))
+            row = self._tables.read_row(table, key)
             if row is None:
                 return create_json_response(404, {"error": "no such row"})
             return create_json_response(200, {"value": row.value, "version": row.version})
@@ -229,6 +228,11 @@
     return PlatformStandIn(address, writes, reads, weight_reads, seed)
 
 
+def _decode_path(path: str) -> str:
+    # The server hands over the bytes of a path as Latin-1, with encoded slashes left as they are.
+    return path.encode("latin-1").decode().replace("%2F", "/")
+
+
 def _drop_connection(request: HttpRequest) -> HttpResponse:
     request.connection.shutdown(socket.SHUT_RDWR)
     return HttpResponse(503)
