Decide on immutable views of the engines, apart from threads

Endings take the names DONE and FAILED that the caller chain uses, and plain calls are recorded through the same methods.

--- a/tests/routing/test_selector.py
+++ b/tests/routing/test_selector.py
@@ -23,7 +23,7 @@
     chain = create_chain("rules", "notes", "more")
     first = send(selector, create_request(1, chain))
     selector.record_first_piece(first, 0.35)
-    selector.record_finish(first, FinishKind.COMPLETED, Usage(7000, 0, 20))
+    selector.record_finish(first, FinishKind.DONE, Usage(7000, 0, 20))
     second = send(selector, create_request(2, chain))
     assert second.engine == first.engine
     assert (first.cached_blocks, second.cached_blocks) == (0, 3)
--- a/turmericproxy/routing/__init__.py
+++ b/turmericproxy/routing/__init__.py
@@ -6,6 +6,7 @@
     Choice,
     FinishKind,
     RoutingRequest,
+    TokenCounts,
     UpstreamChoice,
     Usage,
 )
@@ -19,6 +20,7 @@
     "RoutingRequest",
     "Selector",
     "Ticket",
+    "TokenCounts",
     "UpstreamChoice",
     "Usage",
 ]
--- a/turmericproxy/routing/engines.py
+++ b/turmericproxy/routing/engines.py
@@ -49,10 +49,15 @@
     report: LoadReport | None = None
     speed: Speed = Speed()
     health: Health = Health()
-    distance: float = 0.0
+    distance: float | None = None
     in_flight: dict[RequestId, PendingWork] = field(default_factory=dict)
     peer_work: dict[HostName, PeerWork] = field(default_factory=dict)
 
+    def count_requests(self) -> int:
+        """Return the requests at the engine: own ones, or more if it reports more."""
+        reported = self.report.running + self.report.queued if self.report else 0
+        return max(len(self.in_flight), reported)
+
     def count_own_tokens(self) -> float:
         """Return the tokens of own requests that wait for their first piece."""
         return float(
--- a/turmericproxy/routing/health.py
+++ b/turmericproxy/routing/health.py
@@ -14,7 +14,7 @@
 _FAULT_WEIGHTS = {
     FinishKind.UNREACHABLE: 3.0,
     FinishKind.TIMEOUT: 1.5,
-    FinishKind.BROKEN: 1.0,
+    FinishKind.FAILED: 1.0,
     FinishKind.CROSSED: 1.0,
 }
 
@@ -45,7 +45,7 @@
     """Return the health after an attempt ended."""
     if kind.is_fault:
         return _record_fault(health, _FAULT_WEIGHTS[kind], now)
-    if kind is FinishKind.COMPLETED and health.measure_share(now) >= 1.0:
+    if kind is FinishKind.DONE and health.measure_share(now) >= 1.0:
         return Health()
     return health
 
--- a/turmericproxy/routing/plain.py
+++ b/turmericproxy/routing/plain.py
@@ -97,6 +97,19 @@
             state = self._states.setdefault(upstream, ServiceState())
             state.health = record_ending(state.health, kind, self._read_clock())
 
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return what the host knows of each service, by name."""
+        now = self._read_clock()
+        with self._lock:
+            return {
+                name: {
+                    "in_flight": state.in_flight,
+                    "reported": state.reported,
+                    "share": round(state.health.measure_share(now), 3),
+                }
+                for name, state in sorted(self._states.items())
+            }
+
     def _get_state(self, upstream: Upstream) -> ServiceState:
         return self._states.setdefault(UpstreamName(upstream.name), ServiceState())
 
--- a/turmericproxy/routing/policies.py
+++ b/turmericproxy/routing/policies.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-from turmericproxy.routing.candidates import Candidate
 from turmericproxy.routing.requests import RoutingRequest
+from turmericproxy.routing.views import Candidate
 
 NEAR_SECONDS = 0.005
 NEAR_SHARE = 0.05
@@ -75,14 +75,14 @@
     limit = max(best + policy.near_seconds, best * (1 + policy.near_share))
     near = [candidate for candidate in candidates if candidate.expected_seconds <= limit]
     key = request.blocks[-1] if request.blocks else request.request_id
-    return max(near, key=lambda candidate: weigh_rendezvous(key, candidate.engine))
+    return max(near, key=lambda candidate: weigh_rendezvous(key, candidate.view.engine))
 
 
 @select.register
 def _(
     policy: RoundRobin, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
 ) -> Candidate:
-    ordered = sorted(candidates, key=lambda candidate: candidate.engine)
+    ordered = sorted(candidates, key=lambda candidate: candidate.view.engine)
     return ordered[turn % len(ordered)]
 
 
@@ -93,7 +93,10 @@
     key = request.request_id
     return min(
         candidates,
-        key=lambda candidate: (candidate.requests, weigh_rendezvous(key, candidate.engine)),
+        key=lambda candidate: (
+            candidate.view.requests,
+            weigh_rendezvous(key, candidate.view.engine),
+        ),
     )
 
 
@@ -102,4 +105,4 @@
     policy: HashFirst, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
 ) -> Candidate:
     key = request.blocks[0] if request.blocks else request.account
-    return max(candidates, key=lambda candidate: weigh_rendezvous(key, candidate.engine))
+    return max(candidates, key=lambda candidate: weigh_rendezvous(key, candidate.view.engine))
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -24,7 +24,6 @@
     """Take in what the polls bring."""
 
     index: PrefixIndex
-    plain: PlainSelector
 
     def record_report(self, engine: EngineName, report: LoadReport, distance: float) -> None:
         """Take in an engine's report and the seconds that its answer took."""
@@ -108,9 +107,14 @@
     """Keep two loops for each engine and one for each plain service of the configuration."""
 
     def __init__(
-        self, state: PolledState, settings: RoutingSettings, upstreams: UpstreamSettings
+        self,
+        state: PolledState,
+        plain: PlainSelector,
+        settings: RoutingSettings,
+        upstreams: UpstreamSettings,
     ) -> None:
         self._state = state
+        self._plain = plain
         self._pause = settings.load_poll
         self._connect_timeout = upstreams.connect_timeout
         self._lock = threading.Lock()
@@ -194,9 +198,9 @@
         def step() -> float:
             answer = client.call_json("GET", "/load")
             if isinstance(answer, CallFailure) or answer[0] != 200:
-                self._state.plain.record_silence(upstream, _classify(answer))
+                self._plain.record_silence(upstream, _classify(answer))
             else:
-                self._state.plain.record_report(upstream, int(answer[1]["running"]))
+                self._plain.record_report(upstream, int(answer[1]["running"]))
             return self._pause
 
         return step
@@ -207,7 +211,7 @@
         return FinishKind.UNREACHABLE
     if isinstance(answer, CallFailure):
         return FinishKind.TIMEOUT
-    return FinishKind.BROKEN
+    return FinishKind.FAILED
 
 
 def _parse_report(body: dict[str, Any], own_tokens: float) -> LoadReport:
--- a/turmericproxy/routing/requests.py
+++ b/turmericproxy/routing/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from types import MappingProxyType
+from typing import Protocol
 
 from turmericproxy.core import (
     AccountName,
@@ -20,18 +21,30 @@
 class FinishKind(Enum):
     """Tell how an attempt at an upstream ended."""
 
-    COMPLETED = "completed"
+    DONE = "done"
     CANCELLED = "cancelled"
     UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
-    BROKEN = "broken"
+    FAILED = "failed"
     WRONG_VERSION = "wrong_version"
     CROSSED = "crossed"
 
     @property
     def is_fault(self) -> bool:
         """Return whether the ending counts against the health of the upstream."""
-        return self not in (FinishKind.COMPLETED, FinishKind.CANCELLED, FinishKind.WRONG_VERSION)
+        return self not in (FinishKind.DONE, FinishKind.CANCELLED, FinishKind.WRONG_VERSION)
+
+
+class TokenCounts(Protocol):
+    """Offer the counts that an engine reports with a complete answer."""
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens of the prompt."""
+
+    @property
+    def cached_tokens(self) -> int:
+        """Return the tokens of the prompt that were cached."""
 
 
 @dataclass(frozen=True)
