--- /dev/null
+++ b/turmericproxy/bench/runs.py
@@ -0,0 +1,121 @@
+"""Run workloads against clusters of real processes and keep what came out."""
+
+import json
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from turmericproxy.bench.callers import Target, send_calls
+from turmericproxy.bench.cluster import Cluster, start_cluster
+from turmericproxy.bench.disturbances import DisturbanceThread
+from turmericproxy.bench.fleet_plan import ROUTE, create_plan
+from turmericproxy.bench.measures import Measures, measure
+from turmericproxy.bench.oracle import create_replay, find_best_hit_rate
+from turmericproxy.bench.results import CallResult
+from turmericproxy.bench.shapes import Shape
+from turmericproxy.bench.workload import create_workload
+
+POLICIES = ("expected_time", "round_robin", "least_loaded", "hash_first")
+WARM_UP_SHARE = 0.15
+
+Report = Callable[[str], None]
+
+
+@dataclass(frozen=True)
+class RunPlan:
+    """Say what one run does; ``seconds`` is the length of its workload."""
+
+    shape: Shape
+    policy: str
+    seed: int
+    seconds: float
+    is_disturbed: bool = True
+
+
+@dataclass(frozen=True)
+class RunResult:
+    """Hold the measures of a run and the oracle's hit rate on the same calls."""
+
+    plan: RunPlan
+    measures: Measures
+    oracle_hit_rate: float
+    faults: tuple[str, ...]
+    wall_seconds: float
+
+    def describe(self) -> dict[str, object]:
+        """Return the result as a value for JSON."""
+        return {
+            "user": self.plan.shape.name,
+            "policy": self.plan.policy,
+            "seed": self.plan.seed,
+            "seconds": self.plan.seconds,
+            "disturbed": self.plan.is_disturbed,
+            **asdict(self.measures),
+            "oracle_hit_rate": self.oracle_hit_rate,
+            "faults": list(self.faults),
+            "wall_seconds": self.wall_seconds,
+        }
+
+
+def run_all(plans: Sequence[RunPlan], folder: Path, report: Report) -> list[RunResult]:
+    """Run the plans one after the other; raw figures go to JSON lines in ``folder``."""
+    folder.mkdir(parents=True, exist_ok=True)
+    results = []
+    with (folder / "runs.jsonl").open("w", encoding="utf-8") as lines:
+        for number, plan in enumerate(plans, start=1):
+            result = run(plan, folder)
+            results.append(result)
+            lines.write(json.dumps(result.describe()) + "\n")
+            lines.flush()
+            report(f"[{number}/{len(plans)}] {_summarize(result)}")
+    return results
+
+
+def run(plan: RunPlan, folder: Path) -> RunResult:
+    """Run one workload on a cluster of its own."""
+    started = time.monotonic()
+    calls = create_workload(plan.shape, plan.seed, plan.seconds)
+    cluster = start_cluster(create_plan(plan.shape, plan.policy))
+    try:
+        disturbances = DisturbanceThread(cluster, plan.seconds)
+        if plan.is_disturbed:
+            disturbances.start()
+        results = send_calls(calls, _create_target(cluster, plan.shape))
+        if plan.is_disturbed:
+            disturbances.close()
+    finally:
+        cluster.close()
+    _write_calls(folder, plan, results)
+    counted = [r for r in results if r.at >= WARM_UP_SHARE * plan.seconds]
+    return RunResult(
+        plan=plan,
+        measures=measure(results, counted, plan.shape.noisy_account),
+        oracle_hit_rate=find_best_hit_rate(plan.shape, create_replay(plan.shape, calls)),
+        faults=tuple(disturbances.faults),
+        wall_seconds=round(time.monotonic() - started, 2),
+    )
+
+
+def _create_target(cluster: Cluster, shape: Shape) -> Target:
+    hosts = tuple(cluster.get_address(name, "callers") for name in cluster.host_names)
+    return Target(hosts, dict(cluster.keys), shape.model, ROUTE)
+
+
+def _write_calls(folder: Path, plan: RunPlan, results: Sequence[CallResult]) -> None:
+    name = f"calls-{plan.shape.name}-{plan.policy}-{plan.seed}.jsonl"
+    with (folder / name).open("w", encoding="utf-8") as lines:
+        for result in results:
+            lines.write(json.dumps(result.describe()) + "\n")
+
+
+def _summarize(result: RunResult) -> str:
+    measures = result.measures
+    return (
+        f"{result.plan.shape.name} {result.plan.policy} seed {result.plan.seed}: "
+        f"hit {measures.hit_rate:.3f} (oracle {result.oracle_hit_rate:.3f}), "
+        f"p50 {measures.p50:.3f} p95 {measures.p95:.3f} p99 {measures.p99:.3f} s, "
+        f"wasted {measures.wasted:.3f}, worst/median {measures.worst_ratio:.2f}, "
+        f"refused {measures.refused:.4f}, failed {measures.failed:.4f} "
+        f"({result.wall_seconds:.0f} s)"
+    )
--- /dev/null
+++ b/turmericproxy/bench/tables.py
@@ -0,0 +1,96 @@
+"""Write the tables of a set of runs and compare them with the targets."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from statistics import fmean
+
+from turmericproxy.bench.runs import POLICIES, RunResult
+
+FIRST_TOKEN_TARGET = 0.34
+HIT_RATE_TARGET = 0.9
+WASTE_TARGET = 0.5
+WORST_RATIO_TARGET = 1.5
+REFUSED_TARGET = 0.01
+
+OWN_POLICY = "expected_time"
+
+
+@dataclass(frozen=True)
+class Column:
+    """Name a measure, read it from a run, and give the digits that are shown."""
+
+    title: str
+    read: Callable[[RunResult], float]
+    digits: int
+
+
+COLUMNS = (
+    Column("hit rate", lambda run: run.measures.hit_rate, 3),
+    Column("of oracle", lambda run: run.measures.hit_rate / run.oracle_hit_rate, 3),
+    Column("p50 s", lambda run: run.measures.p50, 3),
+    Column("p95 s", lambda run: run.measures.p95, 3),
+    Column("p99 s", lambda run: run.measures.p99, 3),
+    Column("wasted", lambda run: run.measures.wasted, 3),
+    Column("worst/median", lambda run: run.measures.worst_ratio, 2),
+    Column("refused", lambda run: run.measures.refused, 4),
+    Column("failed", lambda run: run.measures.failed, 4),
+)
+
+
+def write_tables(results: Sequence[RunResult]) -> str:
+    """Return the tables of all users: means over the seeds, with lowest and highest."""
+    users = dict.fromkeys(result.plan.shape.name for result in results)
+    return "\n".join(_write_user(user, results) for user in users)
+
+
+def _write_user(user: str, results: Sequence[RunResult]) -> str:
+    runs = [result for result in results if result.plan.shape.name == user]
+    seeds = sorted({result.plan.seed for result in runs})
+    titles = "".join(f"{column.title:>22}" for column in COLUMNS)
+    lines = [f"{user}, seeds {', '.join(map(str, seeds))}: mean [lowest, highest]"]
+    lines.append(f"{'policy':<15}{titles}")
+    for policy in POLICIES:
+        group = [result for result in runs if result.plan.policy == policy]
+        if group:
+            cells = "".join(f"{_write_cell(column, group):>22}" for column in COLUMNS)
+            lines.append(f"{policy:<15}{cells}")
+    return "\n".join([*lines, *_write_targets(runs), ""])
+
+
+def _write_cell(column: Column, group: Sequence[RunResult]) -> str:
+    values = [column.read(run) for run in group]
+    mean, low, high = (f"{v:.{column.digits}f}" for v in (fmean(values), min(values), max(values)))
+    return f"{mean} [{low}, {high}]"
+
+
+def _write_targets(runs: Sequence[RunResult]) -> list[str]:
+    own = [run for run in runs if run.plan.policy == OWN_POLICY]
+    others = [run for run in runs if run.plan.policy != OWN_POLICY]
+    if not own or not others:
+        return []
+    waste = _mean_by_policy(others, lambda run: run.measures.wasted)
+    return [
+        _judge("p95 to first token, s", fmean(r.measures.p95 for r in own), FIRST_TOKEN_TARGET),
+        _judge(
+            "distance to the oracle's hit rate",
+            1 - fmean(r.measures.hit_rate / r.oracle_hit_rate for r in own),
+            1 - HIT_RATE_TARGET,
+        ),
+        _judge(
+            "wasted, of the best baseline's",
+            fmean(r.measures.wasted for r in own) / max(min(waste), 1e-9),
+            WASTE_TARGET,
+        ),
+        _judge("worst/median", fmean(r.measures.worst_ratio for r in own), WORST_RATIO_TARGET),
+        _judge("refused inside the rate", fmean(r.measures.refused for r in own), REFUSED_TARGET),
+    ]
+
+
+def _mean_by_policy(runs: Sequence[RunResult], read: Callable[[RunResult], float]) -> list[float]:
+    policies = {run.plan.policy for run in runs}
+    return [fmean(read(r) for r in runs if r.plan.policy == policy) for policy in policies]
+
+
+def _judge(title: str, value: float, target: float) -> str:
+    verdict = "met" if value <= target else "MISSED"
+    return f"  {title:<36} {value:8.4f}  target {target:g}  {verdict}"
--- /dev/null
+++ b/turmericproxy/cli/bench.py
@@ -0,0 +1,41 @@
+"""Run the measurements from the command line."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+QUICK_SECONDS = 5.0
+QUICK_SEEDS = 1
+
+
+def run_bench(
+    out: Annotated[Path, typer.Option(help="Folder for raw figures and plots.")] = Path("out"),
+    seeds: Annotated[int, typer.Option(min=1, help="Number of seeds.")] = 3,
+    first_seed: Annotated[int, typer.Option(help="First seed.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Length of a workload, seconds.")] = 10.0,
+    user: Annotated[list[str] | None, typer.Option(help="User; may be repeated.")] = None,
+    policy: Annotated[list[str] | None, typer.Option(help="Policy; may be repeated.")] = None,
+    calm: Annotated[bool, typer.Option(help="Leave out the faults.")] = False,
+    quick: Annotated[bool, typer.Option(help="One seed, short workloads, one user.")] = False,
+) -> None:
+    """Measure the policies under both users' workloads and print a table for each."""
+    from turmericproxy.bench.plots import plot_runs
+    from turmericproxy.bench.runs import POLICIES, RunPlan, run_all
+    from turmericproxy.bench.shapes import SHAPES
+    from turmericproxy.bench.tables import write_tables
+
+    users = user or (list(SHAPES)[:1] if quick else list(SHAPES))
+    count = QUICK_SEEDS if quick else seeds
+    plans = [
+        RunPlan(SHAPES[name], taken, seed, QUICK_SECONDS if quick else seconds, not calm)
+        for name in users
+        for seed in range(first_seed, first_seed + count)
+        for taken in policy or POLICIES
+    ]
+    results = run_all(plans, out, typer.echo)
+    tables = write_tables(results)
+    typer.echo("\n" + tables)
+    (out / "tables.txt").write_text(tables, encoding="utf-8")
+    if plot_runs(results, out / "measures.png"):
+        typer.echo(f"raw figures and plot are in {out}/")
