--- a/turmericproxy/standins/__init__.py
+++ b/turmericproxy/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand in for the outside systems by speaking their protocols."""
+"""Stand in for the outside systems in tests and demonstrations."""
