--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -88,7 +88,7 @@
         try:
             yield from parse_events(self._answer.stream(READ_BYTES))
         except (HTTPError, OSError) as error:
-            yield AttemptFailure(FinishKind.BROKEN, f"the stream broke: {type(error).__name__}")
+            yield AttemptFailure(FinishKind.FAILED, f"the stream broke: {type(error).__name__}")
 
     def finish(self) -> None:
         """Record that the stream is complete, and give the connection back."""
--- a/turmericproxy/callers/chat.py
+++ b/turmericproxy/callers/chat.py
@@ -153,11 +153,11 @@
             failure = attempt.dispatch()
             if failure is None:
                 failure = yield from self._read_pieces(attempt)
-            if failure is not None and failure.kind is FinishKind.BROKEN:
+            if failure is not None and failure.kind is FinishKind.FAILED:
                 failure = attempt.resume(self._next_index - 1) or (
                     yield from self._read_pieces(attempt)
                 )
-            kind = failure.kind if failure else FinishKind.COMPLETED
+            kind = failure.kind if failure else FinishKind.DONE
             return failure
         finally:
             attempt.close()
@@ -197,7 +197,7 @@
                 attempt.finish()
                 yield replace(event, usage=replace(event.usage, completion_tokens=self._next_index))
                 return None
-        return AttemptFailure(FinishKind.BROKEN, "the stream ended early")
+        return AttemptFailure(FinishKind.FAILED, "the stream ended early")
 
     def _find_failure(
         self, event: Piece | StreamEnd | BadEvent | AttemptFailure, attempt: Attempt
--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -80,14 +80,14 @@
     def _run_attempt(
         self, exchange: Exchange, call: PlainCall, choice: UpstreamChoice
     ) -> HttpResponse | _Failure:
-        self._parts.selector.record_upstream_start(choice)
-        kind = FinishKind.BROKEN
+        self._parts.selector.record_dispatch(choice)
+        kind = FinishKind.FAILED
         try:
             result = self._send(exchange, call, choice)
-            kind = result.kind if isinstance(result, _Failure) else FinishKind.COMPLETED
+            kind = result.kind if isinstance(result, _Failure) else FinishKind.DONE
             return result
         finally:
-            self._parts.selector.record_upstream_end(choice, kind)
+            self._parts.selector.record_finish(choice, kind)
 
     def _send(
         self, exchange: Exchange, call: PlainCall, choice: UpstreamChoice
@@ -115,11 +115,11 @@
         answer.release_conn()
         if len(body) > LARGEST_ANSWER_BYTES:
             answer.close()
-            return _Failure(FinishKind.BROKEN, "the upstream's answer is too large")
+            return _Failure(FinishKind.FAILED, "the upstream's answer is too large")
     except (HTTPError, OSError) as error:
         answer.close()
         reason = f"the upstream's answer broke off: {type(error).__name__}"
-        return _Failure(FinishKind.BROKEN, reason)
+        return _Failure(FinishKind.FAILED, reason)
     echoed = answer.headers.get("X-Request-Id")
     if echoed is not None and echoed != exchange.request_id:
         answer.close()
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -54,7 +54,7 @@
             {
                 "peers": self._describe_peers,
                 "buckets": self.rates.list_buckets,
-                "upstreams": self.selector.describe_engines,
+                "upstreams": self.selector.describe_upstreams,
             },
             self.metrics.write_text,
         )
