--- a/turmericproxy/cli/serve.py
+++ b/turmericproxy/cli/serve.py
@@ -7,7 +7,6 @@
 
 import typer
 
-from turmericproxy.host import HostDaemon
 from turmericproxy.logs import configure_logs
 from turmericproxy.settings import HostSettings, load_settings
 
@@ -18,6 +17,9 @@
     settings: Annotated[Path, typer.Option(help="The YAML file with the host's settings.")],
 ) -> None:
     """Run one host until SIGTERM or SIGINT; every running request is finished first."""
+    # The parts of a host are imported here so that the other commands start fast.
+    from turmericproxy.host import HostDaemon
+
     loaded = load_settings(settings)
     if not isinstance(loaded, HostSettings):
         for fault in loaded:
