--- a/turmericproxy/cli/app.py
+++ b/turmericproxy/cli/app.py
@@ -9,6 +9,7 @@
     get_resources,
     watch_resources,
 )
+from turmericproxy.cli.serve import serve_host
 from turmericproxy.cli.standin import stand_in_app
 from turmericproxy.cli.status import check_settings, show_status
 
@@ -20,6 +21,7 @@
 app.command("watch")(watch_resources)
 app.command("status")(show_status)
 app.add_typer(keys_app, name="keys")
+app.command("serve")(serve_host)
 app.add_typer(stand_in_app, name="stand-in")
 
 
