Specify commits, spread and withdrawals of keys; replay the counterexamples

Proved by induction: commits (3 attempts), spread (3 hosts), rounds (5 hosts, any graph), withdrawal (3 hosts).

--- /dev/null
+++ b/tests/specifications/test_configuration.py
@@ -0,0 +1,189 @@
+"""Check the specifications of changes, spread and withdrawals, and replay counterexamples."""
+
+import ast
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from specifications import configuration, withdrawal
+from specifications.configuration import (
+    CommitGuards,
+    SpreadGuards,
+    create_commit_system,
+    create_round_system,
+    create_spread_system,
+    is_truthful,
+)
+from specifications.search import (
+    Counterexample,
+    TransitionSystem,
+    prove_inductive,
+    search_bounded,
+)
+from specifications.withdrawal import Guards, create_withdrawal_system
+from turmericproxy.configuration.changes import Settlement, settle_change
+from turmericproxy.configuration.deltas import ChangeId, Delta
+from turmericproxy.configuration.resources import Kind
+from turmericproxy.configuration.snapshot import Snapshot
+from turmericproxy.configuration.state import ConfigurationState
+from turmericproxy.configuration.store import Head, create_transaction
+from turmericproxy.core import KeyId, Revision, read_boottime
+from turmericproxy.keys.marks import (
+    MarkRegister,
+    MarkSet,
+    decode_marks,
+    drop_oldest,
+    encode_marks,
+)
+from turmericproxy.platform import AnswerLost, Committed, Conflict, Row, Transaction
+
+DEPTH = 9
+PACKAGES = Path(__file__).parents[2] / "turmericproxy"
+KEY = KeyId("k")
+
+
+def find_commit_counterexample(guard: str) -> Counterexample:
+    system = create_commit_system(2, CommitGuards(**{guard: False}))
+    found = search_bounded(replace(system, invariant=lambda s: is_truthful(s, 2)), DEPTH)
+    assert found is not None
+    return found
+
+
+def find_withdrawal_counterexample(guard: str) -> Counterexample:
+    system = create_withdrawal_system(2, Guards(**{guard: False}))
+    found = search_bounded(replace(system, invariant=lambda s: withdrawal.is_safe(s, 2)), DEPTH)
+    assert found is not None
+    return found
+
+
+SYSTEMS = {
+    "commit": create_commit_system(3),
+    "spread": create_spread_system(3),
+    "rounds": create_round_system(5),
+    "withdrawal": create_withdrawal_system(3),
+}
+
+
+@pytest.mark.parametrize("name", SYSTEMS)
+def test_invariant_is_inductive(name: str) -> None:
+    assert prove_inductive(SYSTEMS[name]) is None
+
+
+@pytest.mark.parametrize("name", SYSTEMS)
+def test_steps_are_named_after_functions(name: str) -> None:
+    functions = {
+        node.name.lstrip("_")
+        for package in ("configuration", "keys", "platform")
+        for path in (PACKAGES / package).glob("*.py")
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.FunctionDef)
+    }
+    environment = {*configuration.ENVIRONMENT, *withdrawal.ENVIRONMENT}
+    assert {step.split()[0] for step in SYSTEMS[name].steps} <= functions | environment
+
+
+@pytest.mark.parametrize(
+    "weakened",
+    [
+        create_spread_system(2, SpreadGuards(higher_only=False)),
+        create_spread_system(2, SpreadGuards(without_gap=False)),
+        create_round_system(3, passes_on=False),
+    ],
+    ids=["higher_only", "without_gap", "passes_on"],
+)
+def test_spread_without_a_guard_has_a_counterexample(weakened: TransitionSystem) -> None:
+    assert search_bounded(weakened, DEPTH) is not None
+
+
+class ScriptedPlatform:
+    """Answer the commits of attempt ``own`` as a run of the specification tells."""
+
+    def __init__(self, run: Counterexample, own: str) -> None:
+        self._steps = list(zip(run.steps, run.states, run.states[1:], strict=False))
+        self._own = own
+        self.stored: str | None = None
+
+    def commit(self, transaction: Transaction) -> Committed | Conflict | AnswerLost:
+        own_id = transaction.id
+        while self._steps:
+            step, before, after = self._steps.pop(0)
+            if step.startswith("apply_commit"):
+                self.stored = self.stored or (own_id if step.endswith(self._own) else "other")
+            if step == f"settle_change {self._own}":
+                if after[f"doubtful_{self._own}"] and not before[f"doubtful_{self._own}"]:
+                    return AnswerLost("lost")
+                return Conflict((0,)) if self.stored else AnswerLost("lost")
+        if self.stored:
+            return Conflict((0,))
+        self.stored = own_id
+        return Committed({})
+
+    def read_row(self, table: str, key: str) -> Row | None:
+        value = {"change_id": self.stored, "kind": "model", "name": "m", "spec": None}
+        return Row(key, value, 1) if self.stored else None
+
+
+def test_transaction_without_its_condition_on_the_head_commits_twice() -> None:
+    run = find_commit_counterexample("check_head")
+    assert sum(step.startswith("apply_") for step in run.steps) == 2
+
+
+@pytest.mark.parametrize("guard", ["read_after_doubt", "compare_change_id", "resend_missing"])
+def test_settling_tells_the_truth_in_the_runs_that_break_weaker_forms(guard: str) -> None:
+    run = find_commit_counterexample(guard)
+    own = next(step.split()[1] for step in run.steps if step.startswith("settle_change"))
+    platform = ScriptedPlatform(run, own)
+    delta = Delta(Revision(1), ChangeId("own"), Kind.MODEL, "m", None)
+    transaction = create_transaction(delta, Head(Revision(0), None), None)
+    deadline = read_boottime() + 5
+    result = settle_change(platform, transaction, delta, deadline, lambda _: None)  # type: ignore[arg-type]
+    truth = Settlement.COMMITTED if platform.stored == "own" else Settlement.OVERTAKEN
+    assert result is truth
+
+
+class ReplayedHost:
+    """Run the steps of the withdrawal's specification on the parts of a host."""
+
+    def __init__(self) -> None:
+        self.state = ConfigurationState()
+        self.register = MarkRegister()
+        self.is_told = False
+
+    @property
+    def revision(self) -> Revision:
+        return self.state.snapshot().revision
+
+    def accepts(self) -> bool:
+        return self.revision == withdrawal.CREATED and not self.register.is_marked(KEY)
+
+    def run(self, name: str, frame: int, other: "ReplayedHost | None") -> None:
+        match name:
+            case "withdraw":
+                self.register.add(MarkSet(frozenset({KEY})), self.revision)
+            case "cover":
+                covered = {KEY: Revision(withdrawal.DELETED)}
+                self.register.add(MarkSet(frozenset(), covered), self.revision)
+            case "drop_oldest":
+                self.register._marks = drop_oldest(self.register.marks(), self.revision, kept=0)
+            case "install_snapshot":
+                self.state.install_snapshot(Snapshot(Revision(frame)))
+            case "receive_marks":
+                assert other is not None
+                marks = decode_marks(encode_marks(other.register.marks()))
+                self.register.add(marks, self.revision)
+            case "restart_host":
+                self.__init__()  # type: ignore[misc]
+
+
+@pytest.mark.parametrize("guard", ["drop_covered", "higher_only", "cover_at_head", "keep_mark"])
+def test_withdrawn_key_is_refused_in_the_runs_that_break_weaker_forms(guard: str) -> None:
+    run = find_withdrawal_counterexample(guard)
+    hosts = {"1": ReplayedHost(), "2": ReplayedHost()}
+    for step, after in zip(run.steps, run.states[1:], strict=True):
+        name, number, *others = step.split()
+        host = hosts[number]
+        frame = int(after[f"revision_{number}"])
+        host.run(name, frame, hosts[others[0]] if others else None)
+        host.is_told = host.is_told or host.register.is_marked(KEY)
+        assert not any(h.is_told and h.accepts() for h in hosts.values()), str(run)
