Admit tokens from buckets split over the hosts, with debits between them

Each host keeps its shares under a lease that it renews at the platform or by the promise of one other host of its failure domain, the only one that may take them over. So shares stay usable while the platform is away, and pass on without ever being spent twice. Tokens under way between hosts are set aside from the burst.

Not run yet: failures with real processes.

--- /dev/null
+++ b/tests/rates/test_ledger.py
@@ -0,0 +1,94 @@
+"""Check that no change of a split hands out what another host holds."""
+
+import random
+
+import pytest
+
+from turmericproxy.core import AccountName, HostName
+from turmericproxy.rates import ledger
+from turmericproxy.rates.ledger import LedgerRow, Limit, Member
+
+MEMBERS = tuple(Member(HostName(f"h{n}"), f"d{n % 3}") for n in range(8))
+
+
+def create_row() -> LedgerRow:
+    holders = ledger.choose_holders(MEMBERS)
+    return ledger.create_split(AccountName("a"), Limit(1000, 4000), 1, holders)
+
+
+def measure_held(row: LedgerRow) -> Limit:
+    return Limit(sum(s.rate for s in row.shares), sum(s.burst for s in row.shares))
+
+
+def settle(row: LedgerRow, members=MEMBERS, silent=frozenset()) -> LedgerRow:
+    for _ in range(4):
+        for member in members:
+            row = ledger.adjust(row, member, silent)
+    return row
+
+
+def test_split_hands_out_the_whole_limit():
+    assert measure_held(create_row()) == Limit(1000, 4000)
+    assert sum(s.unclaimed for s in create_row().shares) == 4000
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_step_adds_to_what_is_held_beyond_the_limit(seed):
+    print("seed", seed)
+    draw = random.Random(seed)
+    row = create_row()
+    for revision in range(2, 60):
+        before = row
+        member, other = draw.sample(MEMBERS, 2)
+        silent = frozenset(m.host for m in MEMBERS if draw.random() < 0.2) - {member.host}
+        kind = draw.choice(["adjust", "regrant", "change_limit"])
+        if kind == "adjust":
+            row = ledger.adjust(row, member, silent)
+            others = [s for s in row.shares if s.host != member.host]
+            assert others == [s for s in before.shares if s.host != member.host]
+        elif kind == "regrant":
+            row = ledger.regrant(row, other.host, member)
+            assert row.find_share(other.host) is None
+        else:
+            row = ledger.change_limit(row, Limit(draw.randrange(9, 2000), 3000), revision)
+        held, earlier = measure_held(row), measure_held(before)
+        assert held.rate <= max(earlier.rate, row.limit.rate)
+        assert held.burst <= max(earlier.burst, row.limit.burst)
+        assert sum(s.unclaimed for s in row.shares) <= sum(s.unclaimed for s in before.shares)
+
+
+def test_a_lowered_limit_is_reached_by_all_who_answer():
+    row = settle(ledger.change_limit(create_row(), Limit(100, 400), 2))
+    assert measure_held(row) == Limit(100, 400)
+    assert {s.rate for s in row.shares} <= {12, 13}
+
+
+def test_what_a_silent_domain_holds_stays_reserved_when_the_rate_is_lowered():
+    cut = frozenset(m.host for m in MEMBERS if m.domain == "d0")
+    row = ledger.change_limit(create_row(), Limit(600, 2400), 2)
+    row = settle(row, [m for m in MEMBERS if m.host not in cut], cut)
+    assert measure_held(row) == Limit(600, 2400)
+    assert {s.rate for s in row.shares if s.host in cut} == {125}
+    row = settle(row)
+    assert {s.rate for s in row.shares} == {75}
+
+
+def test_an_older_revision_changes_nothing():
+    row = ledger.change_limit(create_row(), Limit(5, 5), 7)
+    assert ledger.change_limit(row, Limit(9, 9), 6) == row
+
+
+def test_an_inherited_share_brings_no_tokens():
+    row = ledger.regrant(create_row(), HostName("h0"), MEMBERS[3])
+    assert measure_held(row) == Limit(1000, 4000)
+    assert sum(s.unclaimed for s in row.shares) == 3500
+
+
+def test_a_newcomer_gets_its_part_from_the_others():
+    row = ledger.create_split(AccountName("a"), Limit(900, 900), 1, MEMBERS[:2])
+    row = settle(row, MEMBERS[:3])
+    assert [(s.host, s.rate) for s in row.shares] == [("h0", 300), ("h1", 300), ("h2", 300)]
+
+
+def test_a_row_survives_the_table():
+    assert ledger.decode_row(ledger.encode_row(create_row())) == create_row()
--- /dev/null
+++ b/turmericproxy/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system against plain policies."""
--- /dev/null
+++ b/turmericproxy/rates/controller.py
@@ -0,0 +1,244 @@
+"""Admit requests within the rate and burst of their client account over all hosts."""
+
+import random
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from turmericproxy.configuration import Snapshot
+from turmericproxy.core import (
+    AccountName,
+    DomainName,
+    HostName,
+    Incarnation,
+    Refusal,
+    ResultCode,
+    read_boottime,
+    refuse,
+)
+from turmericproxy.logs import Part, log_decision
+from turmericproxy.rates.bucket import MICRO
+from turmericproxy.rates.debits import DebitDesk, GrantPart
+from turmericproxy.rates.holdings import Holdings
+from turmericproxy.rates.host_keeper import HostKeeper, Links
+from turmericproxy.rates.ledger import LedgerRow, Member, create_limit
+from turmericproxy.rates.ledger_keeper import LedgerKeeper
+from turmericproxy.rates.regrant_keeper import RegrantKeeper
+from turmericproxy.rates.table import Platform, RateTable
+from turmericproxy.rates.tenure import LEASE_SHARE, Guardian
+from turmericproxy.settings.schema import RateSettings
+
+LEDGER_STEP_SECONDS = 0.5
+TICK_SECONDS = 0.1
+OVERTAKEN_SECONDS = 0.05
+PAUSE_SHARE = 0.5
+LEAST_RETRY_SECONDS = 0.05
+
+
+class Configuration(Protocol):
+    """Name the calls to the configuration that the rates need."""
+
+    def snapshot(self) -> Snapshot:
+        """Return the configuration in force."""
+
+    def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
+        """Call back with each new revision."""
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Hold the tokens that a request was admitted with, and the hosts that deducted them."""
+
+    account: AccountName
+    tokens: int
+    parts: tuple[GrantPart, ...] = ()
+
+
+@dataclass(frozen=True)
+class BucketReport:
+    """Describe a bucket of this host; ``rate`` is in tokens a second, the others in tokens."""
+
+    account: AccountName
+    rate: float
+    depth: float
+    level: float
+    is_open: bool
+
+
+class RateController:
+    """Admit requests and keep this host's part of the rate ledger."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        links: Links,
+        configuration: Configuration,
+        settings: RateSettings,
+        host: HostName,
+        domain: DomainName,
+        incarnation: Incarnation,
+    ) -> None:
+        self._links = links
+        self._configuration = configuration
+        self._settings = settings
+        self._member = member = Member(host, domain)
+        lease = settings.regrant_after * LEASE_SHARE
+        self._holdings = holdings = Holdings(pause_limit=lease * PAUSE_SHARE)
+        table = RateTable(platform)
+        self._host_keeper = HostKeeper(
+            table, links, holdings, member, incarnation, settings.regrant_after
+        )
+        self._ledger_keeper = LedgerKeeper(
+            platform,
+            table,
+            links,
+            holdings,
+            self._host_keeper,
+            member,
+            configuration.snapshot,
+            settings.debit_timeout,
+            lease,
+        )
+        self._host_keeper.reload = self._ledger_keeper.reload
+        self._regrant_keeper = RegrantKeeper(
+            platform,
+            table,
+            links,
+            holdings,
+            self._host_keeper,
+            self._ledger_keeper,
+            member,
+            Guardian(host, incarnation),
+            settings.regrant_after,
+        )
+        self._desk = DebitDesk(links, holdings, member)
+        self._closing = threading.Event()
+        self._wake = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Start to take this host's part of the ledger over and to keep it."""
+        self._configuration.subscribe(lambda _snapshot: self._wake.set())
+        for name, run in (
+            ("rates-tick", self._run_ticks),
+            ("rates-host", self._run_host),
+            ("rates-ledger", self._run_ledger),
+        ):
+            thread = threading.Thread(target=run, name=name, daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    def close(self) -> None:
+        """Stop spending and leave the levels of the buckets to the next incarnation."""
+        self.stop_threads()
+        self._host_keeper.close()
+        self._desk.close()
+
+    def stop_threads(self) -> None:
+        """Stop all upkeep without a last write, so that the lease runs out."""
+        self._closing.set()
+        self._wake.set()
+        for thread in self._threads:
+            thread.join(timeout=self._settings.regrant_after)
+
+    def admit(self, account: AccountName, tokens: int, deadline: float) -> Grant | Refusal:
+        """Deduct tokens for a request, here and at other hosts, or say when to come back.
+
+        ``deadline`` is in seconds of CLOCK_BOOTTIME.
+        """
+        known = self._configuration.snapshot().find_account(account)
+        if known is None:
+            return refuse(ResultCode.ACCOUNT_NOT_ALLOWED, f"no client account {account}")
+        amount = tokens * MICRO
+        if amount <= 0:
+            return Grant(account, 0)
+        local = self._holdings.take(account, amount, least=amount)
+        if local.amount:
+            return Grant(account, tokens, (GrantPart(self._member.host, local.id, amount),))
+        row = self._ledger_keeper.find_row(account)
+        row = row or self._ledger_keeper.fetch_from_peers(account)
+        if row is None:
+            return refuse(
+                ResultCode.RATE_EXCEEDED,
+                "no host that holds tokens of the client account is known yet",
+                retry_after=LEDGER_STEP_SECONDS,
+            )
+        if amount > row.limit.burst:
+            return refuse(
+                ResultCode.REQUEST_OVER_BURST,
+                f"{tokens} tokens are more than the {row.limit.burst // MICRO} of the burst",
+            )
+        latest = create_limit(known.rate, known.burst, self._settings.debit_timeout).flight
+        flight = min(min(row.limit.flight, latest) / MICRO, deadline - read_boottime())
+        return self._admit_by_debits(row, tokens, flight)
+
+    def _admit_by_debits(self, row: LedgerRow, tokens: int, flight: float) -> Grant | Refusal:
+        amount = tokens * MICRO
+        reachable = {peer.host for peer in self._links.list_reachable()}
+        others = tuple(share for share in row.shares if share.host in reachable)
+        levels = self._desk.estimate_levels(row.account, others)
+        own = self._holdings.measure(row.account)
+        if own.level + sum(levels.values()) < amount:
+            return self._refuse(row, amount, own.level + sum(levels.values()), reachable)
+        started = read_boottime()
+        local = self._holdings.take(row.account, amount, least=1)
+        parts: tuple[GrantPart, ...] = ()
+        if local.amount:
+            parts = (GrantPart(self._member.host, local.id, local.amount),)
+        parts += self._desk.collect(row.account, others, amount - local.amount, flight)
+        missing = amount - sum(part.amount for part in parts)
+        if missing <= 0 and read_boottime() - started <= flight:
+            log_decision(Part.RATES, "admitted by debits", account=row.account, parts=len(parts))
+            return Grant(row.account, tokens, parts)
+        self._desk.give_back(parts, amount)
+        return self._refuse(row, amount, amount - max(0, missing), reachable)
+
+    def _refuse(
+        self, row: LedgerRow, amount: int, available: int, reachable: set[HostName]
+    ) -> Refusal:
+        rate = sum(share.rate for share in row.shares if share.host in reachable)
+        rate += self._holdings.measure(row.account).rate
+        wait = (amount - available) / rate if rate else self._settings.regrant_after
+        log_decision(Part.RATES, "refused", account=row.account, available=available, need=amount)
+        return refuse(
+            ResultCode.RATE_EXCEEDED,
+            f"the client account has {available // MICRO} of {amount // MICRO} tokens left",
+            retry_after=max(LEAST_RETRY_SECONDS, wait),
+        )
+
+    def give_back(self, grant: Grant, unused: int) -> None:
+        """Give back tokens that a request did not use; a grant counts once."""
+        if unused > 0:
+            self._desk.give_back(grant.parts, unused * MICRO)
+
+    def list_buckets(self) -> tuple[BucketReport, ...]:
+        """Return the buckets of this host in order of their accounts."""
+        is_open = self._holdings.is_open()
+        return tuple(
+            BucketReport(name, b.rate / MICRO, b.depth / MICRO, b.level / MICRO, is_open)
+            for name, b in sorted(self._holdings.list_all().items())
+        )
+
+    def _run_ticks(self) -> None:
+        while not self._closing.wait(TICK_SECONDS):
+            self._holdings.record_tick()
+
+    def _run_host(self) -> None:
+        while not self._closing.is_set():
+            self._host_keeper.step()
+            self._closing.wait(
+                self._host_keeper.renewal_interval
+                if self._holdings.is_open()
+                else LEDGER_STEP_SECONDS / 2
+            )
+
+    def _run_ledger(self) -> None:
+        wait = LEDGER_STEP_SECONDS
+        while not self._closing.is_set():
+            self._wake.wait(wait)
+            self._wake.clear()
+            is_due = self._ledger_keeper.step()
+            wait = random.uniform(0, OVERTAKEN_SECONDS) if is_due else LEDGER_STEP_SECONDS
+            self._regrant_keeper.step()
+            self._holdings.forget_old_spends()
--- /dev/null
+++ b/turmericproxy/rates/debits.py
@@ -0,0 +1,187 @@
+"""Ask the hosts that hold buckets to deduct tokens for a request of this host."""
+
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+from turmericproxy.core import AccountName, DomainName, HostName, read_boottime
+from turmericproxy.rates.holdings import Holdings, Taken
+from turmericproxy.rates.host_keeper import Links
+from turmericproxy.rates.ledger import Member, Share
+
+DEBIT_KIND = "rates.debit"
+GIVE_BACK_KIND = "rates.give_back"
+DEBIT_WORKERS = 16
+
+
+@dataclass(frozen=True)
+class GrantPart:
+    """Name the host that deducted micro-tokens and the id of its deduction."""
+
+    host: HostName
+    taken_id: str
+    amount: int
+
+
+@dataclass(frozen=True)
+class Estimate:
+    """Hold what a holder's bucket had when it last answered, at a second of CLOCK_BOOTTIME.
+
+    Nothing but what is given back can make the bucket fuller than the estimate.
+    """
+
+    level: int
+    rate: int
+    depth: int
+    at: float
+
+
+@dataclass(frozen=True)
+class Request:
+    """Ask a host for an amount of micro-tokens."""
+
+    host: HostName
+    amount: int
+
+
+def estimate_level(estimate: Estimate, now: float) -> int:
+    """Return the most micro-tokens that a bucket can have by now.
+
+    >>> estimate_level(Estimate(level=1, rate=2, depth=4, at=10.0), 11.0)
+    3
+    """
+    refilled = int(estimate.rate * max(0.0, now - estimate.at))
+    return min(estimate.depth, estimate.level + refilled)
+
+
+def plan_debits(
+    levels: dict[HostName, int], order: Iterable[HostName], need: int
+) -> tuple[Request, ...]:
+    """Return whom to ask for how much, in the given order, until the need is met.
+
+    >>> plan_debits({HostName("a"): 3, HostName("b"): 9}, [HostName("a"), HostName("b")], 5)
+    (Request(host='a', amount=3), Request(host='b', amount=2))
+    """
+    requests = []
+    for host in order:
+        amount = min(need, levels[host])
+        if amount > 0:
+            requests.append(Request(host, amount))
+            need -= amount
+    return tuple(requests)
+
+
+def order_holders(
+    shares: Iterable[Share], domain: DomainName, levels: dict[HostName, int]
+) -> tuple[HostName, ...]:
+    """Return the holders with those of the own failure domain first, then the fullest."""
+    ordered = sorted(shares, key=lambda s: (s.domain != domain, -levels[s.host], s.host))
+    return tuple(share.host for share in ordered)
+
+
+class DebitDesk:
+    """Answer the debits of other hosts and send those of this one."""
+
+    def __init__(self, links: Links, holdings: Holdings, member: Member) -> None:
+        self._links = links
+        self._holdings = holdings
+        self._member = member
+        self._workers = ThreadPoolExecutor(DEBIT_WORKERS, thread_name_prefix="debit")
+        self._estimates: dict[tuple[AccountName, HostName], Estimate] = {}
+        links.register(DEBIT_KIND, self._handle_debit)
+        links.register(GIVE_BACK_KIND, self._handle_give_back)
+
+    def estimate_levels(self, account: AccountName, shares: Iterable[Share]) -> dict[HostName, int]:
+        """Return the most micro-tokens that each share's bucket can have by now."""
+        now = read_boottime()
+        levels = {}
+        for share in shares:
+            known = self._estimates.get((account, share.host))
+            is_current = known is not None and known.depth == share.burst
+            levels[share.host] = estimate_level(known, now) if known and is_current else share.burst
+        return levels
+
+    def collect(
+        self, account: AccountName, shares: tuple[Share, ...], need: int, flight: float
+    ) -> tuple[GrantPart, ...]:
+        """Return deductions at other hosts that together reach ``need`` or fall short of it.
+
+        Answers that come later than ``flight`` seconds after the first debit count for nothing.
+        """
+        started = read_boottime()
+        parts: tuple[GrantPart, ...] = ()
+        asked: set[HostName] = set()
+        while need > 0:
+            left = [share for share in shares if share.host not in asked]
+            levels = self.estimate_levels(account, left)
+            requests = plan_debits(levels, order_holders(left, self._member.domain, levels), need)
+            remaining = started + flight - read_boottime()
+            if not requests or remaining <= 0:
+                break
+            found = self._ask(account, requests, remaining)
+            asked |= {request.host for request in requests}
+            parts += found
+            need -= sum(part.amount for part in found)
+        return parts
+
+    def give_back(self, parts: Iterable[GrantPart], unused: int) -> None:
+        """Give back ``unused`` micro-tokens, those of other hosts first."""
+        ordered = sorted(parts, key=lambda part: part.host == self._member.host)
+        for part in ordered:
+            amount = min(unused, part.amount)
+            unused -= amount
+            if amount <= 0:
+                return
+            if part.host == self._member.host:
+                self._holdings.give_back(part.taken_id, amount)
+            else:
+                body = {"id": part.taken_id, "unused": amount}
+                self._links.send(part.host, GIVE_BACK_KIND, body)
+
+    def close(self) -> None:
+        """Stop the worker threads."""
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _ask(
+        self, account: AccountName, requests: tuple[Request, ...], timeout: float
+    ) -> tuple[GrantPart, ...]:
+        first, *others = requests
+        waiting = [self._workers.submit(self._ask_one, account, r, timeout) for r in others]
+        found = [self._ask_one(account, first, timeout)]
+        found += [future.result() for future in waiting]
+        return tuple(part for part in found if part)
+
+    def _ask_one(self, account: AccountName, request: Request, timeout: float) -> GrantPart | None:
+        body = {"account": account, "amount": request.amount}
+        asked_at = read_boottime()
+        reply = self._links.call(request.host, DEBIT_KIND, body, timeout)
+        if not isinstance(reply, dict):
+            return None
+        estimate = Estimate(reply["level"], reply["rate"], reply["depth"], asked_at)
+        self._estimates[(account, request.host)] = estimate
+        if read_boottime() - asked_at > timeout:
+            self._links.send(
+                request.host, GIVE_BACK_KIND, {"id": reply["id"], "unused": reply["amount"]}
+            )
+            return None
+        if not reply["amount"]:
+            return None
+        return GrantPart(request.host, reply["id"], reply["amount"])
+
+    def _handle_debit(self, _sender: HostName, body: Any) -> dict[str, Any]:
+        taken = self._holdings.take(AccountName(body["account"]), int(body["amount"]), 1)
+        return _describe(taken)
+
+    def _handle_give_back(self, _sender: HostName, body: Any) -> None:
+        self._holdings.give_back(str(body["id"]), int(body["unused"]))
+
+
+def _describe(taken: Taken) -> dict[str, Any]:
+    return {
+        "id": taken.id,
+        "amount": taken.amount,
+        "level": taken.level,
+        "rate": taken.rate,
+        "depth": taken.depth,
+    }
--- /dev/null
+++ b/turmericproxy/rates/host_keeper.py
@@ -0,0 +1,248 @@
+"""Keep the lease of this host, and promise other hosts to leave theirs alone."""
+
+import threading
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any, Protocol
+
+from turmericproxy.core import HostName, Incarnation, Refusal, read_boottime
+from turmericproxy.logs import Part, log_event
+from turmericproxy.peers import PeerState
+from turmericproxy.platform import AnswerLost, Committed
+from turmericproxy.rates import tenure
+from turmericproxy.rates.holdings import Holdings
+from turmericproxy.rates.ledger import Member
+from turmericproxy.rates.table import RateTable, Versioned, get_host_version
+from turmericproxy.rates.tenure import Guardian, HostRow, Lease, Standing, Watch
+
+PROMISE_KIND = "rates.promise"
+RENEWALS_PER_LEASE = 5
+
+
+class Links(Protocol):
+    """Name the calls to other hosts that the rates need."""
+
+    def register(self, kind: str, handler: Callable[[HostName, Any], Any]) -> None:
+        """Call a handler for each frame of a kind."""
+
+    def call(self, host: HostName, kind: str, body: Any, timeout: float | None = None) -> Any:
+        """Return the reply of another host, or a refusal."""
+
+    def send(self, host: HostName, kind: str, body: Any) -> bool:
+        """Send without waiting."""
+
+    def broadcast(self, kind: str, body: Any) -> int:
+        """Send to every linked host."""
+
+    def list_reachable(self) -> tuple[PeerState, ...]:
+        """Return the hosts that answer."""
+
+
+class HostKeeper:
+    """Write this host's row, renew its lease, and answer the hosts that it guards.
+
+    ``reload`` reads the whole ledger anew and says whether that succeeded; no lease is taken up
+    before it has.
+    """
+
+    def __init__(
+        self,
+        table: RateTable,
+        links: Links,
+        holdings: Holdings,
+        member: Member,
+        incarnation: Incarnation,
+        regrant_after: float,
+    ) -> None:
+        self._table = table
+        self._links = links
+        self._holdings = holdings
+        self._member = member
+        self._me = Guardian(member.host, incarnation)
+        self._regrant_after = regrant_after
+        self._lock = threading.Lock()
+        self._own: Versioned[HostRow] | None = None
+        self._unsettled: int | None = None
+        self._ready_at = 0.0
+        self._watches: dict[HostName, Watch] = {}
+        self._guarded: dict[HostName, Incarnation] = {}
+        self.levels: dict[str, int] = {}
+        self.reload: Callable[[], bool] = lambda: True
+        links.register(PROMISE_KIND, self._handle_promise)
+
+    @property
+    def renewal_interval(self) -> float:
+        """Return the seconds between two renewals of the lease."""
+        return self._regrant_after * tenure.LEASE_SHARE / RENEWALS_PER_LEASE
+
+    def read_own(self) -> Versioned[HostRow] | None:
+        """Return this host's row once it has been taken over, for use as a condition."""
+        with self._lock:
+            return self._own
+
+    def step(self) -> None:
+        """Take the host's row over, or renew the lease."""
+        if self._own is None:
+            self._take_over()
+            return
+        now = read_boottime()
+        if now < self._ready_at:
+            return
+        if not self._renew_by_guardian(self._own.row):
+            self._renew_by_platform()
+        self._choose_guardian()
+
+    def _take_over(self) -> None:
+        old = self._table.read_host(self._member.host)
+        if isinstance(old, Refusal):
+            return
+        if old and old.row.incarnation == self._me.incarnation:
+            # The answer to the write was lost, but the write took effect.
+            self._begin(old)
+            return
+        row = old.row if old else None
+        new = tenure.take_over(row, self._member.host, self._member.domain, self._me.incarnation)
+        self.levels = dict(row.levels or {}) if row else {}
+        self._wait = tenure.measure_takeover_wait(row, self._regrant_after)
+        outcome = self._table.commit_host(new, old)
+        if isinstance(outcome, Committed):
+            self._begin(Versioned(new, get_host_version(outcome, new.host)))
+
+    def _begin(self, own: Versioned[HostRow]) -> None:
+        with self._lock:
+            self._own = own
+        if own.row.guardian and self._wait:
+            # From now on the guardian promises nothing to the earlier incarnation.
+            self._ask_promise(own.row.guardian, is_new=True)
+        self._ready_at = read_boottime() + self._wait
+        log_event(Part.RATES, "host row taken over", wait=self._wait, levels=len(self.levels))
+
+    def _renew_by_guardian(self, own: HostRow) -> bool:
+        lease = self._holdings.read_lease()
+        asked_at = read_boottime()
+        if self._unsettled is not None or not tenure.is_held(lease, asked_at):
+            return False
+        if own.guardian is None or not self._ask_promise(own.guardian, is_new=False):
+            return False
+        self._holdings.renew_lease(
+            lambda old, now: tenure.renew_by_guardian(old, asked_at, now, self._regrant_after)
+        )
+        return True
+
+    def _ask_promise(self, guardian: Guardian, is_new: bool) -> bool:
+        body = {"host": self._me.host, "incarnation": self._me.incarnation, "new": is_new}
+        reply = self._links.call(guardian.host, PROMISE_KIND, body, self.renewal_interval)
+        if not isinstance(reply, dict):
+            return False
+        return bool(reply["promised"]) and reply["incarnation"] == guardian.incarnation
+
+    def _renew_by_platform(self) -> None:
+        asked_at = read_boottime()
+        read = self._table.read_host(self._member.host)
+        own = self._own
+        if isinstance(read, Refusal):
+            self._renew_alone(asked_at)
+            return
+        if read is None or own is None or read.row.incarnation != self._me.incarnation:
+            self._holdings.set_lease(Lease())
+            log_event(Part.RATES, "another incarnation holds the host row")
+            return
+        if read.version == self._unsettled or read.row.standing is not Standing.OPEN:
+            self._reopen(read)
+            return
+        self._unsettled = None
+        with self._lock:
+            self._own = read
+        if not self._holdings.is_open() and not self.reload():
+            return
+        # What is left belongs to shares that have passed on, and must not come back with others.
+        self.levels = {}
+        self._holdings.renew_lease(
+            lambda old, now: tenure.renew_by_platform(
+                old, read.row, self._me.incarnation, asked_at, self._regrant_after
+            )
+        )
+
+    def _renew_alone(self, asked_at: float) -> None:
+        """Extend a running lease while nobody else may take the shares over."""
+        own = self._own
+        if own and own.row.guardian is None and self._unsettled is None:
+            self._holdings.renew_lease(
+                lambda old, now: tenure.renew_by_guardian(old, asked_at, now, self._regrant_after)
+            )
+
+    def _reopen(self, read: Versioned[HostRow]) -> None:
+        """Write the row again: it was marked, or an earlier write may yet take effect."""
+        if read.row.standing is not Standing.OPEN:
+            self._holdings.set_lease(Lease())
+            log_event(Part.RATES, "host row was marked as lost", marked_by=read.row.marked_by)
+        self._write_own(tenure.reopen(read.row, self._me.incarnation), read)
+
+    def _write_own(self, new: HostRow, old: Versioned[HostRow]) -> None:
+        self._unsettled = old.version
+        outcome = self._table.commit_host(new, old)
+        if isinstance(outcome, AnswerLost):
+            return
+        self._unsettled = None
+        if isinstance(outcome, Committed):
+            with self._lock:
+                self._own = Versioned(new, get_host_version(outcome, new.host))
+
+    def _choose_guardian(self) -> None:
+        own = self._own
+        if own is None or self._unsettled is not None:
+            return
+        peers = [p for p in self._links.list_reachable() if p.domain == self._member.domain]
+        present = {Guardian(peer.host, peer.incarnation) for peer in peers}
+        if not present or own.row.guardian in present:
+            return
+        chosen = min(present, key=lambda guardian: _rank(self._member.host, guardian.host))
+        new = HostRow(
+            own.row.host, own.row.domain, self._me.incarnation, Standing.OPEN, guardian=chosen
+        )
+        if self._holdings.is_open():
+            self._write_own(new, own)
+
+    def _handle_promise(self, _sender: HostName, body: Any) -> dict[str, Any]:
+        host, incarnation = HostName(body["host"]), Incarnation(body["incarnation"])
+        with self._lock:
+            known = self._guarded.get(host)
+            if known is None or body["new"]:
+                self._guarded[host] = incarnation
+            is_current = self._guarded[host] == incarnation
+            promised = is_current and tenure.promise(self._watches.get(host))
+        return {"promised": promised, "incarnation": self._me.incarnation}
+
+    def set_watch(self, host: HostName, watch: Watch | None) -> None:
+        """Stop promising anything to a host that is to be marked, or start again."""
+        with self._lock:
+            if watch is None:
+                self._watches.pop(host, None)
+            else:
+                self._watches[host] = watch
+
+    def get_watch(self, host: HostName) -> Watch | None:
+        """Return since when a host has been seen marked."""
+        with self._lock:
+            return self._watches.get(host)
+
+    def close(self) -> None:
+        """End all spending and leave the levels of the buckets to the next incarnation."""
+        levels = self._holdings.close()
+        own = self._own
+        if own is None or self._unsettled is not None:
+            return
+        row = own.row
+        closed = HostRow(
+            row.host,
+            row.domain,
+            row.incarnation,
+            Standing.CLOSED,
+            row.guardian,
+            levels={str(account): level for account, level in levels.items()},
+        )
+        self._table.commit_host(closed, own)
+
+
+def _rank(host: HostName, other: HostName) -> bytes:
+    return blake2b(f"{host}/{other}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -0,0 +1,148 @@
+"""Pass the shares of lost hosts on to this host."""
+
+import logging
+
+from turmericproxy.core import DomainName, HostName, Refusal, read_boottime
+from turmericproxy.logs import Part, log_decision, log_event
+from turmericproxy.platform import AnswerLost, Committed, HostList, HostState
+from turmericproxy.rates import tenure
+from turmericproxy.rates.holdings import Holdings
+from turmericproxy.rates.host_keeper import HostKeeper, Links
+from turmericproxy.rates.ledger import Member, regrant
+from turmericproxy.rates.ledger_keeper import LedgerKeeper
+from turmericproxy.rates.table import Platform, RateTable, Versioned, get_host_version
+from turmericproxy.rates.tenure import Guardian, HostRow, Standing, Watch
+
+
+class RegrantKeeper:
+    """Mark hosts that the platform lists as gone, wait, and take their shares over, empty."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        table: RateTable,
+        links: Links,
+        holdings: Holdings,
+        host_keeper: HostKeeper,
+        ledger_keeper: LedgerKeeper,
+        member: Member,
+        me: Guardian,
+        regrant_after: float,
+    ) -> None:
+        self._platform = platform
+        self._table = table
+        self._links = links
+        self._holdings = holdings
+        self._host_keeper = host_keeper
+        self._ledger_keeper = ledger_keeper
+        self._member = member
+        self._me = me
+        self._regrant_after = regrant_after
+        self._watched: set[HostName] = set()
+        self._absent_since: dict[HostName, float] = {}
+
+    def step(self) -> None:
+        """Look for lost hosts and go on with those found earlier."""
+        if not self._holdings.is_open():
+            return
+        hosts = self._platform.list_hosts()
+        if isinstance(hosts, Refusal) or not _lists(hosts, self._member.host):
+            return
+        reachable = {peer.host for peer in self._links.list_reachable()}
+        lost = _find_lost(hosts, self._member.domain) - reachable
+        withdrawn = self._find_withdrawn(hosts) - reachable
+        for host in sorted((lost | withdrawn | self._watched) - {self._member.host}):
+            self._handle_host(host, host in lost | withdrawn, host in withdrawn)
+
+    def _find_withdrawn(self, hosts: HostList) -> set[HostName]:
+        """Return the hosts with a row that the platform has not listed for the regrant time."""
+        listed = {entry.host for entry in hosts.hosts}
+        first = min((e.host for e in hosts.hosts if e.state is HostState.LIVE), default=None)
+        if first != self._member.host:
+            return set()
+        rows = self._table.list_hosts()
+        if isinstance(rows, Refusal):
+            return set()
+        now = read_boottime()
+        absent = {
+            r.row.host
+            for r in rows
+            if r.row.host not in listed and r.row.standing is not Standing.RETIRED
+        }
+        self._absent_since = {host: self._absent_since.get(host, now) for host in absent}
+        return {h for h, since in self._absent_since.items() if now >= since + self._regrant_after}
+
+    def _handle_host(self, host: HostName, is_lost: bool, is_withdrawn: bool) -> None:
+        read = self._table.read_host(host)
+        if read is None or isinstance(read, Refusal):
+            return
+        watch = self._host_keeper.get_watch(host)
+        if read.row.standing is Standing.LOST and read.row.marked_by == self._member.host:
+            self._continue(read, watch)
+        elif watch and read.version != watch.version and read.row.standing is Standing.OPEN:
+            # The host is back, and what this host sent can no longer take effect.
+            self._forget(host)
+        elif (watch or is_lost) and tenure.may_mark(read.row, self._me, is_withdrawn):
+            self._mark(read)
+        elif watch and read.row.standing is Standing.RETIRED:
+            self._forget(host)
+
+    def _mark(self, read: Versioned[HostRow]) -> None:
+        host = read.row.host
+        assert read.version is not None
+        self._watched.add(host)
+        # No promise after this line, not even if the answer to the write is lost.
+        self._host_keeper.set_watch(host, Watch(read.version, read_boottime()))
+        marked = tenure.mark_lost(read.row, self._member.host)
+        outcome = self._table.commit_host(marked, read)
+        if isinstance(outcome, Committed):
+            version = get_host_version(outcome, host)
+            self._host_keeper.set_watch(host, Watch(version, read_boottime()))
+            log_decision(Part.RATES, "lost host marked", host_lost=host)
+        elif not isinstance(outcome, AnswerLost):
+            log_event(Part.RATES, "marking a lost host failed", level=logging.WARNING, peer=host)
+
+    def _continue(self, read: Versioned[HostRow], watch: Watch | None) -> None:
+        host = read.row.host
+        assert read.version is not None
+        if watch is None or watch.version != read.version:
+            self._watched.add(host)
+            self._host_keeper.set_watch(host, Watch(read.version, read_boottime()))
+            return
+        now = read_boottime()
+        if not tenure.may_regrant(
+            read.row, read.version, watch, self._member.host, now, self._regrant_after
+        ):
+            return
+        if self._regrant_shares(read):
+            self._table.commit_host(tenure.retire(read.row), read)
+
+    def _regrant_shares(self, lost: Versioned[HostRow]) -> bool:
+        """Return whether the lost host holds no share any more."""
+        rows = self._table.list_accounts()
+        if isinstance(rows, Refusal):
+            return False
+        held = [row for row in rows if row.row.find_share(lost.row.host)]
+        for row in held:
+            new = regrant(row.row, lost.row.host, self._member)
+            is_done = self._ledger_keeper.write(new, row, lost)
+            log_decision(
+                Part.RATES,
+                "share of a lost host granted again",
+                account=row.row.account,
+                host_lost=lost.row.host,
+                done=is_done,
+            )
+        return not held
+
+    def _forget(self, host: HostName) -> None:
+        self._watched.discard(host)
+        self._host_keeper.set_watch(host, None)
+
+
+def _lists(hosts: HostList, host: HostName) -> bool:
+    return any(e.host == host and e.state is not HostState.GONE for e in hosts.hosts)
+
+
+def _find_lost(hosts: HostList, domain: DomainName) -> set[HostName]:
+    return {e.host for e in hosts.hosts if e.domain == domain and e.state is HostState.GONE}
