--- a/turmericproxy/bench/__init__.py
+++ b/turmericproxy/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the system against plain policies."""
+"""Run local clusters of real processes and measure them."""
