Specify the booking claim and check its functions in any order of steps

The invariant is inductive for two and three attempts, so it holds for runs of any length. With one of seven guards left out the bounded search finds a run that breaks it; each of those runs is replayed on the functions of the code, which stay safe.

--- /dev/null
+++ b/specifications/booking.py
@@ -0,0 +1,329 @@
+"""Specify how one idempotency key is claimed, dispatched, settled and claimed again.
+
+Two or three attempts at different hosts race for one row. A write that was sent may take effect
+at once, late, again, or never; hosts crash at any step. The steps are named after the functions
+of ``turmericproxy.bookings`` that they stand for; those of ``ENVIRONMENT`` belong to the platform
+and the machines.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import z3
+
+from specifications.search import State, Step, TransitionSystem
+
+ENVIRONMENT = ("apply_claim", "apply_settlement", "crash_host")
+
+ABSENT, CLAIMED, DONE, RELEASED, UNKNOWN = range(5)
+IDLE, TRYING, OWNING, DISPATCHED, ENDING, RELEASING, SETTLED, CRASHED = range(8)
+NO_WRITE, WRITE_END, WRITE_RELEASE, WRITE_RENEWAL = range(4)
+
+Update = Callable[[State], Mapping[str, Any]]
+
+
+@dataclass(frozen=True)
+class Guards:
+    """Name the guards of the protocol, so that a check can leave one out.
+
+    ``confirm_attempt``: only a row with the attempt's own id is its claim.
+    ``dispatch_confirmed``: only a confirmed claim that was not given up is dispatched.
+    ``release_undispatched``: a dispatched claim is never released.
+    ``claim_released``: a row that is there is claimed again only when it was released.
+    ``check_version``: a write over a row requires its version.
+    ``fence_absent``: a claim given up leaves a released row where there was none.
+    ``renew_released``: a claim given up renews the released row that its write depends on.
+    """
+
+    confirm_attempt: bool = True
+    dispatch_confirmed: bool = True
+    release_undispatched: bool = True
+    claim_released: bool = True
+    check_version: bool = True
+    fence_absent: bool = True
+    renew_released: bool = True
+
+
+@dataclass(frozen=True)
+class _Attempt:
+    """Name the variables of one attempt.
+
+    ``inserts`` says that a write for an absent row was sent; ``claim_version`` is the version that
+    its last write over a released row depends on, or 0.
+    """
+
+    number: int
+
+    def name(self, variable: str) -> str:
+        return f"{variable}_{self.number}"
+
+    def get(self, state: State, variable: str) -> Any:
+        return state[self.name(variable)]
+
+    def is_in(self, state: State, *phases: int) -> z3.BoolRef:
+        return z3.Or([self.get(state, "phase") == phase for phase in phases])
+
+    def owns_row(self, state: State) -> z3.BoolRef:
+        return state["owner"] == self.number
+
+    def may_claim_take_effect(self, state: State) -> z3.BoolRef:
+        version, row = self.get(state, "claim_version"), state["version"]
+        return z3.Or(
+            z3.And(self.get(state, "inserts"), row == 0), z3.And(version != 0, version == row)
+        )
+
+
+def create_system(attempts: int, guards: Guards = Guards()) -> TransitionSystem:  # noqa: B008
+    """Return the system for some attempts at one key."""
+    racing = [_Attempt(number + 1) for number in range(attempts)]
+    variables: dict[str, z3.SortRef] = {
+        name: z3.IntSort() for name in ("owner", "state", "version", "next_version")
+    }
+    steps: dict[str, Step] = {}
+    for attempt in racing:
+        for name in ("phase", "claim_version", "write", "write_version"):
+            variables[attempt.name(name)] = z3.IntSort()
+        for name in ("inserts", "ran", "told_not_run"):
+            variables[attempt.name(name)] = z3.BoolSort()
+        for name, step in _create_steps(attempt, guards).items():
+            steps[f"{name} {attempt.number}"] = step
+    return TransitionSystem(
+        variables,
+        initial=lambda state: _is_initial(state, variables),
+        steps=steps,
+        invariant=lambda state: is_safe(state, attempts),
+    )
+
+
+def _is_initial(state: State, variables: Mapping[str, z3.SortRef]) -> z3.BoolRef:
+    zeros = [
+        z3.Not(state[name]) if sort == z3.BoolSort() else state[name] == 0
+        for name, sort in variables.items()
+        if name != "next_version"
+    ]
+    return z3.And(state["next_version"] == 1, *zeros)
+
+
+def is_safe(state: State, attempts: int) -> z3.BoolRef:
+    """Return what callers rely on: one run at most, a true "not run", and no blocked key."""
+    racing = [_Attempt(number + 1) for number in range(attempts)]
+    runs = z3.Sum([z3.If(attempt.get(state, "ran"), 1, 0) for attempt in racing])
+    parts = [runs <= 1]
+    for attempt in racing:
+        ran, told = attempt.get(state, "ran"), attempt.get(state, "told_not_run")
+        parts.append(z3.Not(z3.And(ran, told)))
+        blocks = z3.And(attempt.owns_row(state), state["state"] == CLAIMED)
+        parts.append(z3.Not(z3.And(attempt.is_in(state, SETTLED), told, blocks)))
+    return z3.And(parts)
+
+
+def is_consistent(state: State, attempts: int) -> z3.BoolRef:
+    """Return the inductive invariant: safety, and who may still change the row."""
+    parts = [is_safe(state, attempts), _is_row_consistent(state, attempts)]
+    for number in range(attempts):
+        parts += _list_attempt_facts(state, _Attempt(number + 1))
+    return z3.And(parts)
+
+
+def _is_row_consistent(state: State, attempts: int) -> z3.BoolRef:
+    return z3.And(
+        state["version"] >= 0,
+        state["version"] < state["next_version"],
+        (state["version"] == 0) == (state["state"] == ABSENT),
+        (state["version"] == 0) == (state["owner"] == 0),
+        state["owner"] >= 0,
+        state["owner"] <= attempts,
+        state["state"] >= ABSENT,
+        state["state"] <= UNKNOWN,
+    )
+
+
+def _list_attempt_facts(state: State, attempt: _Attempt) -> list[z3.BoolRef]:
+    claim, row = attempt.get(state, "claim_version"), state["version"]
+    write, write_version = attempt.get(state, "write"), attempt.get(state, "write_version")
+    owns, held = attempt.owns_row(state), state["state"] == CLAIMED
+    ended = z3.Or(state["state"] == DONE, state["state"] == UNKNOWN)
+    matches = z3.And(write != NO_WRITE, write_version == row)
+    told, ran = attempt.get(state, "told_not_run"), attempt.get(state, "ran")
+    return [
+        z3.And(claim >= 0, claim < state["next_version"]),
+        z3.And(write_version >= 0, write_version < state["next_version"]),
+        z3.And(write >= NO_WRITE, write <= WRITE_RENEWAL),
+        z3.And(attempt.get(state, "phase") >= IDLE, attempt.get(state, "phase") <= CRASHED),
+        z3.Implies(z3.And(claim != 0, claim == row), state["state"] == RELEASED),
+        z3.Implies(owns, claim != row),
+        z3.Implies(z3.And(owns, state["state"] == RELEASED), told),
+        z3.Implies(attempt.is_in(state, IDLE, TRYING), z3.Not(told)),
+        z3.Implies(attempt.is_in(state, OWNING), z3.And(owns, held, z3.Not(told))),
+        z3.Implies(attempt.is_in(state, IDLE, TRYING), write == NO_WRITE),
+        z3.Implies(attempt.is_in(state, OWNING, DISPATCHED), write == NO_WRITE),
+        z3.Implies(attempt.is_in(state, IDLE, TRYING, OWNING), z3.Not(ran)),
+        z3.Implies(attempt.is_in(state, DISPATCHED, ENDING), z3.And(ran, owns, z3.Not(told))),
+        z3.Implies(attempt.is_in(state, RELEASING), z3.And(told, z3.Not(ran))),
+        z3.Implies(attempt.is_in(state, IDLE), z3.Not(z3.Or(owns, attempt.get(state, "inserts")))),
+        z3.Implies(attempt.is_in(state, IDLE), claim == 0),
+        z3.Implies(ran, z3.And(owns, z3.Or(held, ended), z3.Not(told))),
+        z3.Implies(ran, z3.Or(write == NO_WRITE, write == WRITE_END)),
+        z3.Implies(write == WRITE_END, ran),
+        z3.Implies(z3.Or(write == WRITE_RELEASE, write == WRITE_RENEWAL), told),
+        z3.Implies(z3.And(matches, write == WRITE_RELEASE, row != 0), z3.And(owns, held)),
+        z3.Implies(z3.And(matches, write == WRITE_RENEWAL), state["state"] == RELEASED),
+        z3.Implies(
+            z3.And(attempt.is_in(state, SETTLED), told),
+            z3.Not(z3.Or(z3.And(owns, held), attempt.may_claim_take_effect(state))),
+        ),
+    ]
+
+
+def _create_steps(attempt: _Attempt, guards: Guards) -> dict[str, Step]:
+    return {
+        "write_claim": _write_claim(attempt, guards),
+        "confirm_claim": _confirm_claim(attempt, guards),
+        "record_dispatch": _record_dispatch(attempt, guards),
+        "finish_claim": _end_claim(attempt),
+        "mark_claim_unknown": _end_claim(attempt),
+        "release_claim": _release_claim(attempt, guards),
+        "give_up_claim": _give_up_claim(attempt),
+        "settle_claim": _settle_claim(attempt, guards),
+        "apply_claim": _apply_claim(attempt, guards),
+        "apply_settlement": _apply_settlement(attempt),
+        "crash_host": Step(
+            lambda s: attempt.is_in(s, TRYING, OWNING, DISPATCHED, ENDING, RELEASING),
+            lambda s: {attempt.name("phase"): z3.IntVal(CRASHED)},
+        ),
+    }
+
+
+def _write_claim(attempt: _Attempt, guards: Guards) -> Step:
+    def is_claimable(state: State) -> z3.BoolRef:
+        if not guards.claim_released:
+            return z3.BoolVal(True)
+        return z3.Or(state["state"] == ABSENT, state["state"] == RELEASED)
+
+    def update(state: State) -> Mapping[str, Any]:
+        # The first write expects no row; after a conflict the row that was read decides.
+        inserts = z3.Or(attempt.is_in(state, IDLE), state["version"] == 0)
+        version = attempt.get(state, "claim_version")
+        return {
+            attempt.name("phase"): z3.IntVal(TRYING),
+            attempt.name("inserts"): z3.Or(attempt.get(state, "inserts"), inserts),
+            attempt.name("claim_version"): z3.If(inserts, version, state["version"]),
+        }
+
+    return Step(
+        lambda s: z3.Or(attempt.is_in(s, IDLE), z3.And(attempt.is_in(s, TRYING), is_claimable(s))),
+        update,
+    )
+
+
+def _apply_claim(attempt: _Attempt, guards: Guards) -> Step:
+    def guard(state: State) -> z3.BoolRef:
+        if guards.check_version:
+            return attempt.may_claim_take_effect(state)
+        was_sent = z3.Or(attempt.get(state, "inserts"), attempt.get(state, "claim_version") != 0)
+        return z3.And(was_sent, z3.Not(attempt.owns_row(state)))
+
+    return Step(
+        guard,
+        lambda s: {
+            "owner": z3.IntVal(attempt.number),
+            "state": z3.IntVal(CLAIMED),
+            "version": s["next_version"],
+            "next_version": s["next_version"] + 1,
+        },
+    )
+
+
+def _confirm_claim(attempt: _Attempt, guards: Guards) -> Step:
+    def guard(state: State) -> z3.BoolRef:
+        is_ours = attempt.owns_row(state) if guards.confirm_attempt else z3.BoolVal(True)
+        return z3.And(attempt.is_in(state, TRYING), state["state"] == CLAIMED, is_ours)
+
+    return Step(guard, lambda s: {attempt.name("phase"): z3.IntVal(OWNING)})
+
+
+def _record_dispatch(attempt: _Attempt, guards: Guards) -> Step:
+    phases = (OWNING,) if guards.dispatch_confirmed else (OWNING, TRYING, RELEASING)
+    return Step(
+        lambda s: attempt.is_in(s, *phases),
+        lambda s: {
+            attempt.name("phase"): z3.IntVal(DISPATCHED),
+            attempt.name("ran"): z3.BoolVal(True),
+        },
+    )
+
+
+def _end_claim(attempt: _Attempt) -> Step:
+    return Step(
+        lambda s: attempt.is_in(s, DISPATCHED),
+        lambda s: {attempt.name("phase"): z3.IntVal(ENDING)},
+    )
+
+
+def _release_claim(attempt: _Attempt, guards: Guards) -> Step:
+    phases = (OWNING,) if guards.release_undispatched else (OWNING, DISPATCHED)
+    return Step(lambda s: attempt.is_in(s, *phases), _tell_not_run(attempt))
+
+
+def _give_up_claim(attempt: _Attempt) -> Step:
+    return Step(lambda s: attempt.is_in(s, TRYING), _tell_not_run(attempt))
+
+
+def _tell_not_run(attempt: _Attempt) -> Update:
+    return lambda s: {
+        attempt.name("phase"): z3.IntVal(RELEASING),
+        attempt.name("told_not_run"): z3.BoolVal(True),
+    }
+
+
+def _settle_claim(attempt: _Attempt, guards: Guards) -> Step:
+    """Read the row and send the write that is still wanted, or find that none is."""
+
+    def decide(state: State) -> z3.ArithRef:
+        owns, ending = attempt.owns_row(state), attempt.is_in(state, ENDING)
+        is_held = z3.And(owns, state["state"] == CLAIMED)
+        inserts = z3.And(attempt.get(state, "inserts"), state["state"] == ABSENT)
+        depends = z3.And(z3.Not(owns), attempt.may_claim_take_effect(state), z3.Not(inserts))
+        fence = z3.And(inserts, z3.BoolVal(guards.fence_absent))
+        renewal = z3.And(depends, z3.BoolVal(guards.renew_released))
+        release = z3.If(
+            z3.Or(is_held, fence), WRITE_RELEASE, z3.If(renewal, WRITE_RENEWAL, NO_WRITE)
+        )
+        return z3.If(ending, z3.If(is_held, WRITE_END, NO_WRITE), release)
+
+    def update(state: State) -> Mapping[str, Any]:
+        write = decide(state)
+        is_settled = write == NO_WRITE
+        phase = attempt.get(state, "phase")
+        return {
+            attempt.name("phase"): z3.If(is_settled, SETTLED, phase),
+            attempt.name("write"): z3.If(is_settled, attempt.get(state, "write"), write),
+            attempt.name("write_version"): z3.If(
+                is_settled, attempt.get(state, "write_version"), state["version"]
+            ),
+        }
+
+    return Step(lambda s: attempt.is_in(s, ENDING, RELEASING), update)
+
+
+def _apply_settlement(attempt: _Attempt) -> Step:
+    def update(state: State) -> Mapping[str, Any]:
+        write = attempt.get(state, "write")
+        renews = write == WRITE_RENEWAL
+        return {
+            "owner": z3.If(renews, state["owner"], attempt.number),
+            "state": z3.If(write == WRITE_END, state["ended"], RELEASED),
+            "version": state["next_version"],
+            "next_version": state["next_version"] + 1,
+        }
+
+    return Step(
+        lambda s: z3.And(
+            attempt.get(s, "write") != NO_WRITE,
+            attempt.get(s, "write_version") == s["version"],
+            z3.Or(s["ended"] == DONE, s["ended"] == UNKNOWN),
+        ),
+        update,
+        inputs={"ended": z3.IntSort()},
+    )
--- /dev/null
+++ b/tests/bookings/test_batch.py
@@ -0,0 +1,134 @@
+"""Check how claim writes are gathered, and that a conflict fails only its own write."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from tests.bookings.race import Race
+from turmericproxy.bookings.batch import (
+    FIRST_GAP_SECONDS,
+    LONGEST_GAP_SECONDS,
+    Batcher,
+    RowConflict,
+    SizedWrite,
+    Written,
+    adapt_gap,
+    create_transaction,
+    select_batch,
+)
+from turmericproxy.bookings.claims import ClaimWrite
+from turmericproxy.core import HostName, Refusal
+from turmericproxy.platform import AnswerLost, PlatformClient
+from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.web import HttpClient
+
+
+def create_write(key: str, version: int | None = None) -> ClaimWrite:
+    return ClaimWrite(key, version, Race(1).attempts[1].record)
+
+
+@seed(30)
+@given(
+    st.lists(st.tuples(st.sampled_from("abcdef"), st.integers(1, 60))),
+    st.frozensets(st.sampled_from("abcdef")),
+    st.integers(1, 5),
+    st.integers(1, 100),
+)
+def test_batch_is_bounded_and_keeps_writes_to_a_row_in_order(
+    items: list[tuple[str, int]], busy: frozenset[str], most_rows: int, most_bytes: int
+) -> None:
+    queue = [SizedWrite(create_write(key), size) for key, size in items]
+    places = select_batch(queue, busy, most_rows, most_bytes)
+    keys = [items[place][0] for place in places]
+    assert len(places) <= most_rows
+    assert len(places) == 1 or sum(items[place][1] for place in places) <= most_bytes
+    assert len(set(keys)) == len(keys) and not busy & set(keys)
+    for place, (key, _) in zip(places, [items[place] for place in places], strict=True):
+        assert key not in [earlier for earlier, _ in items[:place]]
+    assert places or all(key in busy for key, _ in items)
+
+
+@seed(31)
+@given(st.lists(st.booleans(), max_size=80))
+def test_gap_stays_between_its_bounds(refusals: list[bool]) -> None:
+    gap = FIRST_GAP_SECONDS
+    for is_refused in refusals:
+        gap = adapt_gap(gap, is_refused)
+        assert FIRST_GAP_SECONDS <= gap <= LONGEST_GAP_SECONDS
+
+
+@pytest.fixture
+def platform() -> Iterator[PlatformStandIn]:
+    platform = create_platform("127.0.0.1:0", writes=200)
+    platform.start()
+    yield platform
+    platform.close()
+
+
+def create_client(platform: PlatformStandIn) -> PlatformClient:
+    settings = PlatformSettings(address=f"127.0.0.1:{platform.port}")
+    return PlatformClient(settings, HostName("h"))
+
+
+def submit_all(batcher: Batcher, writes: list[ClaimWrite]) -> list[object]:
+    with ThreadPoolExecutor(len(writes)) as pool:
+        return list(pool.map(lambda write: batcher.submit(write, 5.0), writes))
+
+
+def test_conflict_fails_only_its_own_write_and_load_is_gathered(
+    platform: PlatformStandIn,
+) -> None:
+    client = create_client(platform)
+    client.commit(create_transaction([create_write(f"taken-{n}") for n in range(20)]))
+    batcher = Batcher(client)
+    batcher.start()
+    try:
+        keys = [f"{'taken' if n % 2 else 'free'}-{n}" for n in range(40)]
+        results = submit_all(batcher, [create_write(key) for key in keys])
+        for key, result in zip(keys, results, strict=True):
+            taken = key.startswith("taken") and int(key.split("-")[1]) < 20
+            assert isinstance(result, RowConflict if taken else Written), (key, result)
+        control = HttpClient(f"127.0.0.1:{platform.port}")
+        _, counts = control.call_json("GET", "/control")  # type: ignore[misc]
+        assert counts["writes"] <= 20
+    finally:
+        batcher.close()
+
+
+def test_writes_beyond_the_platform_limit_wait_and_are_not_lost(
+    platform: PlatformStandIn,
+) -> None:
+    batchers = [Batcher(create_client(platform)) for _ in range(4)]
+    for batcher in batchers:
+        batcher.start()
+    try:
+        writes = [[create_write(f"{n}-{m}") for m in range(25)] for n in range(4)]
+        with ThreadPoolExecutor(4) as pool:
+            results = list(pool.map(submit_all, batchers, writes))
+        assert all(isinstance(result, Written) for group in results for result in group)
+    finally:
+        for batcher in batchers:
+            batcher.close()
+
+
+def test_write_without_answer_counts_as_lost_and_unsent_one_as_refused(
+    platform: PlatformStandIn,
+) -> None:
+    control = HttpClient(f"127.0.0.1:{platform.port}")
+    control.call_json("POST", "/control", {"slow": 1.5})
+    batcher = Batcher(create_client(platform))
+    batcher.start()
+    try:
+        first = [create_write("a"), create_write("b")]
+        with ThreadPoolExecutor(3) as pool:
+            sent = [pool.submit(batcher.submit, write, 0.3) for write in first]
+            results = [future.result() for future in sent]
+            assert all(isinstance(result, AnswerLost) for result in results)
+            queued = [pool.submit(batcher.submit, create_write("a"), 0.1)]
+            assert isinstance(queued[0].result(), Refusal)
+    finally:
+        batcher.close()
--- a/turmericproxy/bookings/claims.py
+++ b/turmericproxy/bookings/claims.py
@@ -205,19 +205,29 @@
     return owner_alive
 
 
-def finish_claim(claim: Claim, outcome: Outcome, now: float) -> ClaimRecord:
-    """Return the record of a claim whose upstream answered."""
-    return replace(claim.record, state=ClaimState.DONE, outcome=outcome, written=now)
+def finish_claim(claim: Claim, outcome: Outcome, now: float) -> Settlement:
+    """Return how to store the answer of the upstream."""
+    record = replace(claim.record, state=ClaimState.DONE, outcome=outcome, written=now)
+    return Settlement(claim.row_key, record, frozenset({claim.version}))
 
 
-def mark_claim_unknown(claim: Claim, now: float) -> ClaimRecord:
-    """Return the record of a claim that was dispatched and got no whole answer."""
-    return replace(claim.record, state=ClaimState.UNKNOWN, written=now)
+def mark_claim_unknown(claim: Claim, now: float) -> Settlement:
+    """Return how to store that a dispatched claim got no whole answer."""
+    record = replace(claim.record, state=ClaimState.UNKNOWN, written=now)
+    return Settlement(claim.row_key, record, frozenset({claim.version}))
 
 
-def release_record(record: ClaimRecord, now: float) -> ClaimRecord:
-    """Return the record of a claim that was given back before its dispatch."""
-    return replace(record, state=ClaimState.RELEASED, written=now)
+def release_claim(claim: Claim, now: float) -> Settlement:
+    """Return how to give a claim back before its dispatch."""
+    return give_up_claim(claim.row_key, claim.record, frozenset({claim.version}), now)
+
+
+def give_up_claim(
+    row_key: str, record: ClaimRecord, outstanding: frozenset[int | None], now: float
+) -> Settlement:
+    """Return how to release a row that an attempt without a known claim may yet get."""
+    released = replace(record, state=ClaimState.RELEASED, written=now)
+    return Settlement(row_key, released, outstanding)
 
 
 def settle_claim(settlement: Settlement, stored: StoredClaim | None) -> ClaimWrite | None:
--- a/turmericproxy/bookings/controller.py
+++ b/turmericproxy/bookings/controller.py
@@ -11,17 +11,18 @@
     Claim,
     ClaimRecord,
     ClaimState,
+    ClaimWrite,
     Outcome,
-    Settlement,
     StoredClaim,
     StoredOutcome,
     answer_repeat,
     confirm_claim,
     create_row_key,
     finish_claim,
+    give_up_claim,
     is_claimable,
     mark_claim_unknown,
-    release_record,
+    release_claim,
     write_claim,
 )
 from turmericproxy.bookings.settlement import Settler, read_stored
@@ -131,17 +132,15 @@
         """Store the outcome; waits up to ``FINISH_WAIT_SECONDS`` until it is stored."""
         if self._close_attempt(claim) is None:
             return
-        record = finish_claim(claim, outcome, time.time())
-        write = write_claim(claim.row_key, StoredClaim(claim.record, claim.version), record)
-        result = self._batcher.submit(write, FINISH_WAIT_SECONDS)
-        if not isinstance(result, Written):
-            self._settler.add(Settlement(claim.row_key, record, frozenset({claim.version})))
+        settlement = finish_claim(claim, outcome, time.time())
+        write = ClaimWrite(claim.row_key, claim.version, settlement.record)
+        if not isinstance(self._batcher.submit(write, FINISH_WAIT_SECONDS), Written):
+            self._settler.add(settlement)
 
     def mark_unknown(self, claim: Claim) -> None:
         """Store in the background that nobody knows whether the request ran."""
         if self._close_attempt(claim) is not None:
-            record = mark_claim_unknown(claim, time.time())
-            self._settler.add(Settlement(claim.row_key, record, frozenset({claim.version})))
+            self._settler.add(mark_claim_unknown(claim, time.time()))
 
     def release(self, claim: Claim) -> None:
         """Give a claim back in the background, before its first request byte was sent.
@@ -153,10 +152,9 @@
             return
         if was_dispatched:
             log_event(Part.BOOKINGS, "a dispatched claim is not released", level=logging.ERROR)
-            record = mark_claim_unknown(claim, time.time())
+            self._settler.add(mark_claim_unknown(claim, time.time()))
         else:
-            record = release_record(claim.record, time.time())
-        self._settler.add(Settlement(claim.row_key, record, frozenset({claim.version})))
+            self._settler.add(release_claim(claim, time.time()))
 
     def count_waiting(self) -> int:
         """Return how many records are not stored yet."""
@@ -207,8 +205,9 @@
             row=attempt.row_key,
             attempt=attempt.record.attempt,
         )
-        record = release_record(attempt.record, time.time())
-        self._settler.add(Settlement(attempt.row_key, record, frozenset(attempt.outstanding)))
+        outstanding = frozenset(attempt.outstanding)
+        now = time.time()
+        self._settler.add(give_up_claim(attempt.row_key, attempt.record, outstanding, now))
 
 
 def _refuse_claim(reason: str, retry_after: float | None) -> Refusal:
