--- /dev/null
+++ b/tests/cache/test_index.py
@@ -0,0 +1,93 @@
+import math
+
+from turmericproxy.cache.index import PrefixIndex, create_key
+from turmericproxy.core import EngineName, Incarnation
+
+ENGINE = EngineName("engine-1")
+FIRST = Incarnation("first")
+SECOND = Incarnation("second")
+CHAIN = [create_key(f"{n:032x}"[::-1]) for n in range(1, 5)]
+
+
+def create_index(limit: int = 1000) -> PrefixIndex:
+    index = PrefixIndex(limit)
+    index.observe_incarnation(ENGINE, FIRST)
+    return index
+
+
+def test_prediction_counts_until_the_first_missing_block():
+    index = create_index()
+    index.predict(ENGINE, [CHAIN[0], CHAIN[1], CHAIN[3]], 10.0)
+    assert index.estimate_presence(ENGINE, CHAIN, 10.0) == [1.0, 1.0]
+
+
+def test_unused_blocks_fade():
+    index = create_index()
+    index.predict(ENGINE, CHAIN, 10.0)
+    assert index.estimate_presence(ENGINE, CHAIN, 40.0) == [0.5] * 4
+    assert index.estimate_presence(ENGINE, CHAIN, 100.0) == []
+
+
+def test_gap_in_events_halves_confirmed_blocks():
+    index = create_index()
+    index.predict(ENGINE, CHAIN, 10.0)
+    index.confirm(ENGINE, FIRST, CHAIN[0], 10.2)
+    index.doubt(ENGINE, 11.0)
+    assert index.estimate_presence(ENGINE, CHAIN[:1], 11.0) == [0.5]
+    assert index.estimate_presence(ENGINE, CHAIN[1:2], 11.0) == [1.0]
+    index.predict(ENGINE, CHAIN[:1], 12.0)
+    assert index.estimate_presence(ENGINE, CHAIN[:1], 12.0) == [1.0]
+
+
+def test_events_of_an_old_incarnation_change_nothing():
+    index = create_index()
+    index.predict(ENGINE, CHAIN, 10.0)
+    assert index.observe_incarnation(ENGINE, SECOND)
+    assert index.count_blocks() == 0
+    index.confirm(ENGINE, FIRST, CHAIN[0], 10.5)
+    assert index.estimate_presence(ENGINE, CHAIN, 10.5) == []
+    index.predict(ENGINE, CHAIN, 11.0)
+    index.remove(ENGINE, FIRST, CHAIN[0], 20.0)
+    assert len(index.estimate_presence(ENGINE, CHAIN, 11.0)) == 4
+
+
+def test_late_eviction_does_not_undo_a_newer_use():
+    index = create_index()
+    index.predict(ENGINE, CHAIN[:1], 10.0)
+    index.remove(ENGINE, FIRST, CHAIN[0], 10.3)
+    assert index.count_blocks() == 1
+    index.remove(ENGINE, FIRST, CHAIN[0], 15.0)
+    assert index.count_blocks() == 0
+
+
+def test_residence_is_learnt_from_evictions_and_lookups():
+    index = create_index()
+    for number in range(60):
+        key = 1000 + number
+        index.predict(ENGINE, [key], float(number))
+        index.remove(ENGINE, FIRST, key, number + 4.5)
+    assert 3.9 < index.get_residence(ENGINE).seconds < 4.2
+    for _ in range(60):
+        index.learn_usage(ENGINE, CHAIN[:1], 1, [8.0])
+    assert 7.9 < index.get_residence(ENGINE).seconds <= 8.0
+    index.learn_usage(ENGINE, CHAIN[:1], 0, [math.inf])
+    assert 7.9 < index.get_residence(ENGINE).seconds <= 8.0
+
+
+def test_size_is_bounded_and_the_least_lately_used_go_first():
+    index = create_index(limit=10)
+    for key in range(30):
+        index.predict(ENGINE, [key], float(key))
+        index.predict(EngineName("engine-2"), [key], float(key))
+    assert index.count_blocks() == 10
+    assert index.estimate_presence(ENGINE, [29], 29.0) == [1.0]
+    assert index.estimate_presence(ENGINE, [3], 29.0) == []
+
+
+def test_unreached_dispatch_is_retracted():
+    index = create_index()
+    index.predict(ENGINE, CHAIN[:1], 9.0)
+    index.confirm(ENGINE, FIRST, CHAIN[0], 9.2)
+    index.predict(ENGINE, CHAIN, 10.0)
+    index.retract(ENGINE, CHAIN)
+    assert index.estimate_presence(ENGINE, CHAIN, 10.0) == [1.0]
--- /dev/null
+++ b/tests/routing/test_polling.py
@@ -0,0 +1,53 @@
+from turmericproxy.cache.index import create_key
+from turmericproxy.core import EngineName, Incarnation, read_boottime
+from turmericproxy.routing.fleet import Fleet
+from turmericproxy.routing.polling import EventReader
+
+ENGINE = EngineName("engine-1")
+BLOCKS = [f"{n:02x}" * 16 for n in range(1, 5)]
+
+
+def create_reader() -> tuple[EventReader, Fleet]:
+    fleet = Fleet(1000)
+    return EventReader(ENGINE, None, fleet), fleet
+
+
+def create_body(*events: tuple[int, str, str], incarnation: str = "first") -> dict:
+    last = events[-1][0] if events else 0
+    named = [{"seq": seq, "kind": kind, "block": block} for seq, kind, block in events]
+    return {"incarnation": incarnation, "events": named, "next": last}
+
+
+def estimate(fleet: Fleet, block: str) -> list[float]:
+    return fleet.index.estimate_presence(ENGINE, [create_key(block)], read_boottime())
+
+
+def test_events_fill_and_empty_the_index():
+    reader, fleet = create_reader()
+    reader.apply(create_body((1, "stored", BLOCKS[0]), (2, "stored", BLOCKS[1])))
+    assert estimate(fleet, BLOCKS[0]) == [1.0]
+    reader.apply(create_body((3, "cleared", "")))
+    assert fleet.index.count_blocks() == 0
+
+
+def test_gap_makes_earlier_blocks_doubtful():
+    reader, fleet = create_reader()
+    reader.apply(create_body((1, "stored", BLOCKS[0])))
+    reader.apply(create_body((3, "stored", BLOCKS[1])))
+    assert estimate(fleet, BLOCKS[0]) == [0.5]
+
+
+def test_gap_inside_a_batch_is_noticed():
+    reader, fleet = create_reader()
+    reader.apply(create_body((1, "stored", BLOCKS[0]), (4, "removed", BLOCKS[2])))
+    assert estimate(fleet, BLOCKS[0]) == [0.5]
+
+
+def test_new_incarnation_starts_from_its_first_event():
+    reader, fleet = create_reader()
+    reader.apply(create_body((5, "stored", BLOCKS[0])))
+    reader.apply(create_body((9, "stored", BLOCKS[1]), incarnation="second"))
+    assert fleet.index.count_blocks() == 0
+    reader.apply(create_body((1, "stored", BLOCKS[2]), incarnation="second"))
+    assert estimate(fleet, BLOCKS[2]) == [1.0]
+    assert Incarnation("second") == reader.incarnation
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -62,7 +62,7 @@
         self._engine = engine
         self._client = client
         self._state = state
-        self._incarnation: Incarnation | None = None
+        self.incarnation: Incarnation | None = None
         self._next = 0
 
     def step(self) -> float:
@@ -77,9 +77,9 @@
     def apply(self, body: dict[str, Any]) -> None:
         """Take in a batch of events; a gap in their numbers makes the index doubt the engine."""
         incarnation = Incarnation(body["incarnation"])
-        if incarnation != self._incarnation:
-            is_first = self._incarnation is None
-            self._incarnation = incarnation
+        if incarnation != self.incarnation:
+            is_first = self.incarnation is None
+            self.incarnation = incarnation
             self._state.index.observe_incarnation(self._engine, incarnation)
             self._next = 0
             if not is_first:
