--- /dev/null
+++ b/turmericproxy/bench/slopes_routing.py
@@ -0,0 +1,186 @@
+"""Measure how the cost of routing grows with its sizes, and print JSON lines."""
+
+import json
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+
+from turmericproxy.cache.index import PrefixIndex, create_key
+from turmericproxy.configuration import Engine
+from turmericproxy.core import (
+    AccountName,
+    EngineName,
+    Incarnation,
+    ModelName,
+    RequestId,
+)
+from turmericproxy.routing.decisions import decide
+from turmericproxy.routing.engines import LoadReport
+from turmericproxy.routing.fleet import Fleet
+from turmericproxy.routing.policies import ExpectedTime
+from turmericproxy.routing.polling import EventReader
+from turmericproxy.routing.requests import RoutingRequest
+from turmericproxy.routing.views import EngineView
+from turmericproxy.web import HttpClient
+
+REPEATS = 5
+ENGINE = EngineName("engine-1")
+FIRST = Incarnation("first")
+
+
+@dataclass(frozen=True)
+class Slope:
+    """Hold a least-squares line through costs at several sizes."""
+
+    name: str
+    unit: str
+    size_name: str
+    sizes: tuple[int, ...]
+    costs: tuple[float, ...]
+    slope: float
+    intercept: float
+
+
+def fit(
+    name: str, unit: str, size_name: str, sizes: Sequence[int], costs: Sequence[float]
+) -> Slope:
+    """Return the least-squares line of the costs over the sizes."""
+    count = len(sizes)
+    mean_size, mean_cost = sum(sizes) / count, sum(costs) / count
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    joint = sum(
+        (size - mean_size) * (cost - mean_cost) for size, cost in zip(sizes, costs, strict=True)
+    )
+    slope = joint / spread
+    intercept = mean_cost - slope * mean_size
+    return Slope(name, unit, size_name, tuple(sizes), tuple(costs), slope, intercept)
+
+
+def measure_events() -> list[Slope]:
+    """Measure the CPU and the bytes read for batches of cache events."""
+    sizes = (1_000, 2_000, 4_000, 8_000, 16_000)
+    bodies = [_create_events(size) for size in sizes]
+    costs = [_time(lambda body=body: _take_events(body)) for body in bodies]  # type: ignore[misc]
+    lengths = [float(len(json.dumps(body))) for body in bodies]
+    return [
+        fit("event CPU", "s", "events", sizes, costs),
+        fit("event bytes", "B", "events", sizes, lengths),
+    ]
+
+
+def measure_index() -> list[Slope]:
+    """Measure the memory of indexed blocks, at one engine and at six engines each."""
+    sizes = (10_000, 20_000, 40_000, 80_000)
+    return [
+        fit("index memory", "B", "blocks", sizes, [_measure_index_bytes(s, 1) for s in sizes]),
+        fit(
+            "index memory, six engines",
+            "B",
+            "entries",
+            sizes,
+            [_measure_index_bytes(s, 6) for s in sizes],
+        ),
+    ]
+
+
+def measure_choices() -> list[Slope]:
+    """Measure the CPU of a choice over engines, over blocks and over requests in flight."""
+    engines, blocks = (2, 4, 8, 16, 32), (1, 4, 16, 64)
+    return [
+        fit("choice CPU", "s", "engines", engines, [_time_choice(n, 6) for n in engines]),
+        fit("choice CPU, six engines", "s", "blocks", blocks, [_time_choice(6, n) for n in blocks]),
+    ]
+
+
+def measure_reports() -> list[Slope]:
+    """Measure the CPU of load reports taken in."""
+    sizes = (500, 1_000, 2_000, 4_000)
+    return [fit("report CPU", "s", "reports", sizes, [_time_reports(size) for size in sizes])]
+
+
+def main() -> None:
+    """Print one line for each slope."""
+    for slope in (*measure_events(), *measure_index(), *measure_choices(), *measure_reports()):
+        sys.stdout.write(json.dumps(asdict(slope)) + "\n")
+
+
+def _time(run: Callable[[], object]) -> float:
+    best = float("inf")
+    for _ in range(REPEATS):
+        started = time.process_time()
+        run()
+        best = min(best, time.process_time() - started)
+    return best
+
+
+def _create_events(count: int) -> dict[str, object]:
+    events = [
+        {"seq": n, "kind": "stored" if n % 2 else "removed", "block": f"{n - 1 + n % 2:032x}"[::-1]}
+        for n in range(1, count + 1)
+    ]
+    return {"incarnation": FIRST, "events": events, "next": count}
+
+
+def _take_events(body: dict[str, object]) -> None:
+    client = HttpClient("127.0.0.1:1")
+    EventReader(ENGINE, client, Fleet(1_000_000)).apply(body)
+
+
+def _measure_index_bytes(count: int, engines: int) -> float:
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    index = PrefixIndex(count + 1)
+    for number in range(engines):
+        # Each key is a fresh object, as it is when it comes out of an event.
+        keys = (create_key(f"{n:032x}"[::-1]) for n in range(count // engines))
+        index.predict(EngineName(f"engine-{number}"), keys, 100.0 + number)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return float(used)
+
+
+def _time_choice(engines: int, blocks: int) -> float:
+    fleet, keys = Fleet(1_000_000), list(range(blocks))
+    names = [EngineName(f"engine-{n}") for n in range(engines)]
+    for name in names:
+        fleet.index.predict(name, keys, 100.0)
+    request = RoutingRequest(
+        request_id=RequestId("request"),
+        account=AccountName("account"),
+        model=ModelName("model"),
+        version="1",
+        blocks=tuple(f"{key:032x}" for key in keys),
+        prompt_tokens=2_000 * blocks + 500,
+        max_tokens=10,
+        deadline=1e9,
+    )
+    rounds = 200
+
+    def run() -> None:
+        for turn in range(rounds):
+            views = [_view(fleet, name, keys) for name in names]
+            decide(ExpectedTime(), views, request, 100.0, turn)
+
+    return _time(run) / rounds
+
+
+def _view(fleet: Fleet, name: EngineName, keys: list[int]) -> EngineView:
+    engine = Engine(name=name, domain="north", address="127.0.0.1:1", models=("model",))
+    return fleet.view(engine, "model", keys, 100.0)
+
+
+def _time_reports(count: int) -> float:
+    report = LoadReport(FIRST, 1, 0, 0, {"model": "1"}, 100.0)
+    fleet = Fleet(1_000)
+
+    def run() -> None:
+        for _ in range(count):
+            fleet.record_report(ENGINE, report, 0.001)
+
+    return _time(run)
+
+
+if __name__ == "__main__":
+    main()
