Order engines to load the wanted weights, two at a time

Each host plans alike from reports alone, so doubled orders are harmless; the fence is the revision. An engine that ignores the fence gets orders only from a host whose configuration was confirmed within 3 s, else a host with an old configuration and a newer one would order it to and fro. The stand-in refuses requests for a model while it loads its weights.

--- /dev/null
+++ b/tests/weights/test_controller.py
@@ -0,0 +1,131 @@
+"""Check against stand-in engines that orders bring about the wanted weights."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+import pytest
+
+from turmericproxy.configuration import Engine, Kind, Model, Snapshot, replace_resource
+from turmericproxy.core import HostName, Revision
+from turmericproxy.settings.schema import UpstreamSettings
+from turmericproxy.standins.engine import EngineOptions, EngineStandIn, create_engine
+from turmericproxy.web import HttpClient
+from turmericproxy.weights import WeightController
+
+
+@dataclass
+class Configuration:
+    """Give a snapshot that the test changes."""
+
+    current: Snapshot
+    age: float = 0.0
+
+    def snapshot(self) -> Snapshot:
+        return self.current
+
+    def measure_age(self) -> float:
+        return self.age
+
+
+@pytest.fixture
+def engines() -> Iterator[list[EngineStandIn]]:
+    with ExitStack() as stack:
+        started = []
+        for number in range(4):
+            engine = create_engine(
+                EngineOptions(checks_fence=number % 2 == 0, load_time=0.1, load_lag=0.0, threads=8)
+            )
+            engine.start()
+            stack.callback(engine.close)
+            started.append(engine)
+        yield started
+
+
+def build_snapshot(engines: list[EngineStandIn], version: str, revision: int) -> Snapshot:
+    model = Model(name="verdict", version=version)
+    snapshot = replace_resource(Snapshot(), Kind.MODEL, "verdict", model, Revision(revision))
+    for number, stand_in in enumerate(engines):
+        engine = Engine(
+            name=f"engine-{number}",
+            domain="north",
+            address=stand_in.address,
+            models=("verdict",),
+            checks_fence=stand_in.options.checks_fence,
+        )
+        snapshot = replace_resource(snapshot, Kind.ENGINE, engine.name, engine, Revision(revision))
+    return snapshot
+
+
+def read_versions(engines: list[EngineStandIn]) -> list[str]:
+    return [
+        HttpClient(engine.address).call_json("GET", "/v1/load")[1]["versions"]["verdict"]
+        for engine in engines
+    ]
+
+
+def await_met(is_met: Callable[[], bool], timeout: float = 8.0) -> None:
+    deadline = time.monotonic() + timeout
+    while not is_met():
+        assert time.monotonic() < deadline, "the condition was not met in time"
+        time.sleep(0.02)
+
+
+def reconcile_until_quiet(controller: WeightController) -> None:
+    await_met(lambda: not controller.reconcile())
+
+
+def test_change_of_version_reaches_engines_that_check_and_that_ignore_the_fence(
+    engines: list[EngineStandIn],
+) -> None:
+    configuration = Configuration(build_snapshot(engines, "2", 5))
+    first, second = (
+        WeightController(configuration, UpstreamSettings(), HostName(name)) for name in "ab"
+    )
+    first.start()
+    second.start()
+    try:
+        most = 0
+        deadline = time.monotonic() + 8
+        while read_versions(engines) != ["2"] * 4 and time.monotonic() < deadline:
+            loads = [HttpClient(e.address).call_json("GET", "/v1/load")[1] for e in engines]
+            most = max(most, sum(bool(load["loading"]) for load in loads))
+        assert read_versions(engines) == ["2"] * 4
+        assert 1 <= most <= 2
+    finally:
+        first.close()
+        second.close()
+
+
+def test_late_old_order_is_refused_or_put_right(engines: list[EngineStandIn]) -> None:
+    configuration = Configuration(build_snapshot(engines, "2", 5))
+    controller = WeightController(configuration, UpstreamSettings(), HostName("a"))
+    reconcile_until_quiet(controller)
+    late = {"fence": 4, "kind": "load", "model": "verdict", "version": "1"}
+    statuses = [
+        HttpClient(engine.address).call_json("POST", "/v1/orders", late)[0] for engine in engines
+    ]
+    assert statuses == [409, 200, 409, 200]
+    await_met(lambda: read_versions(engines) == ["2", "1", "2", "1"])
+    reconcile_until_quiet(controller)
+    assert read_versions(engines) == ["2"] * 4
+
+
+def test_host_with_an_unconfirmed_configuration_leaves_unfenced_engines_alone(
+    engines: list[EngineStandIn],
+) -> None:
+    newest = WeightController(
+        Configuration(build_snapshot(engines, "2", 5)), UpstreamSettings(), HostName("a")
+    )
+    reconcile_until_quiet(newest)
+    old = Configuration(build_snapshot(engines, "1", 4), age=60.0)
+    stale = WeightController(old, UpstreamSettings(), HostName("b"))
+    for _ in range(3):
+        stale.reconcile()
+    assert read_versions(engines) == ["2"] * 4
+    assert all(
+        order["fence"] == 5
+        for engine in engines
+        for order in HttpClient(engine.address).call_json("GET", "/control")[1]["orders"]
+    )
--- a/turmericproxy/standins/engine/core.py
+++ b/turmericproxy/standins/engine/core.py
@@ -37,7 +37,7 @@
 
     versions: dict[str, str]
     role: str
-    loading: set[str] = field(default_factory=set)
+    loading: dict[str, str] = field(default_factory=dict)
 
 
 class EngineCore:
@@ -110,7 +110,8 @@
     def install(self, model: str, version: str | None) -> None:
         """Serve another version of a model, or none, and drop what the old one cached."""
         with self._work:
-            self.weights.loading.discard(model)
+            if self.weights.loading.get(model) == version:
+                del self.weights.loading[model]
             old = self.weights.versions.pop(model, None)
             if version is not None:
                 self.weights.versions[model] = version
@@ -118,11 +119,20 @@
                 self.cache.remove_model(f"{model}@{old}")
             self._record_report()
 
-    def mark_loading(self, model: str) -> None:
-        """Note that a model is being loaded."""
+    def mark_loading(self, model: str, version: str) -> bool:
+        """Note that a version is being loaded; return whether it was not there or on its way."""
         with self._work:
-            self.weights.loading.add(model)
+            current = self.weights.loading.get(model, self.weights.versions.get(model))
+            if current == version:
+                return False
+            self.weights.loading[model] = version
             self._record_report()
+            return True
+
+    def is_loading(self, model: str) -> bool:
+        """Return whether the weights of a model are being replaced."""
+        with self._work:
+            return model in self.weights.loading
 
     def set_role(self, role: str) -> None:
         """Change the role that the engine reports."""
--- a/turmericproxy/standins/engine/orders.py
+++ b/turmericproxy/standins/engine/orders.py
@@ -49,8 +49,7 @@
             core.set_role(str(order["role"]))
         elif kind == "unload":
             core.install(model, None)
-        elif core.weights.versions.get(model) != version:
-            core.mark_loading(model)
+        elif core.mark_loading(model, version):
             share = ADAPTER_LOAD_SHARE if kind == "load_adapter" else 1.0
             threading.Thread(
                 target=self._load, args=(model, version, share), name="load", daemon=True
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -123,6 +123,8 @@
         version = core.weights.versions.get(str(body["model"]))
         if version is None or body.get("version", version) != version:
             return create_json_response(409, {"error": "version", "version": version})
+        if core.is_loading(str(body["model"])):
+            return create_json_response(503, {"error": "loading"}, {"Retry-After": "1"})
         job = _create_job(body, version)
         kept_body = raw.decode() if self.options.record_bodies else None
         self.served.add(ServedRecord(job, core.incarnation, dict(request.headers), kept_body))
