--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,129 @@
+"""Show a small cluster at work: two entry hosts in two failure domains before stand-ins."""
+
+import argparse
+import signal
+import sys
+import threading
+import time
+
+from turmericproxy.bench.calls import Caller, ChatResult, PlainResult, build_chat
+from turmericproxy.bench.cluster import Cluster, start_cluster
+from turmericproxy.bench.plan import create_small_plan
+
+ACCOUNT = "afinaciones"
+CASE_NOTES = "Case notes of an upright of 1911: pins loose, bridge cracked, treble flat. " * 300
+CACHE_WAIT_SECONDS = 10.0
+
+
+def describe_chat(result: ChatResult) -> str:
+    """Return one line on an answer."""
+    if not result.is_whole:
+        return f"status {result.status}: {result.fault or dict(result.error)}"
+    cached, prompt = result.usage.get("cached_tokens"), result.usage.get("prompt_tokens")
+    first = 1000 * (result.first_piece or 0.0)
+    return f"{len(result.text)} characters, first after {first:.0f} ms, {cached} of {prompt} cached"
+
+
+def describe_plain(result: PlainResult) -> str:
+    """Return one line on an answer."""
+    if result.error:
+        return f"status {result.status}: {result.error['name']}, {result.error['run']}"
+    return f"status {result.status}: {result.value}"
+
+
+class Demonstration:
+    """Send a few requests through both hosts and check what each got."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._is_good = True
+
+    def run(self) -> bool:
+        """Return whether every request got what it should."""
+        first, second = self._cluster.host_names
+        self._show_stream(first)
+        self._show_cached_repeat(second)
+        self._show_booking(first, second)
+        self._show_refused_key(second)
+        return self._is_good
+
+    def _report(self, what: str, host: str, line: str, is_good: bool) -> None:
+        self._is_good = self._is_good and is_good
+        print(f"{'ok    ' if is_good else 'FAILED'} {what:<28} {host}  {line}", flush=True)
+
+    def _create_caller(self, host: str, key: str | None = None) -> Caller:
+        address = self._cluster.get_address(host, "callers")
+        return Caller(address, key or self._cluster.keys[ACCOUNT])
+
+    def _show_stream(self, host: str) -> None:
+        result = self._create_caller(host).stream(build_chat(CASE_NOTES + "Verdict?"))
+        self._report("stream", host, describe_chat(result), result.is_whole)
+
+    def _show_cached_repeat(self, host: str) -> None:
+        deadline = time.monotonic() + CACHE_WAIT_SECONDS
+        while True:
+            result = self._create_caller(host).stream(build_chat(CASE_NOTES + "Which pins?"))
+            is_hit = result.is_whole and result.usage.get("cached_tokens", 0) > 0
+            if is_hit or time.monotonic() > deadline:
+                break
+        self._report("repeat of the shared prompt", host, describe_chat(result), is_hit)
+
+    def _show_booking(self, first: str, second: str) -> None:
+        runs = []
+        for what, host in (("booking", first), ("the same booking again", second)):
+            result = self._create_caller(host).call(
+                "POST", "/r/bookings/visits", b'{"visit": 7}', {"Idempotency-Key": "visit-7"}
+            )
+            runs.append(result.value)
+            self._report(what, host, describe_plain(result), result.status == 200)
+        count = len(self._cluster.read_truth("booking-1"))
+        is_once = count == 1 and runs[0] == runs[1]
+        self._report("visits that the service ran", "booking-1", str(count), is_once)
+
+    def _show_refused_key(self, host: str) -> None:
+        result = self._create_caller(host, "not-a-key").chat(build_chat("Verdict?"))
+        line = f"status {result.status}: {dict(result.error)}"
+        self._report("unknown key", host, line, result.status == 401)
+
+
+def print_addresses(cluster: Cluster) -> None:
+    """Print where the hosts listen, and a key of each sort."""
+    for host in cluster.host_names:
+        callers, operators = (cluster.get_address(host, part) for part in ("callers", "operators"))
+        print(f"{host}: callers http://{callers}  operators http://{operators}")
+    print(f"caller key ({ACCOUNT}): {cluster.keys[ACCOUNT]}")
+    print(f"operator key: {cluster.operator_key}")
+    print(f"logs: {cluster.folder}", flush=True)
+
+
+def wait_for_interrupt() -> None:
+    """Wait for SIGINT or SIGTERM."""
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stopped.set())
+    print("running until interrupted", flush=True)
+    stopped.wait()
+
+
+def main() -> int:
+    """Run the demonstration and return 0 if all went well."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--keep", action="store_true", help="leave the cluster up until interrupted"
+    )
+    arguments = parser.parse_args()
+    print("starting 1 platform, 3 engines, 1 service and 2 hosts ...", flush=True)
+    cluster = start_cluster(create_small_plan())
+    try:
+        is_good = Demonstration(cluster).run()
+        if arguments.keep:
+            print_addresses(cluster)
+            wait_for_interrupt()
+    finally:
+        cluster.close()
+    print("stopped", flush=True)
+    return 0 if is_good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
