--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,49 @@
+Feature: Configuration is in force everywhere and never reverts
+
+  Scenario: Accepted changes survive host kills and lost answers
+    Given four linked hosts in two domains whose revisions are watched
+    When 24 accounts are created over all hosts while the platform loses 40% of its answers and "n2" is killed
+    And "n2" is started again
+    Then every change was told truly
+    And the accepted changes are in force on all hosts within 11 seconds
+    And no host went to a lower revision
+
+  Scenario: A change made while the platform is down is refused and not run
+    Given four linked hosts in two domains whose revisions are watched
+    When the platform goes down
+    Then a change at every host is refused as not run
+    When the platform comes back
+    Then a change at every host is accepted
+    And every change was told truly
+    And the accepted changes are in force on all hosts within 11 seconds
+    And no host went to a lower revision
+
+  Scenario: A domain that is cut off catches up
+    Given four linked hosts in two domains whose revisions are watched
+    When domain "south" is cut off from "north" and from the platform
+    And 8 accounts are created at host "n1"
+    Then the accepted changes are in force on hosts "n1, n2" within 11 seconds
+    And hosts "s1, s2" still serve the keys that they know
+    When the cut is healed
+    Then the accepted changes are in force on all hosts within 11 seconds
+    And no host went to a lower revision
+
+  Scenario: Changes reach hosts that have lost the platform only
+    Given four linked hosts in two domains whose revisions are watched
+    When hosts "n2, s1, s2" are cut off from the platform
+    And 8 accounts are created at host "n1"
+    Then the accepted changes are in force on all hosts within 11 seconds
+    And no host went to a lower revision
+
+  Scenario: One of racing operators wins, also when answers are lost
+    Given four linked hosts in two domains whose revisions are watched
+    When 12 operators race to change one account 5 times while the platform loses 30% of its answers
+    Then in each race exactly one operator won and its value is in force on all hosts
+    And no host went to a lower revision
+
+  Scenario: A host starts while the platform is down
+    Given four linked hosts in two domains whose revisions are watched
+    When the platform goes down
+    And "s2" is killed
+    Then "s2" serves its first request within 2 seconds of its start
+    And no host went to a lower revision
--- /dev/null
+++ b/features/steps/configuration.py
@@ -0,0 +1,270 @@
+"""Change the configuration of real hosts under faults."""
+
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from features.support.revision_watch import (
+    RevisionWatch,
+    call_route,
+    change_resource,
+    list_accounts,
+    measure_until,
+)
+from turmericproxy.bench import faults
+from turmericproxy.bench.cluster import start_cluster
+from turmericproxy.bench.plan import AccountPlan, ClusterPlan, HostPlan, RoutePlan, ServicePlan
+
+SEED = 20261203
+ACCOUNT = {"rate": 100.0, "burst": 1000}
+PLAN = ClusterPlan(
+    hosts=(
+        HostPlan("n1", "north"),
+        HostPlan("n2", "north"),
+        HostPlan("s1", "south"),
+        HostPlan("s2", "south"),
+    ),
+    services=(ServicePlan("service-n", "north"), ServicePlan("service-s", "south")),
+    accounts=(AccountPlan("afinaciones"), AccountPlan("satnica")),
+    routes=(
+        RoutePlan("hours", ("service-n", "service-s"), {"repeatable": True}),
+        RoutePlan(
+            "visits",
+            ("service-n", "service-s"),
+            {"repeatable": True, "accounts": ["afinaciones"]},
+        ),
+        RoutePlan("health", ("service-n", "service-s"), {"repeatable": True, "open": True}),
+    ),
+    relays=True,
+    platform_options={"seed": SEED},
+)
+
+
+def split_names(text):
+    return [name.strip() for name in text.split(",")]
+
+
+def create_accounts(context, hosts, count):
+    """Create accounts over the hosts, several at a time, and remember what was told."""
+    start = len(context.changes)
+
+    def create(number):
+        name = f"account-{start + number}"
+        host = hosts[number % len(hosts)]
+        return change_resource(context.cluster, host, f"account/{name}", ACCOUNT)
+
+    with ThreadPoolExecutor(4) as pool:
+        context.changes.extend(pool.map(create, range(count)))
+
+
+def list_accepted(context):
+    return [change for change in context.changes if change.is_accepted]
+
+
+def is_in_force(context, host):
+    accounts = list_accounts(context.cluster, host)
+    return all(change.name in accounts for change in list_accepted(context))
+
+
+@given("four linked hosts in two domains whose revisions are watched")
+def start_watched_cluster(context):
+    print(f"seed {SEED}")
+    context.random = random.Random(SEED)
+    context.cluster = start_cluster(PLAN)
+    context.add_cleanup(context.cluster.close)
+    context.revisions = RevisionWatch(context.cluster)
+    context.add_cleanup(context.revisions.close)
+    context.changes = []
+
+
+@when(
+    "{count:d} accounts are created over all hosts while the platform loses {share:d}% of its"
+    ' answers and "{host}" is killed'
+)
+def create_under_faults(context, count, share, host):
+    cluster = context.cluster
+    cluster.set_faults("platform", lose_answers=share / 100)
+    others = [name for name in cluster.host_names if name != host]
+    worker = threading.Thread(target=create_accounts, args=(context, others, count))
+    worker.start()
+    cluster.kill_host(host)
+    context.revisions.forget(host)
+    worker.join()
+    cluster.set_faults("platform", lose_answers=0.0)
+
+
+@when('"{host}" is started again')
+def start_again(context, host):
+    context.cluster.start_host(host)
+
+
+@when('"{host}" is killed')
+def kill(context, host):
+    context.cluster.kill_host(host)
+    context.revisions.forget(host)
+
+
+@when('{count:d} accounts are created at host "{host}"')
+def create_at_host(context, count, host):
+    create_accounts(context, [host], count)
+    assert all(change.is_accepted for change in context.changes), context.changes
+
+
+@when("the platform goes down")
+def take_platform_down(context):
+    context.cluster.set_faults("platform", down=True)
+
+
+@when("the platform comes back")
+def bring_platform_back(context):
+    context.cluster.set_faults("platform", down=False)
+
+
+@when('domain "{domain}" is cut off from "{other}" and from the platform')
+def cut_domain(context, domain, other):
+    faults.cut_domain(context.cluster, domain)
+
+
+@when("the cut is healed")
+def heal(context):
+    faults.heal_all(context.cluster)
+
+
+@when('hosts "{hosts}" are cut off from the platform')
+def cut_platform(context, hosts):
+    for host in split_names(hosts):
+        faults.cut_platform(context.cluster, host)
+
+
+@then("a change at every host is refused as not run")
+def check_refused(context):
+    for number, host in enumerate(context.cluster.host_names):
+        change = change_resource(context.cluster, host, f"account/down-{number}", ACCOUNT)
+        assert change.code == "platform_unavailable", change
+        assert change.body["error"]["run"] == "not_run", change
+        context.changes.append(change)
+
+
+@then("a change at every host is accepted")
+def check_accepted(context):
+    for number, host in enumerate(context.cluster.host_names):
+        path = f"account/up-{number}"
+
+        def is_accepted(host=host, path=path):
+            change = change_resource(context.cluster, host, path, ACCOUNT)
+            context.changes.append(change)
+            return change.is_accepted
+
+        measure_until(11, is_accepted)
+
+
+@then("every change was told truly")
+def check_truth(context):
+    host = context.cluster.host_names[0]
+    highest = max((change.body["revision"] for change in list_accepted(context)), default=0)
+    measure_until(11, lambda: context.cluster.read_revision(host) >= highest)
+    accounts = list_accounts(context.cluster, host)
+    told = {}
+    for change in context.changes:
+        told.setdefault(change.name, []).append(change)
+    counts = {"accepted": 0, "refused": 0, "unknown": 0}
+    for name, changes in told.items():
+        if any(change.is_accepted for change in changes):
+            counts["accepted"] += 1
+            assert name in accounts, f"{name} was accepted but is not in force"
+        elif any(change.code == "change_unknown" for change in changes):
+            counts["unknown"] += 1
+        else:
+            counts["refused"] += 1
+            assert name not in accounts, f"{name} was refused but is in force"
+    print(f"changes told: {counts}")
+    assert counts["accepted"], counts
+
+
+@then("the accepted changes are in force on all hosts within {seconds:d} seconds")
+def check_all_in_force(context, seconds):
+    check_in_force(context, ", ".join(context.cluster.host_names), seconds)
+
+
+@then('the accepted changes are in force on hosts "{hosts}" within {seconds:d} seconds')
+def check_in_force(context, hosts, seconds):
+    taken = measure_until(
+        seconds, lambda: all(is_in_force(context, host) for host in split_names(hosts))
+    )
+    print(f"in force after {taken:.2f} s")
+
+
+@then("no host went to a lower revision")
+def check_no_fall(context):
+    print(f"{context.revisions.readings} readings of revisions")
+    assert context.revisions.readings > 0
+    assert not context.revisions.falls, context.revisions.falls
+
+
+@then('hosts "{hosts}" still serve the keys that they know')
+def check_known_keys(context, hosts):
+    for host in split_names(hosts):
+        key = context.cluster.keys["satnica"]
+        assert call_route(context.cluster, host, "/r/hours/x", key) == 200
+
+
+def race(context, operators):
+    """Let operators change one account at the same version; return who won, and the value."""
+    cluster = context.cluster
+    version = list_accounts(cluster, "n1")["satnica"]["revision"]
+    hosts = cluster.host_names
+
+    def change(number):
+        fields = {**ACCOUNT, "rate": float(context.random.randint(1, 10**6))}
+        host = hosts[number % len(hosts)]
+        told = change_resource(cluster, host, "account/satnica", fields, if_match=version)
+        return told, fields["rate"]
+
+    with ThreadPoolExecutor(operators) as pool:
+        return list(pool.map(change, range(operators)))
+
+
+@when(
+    "{operators:d} operators race to change one account {races:d} times while the platform loses"
+    " {share:d}% of its answers"
+)
+def race_operators(context, operators, races, share):
+    context.races = []
+    for _ in range(races):
+        context.cluster.set_faults("platform", lose_answers=share / 100)
+        results = race(context, operators)
+        context.cluster.set_faults("platform", lose_answers=0.0)
+        context.races.append(results)
+        wins = [result for result in results if result[0].is_accepted]
+        assert len(wins) == 1, results
+        revision = wins[0][0].body["revision"]
+        measure_until(11, lambda r=revision: _is_reached(context, r))
+
+
+def _is_reached(context, revision):
+    names = context.cluster.host_names
+    return all(context.cluster.read_revision(name) >= revision for name in names)
+
+
+@then("in each race exactly one operator won and its value is in force on all hosts")
+def check_races(context):
+    for results in context.races:
+        lost = [told for told, _ in results if not told.is_accepted]
+        assert {told.code for told in lost} == {"resource_conflict"}, lost
+    rate = next(rate for told, rate in context.races[-1] if told.is_accepted)
+    for host in context.cluster.host_names:
+        assert list_accounts(context.cluster, host)["satnica"]["rate"] == rate
+
+
+@then('"{host}" serves its first request within {seconds:d} seconds of its start')
+def check_first_request(context, host, seconds):
+    started = time.monotonic()
+    context.cluster.start_host(host, wait=False)
+    key = context.cluster.keys["satnica"]
+    while call_route(context.cluster, host, "/r/hours/x", key) != 200:
+        assert time.monotonic() - started < seconds, "no request was served in time"
+        time.sleep(0.02)
+    print(f"first request served {time.monotonic() - started:.2f} s after the start")
--- /dev/null
+++ b/features/steps/keys.py
@@ -0,0 +1,121 @@
+"""Withdraw keys at real hosts under faults, and call routes with them."""
+
+from behave import given, then, when
+
+from features.support.revision_watch import KeptConnection, call_route, measure_until
+
+CALLER = "satnica"
+REFUSED = 401
+
+
+def is_refused(context, host):
+    key = context.cluster.keys[CALLER]
+    return call_route(context.cluster, host, "/r/hours/x", key) == REFUSED
+
+
+@given("a caller is connected to every host")
+def connect_caller(context):
+    key = context.cluster.keys[CALLER]
+    context.connections = [
+        KeptConnection(context.cluster, host, key) for host in context.cluster.host_names
+    ]
+    for connection in context.connections:
+        context.add_cleanup(connection.close)
+        assert connection.call("/r/hours/x") == 200
+
+
+@when('the caller\'s key is withdrawn at host "{host}"')
+def withdraw(context, host):
+    key_id = context.cluster.key_ids[CALLER]
+    context.withdrawal = context.cluster.operate(host, "DELETE", f"/v1/keys/{key_id}")
+    assert context.withdrawal["withdrawn"]
+
+
+@then("the withdrawal is not written down")
+def check_not_durable(context):
+    assert context.withdrawal["durable"] is False
+
+
+@then("the caller is refused on every open connection within {seconds:d} seconds")
+def check_connections(context, seconds):
+    waiting = list(context.connections)
+
+    def all_refused():
+        waiting[:] = [c for c in waiting if c.call("/r/hours/x") != REFUSED]
+        return not waiting
+
+    taken = measure_until(seconds, all_refused)
+    print(f"refused on {len(context.connections)} kept-alive connections after {taken:.2f} s")
+
+
+@then("the withdrawal is written down within {seconds:d} seconds")
+def check_written(context, seconds):
+    def is_written():
+        statuses = [context.cluster.operate(h, "GET", "/v1/status") for h in names]
+        listed = [context.cluster.operate(h, "GET", "/v1/resources/key") for h in names]
+        is_listed = any(
+            entry["name"] == context.cluster.key_ids[CALLER]
+            for answer in listed
+            for entry in answer["resources"]
+        )
+        return not is_listed and not any(s["withdrawals_not_written"] for s in statuses)
+
+    names = context.cluster.host_names
+    print(f"written down after {measure_until(seconds, is_written):.2f} s")
+
+
+@when("every host is killed and started again, one after the other")
+def replace_hosts(context):
+    for host in context.cluster.host_names:
+        context.cluster.kill_host(host)
+        context.revisions.forget(host)
+        context.cluster.start_host(host)
+
+
+@then("the caller is refused on every host within {seconds:d} seconds")
+def check_refused_everywhere(context, seconds):
+    check_refused_on(context, ", ".join(context.cluster.host_names), seconds)
+
+
+@then('the caller is refused on hosts "{hosts}" within {seconds:d} seconds')
+def check_refused_on(context, hosts, seconds):
+    names = [name.strip() for name in hosts.split(",")]
+    taken = measure_until(seconds, lambda: all(is_refused(context, host) for host in names))
+    print(f"refused on {len(names)} hosts after {taken:.2f} s")
+
+
+@then("the caller is still refused on every host after the platform came back")
+def check_still_refused(context):
+    context.cluster.set_faults("platform", down=False)
+    check_written(context, 20)
+    assert all(is_refused(context, host) for host in context.cluster.host_names)
+
+
+@when("every host is called on each route with each key and with none")
+def call_all(context):
+    keys = {**context.cluster.keys, "nobody": None, "stranger": "x" * 43}
+    context.answers = {
+        (host, route, who): call_route(context.cluster, host, f"/r/{route}/{host}-{who}", key)
+        for host in context.cluster.host_names
+        for route in ("hours", "visits", "health")
+        for who, key in keys.items()
+    }
+
+
+@then("only the calls that the routes allow have run, and no upstream saw a key")
+def check_runs(context):
+    cluster = context.cluster
+    allowed = {
+        "hours": {"afinaciones", "satnica"},
+        "visits": {"afinaciones"},
+        "health": {"afinaciones", "satnica", "nobody", "stranger"},
+    }
+    runs = [run for name in ("service-n", "service-s") for run in cluster.read_truth(name)]
+    assert not any(key in str(runs) for key in cluster.keys.values())
+    ran = sorted(run["path"].rpartition("/")[2] for run in runs)
+    expected = sorted(
+        f"{host}-{who}" for (host, route, who) in context.answers if who in allowed[route]
+    )
+    assert ran == expected, (ran, expected)
+    for (host, route, who), status in context.answers.items():
+        assert (status == 200) == (who in allowed[route]), (host, route, who, status)
--- /dev/null
+++ b/features/support/revision_watch.py
@@ -0,0 +1,133 @@
+"""Watch the revision in force on each host of a cluster, and make changes through them."""
+
+import http.client
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from turmericproxy.bench.cluster import Cluster, ClusterError
+from turmericproxy.web import CallFailure, HttpClient
+
+POLL_SECONDS = 0.05
+CALL_SECONDS = 12.0
+
+
+@dataclass(frozen=True)
+class Change:
+    """Hold what an operator was told of one change."""
+
+    name: str
+    status: int
+    body: Any
+
+    @property
+    def is_accepted(self) -> bool:
+        return self.status in (200, 201)
+
+    @property
+    def code(self) -> str:
+        return "" if self.is_accepted else self.body["error"]["name"]
+
+
+class RevisionWatch:
+    """Read every host's revision again and again, and remember each fall."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._closed = threading.Event()
+        self._lock = threading.Lock()
+        self._highest = dict.fromkeys(cluster.host_names, 0)
+        self.readings = 0
+        self.falls: list[str] = []
+        self._threads = [
+            threading.Thread(target=self._follow, args=(name,), daemon=True)
+            for name in cluster.host_names
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def forget(self, host: str) -> None:
+        """Start anew with a host whose process was replaced."""
+        with self._lock:
+            self._highest[host] = 0
+
+    def close(self) -> None:
+        self._closed.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _follow(self, host: str) -> None:
+        while not self._closed.wait(POLL_SECONDS):
+            try:
+                revision = self._cluster.read_revision(host)
+            except ClusterError:
+                continue
+            with self._lock:
+                self.readings += 1
+                if revision < self._highest[host]:
+                    self.falls.append(f"{host}: {self._highest[host]} to {revision}")
+                self._highest[host] = max(revision, self._highest[host])
+
+
+def change_resource(
+    cluster: Cluster,
+    host: str,
+    path: str,
+    fields: dict[str, Any] | None,
+    if_match: int | None = None,
+) -> Change:
+    """Put a resource, or delete it, and return what the operator was told."""
+    headers = {"Authorization": f"Bearer {cluster.operator_key}"}
+    if if_match is not None:
+        headers["If-Match"] = f'"{if_match}"'
+    client = HttpClient(cluster.get_address(host, "operators"), read_timeout=CALL_SECONDS)
+    method = "DELETE" if fields is None else "PUT"
+    answer = client.call_json(method, f"/v1/resources/{path}", fields, headers=headers, fresh=True)
+    assert not isinstance(answer, CallFailure), (host, path, answer)
+    return Change(path.partition("/")[2], *answer)
+
+
+def list_accounts(cluster: Cluster, host: str) -> dict[str, Any]:
+    """Return the accounts in force on a host by name."""
+    listed = cluster.operate(host, "GET", "/v1/resources/account")["resources"]
+    return {entry["name"]: entry for entry in listed}
+
+
+def call_route(cluster: Cluster, host: str, path: str, key: str | None) -> int:
+    """Call a route over a connection of its own and return the status; 0 without an answer."""
+    client = HttpClient(cluster.get_address(host, "callers"), read_timeout=CALL_SECONDS)
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    answer = client.call_json("GET", path, headers=headers, fresh=True)
+    return 0 if isinstance(answer, CallFailure) else answer[0]
+
+
+class KeptConnection:
+    """Call a host over one connection that is kept alive."""
+
+    def __init__(self, cluster: Cluster, host: str, key: str) -> None:
+        address, _, port = cluster.get_address(host, "callers").rpartition(":")
+        self.host = host
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._connection = http.client.HTTPConnection(address, int(port), timeout=CALL_SECONDS)
+        self._connection.connect()
+        self._socket = self._connection.sock
+
+    def call(self, path: str) -> int:
+        self._connection.request("GET", path, headers=self._headers)
+        response = self._connection.getresponse()
+        response.read()
+        assert self._connection.sock is self._socket, "the connection was not kept alive"
+        return response.status
+
+    def close(self) -> None:
+        self._connection.close()
+
+
+def measure_until(deadline: float, is_met: Any) -> float:
+    """Wait for a condition and return the seconds it took; fail after ``deadline`` seconds."""
+    started = time.monotonic()
+    while not is_met():
+        assert time.monotonic() - started < deadline, f"not met within {deadline} s"
+        time.sleep(0.02)
+    return time.monotonic() - started
--- a/turmericproxy/operators/answers.py
+++ b/turmericproxy/operators/answers.py
@@ -1,6 +1,9 @@
 """Write resources, changes and refusals as answers to operators."""
 
 import math
+from collections.abc import Mapping
+from dataclasses import fields, is_dataclass
+from enum import Enum
 from functools import singledispatch
 from typing import Any
 
@@ -34,6 +37,23 @@
     }
 
 
+def describe_value(value: object) -> Any:
+    """Return a part's state as plain values, dataclasses and enums included.
+
+    >>> describe_value({1: (Kind.KEY,)})
+    {'1': ['key']}
+    """
+    if isinstance(value, Enum):
+        return value.value
+    if is_dataclass(value) and not isinstance(value, type):
+        return {field.name: describe_value(getattr(value, field.name)) for field in fields(value)}
+    if isinstance(value, Mapping):
+        return {str(key): describe_value(entry) for key, entry in value.items()}
+    if isinstance(value, list | tuple | set | frozenset):
+        return [describe_value(entry) for entry in value]
+    return value if isinstance(value, str | int | float | None) else str(value)
+
+
 @singledispatch
 def describe_details(refusal: Refusal) -> dict[str, Any]:
     """Return what a refusal says beyond its code and reason."""
--- a/turmericproxy/operators/api.py
+++ b/turmericproxy/operators/api.py
@@ -7,7 +7,7 @@
 from turmericproxy.configuration.deltas import ChangeId
 from turmericproxy.configuration.resources import FieldFault, Kind
 from turmericproxy.core.ids import AccountName, KeyId, Revision
-from turmericproxy.core.results import Refusal, ResultCode, refuse
+from turmericproxy.core.results import Refusal, ResultCode, RunState, refuse
 from turmericproxy.keys.controller import KeyController
 from turmericproxy.keys.secrets import is_listed
 from turmericproxy.logs import Part, log_event
@@ -42,7 +42,7 @@
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
-        answer = self._check_operator(request) or self._route(request)
+        answer = self._check_operator(request) or self._answer(request)
         if isinstance(answer, Refusal):
             log_event(
                 Part.OPERATORS,
@@ -55,6 +55,12 @@
             return answers.create_refusal_response(answer)
         return answer
 
+    def _answer(self, request: HttpRequest) -> Answer:
+        try:
+            return self._route(request)
+        except Exception as error:  # one faulty request must not end the listener's thread
+            return refuse(ResultCode.INTERNAL_ERROR, repr(error), RunState.UNKNOWN)
+
     def _check_operator(self, request: HttpRequest) -> Refusal | None:
         secret = requests.read_secret(request)
         if secret is None:
@@ -207,7 +213,10 @@
             "confirmed_seconds_ago": None if age == float("inf") else round(age, 3),
             "hosts": sorted([own, *others], key=lambda entry: str(entry["host"])),
             "withdrawals_not_written": list(self._keys.list_open_marks()),
-            **{name: describe() for name, describe in self._status_sources.items()},
+            **{
+                name: answers.describe_value(describe())
+                for name, describe in self._status_sources.items()
+            },
         }
 
 
