--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -1,5 +1,7 @@
 """Start the parts of one host in order, and close them in the opposite order."""
 
+from dataclasses import asdict
+
 from turmericproxy.bookings import ClaimController
 from turmericproxy.callers import CallerApi
 from turmericproxy.callers.api import CallerParts
@@ -14,6 +16,7 @@
 from turmericproxy.rates import RateController
 from turmericproxy.routing import FairQueue, Selector
 from turmericproxy.settings import HostSettings
+from turmericproxy.weights import WeightController
 
 
 class HostDaemon:
@@ -46,6 +49,7 @@
             self.configuration, self.links, settings.routing, settings.upstreams, host, domain
         )
         self.queue = FairQueue()
+        self.weights = WeightController(self.configuration, settings.upstreams, host)
         self.callers = CallerApi(settings, self._collect_caller_parts())
         self.operators = create_operator_server(
             settings,
@@ -53,7 +57,7 @@
             self.keys,
             {
                 "peers": self._describe_peers,
-                "buckets": self.rates.list_buckets,
+                "buckets": self._describe_buckets,
                 "upstreams": self.selector.describe_upstreams,
             },
             self.metrics.write_text,
@@ -82,6 +86,7 @@
         self.rates.start()
         self.claims.start()
         self.selector.start()
+        self.weights.start()
         self.operators.start()
         self.callers.start()
         log_event(Part.HOST, "started", incarnation=self.links.incarnation)
@@ -90,6 +95,7 @@
         """Drain callers, give back what is held, and close every part."""
         is_drained = self.callers.drain()
         self.callers.close()
+        self.weights.close()
         self.selector.close()
         self.claims.close()
         self.rates.close()
@@ -100,6 +106,9 @@
         self.platform.close()
         log_event(Part.HOST, "stopped", drained=is_drained)
 
+    def _describe_buckets(self) -> object:
+        return [asdict(bucket) for bucket in self.rates.list_buckets()]
+
     def _describe_peers(self) -> object:
         return [
             {"host": peer.host, "domain": peer.domain, "incarnation": peer.incarnation}
