Wait for buckets before a cluster is called; keep silent streams wholly silent

A client account created less than a ledger step ago is refused (code 300), so the launcher waits for its bucket in the status.

--- a/turmericproxy/bench/calls.py
+++ b/turmericproxy/bench/calls.py
@@ -84,7 +84,7 @@
             200,
             request_id,
             text=result.value["choices"][0]["message"]["content"],
-            usage=result.value.get("usage", {}),
+            usage=_flatten_usage(result.value.get("usage", {})),
             is_closed=True,
             first_piece=elapsed,
             elapsed=elapsed,
@@ -141,6 +141,11 @@
         return PlainResult(answer.status, _decode(content), dict(answer.headers))
 
 
+def _flatten_usage(usage: Mapping[str, Any]) -> Mapping[str, int]:
+    details = usage.get("prompt_tokens_details", {})
+    return {name: value for name, value in {**usage, **details}.items() if isinstance(value, int)}
+
+
 def _decode(content: bytes) -> Any:
     try:
         return json.loads(content)
@@ -159,7 +164,7 @@
                 is_closed = True
                 break
             event = json.loads(data)
-            usage = event.get("usage") or usage
+            usage = _flatten_usage(event["usage"]) if "usage" in event else usage
             error = event.get("error") or error
             for choice in event.get("choices", ()):
                 content = choice.get("delta", {}).get("content")
--- a/turmericproxy/bench/cluster.py
+++ b/turmericproxy/bench/cluster.py
@@ -236,6 +236,15 @@
             f"revision {wanted} at every host",
             lambda: all(self.read_revision(name) >= wanted for name in self.host_names),
         )
+        accounts = {account.name for account in self.plan.accounts}
+        self.await_condition(
+            "a bucket of every client account",
+            lambda: accounts <= self._list_accounts_with_buckets(),
+        )
+
+    def _list_accounts_with_buckets(self) -> set[str]:
+        statuses = [self.operate(name, "GET", "/v1/status") for name in self.host_names]
+        return {bucket["account"] for status in statuses for bucket in status["buckets"]}
 
 
 def start_cluster(plan: ClusterPlan, folder: Path | None = None) -> Cluster:
--- a/turmericproxy/standins/engine/answers.py
+++ b/turmericproxy/standins/engine/answers.py
@@ -42,6 +42,7 @@
         self._break_at = self._faults.take_break()
         try:
             self._delay()
+            self._wait(lambda: True)
             yield KEEP_ALIVE
             for index in range(first, job.max_tokens):
                 while not self._is_ready(index):
