Hold requests back after a pause until the keys are current

Cause: a host that was paused while a key was withdrawn elsewhere accepted the key when it went on, long after the withdrawal. Ruled out: a bounded age of the keys, since a cut-off domain has to serve on; a reply to a heartbeat sent before the pause, since its digest may be as old as the question.

--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -33,7 +33,11 @@
             self.platform, self.links, settings.configuration
         )
         self.keys = KeyController(
-            self.configuration, self.platform, self.links, settings.configuration
+            self.configuration,
+            self.platform,
+            self.links,
+            settings.configuration,
+            settings.links.silence,
         )
         self.rates = RateController(
             self.platform,
--- a/turmericproxy/keys/controller.py
+++ b/turmericproxy/keys/controller.py
@@ -20,6 +20,7 @@
     decode_marks,
     encode_marks,
 )
+from turmericproxy.keys.pauses import PauseGuard
 from turmericproxy.keys.secrets import compute_digest, create_key_id, create_secret
 from turmericproxy.logs import Part, log_event
 from turmericproxy.peers.links import PeerLinks
@@ -34,6 +35,7 @@
 COVER_PAUSE_SECONDS = 2.0
 FOREIGN_COVER_DELAY_SECONDS = 15.0
 WITHDRAW_TIMEOUT_SECONDS = 2.0
+PAUSE_LIMIT_SECONDS = 2.0
 RELOAD_SECONDS = 1.0
 
 
@@ -69,7 +71,9 @@
         platform: PlatformClient,
         links: PeerLinks,
         settings: ConfigurationSettings,
+        pause_limit: float = PAUSE_LIMIT_SECONDS,
     ) -> None:
+        self._guard = PauseGuard(pause_limit, self._is_current)
         self._configuration = configuration
         self._links = links
         self._settings = settings
@@ -86,16 +90,19 @@
 
     def start(self) -> None:
         """Exchange marks with other hosts and write open ones down, in a thread each."""
+        self._guard.start()
         self._peer_loop.start()
         self._cover_loop.start()
 
     def close(self) -> None:
         """Stop the threads."""
+        self._guard.close()
         self._peer_loop.close()
         self._cover_loop.close()
 
     def identify(self, secret: str) -> Identity | Refusal:
         """Return whose key this is, or why it is refused."""
+        self._guard.await_current()
         refusal = self._check_age()
         if refusal is not None:
             return refusal
@@ -106,6 +113,7 @@
 
     def check(self, identity: Identity) -> Refusal | None:
         """Return why the key no longer works, or ``None`` if it does."""
+        self._guard.await_current()
         return self._check_age() or self._check_withdrawn(identity)
 
     def create(self, account: AccountName, name: str) -> CreatedKey | Refusal:
@@ -134,6 +142,18 @@
             return result
         return Withdrawn(durable=result is None or result.code is ResultCode.RESOURCE_NOT_FOUND)
 
+    def _is_current(self, since: float) -> bool:
+        """Return whether what other hosts or the platform knew at ``since`` is known here."""
+        peers = self._links.list_reachable()
+        if not peers:
+            return self._configuration.measure_age() <= read_boottime() - since
+        own_marks = compute_marks_digest(self._register.marks())
+        own_revision = self._configuration.snapshot().revision
+        revisions = self._configuration.list_host_revisions()
+        return all(peer.digest.get(MARKS_DIGEST) == own_marks for peer in peers) and all(
+            other.revision <= own_revision for other in revisions
+        )
+
     def _check_age(self) -> Refusal | None:
         age = self._configuration.measure_age()
         if not self._configuration.snapshot().revision and age == float("inf"):
--- a/turmericproxy/peers/links.py
+++ b/turmericproxy/peers/links.py
@@ -53,7 +53,7 @@
         self.peer = peer
         self.connection: Connection | None = None
         self.state: PeerState | None = None
-        self.last_reply = 0.0
+        self.heard_of_at = 0.0
         self.wake = threading.Event()
         self.is_wanted = True
 
@@ -140,7 +140,7 @@
         oldest = read_boottime() - self._settings.silence
         with self._lock:
             links = list(self._links.values())
-        return tuple(k.state for k in links if k.state and k.last_reply >= oldest)
+        return tuple(k.state for k in links if k.state and k.heard_of_at >= oldest)
 
     def call(self, host: HostName, kind: str, body: Any, timeout: float | None = None) -> Any:
         """Return the other host's reply, or a refusal if none came within ``timeout`` seconds."""
@@ -194,6 +194,7 @@
         connection = link.connection or self._dial(link)
         if connection is None:
             return
+        sent_at = read_boottime()
         reply = connection.call(HEARTBEAT_KIND, self._create_heartbeat(), self._settings.silence)
         state = None if isinstance(reply, Refusal) else _create_state(reply)
         if state is None or state.host != link.peer.host:
@@ -202,7 +203,8 @@
             connection.close()
             return
         link.state = state
-        link.last_reply = read_boottime()
+        # The state is as old as the question: the reply may have waited for a paused process.
+        link.heard_of_at = sent_at
 
     def _dial(self, link: _Link) -> Connection | None:
         host, _, port = link.peer.address.rpartition(":")
