--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -99,9 +99,9 @@
         batcher.close()
 
 
-def test_writes_beyond_the_platform_limit_wait_and_are_not_lost(
-    platform: PlatformStandIn,
-) -> None:
+def test_writes_beyond_the_platform_limit_wait_and_are_not_lost() -> None:
+    platform = create_platform("127.0.0.1:0", writes=20)
+    platform.start()
     batchers = [Batcher(create_client(platform)) for _ in range(4)]
     for batcher in batchers:
         batcher.start()
@@ -113,6 +113,7 @@
     finally:
         for batcher in batchers:
             batcher.close()
+        platform.close()
 
 
 def test_write_without_answer_counts_as_lost_and_unsent_one_as_refused(
--- a/tests/bookings/test_claims.py
+++ b/tests/bookings/test_claims.py
@@ -13,7 +13,6 @@
     ClaimState,
     Outcome,
     StoredClaim,
-    StoredOutcome,
     answer_repeat,
     create_row_key,
     read_record,
@@ -66,7 +65,7 @@
 
 def test_repeat_gets_stored_answer_and_other_body_is_refused() -> None:
     done = create_stored(ClaimState.DONE)
-    assert answer_repeat(done, "digest", 9.0, None) == StoredOutcome(OUTCOME)
+    assert answer_repeat(done, "digest", 9.0, None) == done.record
     refused = answer_repeat(done, "other", 9.0, None)
     assert isinstance(refused, Refusal) and refused.code is ResultCode.CLAIM_OTHER_BODY
     unknown = create_stored(ClaimState.UNKNOWN)
--- a/turmericproxy/bookings/claims.py
+++ b/turmericproxy/bookings/claims.py
@@ -175,16 +175,16 @@
 
 def answer_repeat(
     stored: StoredClaim, body_digest: str, now: float, owner_alive: bool | None
-) -> StoredOutcome | Refusal:
-    """Return the stored answer of a row that can't be claimed, or why there is none.
+) -> ClaimRecord | Refusal:
+    """Return the finished record of a row that can't be claimed, or why there is none.
 
     ``owner_alive`` is ``None`` when it is not known; then the age of the claim decides.
     """
     record = stored.record
     if record.body_digest != body_digest:
         return refuse(ResultCode.CLAIM_OTHER_BODY, "the idempotency key was used with another body")
-    if record.state is ClaimState.DONE and record.outcome:
-        return StoredOutcome(record.outcome)
+    if record.state is ClaimState.DONE:
+        return record
     if record.state is ClaimState.CLAIMED and _is_owner_running(record, now, owner_alive):
         return refuse(
             ResultCode.CLAIM_IN_PROGRESS,
--- a/turmericproxy/bookings/controller.py
+++ b/turmericproxy/bookings/controller.py
@@ -25,6 +25,8 @@
     release_claim,
     write_claim,
 )
+from turmericproxy.bookings.outcomes import MOST_ROW_BODY_BYTES, load_outcome
+from turmericproxy.bookings.retention import Sweeper
 from turmericproxy.bookings.settlement import Settler, read_stored
 from turmericproxy.core import (
     AccountName,
@@ -63,7 +65,7 @@
     """Give each idempotency key of a client account to one attempt at a time.
 
     ``is_alive`` tells whether a host still runs under an incarnation, and ``None`` when that is
-    not known.
+    not known. A claim takes at most ``claim_timeout`` seconds.
     """
 
     def __init__(
@@ -72,13 +74,16 @@
         host: HostName,
         incarnation: Incarnation,
         is_alive: IsAlive = lambda host, incarnation: None,
+        claim_timeout: float = CLAIM_TIMEOUT_SECONDS,
     ) -> None:
         self._platform = platform
         self._host = host
         self._incarnation = incarnation
         self._is_alive = is_alive
+        self._claim_timeout = claim_timeout
         self._batcher = Batcher(platform)
         self._settler = Settler(platform, self._batcher)
+        self._sweeper = Sweeper(platform)
         self._open: dict[AttemptId, bool] = {}
         self._lock = threading.Lock()
 
@@ -86,9 +91,11 @@
         """Start the threads that write."""
         self._batcher.start()
         self._settler.start()
+        self._sweeper.start()
 
     def close(self) -> None:
         """Store what is left, within ``CLOSE_WAIT_SECONDS``, and end the threads."""
+        self._sweeper.close()
         left = self._settler.close(CLOSE_WAIT_SECONDS)
         self._batcher.close()
         if left:
@@ -97,7 +104,7 @@
     def claim(
         self, account: AccountName, key: str, body_digest: str
     ) -> Claim | StoredOutcome | Refusal:
-        """Claim an idempotency key, within ``CLAIM_TIMEOUT_SECONDS``.
+        """Claim an idempotency key, or say why it can't be claimed.
 
         Only a returned claim may be dispatched. An attempt that got none never is, and its row,
         should it appear, is released in the background.
@@ -112,7 +119,7 @@
                 body_digest,
                 time.time(),
             ),
-            time.monotonic() + CLAIM_TIMEOUT_SECONDS,
+            time.monotonic() + self._claim_timeout,
         )
         result = self._run_attempt(attempt)
         if isinstance(result, Claim):
@@ -129,10 +136,13 @@
                 self._open[claim.record.attempt] = True
 
     def finish(self, claim: Claim, outcome: Outcome) -> None:
-        """Store the outcome; waits up to ``FINISH_WAIT_SECONDS`` until it is stored."""
+        """Store the outcome, within ``FINISH_WAIT_SECONDS`` or else in the background."""
         if self._close_attempt(claim) is None:
             return
         settlement = finish_claim(claim, outcome, time.time())
+        if len(outcome.body) > MOST_ROW_BODY_BYTES:
+            self._settler.add(settlement)
+            return
         write = ClaimWrite(claim.row_key, claim.version, settlement.record)
         if not isinstance(self._batcher.submit(write, FINISH_WAIT_SECONDS), Written):
             self._settler.add(settlement)
@@ -196,7 +206,8 @@
             is_alive: bool | None = record.incarnation == self._incarnation
         else:
             is_alive = self._is_alive(record.host, record.incarnation)
-        return answer_repeat(stored, attempt.record.body_digest, time.time(), is_alive)
+        answer = answer_repeat(stored, attempt.record.body_digest, time.time(), is_alive)
+        return answer if isinstance(answer, Refusal) else load_outcome(self._platform, answer)
 
     def _give_up_claim(self, attempt: "_Attempt") -> None:
         log_event(
--- /dev/null
+++ b/turmericproxy/bookings/retention.py
@@ -0,0 +1,92 @@
+"""Delete bookings that are older than their retention time."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+from turmericproxy.bookings.batch import MOST_ROWS, TABLE
+from turmericproxy.bookings.claims import ROW_KEY_BYTES, read_record
+from turmericproxy.core import Refusal
+from turmericproxy.logs import Part, log_event
+from turmericproxy.platform import Committed, Condition, PlatformClient, Row, Transaction, Write
+
+RETENTION_SECONDS = 24 * 3600.0
+PAGE_ROWS = 1000
+PAGE_INTERVAL_SECONDS = 30.0
+FULL_PAGE_INTERVAL_SECONDS = 1.0
+
+
+def list_expired(rows: Sequence[Row], now: float, retention: float) -> tuple[Row, ...]:
+    """Return the rows that were last written more than ``retention`` seconds ago."""
+    return tuple(row for row in rows if now - read_record(row.value).written > retention)
+
+
+def create_groups(rows: Sequence[Row]) -> tuple[Sequence[Row], ...]:
+    """Return the rows in groups that one transaction may hold."""
+    return tuple(rows[start : start + MOST_ROWS] for start in range(0, len(rows), MOST_ROWS))
+
+
+def create_deletion(rows: Sequence[Row]) -> Transaction:
+    """Return the transaction that deletes the rows unless one of them changes first."""
+    return Transaction(
+        tuple(Condition(TABLE, row.key, row.version) for row in rows),
+        tuple(Write(TABLE, row.key, delete=True) for row in rows),
+    )
+
+
+class Sweeper:
+    """Look at one page of the table at a time, from a random place.
+
+    All hosts sweep without an agreement: keys are digests, so that random places cover the table
+    evenly, and a row that two hosts delete conflicts harmlessly.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        retention: float = RETENTION_SECONDS,
+        interval: float = PAGE_INTERVAL_SECONDS,
+        draw: Callable[[int], bytes] = random.randbytes,
+    ) -> None:
+        self._platform = platform
+        self._retention = retention
+        self._interval = interval
+        self._draw = draw
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="booking-sweep", daemon=True)
+
+    def start(self) -> None:
+        """Start sweeping."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop sweeping."""
+        self._stopped.set()
+        self._thread.join(timeout=5)
+
+    def sweep_page(self) -> int:
+        """Delete what has expired on one page, and return how many rows that were."""
+        after = self._draw(ROW_KEY_BYTES).hex()
+        rows = self._platform.list_rows(TABLE, after=after, limit=PAGE_ROWS)
+        if isinstance(rows, Refusal):
+            return 0
+        expired = list_expired(rows, time.time(), self._retention)
+        deleted = sum(self._delete_rows(group) for group in create_groups(expired))
+        if deleted:
+            log_event(Part.BOOKINGS, "expired bookings were deleted", rows=deleted)
+        return deleted
+
+    def _delete_rows(self, rows: Sequence[Row]) -> int:
+        if not isinstance(self._platform.commit(create_deletion(rows)), Committed):
+            return 0
+        for row in rows:
+            if body_object := read_record(row.value).body_object:
+                self._platform.delete_object(body_object)
+        return len(rows)
+
+    def _run(self) -> None:
+        interval = self._interval
+        while not self._stopped.wait(interval * random.uniform(0.5, 1.5)):
+            is_full = self.sweep_page() > PAGE_ROWS / 2
+            interval = min(FULL_PAGE_INTERVAL_SECONDS, interval) if is_full else self._interval
--- a/turmericproxy/bookings/settlement.py
+++ b/turmericproxy/bookings/settlement.py
@@ -5,6 +5,7 @@
 import logging
 import threading
 import time
+from dataclasses import replace
 
 from turmericproxy.bookings.batch import TABLE, Batcher, Written
 from turmericproxy.bookings.claims import (
@@ -14,6 +15,7 @@
     read_record,
     settle_claim,
 )
+from turmericproxy.bookings.outcomes import store_body
 from turmericproxy.core import Refusal
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import PlatformClient, Row
@@ -107,8 +109,11 @@
         if write is None:
             self._report_lost(settlement, stored)
             return True
-        result = self._batcher.submit(write, WRITE_TIMEOUT_SECONDS)
-        return isinstance(result, Written)
+        record = store_body(self._platform, write.record)
+        if record is None:
+            return False
+        write = replace(write, record=record)
+        return isinstance(self._batcher.submit(write, WRITE_TIMEOUT_SECONDS), Written)
 
     def _report_lost(self, settlement: Settlement, stored: StoredClaim | None) -> None:
         record = settlement.record
--- a/turmericproxy/platform/client.py
+++ b/turmericproxy/platform/client.py
@@ -94,6 +94,11 @@
             return answer
         return None if answer[0] == 404 else bytes(answer[1])
 
+    def delete_object(self, name: str) -> None | AnswerLost | Refusal:
+        """Remove an object if it is there."""
+        answer = self._call("DELETE", f"/v1/objects/{quote(name)}")
+        return answer if isinstance(answer, AnswerLost | Refusal) else None
+
     def list_hosts(self) -> HostList | Refusal:
         """Return the hosts that the platform lists."""
         answer = self._call("GET", "/v1/hosts")
--- a/turmericproxy/standins/platform.py
+++ b/turmericproxy/standins/platform.py
@@ -71,7 +71,7 @@
         self._weights_limit = RateLimit(weight_reads)
         self._faults = PlatformFaults()
         self._random = random.Random(seed)
-        self._counts = {"reads": 0, "writes": 0, "refused": 0, "lost": 0}
+        self._counts = {"reads": 0, "writes": 0, "refused": 0, "lost": 0, "late": 0}
         self._lock = threading.Lock()
         self._server = HttpServer(address, self._handle, threads=48)
 
@@ -136,8 +136,7 @@
         conditions = transaction.get("conditions", [])
         writes = transaction["writes"]
         if self._take_one("late_next"):
-            apply = self._tables.apply_transaction
-            timer = threading.Timer(self._faults.late, apply, (conditions, writes))
+            timer = threading.Timer(self._faults.late, self._commit_late, (conditions, writes))
             timer.daemon = True
             timer.start()
             return _drop_connection(request)
@@ -146,6 +145,10 @@
             return create_json_response(409, {"committed": False, "failed": list(result.failed)})
         return create_json_response(200, {"committed": True, "versions": result.versions})
 
+    def _commit_late(self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]]) -> None:
+        self._tables.apply_transaction(conditions, writes)
+        self._count("late")
+
     def _read_table(self, request: HttpRequest, path: str) -> HttpResponse:
         table, _, rest = path.partition("/")
         key = rest.removeprefix("rows").removeprefix("/")
