--- a/specifications/buckets.py
+++ b/specifications/buckets.py
@@ -9,12 +9,11 @@
 The second system has one bucket and one debit from it, with an interval that begins at any time.
 """
 
-from dataclasses import dataclass, replace
 from typing import Any
 
 import z3
 
-from specifications.search import Predicate, State, Step, TransitionSystem
+from specifications.search import State, Step, TransitionSystem
 
 LEASE = 2
 REGRANT_AFTER = 2 * LEASE
@@ -32,9 +31,7 @@
 def count_spenders(s: State) -> z3.ArithRef:
     """Return how many processes may spend the share now."""
     return (
-        z3.If(can_first_spend(s), 1, 0)
-        + z3.If(can_second_spend(s), 1, 0)
-        + z3.If(s["has_c"], 1, 0)
+        z3.If(can_first_spend(s), 1, 0) + z3.If(can_second_spend(s), 1, 0) + z3.If(s["has_c"], 1, 0)
     )
 
 
@@ -228,9 +225,7 @@
                 "standing": z3.If(
                     s["mark_version"] == s["version"], z3.IntVal(LOST), s["standing"]
                 ),
-                "version": z3.If(
-                    s["mark_version"] == s["version"], s["version"] + 1, s["version"]
-                ),
+                "version": z3.If(s["mark_version"] == s["version"], s["version"] + 1, s["version"]),
             },
         ),
         "set_watch": Step(
@@ -275,9 +270,7 @@
 
 def may_apply_regrant(s: State) -> z3.BoolRef:
     """Return whether the platform lets the write take effect."""
-    return z3.And(
-        s["regrant_sent"], s["holder"] == OF_A, s["version"] == s["regrant_version"]
-    )
+    return z3.And(s["regrant_sent"], s["holder"] == OF_A, s["version"] == s["regrant_version"])
 
 
 def _apply_regrant(_: State) -> dict[str, Any]:
@@ -353,9 +346,7 @@
     """Return whether lease 1 ends by then, also by answers that are still under way."""
     return z3.And(
         s["lease_1"] <= end,
-        z3.Implies(
-            z3.And(s["read"] == ANSWERED, s["read_open"]), s["read_sent"] + LEASE <= end
-        ),
+        z3.Implies(z3.And(s["read"] == ANSWERED, s["read_open"]), s["read_sent"] + LEASE <= end),
         z3.Implies(
             z3.And(s["asked"] == ANSWERED, s["asked_granted"]), s["asked_sent"] + LEASE <= end
         ),
--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -19,20 +19,16 @@
 )
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.rates.bucket import MICRO
-from turmericproxy.rates.debits import DebitDesk, GrantPart
-from turmericproxy.rates.holdings import Holdings
-from turmericproxy.rates.host_keeper import HostKeeper, Links
+from turmericproxy.rates.context import Links
+from turmericproxy.rates.debits import GrantPart
+from turmericproxy.rates.keepers import create_keepers
 from turmericproxy.rates.ledger import LedgerRow, Member, create_limit
-from turmericproxy.rates.ledger_keeper import LedgerKeeper
-from turmericproxy.rates.regrant_keeper import RegrantKeeper
-from turmericproxy.rates.table import Platform, RateTable
-from turmericproxy.rates.tenure import LEASE_SHARE, Guardian
+from turmericproxy.rates.table import Platform
 from turmericproxy.settings.schema import RateSettings
 
 LEDGER_STEP_SECONDS = 0.5
 TICK_SECONDS = 0.1
 OVERTAKEN_SECONDS = 0.05
-PAUSE_SHARE = 0.5
 LEAST_RETRY_SECONDS = 0.05
 
 
@@ -79,40 +75,15 @@
         domain: DomainName,
         incarnation: Incarnation,
     ) -> None:
-        self._links = links
         self._configuration = configuration
         self._settings = settings
-        self._member = member = Member(host, domain)
-        lease = settings.regrant_after * LEASE_SHARE
-        self._holdings = holdings = Holdings(pause_limit=lease * PAUSE_SHARE)
-        table = RateTable(platform)
-        self._host_keeper = HostKeeper(
-            table, links, holdings, member, incarnation, settings.regrant_after
-        )
-        self._ledger_keeper = LedgerKeeper(
-            platform,
-            table,
-            links,
-            holdings,
-            self._host_keeper,
-            member,
-            configuration.snapshot,
-            settings.debit_timeout,
-            lease,
-        )
-        self._host_keeper.reload = self._ledger_keeper.reload
-        self._regrant_keeper = RegrantKeeper(
-            platform,
-            table,
-            links,
-            holdings,
-            self._host_keeper,
-            self._ledger_keeper,
-            member,
-            Guardian(host, incarnation),
-            settings.regrant_after,
+        self._member = Member(host, domain)
+        self._links = links
+        self._keepers = keepers = create_keepers(
+            platform, links, configuration.snapshot, settings, self._member, incarnation
         )
-        self._desk = DebitDesk(links, holdings, member)
+        self._holdings = keepers.holdings
+        self._desk = keepers.desk
         self._closing = threading.Event()
         self._wake = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -132,7 +103,7 @@
     def close(self) -> None:
         """Stop spending and leave the levels of the buckets to the next incarnation."""
         self.stop_threads()
-        self._host_keeper.close()
+        self._keepers.host.close()
         self._desk.close()
 
     def stop_threads(self) -> None:
@@ -156,8 +127,8 @@
         local = self._holdings.take(account, amount, least=amount)
         if local.amount:
             return Grant(account, tokens, (GrantPart(self._member.host, local.id, amount),))
-        row = self._ledger_keeper.find_row(account)
-        row = row or self._ledger_keeper.fetch_from_peers(account)
+        row = self._keepers.ledger.find_row(account)
+        row = row or self._keepers.ledger.fetch_from_peers(account)
         if row is None:
             return refuse(
                 ResultCode.RATE_EXCEEDED,
@@ -226,9 +197,9 @@
 
     def _run_host(self) -> None:
         while not self._closing.is_set():
-            self._host_keeper.step()
+            self._keepers.host.step()
             self._closing.wait(
-                self._host_keeper.renewal_interval
+                self._keepers.host.renewal_interval
                 if self._holdings.is_open()
                 else LEDGER_STEP_SECONDS / 2
             )
@@ -238,7 +209,7 @@
         while not self._closing.is_set():
             self._wake.wait(wait)
             self._wake.clear()
-            is_due = self._ledger_keeper.step()
+            is_due = self._keepers.ledger.step()
             wait = random.uniform(0, OVERTAKEN_SECONDS) if is_due else LEDGER_STEP_SECONDS
-            self._regrant_keeper.step()
+            self._keepers.regrant.step()
             self._holdings.forget_old_spends()
--- a/turmericproxy/rates/debits.py
+++ b/turmericproxy/rates/debits.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from turmericproxy.core import AccountName, DomainName, HostName, read_boottime
-from turmericproxy.rates.holdings import Holdings, Taken
-from turmericproxy.rates.host_keeper import Links
-from turmericproxy.rates.ledger import Member, Share
+from turmericproxy.core import AccountName, DomainName, HostName
+from turmericproxy.rates.context import RateContext
+from turmericproxy.rates.holdings import Taken
+from turmericproxy.rates.ledger import Share
 
 DEBIT_KIND = "rates.debit"
 GIVE_BACK_KIND = "rates.give_back"
@@ -83,18 +83,19 @@
 class DebitDesk:
     """Answer the debits of other hosts and send those of this one."""
 
-    def __init__(self, links: Links, holdings: Holdings, member: Member) -> None:
-        self._links = links
-        self._holdings = holdings
-        self._member = member
+    def __init__(self, context: RateContext) -> None:
+        self._links = context.links
+        self._holdings = context.holdings
+        self._member = context.member
+        self._read_clock = context.read_clock
         self._workers = ThreadPoolExecutor(DEBIT_WORKERS, thread_name_prefix="debit")
         self._estimates: dict[tuple[AccountName, HostName], Estimate] = {}
-        links.register(DEBIT_KIND, self._handle_debit)
-        links.register(GIVE_BACK_KIND, self._handle_give_back)
+        context.links.register(DEBIT_KIND, self._handle_debit)
+        context.links.register(GIVE_BACK_KIND, self._handle_give_back)
 
     def estimate_levels(self, account: AccountName, shares: Iterable[Share]) -> dict[HostName, int]:
         """Return the most micro-tokens that each share's bucket can have by now."""
-        now = read_boottime()
+        now = self._read_clock()
         levels = {}
         for share in shares:
             known = self._estimates.get((account, share.host))
@@ -109,14 +110,14 @@
 
         Answers that come later than ``flight`` seconds after the first debit count for nothing.
         """
-        started = read_boottime()
+        started = self._read_clock()
         parts: tuple[GrantPart, ...] = ()
         asked: set[HostName] = set()
         while need > 0:
             left = [share for share in shares if share.host not in asked]
             levels = self.estimate_levels(account, left)
             requests = plan_debits(levels, order_holders(left, self._member.domain, levels), need)
-            remaining = started + flight - read_boottime()
+            remaining = started + flight - self._read_clock()
             if not requests or remaining <= 0:
                 break
             found = self._ask(account, requests, remaining)
@@ -154,13 +155,13 @@
 
     def _ask_one(self, account: AccountName, request: Request, timeout: float) -> GrantPart | None:
         body = {"account": account, "amount": request.amount}
-        asked_at = read_boottime()
+        asked_at = self._read_clock()
         reply = self._links.call(request.host, DEBIT_KIND, body, timeout)
         if not isinstance(reply, dict):
             return None
         estimate = Estimate(reply["level"], reply["rate"], reply["depth"], asked_at)
         self._estimates[(account, request.host)] = estimate
-        if read_boottime() - asked_at > timeout:
+        if self._read_clock() - asked_at > timeout:
             self._links.send(
                 request.host, GIVE_BACK_KIND, {"id": reply["id"], "unused": reply["amount"]}
             )
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -3,41 +3,20 @@
 import threading
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import Any, Protocol
+from typing import Any
 
-from turmericproxy.core import HostName, Incarnation, Refusal, read_boottime
+from turmericproxy.core import HostName, Incarnation, Refusal
 from turmericproxy.logs import Part, log_event
-from turmericproxy.peers import PeerState
 from turmericproxy.platform import AnswerLost, Committed
 from turmericproxy.rates import tenure
-from turmericproxy.rates.holdings import Holdings
-from turmericproxy.rates.ledger import Member
-from turmericproxy.rates.table import RateTable, Versioned, get_host_version
+from turmericproxy.rates.context import Links, RateContext
+from turmericproxy.rates.table import Versioned, get_host_version
 from turmericproxy.rates.tenure import Guardian, HostRow, Lease, Standing, Watch
 
 PROMISE_KIND = "rates.promise"
 RENEWALS_PER_LEASE = 5
 
 
-class Links(Protocol):
-    """Name the calls to other hosts that the rates need."""
-
-    def register(self, kind: str, handler: Callable[[HostName, Any], Any]) -> None:
-        """Call a handler for each frame of a kind."""
-
-    def call(self, host: HostName, kind: str, body: Any, timeout: float | None = None) -> Any:
-        """Return the reply of another host, or a refusal."""
-
-    def send(self, host: HostName, kind: str, body: Any) -> bool:
-        """Send without waiting."""
-
-    def broadcast(self, kind: str, body: Any) -> int:
-        """Send to every linked host."""
-
-    def list_reachable(self) -> tuple[PeerState, ...]:
-        """Return the hosts that answer."""
-
-
 class HostKeeper:
     """Write this host's row, renew its lease, and answer the hosts that it guards.
 
@@ -45,30 +24,24 @@
     before it has.
     """
 
-    def __init__(
-        self,
-        table: RateTable,
-        links: Links,
-        holdings: Holdings,
-        member: Member,
-        incarnation: Incarnation,
-        regrant_after: float,
-    ) -> None:
-        self._table = table
-        self._links = links
-        self._holdings = holdings
-        self._member = member
-        self._me = Guardian(member.host, incarnation)
-        self._regrant_after = regrant_after
+    def __init__(self, context: RateContext) -> None:
+        self._table = context.table
+        self._links: Links = context.links
+        self._holdings = context.holdings
+        self._member = context.member
+        self._me = context.process
+        self._regrant_after = context.settings.regrant_after
+        self._read_clock = context.read_clock
         self._lock = threading.Lock()
         self._own: Versioned[HostRow] | None = None
         self._unsettled: int | None = None
         self._ready_at = 0.0
+        self._wait = 0.0
         self._watches: dict[HostName, Watch] = {}
         self._guarded: dict[HostName, Incarnation] = {}
         self.levels: dict[str, int] = {}
         self.reload: Callable[[], bool] = lambda: True
-        links.register(PROMISE_KIND, self._handle_promise)
+        context.links.register(PROMISE_KIND, self._handle_promise)
 
     @property
     def renewal_interval(self) -> float:
@@ -85,7 +58,7 @@
         if self._own is None:
             self._take_over()
             return
-        now = read_boottime()
+        now = self._read_clock()
         if now < self._ready_at:
             return
         if not self._renew_by_guardian(self._own.row):
@@ -114,12 +87,12 @@
         if own.row.guardian and self._wait:
             # From now on the guardian promises nothing to the earlier incarnation.
             self._ask_promise(own.row.guardian, is_new=True)
-        self._ready_at = read_boottime() + self._wait
+        self._ready_at = self._read_clock() + self._wait
         log_event(Part.RATES, "host row taken over", wait=self._wait, levels=len(self.levels))
 
     def _renew_by_guardian(self, own: HostRow) -> bool:
         lease = self._holdings.read_lease()
-        asked_at = read_boottime()
+        asked_at = self._read_clock()
         if self._unsettled is not None or not tenure.is_held(lease, asked_at):
             return False
         if own.guardian is None or not self._ask_promise(own.guardian, is_new=False):
@@ -137,7 +110,7 @@
         return bool(reply["promised"]) and reply["incarnation"] == guardian.incarnation
 
     def _renew_by_platform(self) -> None:
-        asked_at = read_boottime()
+        asked_at = self._read_clock()
         read = self._table.read_host(self._member.host)
         own = self._own
         if isinstance(read, Refusal):
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -1,22 +1,19 @@
 """Keep the splits of the client accounts in line with the configuration."""
 
 import threading
-from collections.abc import Callable
 from typing import Any
 
-from turmericproxy.configuration import Kind, Snapshot
-from turmericproxy.core import AccountName, HostName, Refusal, read_boottime
+from turmericproxy.configuration import Kind
+from turmericproxy.core import AccountName, HostName, Refusal
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.platform import AnswerLost, Committed, Conflict, HostState
 from turmericproxy.rates import ledger
-from turmericproxy.rates.holdings import Holdings
-from turmericproxy.rates.host_keeper import HostKeeper, Links
+from turmericproxy.rates.context import RateContext
+from turmericproxy.rates.host_keeper import HostKeeper
 from turmericproxy.rates.ledger import LedgerRow, Limit, Member, Share
 from turmericproxy.rates.table import (
     ROW_CONDITION,
     Outcome,
-    Platform,
-    RateTable,
     Versioned,
     get_account_version,
 )
@@ -29,36 +26,26 @@
 class LedgerKeeper:
     """Create, read and adjust the rows of the client accounts, and size the buckets by them."""
 
-    def __init__(
-        self,
-        platform: Platform,
-        table: RateTable,
-        links: Links,
-        holdings: Holdings,
-        host_keeper: HostKeeper,
-        member: Member,
-        read_snapshot: Callable[[], Snapshot],
-        debit_timeout: float,
-        settle_after: float,
-    ) -> None:
-        self._platform = platform
-        self._table = table
-        self._links = links
-        self._holdings = holdings
+    def __init__(self, context: RateContext, host_keeper: HostKeeper) -> None:
+        self._platform = context.platform
+        self._table = context.table
+        self._links = context.links
+        self._holdings = context.holdings
         self._host_keeper = host_keeper
-        self._member = member
-        self._read_snapshot = read_snapshot
-        self._debit_timeout = debit_timeout
-        self._settle_after = settle_after
+        self._member = context.member
+        self._read_snapshot = context.read_snapshot
+        self._read_clock = context.read_clock
+        self._debit_timeout = context.settings.debit_timeout
+        self._settle_after = context.lease
         self._lock = threading.Lock()
         self._rows: dict[AccountName, Versioned[LedgerRow]] = {}
         self._unsettled: dict[AccountName, int | None] = {}
         self._stale: set[AccountName] = set()
         self._last_seen: dict[HostName, float] = {}
         self._is_overtaken = False
-        self._started_at = read_boottime()
-        links.register(ROW_KIND, self._handle_row)
-        links.register(CHANGED_KIND, self._handle_changed)
+        self._started_at = self._read_clock()
+        context.links.register(ROW_KIND, self._handle_row)
+        context.links.register(CHANGED_KIND, self._handle_changed)
 
     def find_row(self, account: AccountName) -> LedgerRow | None:
         """Return the split of a client account as last seen, asking peers if it is unknown."""
@@ -102,7 +89,7 @@
         if own is None or not self._holdings.is_open():
             return False
         self._is_overtaken = False
-        now = read_boottime()
+        now = self._read_clock()
         for peer in self._links.list_reachable():
             self._last_seen[peer.host] = now
         snapshot = self._read_snapshot()
@@ -244,7 +231,7 @@
             self._holdings.install(new.account, rate, depth)
 
     def _find_silent(self, row: LedgerRow) -> frozenset[HostName]:
-        oldest = read_boottime() - self._settle_after
+        oldest = self._read_clock() - self._settle_after
         return frozenset(
             share.host
             for share in row.shares
--- a/turmericproxy/rates/regrant_keeper.py
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -2,42 +2,34 @@
 
 import logging
 
-from turmericproxy.core import DomainName, HostName, Refusal, read_boottime
+from turmericproxy.core import DomainName, HostName, Refusal
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.platform import AnswerLost, Committed, HostList, HostState
 from turmericproxy.rates import tenure
-from turmericproxy.rates.holdings import Holdings
-from turmericproxy.rates.host_keeper import HostKeeper, Links
-from turmericproxy.rates.ledger import Member, regrant
+from turmericproxy.rates.context import RateContext
+from turmericproxy.rates.host_keeper import HostKeeper
+from turmericproxy.rates.ledger import regrant
 from turmericproxy.rates.ledger_keeper import LedgerKeeper
-from turmericproxy.rates.table import Platform, RateTable, Versioned, get_host_version
-from turmericproxy.rates.tenure import Guardian, HostRow, Standing, Watch
+from turmericproxy.rates.table import Versioned, get_host_version
+from turmericproxy.rates.tenure import HostRow, Standing, Watch
 
 
 class RegrantKeeper:
     """Mark hosts that the platform lists as gone, wait, and take their shares over, empty."""
 
     def __init__(
-        self,
-        platform: Platform,
-        table: RateTable,
-        links: Links,
-        holdings: Holdings,
-        host_keeper: HostKeeper,
-        ledger_keeper: LedgerKeeper,
-        member: Member,
-        me: Guardian,
-        regrant_after: float,
+        self, context: RateContext, host_keeper: HostKeeper, ledger_keeper: LedgerKeeper
     ) -> None:
-        self._platform = platform
-        self._table = table
-        self._links = links
-        self._holdings = holdings
+        self._platform = context.platform
+        self._table = context.table
+        self._links = context.links
+        self._holdings = context.holdings
+        self._member = context.member
+        self._me = context.process
+        self._regrant_after = context.settings.regrant_after
+        self._read_clock = context.read_clock
         self._host_keeper = host_keeper
         self._ledger_keeper = ledger_keeper
-        self._member = member
-        self._me = me
-        self._regrant_after = regrant_after
         self._watched: set[HostName] = set()
         self._absent_since: dict[HostName, float] = {}
 
@@ -63,7 +55,7 @@
         rows = self._table.list_hosts()
         if isinstance(rows, Refusal):
             return set()
-        now = read_boottime()
+        now = self._read_clock()
         absent = {
             r.row.host
             for r in rows
@@ -92,12 +84,12 @@
         assert read.version is not None
         self._watched.add(host)
         # No promise after this line, not even if the answer to the write is lost.
-        self._host_keeper.set_watch(host, Watch(read.version, read_boottime()))
+        self._host_keeper.set_watch(host, Watch(read.version, self._read_clock()))
         marked = tenure.mark_lost(read.row, self._member.host)
         outcome = self._table.commit_host(marked, read)
         if isinstance(outcome, Committed):
             version = get_host_version(outcome, host)
-            self._host_keeper.set_watch(host, Watch(version, read_boottime()))
+            self._host_keeper.set_watch(host, Watch(version, self._read_clock()))
             log_decision(Part.RATES, "lost host marked", host_lost=host)
         elif not isinstance(outcome, AnswerLost):
             log_event(Part.RATES, "marking a lost host failed", level=logging.WARNING, peer=host)
@@ -107,9 +99,9 @@
         assert read.version is not None
         if watch is None or watch.version != read.version:
             self._watched.add(host)
-            self._host_keeper.set_watch(host, Watch(read.version, read_boottime()))
+            self._host_keeper.set_watch(host, Watch(read.version, self._read_clock()))
             return
-        now = read_boottime()
+        now = self._read_clock()
         if not tenure.may_regrant(
             read.row, read.version, watch, self._member.host, now, self._regrant_after
         ):
