Prove the whole path through real processes

Seen to fail first: without the claim filter the repeat runs a second time; with unknown keys let through the refusal is another one (the key check before the engine still holds).

--- /dev/null
+++ b/features/steps/clusters.py
@@ -0,0 +1,8 @@
+"""Start clusters for scenarios."""
+
+from behave import given
+
+
+@given("a {plan} cluster")
+def use_cluster(context, plan):
+    context.cluster = context.pool.get(plan)
--- /dev/null
+++ b/features/support/clusters.py
@@ -0,0 +1,75 @@
+"""Start the clusters that scenarios ask for by name, and share them within a feature."""
+
+from collections.abc import Callable
+
+from turmericproxy.bench.cluster import Cluster, start_cluster
+from turmericproxy.bench.plan import (
+    AccountPlan,
+    ClusterPlan,
+    EnginePlan,
+    HostPlan,
+    RoutePlan,
+    ServicePlan,
+    create_small_plan,
+)
+
+QUICK_SETTINGS = {
+    "upstreams": {"connect_timeout": 0.5, "first_byte_timeout": 2.0, "idle_timeout": 1.2},
+    "links": {"heartbeat": 0.2, "silence": 1.0, "call_timeout": 0.3},
+}
+ACCOUNTS = (AccountPlan("afinaciones"), AccountPlan("satnica"))
+
+
+def create_routed_plan(**changes: object) -> ClusterPlan:
+    """Return two hosts, three engines and two services, with short deadlines."""
+    engines = tuple(
+        EnginePlan(name, domain, options={"record_bodies": True, "capacity_blocks": 64})
+        for name, domain in (("engine-1", "north"), ("engine-2", "north"), ("engine-3", "south"))
+    )
+    return create_small_plan(
+        hosts=(
+            HostPlan("host-a", "north", QUICK_SETTINGS),
+            HostPlan("host-b", "south", QUICK_SETTINGS),
+        ),
+        engines=engines,
+        services=(ServicePlan("booking-1", "north"), ServicePlan("booking-2", "south")),
+        accounts=ACCOUNTS,
+        routes=(
+            RoutePlan("bookings", ("booking-1",), {"timeout": 1.0}),
+            RoutePlan("visits", ("booking-1", "booking-2"), {"timeout": 1.0, "repeatable": True}),
+        ),
+        **changes,
+    )
+
+
+PLANS: dict[str, Callable[[], ClusterPlan]] = {
+    "small": create_small_plan,
+    "quick": create_routed_plan,
+    "relayed": lambda: create_routed_plan(relays=True),
+}
+
+
+class ClusterPool:
+    """Own the clusters of one feature."""
+
+    def __init__(self) -> None:
+        self._clusters: dict[str, Cluster] = {}
+
+    def get(self, name: str) -> Cluster:
+        """Return the cluster of a named plan, started on first use."""
+        if name not in self._clusters:
+            self._clusters[name] = start_cluster(PLANS[name]())
+        return self._clusters[name]
+
+    def print_logs(self) -> None:
+        """Print the end of every log."""
+        for cluster in self._clusters.values():
+            for path in sorted(cluster.folder.glob("*.log")):
+                tail = path.read_text(errors="replace")[-1500:]
+                print(f"--- {path.name}\n{tail}")
+
+    def close(self) -> None:
+        """End all clusters."""
+        for cluster in self._clusters.values():
+            cluster.close()
+        self._clusters = {}
