--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -7,7 +7,7 @@
 
 from turmericproxy.bookings import ClaimController
 from turmericproxy.callers.calls import Call, ChatCall, PlainCall
-from turmericproxy.callers.chat import ChatParts, ChatRelay
+from turmericproxy.callers.chat import ChatRelay
 from turmericproxy.callers.clients import UpstreamClients
 from turmericproxy.callers.exchange import Answer, Exchange, call_when_sent, compose_chain
 from turmericproxy.callers.filters import (
@@ -20,6 +20,7 @@
 )
 from turmericproxy.callers.plain import PlainParts, PlainRelay
 from turmericproxy.callers.refusals import create_refusal_response
+from turmericproxy.callers.streams import ChatParts
 from turmericproxy.configuration.controller import ConfigurationController
 from turmericproxy.core import Refusal, RequestId, ResultCode, RunState, create_id, read_boottime
 from turmericproxy.core.results import refuse
@@ -27,11 +28,14 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.rates import RateController
-from turmericproxy.routing import FairQueue, Selector
+from turmericproxy.routing import FairQueue, RetryBudget, Selector
 from turmericproxy.settings import HostSettings
 from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
 
 DRAIN_POLL_SECONDS = 0.02
+DRAIN_RETRY_SECONDS = 1.0
+RETRIES_PER_REQUEST = 0.2
+RETRY_RESERVE = 100.0
 
 
 @dataclass(frozen=True)
@@ -54,11 +58,19 @@
         self._settings = settings
         self._metrics = parts.metrics
         self._clients = UpstreamClients(settings.upstreams)
+        budget = RetryBudget(RETRIES_PER_REQUEST, RETRY_RESERVE)
         self._chat = ChatRelay(
-            ChatParts(parts.selector, parts.keys, self._clients, parts.metrics, settings.upstreams)
+            ChatParts(
+                parts.selector,
+                parts.keys,
+                self._clients,
+                budget,
+                parts.metrics,
+                settings.upstreams,
+            )
         )
         self._plain = PlainRelay(
-            PlainParts(parts.selector, parts.keys, self._clients, parts.metrics)
+            PlainParts(parts.selector, parts.keys, self._clients, budget, parts.metrics)
         )
         self._chain = compose_chain(
             (
@@ -77,16 +89,21 @@
             timeout=max(1, round(settings.limits.header_timeout)),
         )
         self._is_draining = False
+        self._is_refusing = False
 
     def start(self) -> None:
         """Listen for callers."""
         self._server.start()
 
     def drain(self) -> bool:
-        """Report not ready, let every request finish, and return whether all did in time."""
+        """Report not ready, let every request finish, and return whether all did in time.
+
+        New requests are served until the grace has passed, then refused as not run.
+        """
         self._is_draining = True
         log_event(Part.CALLERS, "draining", in_flight=self._server.active)
         time.sleep(self._settings.shutdown.grace)
+        self._is_refusing = True
         deadline = read_boottime() + self._settings.shutdown.drain_timeout
         while self._server.active and read_boottime() < deadline:
             time.sleep(DRAIN_POLL_SECONDS)
@@ -116,6 +133,9 @@
         return self._finish_answer(exchange, answer)
 
     def _run_chain(self, exchange: Exchange) -> Answer:
+        if self._is_refusing:
+            reason = "the host is shutting down"
+            return refuse(ResultCode.DRAINING, reason, retry_after=DRAIN_RETRY_SECONDS)
         try:
             return self._chain(exchange)
         except Exception as error:  # the caller gets an answer whatever fails here
--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -9,10 +9,10 @@
 from turmericproxy.callers.clients import UpstreamClients
 from turmericproxy.callers.exchange import Answer, Exchange
 from turmericproxy.callers.secrets import HOP_BY_HOP, select_headers
-from turmericproxy.core import Refusal, ResultCode, RunState, UpstreamName, refuse
+from turmericproxy.core import Refusal, ResultCode, RunState, UpstreamName, read_boottime, refuse
 from turmericproxy.keys import KeyController
 from turmericproxy.metrics import Metrics
-from turmericproxy.routing import FinishKind, Selector, UpstreamChoice
+from turmericproxy.routing import FinishKind, RetryBudget, Selector, UpstreamChoice
 from turmericproxy.web import CallFailure, HttpResponse
 
 MAXIMUM_ATTEMPTS = 3
@@ -27,6 +27,7 @@
     selector: Selector
     keys: KeyController
     clients: UpstreamClients
+    budget: RetryBudget
     metrics: Metrics
 
 
@@ -52,17 +53,20 @@
     def __call__(self, exchange: Exchange) -> Answer:
         call = exchange.call
         assert isinstance(call, PlainCall)
+        self._parts.budget.record_request()
         excluded: frozenset[UpstreamName] = frozenset()
         failure: _Failure | None = None
         for _ in range(MAXIMUM_ATTEMPTS):
             choice = self._choose_upstream(exchange, call, excluded)
             if isinstance(choice, Refusal):
                 return choice if failure is None else _refuse_failed(failure)
+            if failure is not None and not self._parts.budget.take():
+                break
             answer = self._run_attempt(exchange, call, choice)
             if isinstance(answer, HttpResponse):
                 exchange.usage.tokens = call.cost
                 return answer
-            self._parts.metrics.count("attempt_failures", kind="plain")
+            self._parts.metrics.count("attempt_failures", kind=answer.kind.value)
             if not answer.is_unsent and not call.is_repeatable:
                 exchange.usage.tokens = call.cost
                 return refuse(ResultCode.OUTCOME_UNKNOWN, answer.reason, RunState.UNKNOWN)
@@ -75,6 +79,9 @@
         self, exchange: Exchange, call: PlainCall, excluded: frozenset[UpstreamName]
     ) -> UpstreamChoice | Refusal:
         refusal = self._parts.keys.check(exchange.identity) if exchange.identity else None
+        if refusal is None and read_boottime() > exchange.deadline:
+            # The process may have been paused for longer than the claim of the call is kept.
+            refusal = refuse(ResultCode.REQUEST_TIMEOUT, "the call was not sent in time")
         return refusal or self._parts.selector.choose_upstream(call.route, excluded)
 
     def _run_attempt(
