Give a repeat over the rate the outcome of its first call

Cause: a repeat of a booking that had run was refused by the rate with run 'not_run', which reads as if the booking had not run. Ruled out: a claim before admission, which costs two writes for every refused call; one read is enough. Conclusion: repeats are told the truth about their key, at a read for each refused repeat.

--- a/turmericproxy/bookings/controller.py
+++ b/turmericproxy/bookings/controller.py
@@ -129,6 +129,18 @@
             self._give_up_claim(attempt)
         return result
 
+    def look_up(
+        self, account: AccountName, key: str, body_digest: str
+    ) -> StoredOutcome | Refusal | None:
+        """Return what an earlier request with this idempotency key came to.
+
+        Returns ``None`` if none ran or the platform can't tell.
+        """
+        stored = read_stored(self._platform, create_row_key(account, key))
+        if stored is None or isinstance(stored, Refusal) or is_claimable(stored):
+            return None
+        return self._answer_repeat(body_digest, stored)
+
     def record_dispatch(self, claim: Claim) -> None:
         """Record that request bytes may have been sent: from now on no release is possible."""
         with self._lock:
@@ -196,17 +208,17 @@
                 if claim := confirm_claim(attempt.row_key, read, attempt.record.attempt):
                     return claim
                 if read is not None and not is_claimable(read):
-                    return self._answer_repeat(attempt, read)
+                    return self._answer_repeat(attempt.record.body_digest, read)
                 stored = read
         return _refuse_claim("the platform did not confirm the claim in time", None)
 
-    def _answer_repeat(self, attempt: "_Attempt", stored: StoredClaim) -> StoredOutcome | Refusal:
+    def _answer_repeat(self, body_digest: str, stored: StoredClaim) -> StoredOutcome | Refusal:
         record = stored.record
         if record.host == self._host:
             is_alive: bool | None = record.incarnation == self._incarnation
         else:
             is_alive = self._is_alive(record.host, record.incarnation)
-        answer = answer_repeat(stored, attempt.record.body_digest, time.time(), is_alive)
+        answer = answer_repeat(stored, body_digest, time.time(), is_alive)
         return answer if isinstance(answer, Refusal) else load_outcome(self._platform, answer)
 
     def _give_up_claim(self, attempt: "_Attempt") -> None:
--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -76,7 +76,7 @@
             (
                 IdentificationFilter(parts.configuration, parts.keys),
                 ParsingFilter(parts.configuration, parts.selector, settings.limits.body_bytes),
-                AdmissionFilter(parts.rates),
+                AdmissionFilter(parts.rates, parts.claims),
                 ClaimFilter(parts.claims),
                 QueueFilter(parts.queue),
             ),
--- a/turmericproxy/callers/filters.py
+++ b/turmericproxy/callers/filters.py
@@ -1,6 +1,7 @@
 """Decide, one filter after the other, whether and how a request goes on."""
 
 from dataclasses import replace
+from typing import TypeGuard
 
 from turmericproxy.bookings import Claim, ClaimController, Outcome, StoredOutcome
 from turmericproxy.callers.calls import Call, ChatCall, PlainCall, find_route, parse_call
@@ -69,10 +70,15 @@
 
 
 class AdmissionFilter:
-    """Charge the request to its client account and give back what it did not use."""
+    """Charge the request to its client account and give back what it did not use.
 
-    def __init__(self, rates: RateController) -> None:
+    A repeat that the rate refuses still gets the stored outcome of its first call: to say that it
+    was not run would be read as if the first call had not run either.
+    """
+
+    def __init__(self, rates: RateController, claims: ClaimController) -> None:
         self._rates = rates
+        self._claims = claims
 
     def __call__(self, exchange: Exchange, following: Next) -> Answer:
         call = get_call(exchange)
@@ -80,7 +86,7 @@
             return following(exchange)
         grant = self._rates.admit(exchange.identity.account, call.cost, exchange.deadline)
         if isinstance(grant, Refusal):
-            return grant
+            return self._find_earlier(exchange, call) or grant
 
         def settle() -> None:
             unused = max(0, grant.tokens - exchange.usage.tokens)
@@ -89,6 +95,16 @@
 
         return call_when_sent(following(exchange), settle)
 
+    def _find_earlier(self, exchange: Exchange, call: Call) -> Answer | None:
+        if not is_claimed(call):
+            return None
+        earlier = self._claims.look_up(
+            get_claim_scope(exchange, call), call.idempotency_key or "", call.body_digest
+        )
+        if isinstance(earlier, StoredOutcome):
+            return create_stored_answer(earlier.outcome)
+        return earlier
+
 
 class QueueFilter:
     """Take turns between client accounts for model requests."""
@@ -114,10 +130,10 @@
 
     def __call__(self, exchange: Exchange, following: Next) -> Answer:
         call = get_call(exchange)
-        if not isinstance(call, PlainCall) or call.is_repeatable or not call.idempotency_key:
+        if not is_claimed(call):
             return following(exchange)
         scope = get_claim_scope(exchange, call)
-        claim = self._claims.claim(scope, call.idempotency_key, call.body_digest)
+        claim = self._claims.claim(scope, call.idempotency_key or "", call.body_digest)
         if isinstance(claim, Refusal):
             return claim
         if isinstance(claim, StoredOutcome):
@@ -141,6 +157,11 @@
             self._claims.release(claim)
 
 
+def is_claimed(call: Call) -> TypeGuard[PlainCall]:
+    """Return whether a call runs under a claim: it may not be repeated and has a key."""
+    return isinstance(call, PlainCall) and not call.is_repeatable and bool(call.idempotency_key)
+
+
 def get_claim_scope(exchange: Exchange, call: PlainCall) -> AccountName:
     """Return whose idempotency keys are compared: an account's, or an open route's."""
     if exchange.identity is not None:
