Import kept blocks where that is sooner than computing them again

Exported blocks are told to peers; before a dispatch the engine imports the blocks from the first doubtful one on, if the expected time falls.

--- a/turmericproxy/routing/decisions.py
+++ b/turmericproxy/routing/decisions.py
@@ -6,7 +6,7 @@
 from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.routing.policies import Policy, select
 from turmericproxy.routing.requests import RoutingRequest
-from turmericproxy.routing.scoring import score_engine
+from turmericproxy.routing.scoring import NOTHING_KEPT, KeptChain, score_engine
 from turmericproxy.routing.views import Candidate, EngineView
 
 RETRY_AFTER = 0.5
@@ -22,11 +22,17 @@
 
 
 def decide(
-    policy: Policy, views: Sequence[EngineView], request: RoutingRequest, now: float, turn: int
+    policy: Policy,
+    views: Sequence[EngineView],
+    request: RoutingRequest,
+    now: float,
+    turn: int,
+    kept: KeptChain = NOTHING_KEPT,
 ) -> Decision | Refusal:
     """Return the engine that the policy takes, or say why none can take the request.
 
-    ``turn`` counts the host's choices, ``now`` is a boot time in seconds.
+    ``turn`` counts the host's choices, ``now`` is a boot time in seconds, and ``kept`` says
+    which blocks can be imported.
     """
     serving = [view for view in views if is_serving(view, request)]
     if not serving:
@@ -36,7 +42,7 @@
     if not free:
         reason = "every engine that serves the model has its slots taken"
         return refuse(ResultCode.OVERLOADED, reason, retry_after=RETRY_AFTER)
-    candidates = tuple(score_engine(view, request.prompt_tokens) for view in free)
+    candidates = tuple(score_engine(view, request.prompt_tokens, kept) for view in free)
     taken = select(policy, candidates, request, turn)
     left = request.deadline - now
     if taken.expected_seconds > left:
--- a/turmericproxy/routing/fleet.py
+++ b/turmericproxy/routing/fleet.py
@@ -1,5 +1,6 @@
 """Keep what a host knows of the engines, and learn from what becomes of its requests."""
 
+import math
 import threading
 from collections.abc import Callable, Sequence
 
@@ -53,6 +54,8 @@
         """Count a request that is about to be sent to its engine."""
         now = self._read_clock()
         ages = self.index.measure_ages(choice.engine, keys, now)
+        for place in choice.imports:
+            ages[place] = math.inf
         with self._lock:
             state = self._get_state(choice.engine)
             ahead = state.count_own_tokens() + state.count_other_tokens(now)
--- a/turmericproxy/routing/requests.py
+++ b/turmericproxy/routing/requests.py
@@ -73,7 +73,10 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """Name the engine chosen for an attempt, with the terms of its score in seconds."""
+    """Name the engine chosen for an attempt, with the terms of its score in seconds.
+
+    ``imports`` are the places of the blocks that the engine shall import first.
+    """
 
     request: RoutingRequest
     engine: EngineName
@@ -83,6 +86,7 @@
     cached_blocks: int
     missing_tokens: int
     priority: int
+    imports: range = range(0)
     terms: Mapping[str, float] = field(default_factory=lambda: _NO_TERMS)
 
 
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -32,6 +32,7 @@
 )
 from turmericproxy.routing.shares import AccountShares
 from turmericproxy.routing.sharing import DispatchNote, WorkSharing
+from turmericproxy.routing.transfers import Transfers
 from turmericproxy.settings.schema import RoutingSettings, UpstreamSettings
 
 
@@ -67,17 +68,25 @@
         self.fleet = Fleet(settings.index_blocks, read_clock)
         self.plain = PlainSelector(domain, host, read_clock)
         self._sharing = WorkSharing(links, self.fleet)
+        self._transfers = Transfers(
+            self._sharing.add_kept,
+            upstream_settings.connect_timeout,
+            is_used=settings.kept_cache and settings.policy == "expected_time",
+        )
+        self._sharing.follow_kept(self._transfers.kept)
         self._pollers = Pollers(self.fleet, self.plain, settings, upstream_settings)
 
     def start(self) -> None:
         """Start to poll the engines and to tell peers of dispatches."""
         self._sharing.start()
+        self._transfers.start()
         self._configuration.subscribe(self._pollers.follow)
         self._pollers.follow(self._configuration.snapshot())
 
     def close(self) -> None:
         """End the threads."""
         self._pollers.close()
+        self._transfers.close()
         self._sharing.close()
 
     def choose(self, request: RoutingRequest) -> Choice | Refusal:
@@ -90,7 +99,8 @@
             for engine in snapshot.list_engines()
             if engine.state is UpstreamState.ACTIVE and request.model in engine.models
         ]
-        decision = decide(self._policy, views, request, now, self._take_turn())
+        kept = self._transfers.describe_chain(keys)
+        decision = decide(self._policy, views, request, now, self._take_turn(), kept)
         if isinstance(decision, Refusal):
             return _log_refusal(request, decision)
         choice = _create_choice(request, decision, self._rank(snapshot, request, now))
@@ -125,7 +135,7 @@
 
     @singledispatchmethod
     def record_dispatch(self, choice: Choice | UpstreamChoice) -> None:
-        """Count a request that is about to be sent where it was chosen to go."""
+        """Count a request that is about to be sent; before, bring kept blocks to its engine."""
         raise TypeError(f"no dispatch for {type(choice).__name__}")
 
     @record_dispatch.register
@@ -136,7 +146,10 @@
         with self._lock:
             tokens = request.prompt_tokens + request.max_tokens
             self._shares.add(request.account, tokens, self._read_clock())
-        self._sharing.add(DispatchNote(choice.engine, keys, choice.cached_blocks))
+        known = choice.imports.start if choice.imports else choice.cached_blocks
+        self._sharing.add(DispatchNote(choice.engine, keys, known))
+        if choice.imports:
+            self._transfers.import_blocks(choice)
 
     @record_dispatch.register
     def _(self, choice: UpstreamChoice) -> None:
@@ -158,6 +171,8 @@
     def _(self, choice: Choice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
         self.fleet.record_finish(choice, kind, usage)
         self._sharing.mark_changed(choice.engine)
+        if kind is FinishKind.DONE:
+            self._transfers.offer(choice.engine, choice.address, choice.request.blocks)
 
     @record_finish.register
     def _(self, choice: UpstreamChoice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
@@ -185,6 +200,7 @@
     taken = decision.taken
     terms = {
         "queue": round(taken.queue_seconds, 4),
+        "import": round(taken.import_seconds, 4),
         "compute": round(taken.compute_seconds, 4),
         "distance": round(taken.view.distance, 4),
         "overhead": round(taken.view.overhead, 4),
@@ -198,6 +214,7 @@
         cached_blocks=taken.cached_blocks,
         missing_tokens=taken.missing_tokens,
         priority=priority,
+        imports=taken.imports,
         terms=terms,
     )
 
--- a/turmericproxy/routing/sharing.py
+++ b/turmericproxy/routing/sharing.py
@@ -2,13 +2,14 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import msgpack
 
 from turmericproxy.cache.index import BlockKey, PrefixIndex
+from turmericproxy.cache.kept import KeptBlocks
 from turmericproxy.core import EngineName, HostName, read_boottime
 from turmericproxy.routing.engines import PeerWork
 
@@ -78,6 +79,18 @@
         self._wake = threading.Event()
         self._closed = threading.Event()
         self._hosts = 1
+        self._exported: list[BlockKey] = []
+        self._kept = KeptBlocks(0)
+
+    def follow_kept(self, kept: KeptBlocks) -> None:
+        """Add the blocks that peers export to ``kept``."""
+        self._kept = kept
+
+    def add_kept(self, keys: Sequence[BlockKey]) -> None:
+        """Tell peers of exported blocks with the next batch."""
+        with self._lock:
+            self._exported += keys
+        self._wake.set()
 
     def start(self) -> None:
         """Start to send and receive notes."""
@@ -119,17 +132,20 @@
         for engine, known_last, new in body["dispatches"]:
             keys = self._unpack_chain(known_last, new)
             self._state.index.predict(EngineName(engine), keys, now)
+        self._kept.add(_unpack_keys(body["kept"]))
 
     def create_batch(self) -> dict[str, Any] | None:
         """Return the next batch, or ``None`` if there is nothing to tell."""
         with self._lock:
             notes, self._notes = self._notes, []
             changed, self._changed = self._changed, set()
-        if not notes and not changed:
+            exported, self._exported = self._exported, []
+        if not notes and not changed and not exported:
             return None
         return {
             "work": {engine: round(self._state.count_own_tokens(engine)) for engine in changed},
             "dispatches": [_pack_note(note) for note in notes if note.keys],
+            "kept": _pack_keys(exported),
         }
 
     def _unpack_chain(self, known_last: bytes, new: bytes) -> tuple[BlockKey, ...]:
@@ -137,11 +153,7 @@
         with self._lock:
             if known_last:
                 known = self._chains.find(int.from_bytes(known_last, "big"))
-            added = tuple(
-                int.from_bytes(new[place : place + KEY_BYTES], "big")
-                for place in range(0, len(new), KEY_BYTES)
-            )
-            keys = known + added
+            keys = known + _unpack_keys(new)
             if keys:
                 self._chains.add(keys)
         return keys
@@ -160,5 +172,13 @@
 def _pack_note(note: DispatchNote) -> tuple[str, bytes, bytes]:
     known = min(note.known, len(note.keys))
     known_last = note.keys[known - 1].to_bytes(KEY_BYTES, "big") if known else b""
-    new = b"".join(key.to_bytes(KEY_BYTES, "big") for key in note.keys[known:])
-    return note.engine, known_last, new
+    return note.engine, known_last, _pack_keys(note.keys[known:])
+
+
+def _pack_keys(keys: Iterable[BlockKey]) -> bytes:
+    return b"".join(key.to_bytes(KEY_BYTES, "big") for key in keys)
+
+
+def _unpack_keys(packed: bytes) -> tuple[BlockKey, ...]:
+    places = range(0, len(packed), KEY_BYTES)
+    return tuple(int.from_bytes(packed[p : p + KEY_BYTES], "big") for p in places)
--- a/turmericproxy/routing/views.py
+++ b/turmericproxy/routing/views.py
@@ -35,12 +35,14 @@
 
     view: EngineView
     queue_seconds: float
+    import_seconds: float
     compute_seconds: float
     cached_blocks: int
     missing_tokens: int
+    imports: range
 
     @property
     def expected_seconds(self) -> float:
-        """Return the expected time to the first token."""
+        """Return the expected time to the first token; the queue moves on during an import."""
         fixed = self.view.overhead + self.view.distance
-        return self.queue_seconds + self.compute_seconds + fixed
+        return max(self.queue_seconds, self.import_seconds) + self.compute_seconds + fixed
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -82,10 +82,14 @@
 
 
 class RoutingSettings(Section):
-    """Set the bounds of the prefix index and the pace of load reports."""
+    """Set the bounds of the prefix index and the pace of load reports.
+
+    With ``kept_cache``, blocks are exported to the store of kept KV cache and imported from it.
+    """
 
     index_blocks: int = Field(default=200_000, ge=1000)
     load_poll: float = Field(default=0.2, gt=0)
+    kept_cache: bool = True
     policy: Annotated[
         str, StringConstraints(pattern="^(expected_time|round_robin|least_loaded|hash_first)$")
     ] = "expected_time"
