--- a/turmericproxy/standins/platform.py
+++ b/turmericproxy/standins/platform.py
@@ -7,7 +7,6 @@
 import time
 from dataclasses import dataclass, fields, replace
 from typing import Any
-from urllib.parse import unquote
 
 from turmericproxy.standins.platform_hosts import HostProber, HostRecord
 from turmericproxy.standins.platform_tables import StoredRow, TableState
@@ -72,7 +71,7 @@
         self._weights_limit = RateLimit(weight_reads)
         self._faults = PlatformFaults()
         self._random = random.Random(seed)
-        self._counts = {"reads": 0, "writes": 0, "refused": 0, "lost": 0}
+        self._counts = {"reads": 0, "writes": 0, "refused": 0, "lost": 0, "late": 0}
         self._lock = threading.Lock()
         self._server = HttpServer(address, self._handle, threads=48)
 
@@ -120,7 +119,7 @@
         return response
 
     def _route(self, request: HttpRequest, body: bytes) -> HttpResponse:
-        parts = request.path.strip("/").split("/", 2)
+        parts = _decode_path(request.path).strip("/").split("/", 2)
         if parts[:2] == ["v1", "transactions"] and request.method == "POST":
             return self._commit(request, json.loads(body))
         if parts[:2] == ["v1", "tables"] and request.method == "GET":
@@ -137,8 +136,7 @@
         conditions = transaction.get("conditions", [])
         writes = transaction["writes"]
         if self._take_one("late_next"):
-            apply = self._tables.apply_transaction
-            timer = threading.Timer(self._faults.late, apply, (conditions, writes))
+            timer = threading.Timer(self._faults.late, self._commit_late, (conditions, writes))
             timer.daemon = True
             timer.start()
             return _drop_connection(request)
@@ -147,11 +145,15 @@
             return create_json_response(409, {"committed": False, "failed": list(result.failed)})
         return create_json_response(200, {"committed": True, "versions": result.versions})
 
+    def _commit_late(self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]]) -> None:
+        self._tables.apply_transaction(conditions, writes)
+        self._count("late")
+
     def _read_table(self, request: HttpRequest, path: str) -> HttpResponse:
         table, _, rest = path.partition("/")
         key = rest.removeprefix("rows").removeprefix("/")
         if key:
-            row = self._tables.read_row(table, unquote(key))
+            row = self._tables.read_row(table, key)
             if row is None:
                 return create_json_response(404, {"error": "no such row"})
             return create_json_response(200, {"value": row.value, "version": row.version})
@@ -229,6 +231,11 @@
     return PlatformStandIn(address, writes, reads, weight_reads, seed)
 
 
+def _decode_path(path: str) -> str:
+    # The server hands over the bytes of a path as Latin-1, with encoded slashes left as they are.
+    return path.encode("latin-1").decode().replace("%2F", "/")
+
+
 def _drop_connection(request: HttpRequest) -> HttpResponse:
     request.connection.shutdown(socket.SHUT_RDWR)
     return HttpResponse(503)
