Wait for the answer of a fresh call as long as asked

Cause: urllib3's HTTPConnection.request sets the socket's timeout anew to the connection's own, which was the connect timeout; so every call on a fresh connection (bookings among them) gave up on its answer after 0.5 s. Ruled out: a deadlock in the host (17 and 16 good starts between failures, thread dumps idle). Before: the new test fails with a lost answer after 0.1 s; after: 4 passed. The socket timeout was set in the right place but one line too early.

--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -1,6 +1,7 @@
 """Check the server and the client against each other and against silent connections."""
 
 import socket
+import threading
 import time
 
 from turmericproxy.web import CallFailure, FailureStage, HttpClient, HttpServer
@@ -63,3 +64,23 @@
         assert seen[-1][0] and max(spent for _, spent in seen) < 1.0
     finally:
         server.close()
+
+
+def test_fresh_call_waits_longer_for_its_answer_than_for_its_connection() -> None:
+    released = threading.Event()
+
+    def handle(_: HttpRequest) -> HttpResponse:
+        released.wait(0.4)
+        return create_json_response(200, {})
+
+    server = HttpServer("127.0.0.1:0", handle, threads=2)
+    server.start()
+    client = HttpClient(f"127.0.0.1:{server.port}", connect_timeout=0.1, read_timeout=2.0)
+    try:
+        assert client.call_json("GET", "/", fresh=True) == (200, {})
+        failure = client.call_json("GET", "/", read_timeout=0.2, fresh=True)
+        assert isinstance(failure, CallFailure) and failure.stage is FailureStage.ANSWER
+    finally:
+        released.set()
+        client.close()
+        server.close()
--- a/turmericproxy/web/client.py
+++ b/turmericproxy/web/client.py
@@ -114,7 +114,7 @@
             connection.close()
             return CallFailure(FailureStage.CONNECT, type(error).__name__)
         try:
-            connection.sock.settimeout(limit)
+            connection.timeout = limit
             connection.request(
                 method,
                 path,
