--- a/tests/configuration/test_controller.py
+++ b/tests/configuration/test_controller.py
@@ -14,12 +14,18 @@
 ACCOUNT = {"rate": 100.0, "burst": 1000}
 
 
-@pytest.fixture
-def fleet() -> Iterator[Fleet]:
+@pytest.fixture(scope="module")
+def shared_fleet() -> Iterator[Fleet]:
     with run_fleet(3) as running:
         yield running
 
 
+@pytest.fixture
+def fleet(shared_fleet: Fleet) -> Iterator[Fleet]:
+    yield shared_fleet
+    shared_fleet.reset()
+
+
 def accept(controller: ConfigurationController, name: str, rate: float = 100.0) -> Accepted:
     result = controller.change(Kind.ACCOUNT, name, {**ACCOUNT, "rate": rate})
     assert isinstance(result, Accepted), result
@@ -36,10 +42,11 @@
 
 
 def test_lost_answer_is_settled_by_the_change_id(fleet: Fleet) -> None:
+    before = fleet.revision
     fleet.set_faults(lose_next=1)
     accepted = accept(fleet.hosts[0].configuration, "a")
-    assert accepted.revision == 1
-    fleet.wait_for_revision(1)
+    assert accepted.revision == before + 1
+    fleet.wait_for_revision(accepted.revision)
 
 
 def test_late_commit_is_neither_doubled_nor_denied(fleet: Fleet) -> None:
@@ -49,7 +56,9 @@
     assert accept(fleet.hosts[1].configuration, "b").revision == accepted.revision + 1
 
 
-def test_change_that_can_not_be_proven_is_unknown_until_it_is_seen(fleet: Fleet) -> None:
+def test_change_that_can_not_be_proven_is_unknown_until_it_is_seen(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
     controller = fleet.hosts[0].configuration
     fleet.set_faults(lose_answers=1.0)
     commit = fleet.hosts[0].platform.commit
@@ -59,7 +68,7 @@
         fleet.set_faults(down=True)
         return outcome
 
-    fleet.hosts[0].platform.commit = commit_and_lose_platform  # type: ignore[method-assign]
+    monkeypatch.setattr(fleet.hosts[0].platform, "commit", commit_and_lose_platform)
     result = controller.change(Kind.ACCOUNT, "a", ACCOUNT, timeout=0.5)
     assert isinstance(result, UnknownChange)
     assert (result.code, result.run) == (ResultCode.CHANGE_UNKNOWN, RunState.UNKNOWN)
@@ -89,16 +98,18 @@
 
 
 def test_unrelated_changes_all_come_through_a_lost_race(fleet: Fleet) -> None:
+    before = fleet.revision
     threads = [
-        threading.Thread(target=accept, args=(fleet.hosts[n % 3].configuration, f"a{n}"))
+        threading.Thread(target=accept, args=(fleet.hosts[n % 3].configuration, f"u{n}"))
         for n in range(6)
     ]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    fleet.wait_for_revision(6)
-    assert len(fleet.hosts[2].configuration.snapshot().list_accounts()) == 6
+    fleet.wait_for_revision(before + 6)
+    accounts = fleet.hosts[2].configuration.snapshot().list_accounts()
+    assert {f"u{n}" for n in range(6)} <= {account.name for account in accounts}
 
 
 def test_platform_that_lost_its_rows_takes_no_change() -> None:
@@ -114,18 +125,21 @@
 
 
 def test_starting_host_is_served_by_a_peer_while_the_platform_is_down(fleet: Fleet) -> None:
-    fleet.wait_for_revision(accept(fleet.hosts[0].configuration, "a").revision)
+    accepted = accept(fleet.hosts[0].configuration, "a")
+    fleet.wait_for_revision(accepted.revision)
     fleet.set_faults(down=True)
     late = create_host("late", fleet.address)
     fleet.hosts.append(late)
     late.start()
     late.links.set_peers([fleet.hosts[2].address])
-    fleet.wait_for_revision(1, timeout=2.0)
+    fleet.wait_for_revision(accepted.revision, timeout=2.0)
     assert late.configuration.snapshot().find_account("a")
     wait_until(lambda: late.configuration.measure_age() < 60)
 
 
-def test_host_that_is_too_far_behind_takes_the_whole_state(monkeypatch) -> None:  # type: ignore[no-untyped-def]
+def test_host_that_is_too_far_behind_takes_the_whole_state(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     for module in ("store", "follower"):
         monkeypatch.setattr(f"turmericproxy.configuration.{module}.KEPT_CHANGES", 3)
     with run_fleet(1) as fleet:
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -20,6 +21,14 @@
 
 LINKS = PeerLinkSettings(heartbeat=0.1, silence=1.0)
 PLATFORM_TIMEOUT_SECONDS = 0.4
+NO_FAULTS = {
+    "down": False,
+    "slow": 0.0,
+    "lose_answers": 0.0,
+    "lose_next": 0,
+    "late_next": 0,
+    "refuse_hosts": [],
+}
 
 
 def wait_until(is_met: Callable[[], bool], timeout: float = 5.0) -> None:
@@ -84,6 +93,7 @@
 
     def __init__(self, platform: PlatformStandIn, hosts: list[LocalHost]) -> None:
         self.hosts = hosts
+        self._own = len(hosts)
         self.address = f"127.0.0.1:{platform.port}"
         self._control = HttpClient(self.address)
 
@@ -92,6 +102,19 @@
         answer = self._control.call_json("POST", "/control", faults)
         assert isinstance(answer, tuple) and answer[0] == 200, answer
 
+    def reset(self) -> None:
+        """Undo all faults, and close the hosts that a test added."""
+        self.set_faults(**NO_FAULTS)
+        while len(self.hosts) > self._own:
+            self.hosts.pop().close()
+        wait_until(lambda: all(h.configuration.measure_age() < 5 for h in self.hosts))
+        self.wait_for_revision(max(h.configuration.snapshot().revision for h in self.hosts))
+
+    @property
+    def revision(self) -> int:
+        """Return the highest revision in force."""
+        return max(host.configuration.snapshot().revision for host in self.hosts)
+
     def wait_for_revision(self, revision: int, timeout: float = 5.0) -> None:
         """Wait until every host has at least that revision in force."""
         wait_until(
@@ -122,6 +145,6 @@
             fleet.wait_for_links()
         yield fleet
     finally:
-        for host in fleet.hosts:
-            host.close()
-        platform.close()
+        parts = [*fleet.hosts, platform]
+        with ThreadPoolExecutor(len(parts)) as pool:
+            list(pool.map(lambda part: part.close(), parts))
--- a/tests/keys/test_controller.py
+++ b/tests/keys/test_controller.py
@@ -15,19 +15,25 @@
 WITHDRAWAL_SECONDS = 3.0
 
 
-@pytest.fixture
-def fleet() -> Iterator[Fleet]:
+@pytest.fixture(scope="module")
+def shared_fleet() -> Iterator[Fleet]:
     with run_fleet(3) as running:
         yield running
 
 
+@pytest.fixture
+def fleet(shared_fleet: Fleet) -> Iterator[Fleet]:
+    yield shared_fleet
+    shared_fleet.reset()
+
+
 def create_key(fleet: Fleet) -> CreatedKey:
     """Create an account and a key, and wait until every host knows it."""
     first = fleet.hosts[0]
     first.configuration.change(Kind.ACCOUNT, "a", {"rate": 1.0, "burst": 10})
     created = first.keys.create(AccountName("a"), "phone")
     assert isinstance(created, CreatedKey), created
-    fleet.wait_for_revision(2)
+    fleet.wait_for_revision(fleet.revision)
     return created
 
 
@@ -58,8 +64,8 @@
     assert time.monotonic() - started_at < WITHDRAWAL_SECONDS
     fleet.set_faults(down=False)
     wait_until(lambda: not any(h.keys.list_open_marks() for h in fleet.hosts), 8.0)
-    fleet.wait_for_revision(3)
-    assert not fleet.hosts[1].configuration.snapshot().list_keys()
+    fleet.wait_for_revision(fleet.revision)
+    assert created.key_id not in fleet.hosts[1].configuration.snapshot().get_table(Kind.KEY)
     assert fleet.hosts[0].keys.withdraw(created.key_id) == Withdrawn(durable=True)
 
 
@@ -78,7 +84,7 @@
     fleet.hosts.append(late)
     late.start()
     late.links.set_peers([fleet.hosts[2].address])
-    fleet.wait_for_revision(2)
+    fleet.wait_for_revision(fleet.revision)
     wait_until(
         lambda: read_code(late.keys, created.secret) is ResultCode.KEY_WITHDRAWN,
         WITHDRAWAL_SECONDS,
--- a/tests/operators/test_api.py
+++ b/tests/operators/test_api.py
@@ -63,8 +63,8 @@
         return result.exit_code, result.output
 
 
-@pytest.fixture
-def console() -> Iterator[Console]:
+@pytest.fixture(scope="module")
+def shared_console() -> Iterator[Console]:
     with run_fleet(2) as fleet:
         host = fleet.hosts[0]
         listen = ListenSettings(callers="127.0.0.1:0", operators="127.0.0.1:0", peers="127.0.0.1:0")
@@ -84,16 +84,23 @@
         server.close()
 
 
+@pytest.fixture
+def console(shared_console: Console) -> Iterator[Console]:
+    yield shared_console
+    shared_console.fleet.reset()
+
+
 def test_versions_settle_who_wins(console: Console) -> None:
-    status, body = console.put("account/a", ACCOUNT, If_None_Match="*")
-    assert (status, body["revision"]) == (200, 1)
-    assert console.put("account/a", ACCOUNT, If_None_Match="*")[0] == 409
-    assert console.put("account/a", {**ACCOUNT, "rate": 20}, If_Match='"1"')[0] == 200
-    status, body = console.put("account/a", {**ACCOUNT, "rate": 30}, If_Match='"1"')
+    status, body = console.put("account/v", ACCOUNT, If_None_Match="*")
+    first = body["revision"]
+    assert status == 200
+    assert console.put("account/v", ACCOUNT, If_None_Match="*")[0] == 409
+    assert console.put("account/v", {**ACCOUNT, "rate": 20}, If_Match=f'"{first}"')[0] == 200
+    status, body = console.put("account/v", {**ACCOUNT, "rate": 30}, If_Match=f'"{first}"')
     assert (status, body["error"]["name"]) == (409, "resource_conflict")
-    assert console.put("account/a", ACCOUNT, If_Match="x")[0] == 400
-    shown = console.call("GET", "/v1/resources/account/a")[1]
-    assert (shown["rate"], shown["revision"]) == (20.0, 2)
+    assert console.put("account/v", ACCOUNT, If_Match="x")[0] == 400
+    shown = console.call("GET", "/v1/resources/account/v")[1]
+    assert (shown["rate"], shown["revision"]) == (20.0, first + 1)
 
 
 def test_every_fault_is_told_with_its_field(console: Console) -> None:
@@ -116,7 +123,7 @@
     assert console.call("POST", "/v1/keys", {"account": "a", "name": "k"})[0] == 201
     status, body = console.call("DELETE", "/v1/resources/account/a")
     assert (status, body["error"]["name"]) == (409, "resource_in_use")
-    assert console.call("DELETE", "/v1/resources/account/b")[0] == 404
+    assert console.call("DELETE", "/v1/resources/account/gone")[0] == 404
 
 
 def test_only_operator_keys_open_the_api(console: Console) -> None:
@@ -132,42 +139,44 @@
 
 
 def test_watch_waits_for_the_next_change(console: Console) -> None:
-    console.put("account/a", ACCOUNT)
+    since = console.put("account/a", ACCOUNT)[1]["revision"]
     answers: list[Any] = []
     waiter = threading.Thread(
-        target=lambda: answers.append(console.call("GET", "/v1/watch?since=1&wait=5"))
+        target=lambda: answers.append(console.call("GET", f"/v1/watch?since={since}&wait=5"))
     )
     waiter.start()
     console.put("account/b", ACCOUNT)
     waiter.join(timeout=6)
     status, body = answers[0]
-    assert (status, body["revision"], body["changes"][0]["name"]) == (200, 2, "b")
+    assert (status, body["revision"], body["changes"][0]["name"]) == (200, since + 1, "b")
     assert console.call("GET", "/v1/watch?since=-1")[0] == 400
-    assert console.call("GET", "/v1/watch?since=9&wait=0")[1] == {"revision": 9, "changes": []}
+    empty = {"revision": 99, "changes": []}
+    assert console.call("GET", "/v1/watch?since=99&wait=0")[1] == empty
 
 
 def test_commands_apply_show_and_delete(console: Console, tmp_path: Path) -> None:
+    before = console.fleet.revision
     file = tmp_path / "resources.yaml"
     file.write_text(
-        "kind: account\nname: a\nrate: 10\nburst: 100\n---\nkind: model\nname: m\nversion: '1'\n"
+        "kind: account\nname: c\nrate: 10\nburst: 100\n---\nkind: model\nname: m\nversion: '1'\n"
     )
     code, output = console.run("apply", str(file), "--wait")
-    assert code == 0 and "revision 2 in force on 2 of 2 hosts" in output
-    assert "account/a: unchanged at revision 1" in console.run("apply", str(file))[1]
-    assert console.run("get", "model", "m") == (
-        0,
-        "kind: model\nname: m\nrevision: 2\nversion: '1'\n",
-    )
-    code, output = console.run("keys", "create", "a", "--name", "phone")
+    assert code == 0 and f"revision {before + 2} in force on 2 of 2 hosts" in output
+    assert f"account/c: unchanged at revision {before + 1}" in console.run("apply", str(file))[1]
+    shown = f"kind: model\nname: m\nrevision: {before + 2}\nversion: '1'\n"
+    assert console.run("get", "model", "m") == (0, shown)
+    code, output = console.run("keys", "create", "c", "--name", "phone")
     key_id = output.splitlines()[0].removeprefix("id: ")
-    assert code == 0 and console.run("delete", "account", "a")[0] == ExitCode.CONFLICT
+    assert code == 0 and console.run("delete", "account", "c")[0] == ExitCode.CONFLICT
     code, output = console.run("keys", "withdraw", key_id)
     assert (code, output) == (0, f"{key_id}: withdrawn, written down\n")
-    assert console.run("delete", "account", "a", "--wait")[0] == 0
-    code, output = console.run("watch", "--count", "5")
-    assert [json.loads(line)["revision"] for line in output.splitlines()] == [1, 2, 3, 4, 5]
+    assert console.run("delete", "account", "c", "--wait")[0] == 0
+    code, output = console.run("watch", "--since", str(before), "--count", "5")
+    revisions = [json.loads(line)["revision"] for line in output.splitlines()]
+    assert revisions == list(range(before + 1, before + 6))
     code, output = console.run("status")
-    assert "revision 5" in output and 'buckets: [{"account": "a", "tokens": 1}]' in output
+    assert f"revision {before + 5}" in output
+    assert 'buckets: [{"account": "a", "tokens": 1}]' in output
 
 
 def test_commands_tell_failures_by_their_exit_codes(console: Console, tmp_path: Path) -> None:
@@ -177,10 +186,10 @@
     assert code == ExitCode.INVALID
     for part in ("document 1: rate", "document 1: burst", "document 2: kind", "document 3"):
         assert part in output
-    assert console.run("get", "model", "m")[0] == ExitCode.NOT_FOUND
+    assert console.run("get", "model", "gone")[0] == ExitCode.NOT_FOUND
     assert console.run("status", key="wrong")[0] == ExitCode.KEY_REFUSED
     console.fleet.set_faults(down=True)
-    file.write_text("kind: account\nname: a\nrate: 1\nburst: 1\n")
+    file.write_text("kind: account\nname: new\nrate: 1\nburst: 1\n")
     assert console.run("apply", str(file))[0] == ExitCode.UNREACHABLE
     settings = tmp_path / "host.yaml"
     settings.write_text("host: h1\nlisten: {callers: nowhere}\n")
