--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -20,13 +20,15 @@
 from turmericproxy.bench.plan import AccountPlan, ClusterPlan, HostPlan, RoutePlan, ServicePlan
 
 SEED = 20261203
+CALLER = "satnica"
+QUICK = {"shutdown": {"grace": 0.0}}
 ACCOUNT = {"rate": 100.0, "burst": 1000}
 PLAN = ClusterPlan(
     hosts=(
-        HostPlan("n1", "north"),
-        HostPlan("n2", "north"),
-        HostPlan("s1", "south"),
-        HostPlan("s2", "south"),
+        HostPlan("n1", "north", QUICK),
+        HostPlan("n2", "north", QUICK),
+        HostPlan("s1", "south", QUICK),
+        HostPlan("s2", "south", QUICK),
     ),
     services=(ServicePlan("service-n", "north"), ServicePlan("service-s", "south")),
     accounts=(AccountPlan("afinaciones"), AccountPlan("satnica")),
@@ -52,7 +54,7 @@
     start = len(context.changes)
 
     def create(number):
-        name = f"account-{start + number}"
+        name = f"{context.scenario.line}-{start + number}"
         host = hosts[number % len(hosts)]
         return change_resource(context.cluster, host, f"account/{name}", ACCOUNT)
 
@@ -80,13 +82,38 @@
 
 
 def start_plan(context, plan):
+    """Take over the feature's cluster of that plan, healed and whole, or start it."""
     print(f"seed {SEED}")
     context.random = random.Random(SEED)
-    context.cluster = start_cluster(plan)
-    context.add_cleanup(context.cluster.close)
+    context.changes = []
+    started = context.feature.__dict__.setdefault("started_clusters", {})
+    if plan.relays not in started:
+        started[plan.relays] = start_cluster(plan)
+        context.add_cleanup(started[plan.relays].close, layer="feature")
+    context.cluster = started[plan.relays]
+    restore_cluster(context.cluster)
+    context.key_id, context.key = context.cluster.create_key(CALLER)
     context.revisions = RevisionWatch(context.cluster)
     context.add_cleanup(context.revisions.close)
-    context.changes = []
+    await_revision(context, context.cluster.read_revision("n1"))
+    names = context.cluster.host_names
+    measure_until(11, lambda: any(holds_bucket(context, host) for host in names))
+
+
+def restore_cluster(cluster):
+    """Undo the faults of an earlier scenario, and start hosts that it killed."""
+    cluster.set_faults("platform", down=False, lose_answers=0.0)
+    if cluster.plan.relays:
+        faults.heal_all(cluster)
+    for host in cluster.host_names:
+        if not cluster.get_process(host).is_running():
+            cluster.start_host(host)
+
+
+def await_revision(context, revision):
+    """Wait until every host has the revision in force."""
+    names = context.cluster.host_names
+    measure_until(11, lambda: all(context.cluster.read_revision(n) >= revision for n in names))
 
 
 @when(
@@ -134,9 +161,18 @@
 
 @when('domain "{domain}" is cut off from "{other}" and from the platform')
 def cut_domain(context, domain, other):
+    """Cut the domain off once it holds a part of the caller's rate, without which none serves."""
+    names = faults.list_members(context.cluster.plan, domain)
+    hosts = [name for name in names if name in context.cluster.host_names]
+    measure_until(11, lambda: any(holds_bucket(context, host) for host in hosts))
     faults.cut_domain(context.cluster, domain)
 
 
+def holds_bucket(context, host):
+    buckets = context.cluster.operate(host, "GET", "/v1/status")["buckets"]
+    return any(bucket["account"] == CALLER and bucket["rate"] > 0 for bucket in buckets)
+
+
 @when("the cut is healed")
 def heal(context):
     faults.heal_all(context.cluster)
@@ -216,20 +252,20 @@
 @then('hosts "{hosts}" still serve the keys that they know')
 def check_known_keys(context, hosts):
     for host in split_names(hosts):
-        key = context.cluster.keys["satnica"]
-        assert call_route(context.cluster, host, "/r/hours/x", key) == 200
+        status = call_route(context.cluster, host, "/r/hours/x", context.key)
+        assert status == 200, f"{host} answered {status}"
 
 
 def race(context, operators):
     """Let operators change one account at the same version; return who won, and the value."""
     cluster = context.cluster
-    version = list_accounts(cluster, "n1")["satnica"]["revision"]
+    version = list_accounts(cluster, "n1")["raced"]["revision"]
     hosts = cluster.host_names
 
     def change(number):
         fields = {**ACCOUNT, "rate": float(context.random.randint(1, 10**6))}
         host = hosts[number % len(hosts)]
-        told = change_resource(cluster, host, "account/satnica", fields, if_match=version)
+        told = change_resource(cluster, host, "account/raced", fields, if_match=version)
         return told, fields["rate"]
 
     with ThreadPoolExecutor(operators) as pool:
@@ -242,6 +278,7 @@
 )
 def race_operators(context, operators, races, share):
     context.races = []
+    context.cluster.put_resource("account", "raced", ACCOUNT)
     for _ in range(races):
         context.cluster.set_faults("platform", lose_answers=share / 100)
         results = race(context, operators)
@@ -249,13 +286,7 @@
         context.races.append(results)
         wins = [result for result in results if result[0].is_accepted]
         assert len(wins) == 1, results
-        revision = wins[0][0].body["revision"]
-        measure_until(11, lambda r=revision: _is_reached(context, r))
-
-
-def _is_reached(context, revision):
-    names = context.cluster.host_names
-    return all(context.cluster.read_revision(name) >= revision for name in names)
+        await_revision(context, wins[0][0].body["revision"])
 
 
 @then("in each race exactly one operator won and its value is in force on all hosts")
@@ -265,15 +296,14 @@
         assert {told.code for told in lost} == {"resource_conflict"}, lost
     rate = next(rate for told, rate in context.races[-1] if told.is_accepted)
     for host in context.cluster.host_names:
-        assert list_accounts(context.cluster, host)["satnica"]["rate"] == rate
+        assert list_accounts(context.cluster, host)["raced"]["rate"] == rate
 
 
 @then('"{host}" serves its first request within {seconds:d} seconds of its start')
 def check_first_request(context, host, seconds):
     started = time.monotonic()
     context.cluster.start_host(host, wait=False)
-    key = context.cluster.keys["satnica"]
-    while call_route(context.cluster, host, "/r/hours/x", key) != 200:
+    while call_route(context.cluster, host, "/r/hours/x", context.key) != 200:
         assert time.monotonic() - started < seconds, "no request was served in time"
         time.sleep(0.02)
     print(f"first request served {time.monotonic() - started:.2f} s after the start")
--- a/features/steps/keys.py
+++ b/features/steps/keys.py
@@ -1,5 +1,8 @@
 """Withdraw keys at real hosts under faults, and call routes with them."""
 
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 from behave import given, then, when
 
 from features.support.revision_watch import KeptConnection, call_route, measure_until
@@ -9,15 +12,13 @@
 
 
 def is_refused(context, host):
-    key = context.cluster.keys[CALLER]
-    return call_route(context.cluster, host, "/r/hours/x", key) == REFUSED
+    return call_route(context.cluster, host, "/r/hours/x", context.key) == REFUSED
 
 
 @given("a caller is connected to every host")
 def connect_caller(context):
-    key = context.cluster.keys[CALLER]
     context.connections = [
-        KeptConnection(context.cluster, host, key) for host in context.cluster.host_names
+        KeptConnection(context.cluster, host, context.key) for host in context.cluster.host_names
     ]
     for connection in context.connections:
         context.add_cleanup(connection.close)
@@ -26,14 +27,17 @@
 
 @when('the caller\'s key is withdrawn at host "{host}"')
 def withdraw(context, host):
-    key_id = context.cluster.key_ids[CALLER]
-    context.withdrawal = context.cluster.operate(host, "DELETE", f"/v1/keys/{key_id}")
-    assert context.withdrawal["withdrawn"]
+    """Start the withdrawal; the time to its effect counts from here, not from its answer."""
+    pool = ThreadPoolExecutor(1)
+    context.add_cleanup(pool.shutdown)
+    context.withdrawn_at = time.monotonic()
+    path = f"/v1/keys/{context.key_id}"
+    context.withdrawal = pool.submit(context.cluster.operate, host, "DELETE", path)
 
 
-@then("the withdrawal is not written down")
+@then("the withdrawal is accepted but not written down")
 def check_not_durable(context):
-    assert context.withdrawal["durable"] is False
+    assert context.withdrawal.result() == {"withdrawn": True, "durable": False}
 
 
 @then("the caller is refused on every open connection within {seconds:d} seconds")
@@ -44,8 +48,14 @@
         waiting[:] = [c for c in waiting if c.call("/r/hours/x") != REFUSED]
         return not waiting
 
-    taken = measure_until(seconds, all_refused)
-    print(f"refused on {len(context.connections)} kept-alive connections after {taken:.2f} s")
+    check_time(context, seconds, all_refused, f"{len(waiting)} kept-alive connections")
+
+
+def check_time(context, seconds, all_refused, where):
+    """Check that all are refused within so many seconds of the withdrawal's start."""
+    spent = time.monotonic() - context.withdrawn_at
+    taken = spent + measure_until(seconds - spent, all_refused)
+    print(f"refused on {where} {taken:.2f} s after the withdrawal was sent")
 
 
 @then("the withdrawal is written down within {seconds:d} seconds")
@@ -54,9 +64,7 @@
         statuses = [context.cluster.operate(h, "GET", "/v1/status") for h in names]
         listed = [context.cluster.operate(h, "GET", "/v1/resources/key") for h in names]
         is_listed = any(
-            entry["name"] == context.cluster.key_ids[CALLER]
-            for answer in listed
-            for entry in answer["resources"]
+            entry["name"] == context.key_id for answer in listed for entry in answer["resources"]
         )
         return not is_listed and not any(s["withdrawals_not_written"] for s in statuses)
 
@@ -80,8 +88,26 @@
 @then('the caller is refused on hosts "{hosts}" within {seconds:d} seconds')
 def check_refused_on(context, hosts, seconds):
     names = [name.strip() for name in hosts.split(",")]
+    check_time(
+        context,
+        seconds,
+        lambda: all(is_refused(context, host) for host in names),
+        f"{len(names)} hosts",
+    )
+
+
+@then("the caller is refused on every host within {seconds:d} seconds of its start")
+def check_refused_after_starts(context, seconds):
+    for host in context.cluster.host_names:
+        taken = measure_until(seconds, lambda name=host: is_refused(context, name))
+        print(f"refused on {host} {taken:.2f} s after it was ready")
+
+
+@then("the caller is refused on every host within {seconds:d} seconds of the healing")
+def check_refused_after_healing(context, seconds):
+    names = context.cluster.host_names
     taken = measure_until(seconds, lambda: all(is_refused(context, host) for host in names))
-    print(f"refused on {len(names)} hosts after {taken:.2f} s")
+    print(f"refused on all hosts {taken:.2f} s after the healing")
 
 
 @then("the caller is still refused on every host after the platform came back")
@@ -93,7 +119,7 @@
 
 @when("every host is called on each route with each key and with none")
 def call_all(context):
-    keys = {**context.cluster.keys, "nobody": None, "stranger": "x" * 43}
+    keys = {**context.cluster.keys, CALLER: context.key, "nobody": None, "stranger": "x" * 43}
     context.answers = {
         (host, route, who): call_route(context.cluster, host, f"/r/{route}/{host}-{who}", key)
         for host in context.cluster.host_names
@@ -111,8 +137,10 @@
         "health": {"afinaciones", "satnica", "nobody", "stranger"},
     }
     runs = [run for name in ("service-n", "service-s") for run in cluster.read_truth(name)]
-    assert not any(key in str(runs) for key in cluster.keys.values())
+    assert not any(key in str(runs) for key in (*cluster.keys.values(), context.key))
+    called = {f"{host}-{who}" for host, _, who in context.answers}
     ran = sorted(run["path"].rpartition("/")[2] for run in runs)
+    ran = [name for name in ran if name in called]
     expected = sorted(
         f"{host}-{who}" for (host, route, who) in context.answers if who in allowed[route]
     )
--- a/turmericproxy/configuration/follower.py
+++ b/turmericproxy/configuration/follower.py
@@ -29,6 +29,7 @@
 
 FETCH_TIMEOUT_SECONDS = 2.0
 PEER_CHECK_SECONDS = 0.2
+START_CHECK_SECONDS = 0.02
 LONGEST_POLL_SECONDS = 5.0
 DIGEST_DELAY_SECONDS = 5.0
 
@@ -178,7 +179,7 @@
         self._flush_outbox(peers)
         self._learn_age(peers)
         self._fetch_from_peers(peers)
-        return PEER_CHECK_SECONDS
+        return PEER_CHECK_SECONDS if self._state.snapshot().revision else START_CHECK_SECONDS
 
     def _flush_outbox(self, peers: tuple[PeerState, ...]) -> None:
         with self._lock:
