--- a/features/support/clusters.py
+++ b/features/support/clusters.py
@@ -42,8 +42,20 @@
     )
 
 
+def create_booking_plan() -> ClusterPlan:
+    """Return four hosts in two failure domains and two booking services."""
+    domains = {"host-a": "north", "host-b": "north", "host-c": "south", "host-d": "south"}
+    return ClusterPlan(
+        hosts=tuple(HostPlan(name, domain, QUICK_SETTINGS) for name, domain in domains.items()),
+        services=(ServicePlan("booking-1", "north"), ServicePlan("booking-2", "south")),
+        accounts=ACCOUNTS,
+        routes=(RoutePlan("bookings", ("booking-1", "booking-2"), {"timeout": 1.0}),),
+    )
+
+
 PLANS: dict[str, Callable[[], ClusterPlan]] = {
     "small": create_small_plan,
+    "booking": create_booking_plan,
     "quick": create_routed_plan,
     "relayed": lambda: create_routed_plan(relays=True),
 }
