--- a/turmericproxy/bench/relay.py
+++ b/turmericproxy/bench/relay.py
@@ -4,6 +4,7 @@
 import fnmatch
 import socket
 import threading
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -56,6 +57,7 @@
         self._cuts: set[str] = set()
         self._connections: set[_Connection] = set()
         self._listeners: list[_Listener] = []
+        self._bytes: Counter[str] = Counter()
 
     def open_target(self, target: str, address: str) -> str:
         """Start relaying to a target and return the address that leads to it."""
@@ -92,6 +94,11 @@
         with self._changed:
             return sorted(connection.leg for connection in self._connections)
 
+    def count_bytes(self, pattern: str) -> int:
+        """Return the bytes that matching legs have carried so far, both ways."""
+        with self._changed:
+            return sum(n for leg, n in self._bytes.items() if fnmatch.fnmatchcase(leg, pattern))
+
     def close(self) -> None:
         """Close all listeners and connections."""
         for listener in self._listeners:
@@ -142,6 +149,8 @@
             while data := source.recv(CHUNK_BYTES):
                 self._await_open(connection)
                 target.sendall(data)
+                with self._changed:
+                    self._bytes[connection.leg] += len(data)
             self._await_open(connection)
             target.shutdown(socket.SHUT_WR)
         except OSError:
--- a/turmericproxy/bench/slopes_routing.py
+++ b/turmericproxy/bench/slopes_routing.py
@@ -1,12 +1,11 @@
 """Measure how the cost of routing grows with its sizes, and print JSON lines."""
 
 import json
-import sys
 import time
 import tracemalloc
-from collections.abc import Callable, Sequence
-from dataclasses import asdict, dataclass
+from collections.abc import Callable
 
+from turmericproxy.bench.slopes import Slope, fit_slope, print_slopes
 from turmericproxy.cache.index import PrefixIndex, create_key
 from turmericproxy.configuration import Engine
 from turmericproxy.core import (
@@ -30,34 +29,6 @@
 FIRST = Incarnation("first")
 
 
-@dataclass(frozen=True)
-class Slope:
-    """Hold a least-squares line through costs at several sizes."""
-
-    name: str
-    unit: str
-    size_name: str
-    sizes: tuple[int, ...]
-    costs: tuple[float, ...]
-    slope: float
-    intercept: float
-
-
-def fit(
-    name: str, unit: str, size_name: str, sizes: Sequence[int], costs: Sequence[float]
-) -> Slope:
-    """Return the least-squares line of the costs over the sizes."""
-    count = len(sizes)
-    mean_size, mean_cost = sum(sizes) / count, sum(costs) / count
-    spread = sum((size - mean_size) ** 2 for size in sizes)
-    joint = sum(
-        (size - mean_size) * (cost - mean_cost) for size, cost in zip(sizes, costs, strict=True)
-    )
-    slope = joint / spread
-    intercept = mean_cost - slope * mean_size
-    return Slope(name, unit, size_name, tuple(sizes), tuple(costs), slope, intercept)
-
-
 def measure_events() -> list[Slope]:
     """Measure the CPU and the bytes read for batches of cache events."""
     sizes = (1_000, 2_000, 4_000, 8_000, 16_000)
@@ -65,8 +36,8 @@
     costs = [_time(lambda body=body: _take_events(body)) for body in bodies]  # type: ignore[misc]
     lengths = [float(len(json.dumps(body))) for body in bodies]
     return [
-        fit("event CPU", "s", "events", sizes, costs),
-        fit("event bytes", "B", "events", sizes, lengths),
+        fit_slope("event CPU", "s", "events", sizes, costs),
+        fit_slope("event bytes", "B", "events", sizes, lengths),
     ]
 
 
@@ -74,8 +45,10 @@
     """Measure the memory of indexed blocks, at one engine and at six engines each."""
     sizes = (10_000, 20_000, 40_000, 80_000)
     return [
-        fit("index memory", "B", "blocks", sizes, [_measure_index_bytes(s, 1) for s in sizes]),
-        fit(
+        fit_slope(
+            "index memory", "B", "blocks", sizes, [_measure_index_bytes(s, 1) for s in sizes]
+        ),
+        fit_slope(
             "index memory, six engines",
             "B",
             "entries",
@@ -89,21 +62,22 @@
     """Measure the CPU of a choice over engines, over blocks and over requests in flight."""
     engines, blocks = (2, 4, 8, 16, 32), (1, 4, 16, 64)
     return [
-        fit("choice CPU", "s", "engines", engines, [_time_choice(n, 6) for n in engines]),
-        fit("choice CPU, six engines", "s", "blocks", blocks, [_time_choice(6, n) for n in blocks]),
+        fit_slope("choice CPU", "s", "engines", engines, [_time_choice(n, 6) for n in engines]),
+        fit_slope(
+            "choice CPU, six engines", "s", "blocks", blocks, [_time_choice(6, n) for n in blocks]
+        ),
     ]
 
 
 def measure_reports() -> list[Slope]:
     """Measure the CPU of load reports taken in."""
     sizes = (500, 1_000, 2_000, 4_000)
-    return [fit("report CPU", "s", "reports", sizes, [_time_reports(size) for size in sizes])]
+    return [fit_slope("report CPU", "s", "reports", sizes, [_time_reports(size) for size in sizes])]
 
 
 def main() -> None:
     """Print one line for each slope."""
-    for slope in (*measure_events(), *measure_index(), *measure_choices(), *measure_reports()):
-        sys.stdout.write(json.dumps(asdict(slope)) + "\n")
+    print_slopes((*measure_events(), *measure_index(), *measure_choices(), *measure_reports()))
 
 
 def _time(run: Callable[[], object]) -> float:
