Check rate and burst under random failures of hosts, links and platform

Real keepers run in one thread over fakes: late and lost messages and commits, cuts, pauses, replaced and restarted hosts, outages and wrong reports.

--- /dev/null
+++ b/tests/rates/fakes.py
@@ -0,0 +1,219 @@
+"""Stand in for the platform, the links and the clock inside one thread, with faults on demand."""
+
+import copy
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from turmericproxy.configuration import Account, Kind, Snapshot, replace_resource
+from turmericproxy.core import (
+    DomainName,
+    HostName,
+    Incarnation,
+    ResultCode,
+    Revision,
+    create_id,
+    refuse,
+)
+from turmericproxy.peers import PeerState
+from turmericproxy.platform import (
+    AnswerLost,
+    Committed,
+    Conflict,
+    HostEntry,
+    HostList,
+    HostState,
+    Row,
+    Transaction,
+)
+from turmericproxy.rates.keepers import Keepers, create_keepers
+from turmericproxy.rates.ledger import Member
+from turmericproxy.settings.schema import RateSettings
+from turmericproxy.standins.platform_tables import TableState
+
+AWAY = refuse(ResultCode.PLATFORM_UNAVAILABLE, "away")
+NO_LINK = refuse(ResultCode.UPSTREAM_FAILED, "no link")
+
+
+class Clock:
+    """Tell a time that the test sets."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def read(self) -> float:
+        return self.now
+
+
+@dataclass
+class Faults:
+    """Hold what goes wrong; ``late`` are deliveries that may happen at any later time.
+
+    The platform probes ``unhealthy`` hosts in vain, and the heartbeats of ``silent`` ones are lost,
+    though both run.
+    """
+
+    cut: set[frozenset[HostName]] = field(default_factory=set)
+    cut_from_platform: set[HostName] = field(default_factory=set)
+    is_platform_down: bool = False
+    unhealthy: set[HostName] = field(default_factory=set)
+    silent: set[HostName] = field(default_factory=set)
+    fates: list[str] = field(default_factory=list)
+    late: list[Any] = field(default_factory=list)
+    slowness: float = 0.0
+
+
+class World:
+    """Hold the table, the hosts and the faults."""
+
+    def __init__(self, seed: int) -> None:
+        self.clock = Clock()
+        self.faults = Faults()
+        self.draw = random.Random(seed)
+        self.table = TableState()
+        self.snapshot = Snapshot()
+        self.hosts: dict[HostName, Process] = {}
+        self.domains: dict[HostName, DomainName] = {}
+
+    def set_account(self, name: str, rate: float, burst: int) -> None:
+        revision = Revision(self.snapshot.revision + 1)
+        account = Account(name=name, rate=rate, burst=burst)
+        self.snapshot = replace_resource(self.snapshot, Kind.ACCOUNT, name, account, revision)
+
+    def take_fate(self) -> str:
+        return self.faults.fates.pop() if self.faults.fates else "well"
+
+    def pass_some_time(self) -> None:
+        self.clock.now += self.draw.uniform(0, self.faults.slowness)
+
+
+class Process:
+    """Run the keepers of one incarnation of a host."""
+
+    def __init__(self, world: World, host: str, domain: str, settings: RateSettings) -> None:
+        self.world = world
+        self.host = HostName(host)
+        self.incarnation = Incarnation(create_id())
+        self.member = Member(self.host, DomainName(domain))
+        self.handlers: dict[str, Any] = {}
+        self.is_paused = False
+        self.is_dead = False
+        world.hosts[self.host] = self
+        world.domains[self.host] = self.member.domain
+        self.keepers: Keepers = create_keepers(
+            self,
+            self,
+            lambda: world.snapshot,
+            settings,
+            self.member,
+            self.incarnation,
+            world.clock.read,
+        )
+
+    @property
+    def runs(self) -> bool:
+        return not self.is_paused and not self.is_dead
+
+    # The platform.
+
+    def _is_away(self) -> bool:
+        faults = self.world.faults
+        return faults.is_platform_down or self.host in faults.cut_from_platform
+
+    def read_row(self, table: str, key: str) -> Any:
+        if self._is_away():
+            return AWAY
+        row = self.world.table.read_row(table, key)
+        self.world.pass_some_time()
+        return Row(row.key, copy.deepcopy(row.value), row.version) if row else None
+
+    def list_rows(self, table: str, prefix: str = "", after: str = "", limit: int = 1000) -> Any:
+        if self._is_away():
+            return AWAY
+        rows = self.world.table.list_rows(table, prefix, after, limit)
+        self.world.pass_some_time()
+        return tuple(Row(r.key, copy.deepcopy(r.value), r.version) for r in rows)
+
+    def commit(self, transaction: Transaction) -> Any:
+        if self._is_away():
+            return AWAY
+        body = transaction.to_json()
+
+        def apply() -> Any:
+            return self.world.table.apply_transaction(body["conditions"], body["writes"])
+
+        fate = self.world.take_fate()
+        if fate == "late":
+            self.world.faults.late.append(apply)
+            return AnswerLost("late")
+        result = apply()
+        self.world.pass_some_time()
+        if fate == "lost":
+            return AnswerLost("lost")
+        if result.failed:
+            return Conflict(result.failed)
+        return Committed(result.versions)
+
+    def list_hosts(self) -> Any:
+        if self._is_away():
+            return AWAY
+        world = self.world
+        entries = []
+        for host, process in world.hosts.items():
+            is_gone = not process.runs or host in world.faults.cut_from_platform
+            is_gone = is_gone or host in world.faults.unhealthy
+            state = HostState.GONE if is_gone else HostState.LIVE
+            entries.append(HostEntry(host, world.domains[host], "", "", state, 1.0))
+        return HostList(tuple(entries), world.clock.now)
+
+    # The links.
+
+    def register(self, kind: str, handler: Any) -> None:
+        self.handlers[kind] = handler
+
+    def _find_peer(self, host: HostName) -> "Process | None":
+        peer = self.world.hosts.get(host)
+        is_cut = frozenset((self.host, host)) in self.world.faults.cut
+        return peer if peer and peer.runs and not is_cut else None
+
+    def call(self, host: HostName, kind: str, body: Any, timeout: float | None = None) -> Any:
+        peer = self._find_peer(host)
+        if peer is None:
+            return NO_LINK
+        fate = self.world.take_fate()
+        if fate == "late":
+            self.world.faults.late.append(
+                lambda: peer.runs and peer.handlers[kind](self.host, body)
+            )
+            return NO_LINK
+        self.world.pass_some_time()
+        reply = peer.handlers[kind](self.host, copy.deepcopy(body))
+        self.world.pass_some_time()
+        return NO_LINK if fate == "lost" else reply
+
+    def send(self, host: HostName, kind: str, body: Any) -> bool:
+        return self.call(host, kind, body) is not NO_LINK
+
+    def broadcast(self, kind: str, body: Any) -> int:
+        return sum(self.send(host, kind, body) for host in self.world.hosts if host != self.host)
+
+    def list_reachable(self) -> tuple[PeerState, ...]:
+        silent = self.world.faults.silent
+        peers = [self._find_peer(host) for host in self.world.hosts if host != self.host]
+        return tuple(
+            PeerState(peer.host, peer.member.domain, peer.incarnation, {})
+            for peer in peers
+            if peer and peer.host not in silent
+        )
+
+    # Its threads.
+
+    def step(self, part: str = "all") -> None:
+        if not self.runs:
+            return
+        self.keepers.holdings.record_tick()
+        if part in ("host", "all"):
+            self.keepers.host.step()
+        if part in ("ledger", "all"):
+            self.keepers.ledger.step()
+            self.keepers.regrant.step()
--- /dev/null
+++ b/tests/rates/test_keepers.py
@@ -0,0 +1,238 @@
+"""Check under random failures that no tokens are ever admitted beyond rate and burst."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from tests.rates.fakes import Process, World
+from turmericproxy.core import AccountName, HostName
+from turmericproxy.rates.bucket import MICRO
+from turmericproxy.rates.ledger import create_limit
+from turmericproxy.settings.schema import RateSettings
+
+ACCOUNT = AccountName("a")
+RATE, BURST = 1000.0, 4000
+SETTINGS = RateSettings(regrant_after=4.0, debit_timeout=0.1)
+LAYOUT = (("a0", "a"), ("a1", "a"), ("b0", "b"), ("b1", "b"), ("b2", "b"), ("c0", "c"))
+SHORTEST_REPLACED_PAUSE = 1.1
+SEEDS = range(24)
+ACTIONS = 300
+FAULT_SHARE = 0.25
+
+
+@dataclass(frozen=True)
+class Admission:
+    """Hold what was admitted and when, in seconds and micro-tokens."""
+
+    at: float
+    amount: int
+
+
+class Chaos:
+    """Take random actions and record what is admitted."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = World(seed)
+        self.draw = self.world.draw
+        self.processes = [Process(self.world, host, domain, SETTINGS) for host, domain in LAYOUT]
+        self.replaced_pauses: dict[Process, float] = {}
+        self.admissions: list[Admission] = []
+        self.world.set_account("a", RATE, BURST)
+
+    def settle(self, seconds: float) -> None:
+        end = self.world.clock.now + seconds
+        while self.world.clock.now < end:
+            for process in self.processes:
+                process.step()
+            self.world.clock.now += 0.2
+
+    def act(self) -> None:
+        if self.draw.random() < FAULT_SHARE:
+            faults = {
+                self.break_next: 10,
+                self.deliver_late: 8,
+                self.cut: 3,
+                self.isolate: 4,
+                self.mistake: 6,
+                self.fail_platform: 2,
+                self.heal: 5,
+                self.pause: 5,
+                self.resume: 8,
+                self.kill: 3,
+                self.restart: 6,
+                self.replace_paused: 5,
+                self.stop: 3,
+            }
+            self.draw.choices(list(faults), list(faults.values()))[0]()
+        self.wait()
+        for process in self.draw.sample(self.processes, len(self.processes)):
+            process.step(self.draw.choice(["host", "ledger", "all", "none"]))
+            self.check_rights()
+            if self.draw.random() < 0.3:
+                self.spend(process)
+            if self.draw.random() < 0.1:
+                self.debit(process)
+
+    def choose(self) -> Process:
+        return self.draw.choice(self.processes)
+
+    def wait(self) -> None:
+        self.world.clock.now += self.draw.uniform(0.01, 0.4)
+        for process in self.processes:
+            if process.runs:
+                process.keepers.holdings.record_tick()
+
+    def spend(self, process: Process) -> None:
+        if process.runs:
+            amount = self.draw.randrange(1, 900) * MICRO
+            taken = process.keepers.holdings.take(ACCOUNT, amount, 1)
+            self.record(taken.amount)
+
+    def debit(self, process: Process) -> None:
+        row = process.keepers.ledger.find_row(ACCOUNT)
+        if not process.runs or row is None:
+            return
+        need = self.draw.randrange(1, 2500) * MICRO
+        flight = min(row.limit.flight / MICRO, SETTINGS.debit_timeout)
+        started = self.world.clock.now
+        others = tuple(s for s in row.shares if s.host != process.host)
+        self.world.faults.slowness = self.draw.choice([0.0, 0.02, 0.08])
+        parts = process.keepers.desk.collect(ACCOUNT, others, need, flight)
+        self.world.faults.slowness = 0.0
+        amount = sum(part.amount for part in parts)
+        if self.world.clock.now - started <= flight and self.draw.random() < 0.8:
+            self.record(amount)
+        else:
+            process.keepers.desk.give_back(parts, amount)
+            process.keepers.desk.give_back(parts, amount)
+
+    def record(self, amount: int) -> None:
+        self.admissions.append(Admission(self.world.clock.now, amount))
+
+    def deliver_late(self) -> None:
+        if self.world.faults.late:
+            late = self.world.faults.late
+            late.pop(self.draw.randrange(len(late)))()
+
+    def break_next(self) -> None:
+        self.world.faults.fates.append(self.draw.choice(["late", "lost"]))
+
+    def cut(self) -> None:
+        left = self.draw.choice(["a", "b", "c"])
+        for one, domain in LAYOUT:
+            for other, other_domain in LAYOUT:
+                if domain == left != other_domain:
+                    self.world.faults.cut.add(frozenset((HostName(one), HostName(other))))
+        if self.draw.random() < 0.5:
+            self.world.faults.cut.add(frozenset((self.choose().host, self.choose().host)))
+
+    def isolate(self) -> None:
+        """Cut a host or a whole domain from the platform, and at times from its peers."""
+        domain = self.draw.choice(["a", "b", "c"])
+        hosts = [HostName(host) for host, own in LAYOUT if own == domain]
+        chosen = hosts[: self.draw.choice([1, 3])]
+        self.world.faults.cut_from_platform.update(chosen)
+        if self.draw.random() < 0.5:
+            for host, _ in LAYOUT:
+                self.world.faults.cut.add(frozenset((HostName(host), chosen[0])))
+
+    def mistake(self) -> None:
+        """Let the platform or the peers take a running host for lost."""
+        host = self.choose().host
+        self.world.faults.unhealthy.add(host)
+        self.world.faults.silent.add(host)
+
+    def fail_platform(self) -> None:
+        self.world.faults.is_platform_down = True
+
+    def heal(self) -> None:
+        self.world.faults.is_platform_down = False
+        self.world.faults.cut.clear()
+        self.world.faults.cut_from_platform.clear()
+        self.world.faults.unhealthy.clear()
+        self.world.faults.silent.clear()
+
+    def pause(self) -> None:
+        process = self.choose()
+        if sum(other.runs for other in self.processes) > 3:
+            process.is_paused = True
+
+    def resume(self) -> None:
+        for process, resumed_at in list(self.replaced_pauses.items()):
+            if self.world.clock.now >= resumed_at:
+                process.is_paused = False
+                del self.replaced_pauses[process]
+        process = self.choose()
+        if process not in self.replaced_pauses:
+            process.is_paused = False
+
+    def kill(self) -> None:
+        process = self.choose()
+        if sum(other.runs for other in self.processes) > 3:
+            process.is_dead = True
+
+    def restart(self) -> None:
+        for process in self.processes:
+            if process.is_dead and self.world.hosts[process.host] is process:
+                self.start_again(process)
+
+    def replace_paused(self) -> None:
+        process = self.choose()
+        if process.is_paused and self.world.hosts[process.host] is process:
+            self.replaced_pauses[process] = self.world.clock.now + SHORTEST_REPLACED_PAUSE
+            self.start_again(process)
+
+    def stop(self) -> None:
+        process = self.choose()
+        if process.runs:
+            process.keepers.host.close()
+            process.is_dead = True
+
+    def start_again(self, old: Process) -> None:
+        self.processes.append(Process(self.world, old.host, old.member.domain, SETTINGS))
+
+    def check_rights(self) -> None:
+        total = 0
+        for process in self.processes:
+            bucket = process.keepers.holdings.find(ACCOUNT)
+            if bucket and not process.is_dead and process.keepers.holdings.is_open():
+                total += bucket.rate
+        assert total <= RATE * MICRO
+
+    def check_admissions(self) -> None:
+        """Check every interval between two admissions by the level of one central bucket."""
+        debt, last = 0.0, self.admissions[0].at if self.admissions else 0.0
+        for admission in self.admissions:
+            debt = max(0.0, debt - RATE * MICRO * (admission.at - last)) + admission.amount
+            last = admission.at
+            assert debt <= BURST * MICRO
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_admitted_tokens_stay_within_rate_and_burst(seed):
+    print("seed", seed)
+    chaos = Chaos(seed)
+    chaos.settle(5.0)
+    for _ in range(ACTIONS):
+        chaos.act()
+    chaos.check_admissions()
+    assert sum(admission.amount for admission in chaos.admissions) > 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_all_tokens_are_handed_out_again_once_all_is_well(seed):
+    print("seed", seed)
+    chaos = Chaos(seed)
+    chaos.settle(5.0)
+    for _ in range(ACTIONS):
+        chaos.act()
+    chaos.heal()
+    chaos.world.faults.fates.clear()
+    for process in list(chaos.processes):
+        process.is_paused = False
+        process.is_dead = chaos.world.hosts[process.host] is not process
+    chaos.settle(40.0)
+    held = [p.keepers.holdings.find(ACCOUNT) for p in chaos.processes if p.runs]
+    limit = create_limit(RATE, BURST, SETTINGS.debit_timeout)
+    assert sum(bucket.rate for bucket in held if bucket) == limit.rate
+    assert sum(bucket.depth for bucket in held if bucket) == limit.burst
