--- a/tests/cache/test_index.py
+++ b/tests/cache/test_index.py
@@ -1,6 +1,6 @@
 import math
 
-from turmericproxy.cache.index import PrefixIndex, create_key
+from turmericproxy.cache.index import Lookup, PrefixIndex, create_key
 from turmericproxy.core import EngineName, Incarnation
 
 ENGINE = EngineName("engine-1")
@@ -24,6 +24,7 @@
 def test_unused_blocks_fade():
     index = create_index()
     index.predict(ENGINE, CHAIN, 10.0)
+    assert index.estimate_presence(ENGINE, CHAIN, 33.0) == [1.0] * 4
     assert index.estimate_presence(ENGINE, CHAIN, 40.0) == [0.5] * 4
     assert index.estimate_presence(ENGINE, CHAIN, 100.0) == []
 
@@ -68,9 +69,9 @@
         index.remove(ENGINE, FIRST, key, number + 4.5)
     assert 3.9 < index.get_residence(ENGINE).seconds < 4.2
     for _ in range(60):
-        index.learn_usage(ENGINE, CHAIN[:1], 1, [8.0])
+        index.learn_usage(ENGINE, [Lookup(8.0)], 1)
     assert 7.9 < index.get_residence(ENGINE).seconds <= 8.0
-    index.learn_usage(ENGINE, CHAIN[:1], 0, [math.inf])
+    index.learn_usage(ENGINE, [Lookup(math.inf)], 0)
     assert 7.9 < index.get_residence(ENGINE).seconds <= 8.0
 
 
@@ -91,3 +92,28 @@
     index.predict(ENGINE, CHAIN, 10.0)
     index.retract(ENGINE, CHAIN)
     assert index.estimate_presence(ENGINE, CHAIN, 10.0) == [1.0]
+
+
+def test_full_engine_is_expected_to_evict_the_deepest_blocks_first():
+    index = create_index()
+    index.set_capacity(ENGINE, 5)
+    index.predict(ENGINE, CHAIN, 10.0)
+    index.predict(ENGINE, [1001, 1002], 11.0)
+    assert index.estimate_presence(ENGINE, CHAIN, 11.0) == [1.0] * 3
+    assert index.count_blocks() == 5
+
+
+def test_trust_in_doubted_blocks_is_learnt():
+    index = create_index()
+    index.predict(ENGINE, CHAIN, 10.0)
+    for key in CHAIN:
+        index.confirm(ENGINE, FIRST, key, 10.1)
+    index.doubt(ENGINE, 11.0)
+    lookups = index.look_up(ENGINE, CHAIN, 12.0)
+    assert [lookup.is_doubted for lookup in lookups] == [True] * 4
+    for _ in range(30):
+        index.learn_usage(ENGINE, lookups, 4)
+    assert index.estimate_presence(ENGINE, CHAIN, 12.0)[0] > 0.95
+    for _ in range(30):
+        index.learn_usage(ENGINE, lookups, 0)
+    assert index.estimate_presence(ENGINE, CHAIN, 12.0)[0] < 0.1
--- a/turmericproxy/bench/callers.py
+++ b/turmericproxy/bench/callers.py
@@ -17,6 +17,8 @@
 
 CALLER_THREADS = 128
 CONNECT_TIMEOUT = 0.5
+PROBE_PAUSE = 0.2
+PROBE_TIMEOUT = 0.5
 READ_TIMEOUT = 20.0
 HTTP_OK = 200
 EVENT_PREFIX = b"data:"
@@ -34,12 +36,22 @@
 
 
 class Balancer:
-    """Give each call the next host, and pass over hosts that refuse connections."""
+    """Give each call the next ready host, and pass over hosts that refuse connections.
+
+    It asks the hosts every ``PROBE_PAUSE`` seconds whether they are ready.
+    """
 
     def __init__(self, hosts: Sequence[str]) -> None:
         self._pools = [_create_pool(address) for address in hosts]
+        self._ready = list(self._pools)
         self._next = 0
         self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._probes = threading.Thread(target=self._probe_all, name="probes", daemon=True)
+
+    def start(self) -> None:
+        """Start to probe the hosts."""
+        self._probes.start()
 
     def open(self, path: str, body: bytes, headers: Mapping[str, str]) -> Any:
         """Return the open answer of the first host that accepts a connection."""
@@ -55,14 +67,30 @@
         raise error
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Stop probing and close the idle connections."""
+        self._closed.set()
+        self._probes.join(timeout=PROBE_TIMEOUT * len(self._pools))
         for pool in self._pools:
             pool.close()
 
     def _take_pool(self) -> urllib3.HTTPConnectionPool:
         with self._lock:
             self._next += 1
-            return self._pools[self._next % len(self._pools)]
+            return self._ready[self._next % len(self._ready)]
+
+    def _probe_all(self) -> None:
+        while not self._closed.wait(PROBE_PAUSE):
+            ready = [pool for pool in self._pools if _is_ready(pool)]
+            with self._lock:
+                self._ready = ready or list(self._pools)
+
+
+def _is_ready(pool: urllib3.HTTPConnectionPool) -> bool:
+    try:
+        answer = pool.request("GET", "/readyz", timeout=PROBE_TIMEOUT)
+    except (HTTPError, OSError):
+        return False
+    return answer.status == HTTP_OK
 
 
 def _create_pool(address: str) -> urllib3.HTTPConnectionPool:
@@ -79,6 +107,7 @@
     Times count from the due moment, so that a late caller thread does not hide a slow host.
     """
     balancer = Balancer(target.hosts)
+    balancer.start()
     bodies = [_create_body(call, target) for call in calls]
     started = time.monotonic()
     with ThreadPoolExecutor(CALLER_THREADS) as pool:
--- a/turmericproxy/bench/slopes_routing.py
+++ b/turmericproxy/bench/slopes_routing.py
@@ -134,8 +134,9 @@
     index = PrefixIndex(count + 1)
     for number in range(engines):
         # Each key is a fresh object, as it is when it comes out of an event.
-        keys = (create_key(f"{n:032x}"[::-1]) for n in range(count // engines))
+        keys = [create_key(f"{n:032x}"[::-1]) for n in range(count // engines)]
         index.predict(EngineName(f"engine-{number}"), keys, 100.0 + number)
+        del keys
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     return float(used)
--- a/turmericproxy/cache/index.py
+++ b/turmericproxy/cache/index.py
@@ -8,7 +8,8 @@
 from turmericproxy.cache.residence import Residence, learn_eviction, learn_lookup
 from turmericproxy.core import EngineName, Incarnation
 
-DOUBTED = 0.5
+FIRST_TRUST = 0.5
+TRUST_SMOOTHING = 0.1
 FIRST_LAG = 0.5
 LAG_SMOOTHING = 0.1
 KEY_DIGITS = 16
@@ -21,11 +22,28 @@
     return int(block[:KEY_DIGITS], 16)
 
 
+@dataclass(frozen=True)
+class Lookup:
+    """Say what was known of a block when a request that needs it was sent.
+
+    ``age`` is in seconds since the last known use, infinite if there was none or if the block
+    was to be imported.
+    """
+
+    age: float
+    is_doubted: bool = False
+
+
 @dataclass
 class _EngineBlocks:
-    """Hold the blocks expected at one incarnation of an engine, the least lately used first."""
+    """Hold the blocks expected at one incarnation of an engine, the least lately used first.
+
+    ``trust`` is the part of the doubted blocks that turned out to be cached.
+    """
 
     incarnation: Incarnation | None = None
+    capacity: float = math.inf
+    trust: float = FIRST_TRUST
     used_at: dict[BlockKey, float] = field(default_factory=dict)
     unconfirmed: set[BlockKey] = field(default_factory=set)
     doubted_at: float = -math.inf
@@ -49,16 +67,27 @@
         if used_at is None:
             return 0.0
         presence = self.residence.estimate_presence(now - used_at)
-        is_doubted = used_at < self.doubted_at and key not in self.unconfirmed
-        return presence * DOUBTED if is_doubted else presence
+        return presence * self.trust if self.is_doubted(key) else presence
+
+    def is_doubted(self, key: BlockKey) -> bool:
+        used_at = self.used_at.get(key, math.inf)
+        return used_at < self.doubted_at and key not in self.unconfirmed
+
+    def learn_lookup(self, lookup: Lookup, was_cached: bool) -> None:
+        if lookup.age == math.inf:
+            return
+        if lookup.is_doubted:
+            self.trust += TRUST_SMOOTHING * (was_cached - self.trust)
+        else:
+            self.residence = learn_lookup(self.residence, lookup.age, was_cached)
 
 
 class PrefixIndex:
     """Keep the expected blocks of each engine, at most ``limit`` in all.
 
-    Own dispatches and those of peers predict blocks; events of the engines confirm and remove
-    them late. A new incarnation drops everything that was known of the old one. Times are boot
-    times in seconds.
+    Own dispatches and those of peers predict blocks, and which ones the engine evicts for them
+    once its capacity is reached; events of the engines confirm and remove blocks late. A new
+    incarnation drops everything that was known of the old one. Times are boot times in seconds.
     """
 
     def __init__(self, limit: int) -> None:
@@ -79,16 +108,24 @@
                 self._clear(blocks)
             return not is_first
 
-    def predict(self, engine: EngineName, keys: Iterable[BlockKey], now: float) -> None:
-        """Expect that the engine holds these blocks after a dispatch."""
+    def set_capacity(self, engine: EngineName, capacity: int) -> None:
+        """Take in how many blocks the engine's cache holds."""
+        with self._lock:
+            self._engines.setdefault(engine, _EngineBlocks()).capacity = capacity
+
+    def predict(self, engine: EngineName, keys: Sequence[BlockKey], now: float) -> None:
+        """Expect that the engine holds the blocks of this chain after a dispatch.
+
+        Engines evict the deepest block of a chain first, so it counts as used the earliest.
+        """
         with self._lock:
             blocks = self._engines.setdefault(engine, _EngineBlocks())
-            for key in keys:
+            for key in reversed(keys):
                 if key not in blocks.used_at:
                     self._count += 1
                     blocks.unconfirmed.add(key)
                 blocks.touch(key, now)
-            self._enforce_limit()
+            self._enforce_limit(blocks)
 
     def retract(self, engine: EngineName, keys: Iterable[BlockKey]) -> None:
         """Forget predictions of a dispatch that never reached the engine."""
@@ -109,7 +146,7 @@
             if key not in blocks.used_at:
                 self._count += 1
                 blocks.touch(key, now - blocks.event_lag)
-                self._enforce_limit()
+                self._enforce_limit(blocks)
             elif key in blocks.unconfirmed:
                 blocks.unconfirmed.discard(key)
                 lag = now - blocks.used_at[key]
@@ -146,20 +183,14 @@
             if blocks:
                 blocks.doubted_at = now
 
-    def learn_usage(
-        self, engine: EngineName, keys: Sequence[BlockKey], cached: int, ages: Sequence[float]
-    ) -> None:
-        """Learn the residence from a dispatch: how old its blocks were, how many were cached."""
+    def learn_usage(self, engine: EngineName, lookups: Sequence[Lookup], cached: int) -> None:
+        """Learn from a finished request how many of its blocks were cached."""
         with self._lock:
             blocks = self._engines.get(engine)
             if blocks is None:
                 return
-            for position, age in enumerate(ages):
-                if age < math.inf:
-                    was_cached = position < cached
-                    blocks.residence = learn_lookup(blocks.residence, age, was_cached)
-                if position >= cached:
-                    break
+            for place, lookup in enumerate(lookups[: cached + 1]):
+                blocks.learn_lookup(lookup, was_cached=place < cached)
 
     def estimate_presence(
         self, engine: EngineName, keys: Sequence[BlockKey], now: float
@@ -178,13 +209,16 @@
                 chances.append(chance)
             return chances
 
-    def measure_ages(self, engine: EngineName, keys: Sequence[BlockKey], now: float) -> list[float]:
-        """Return for each block the seconds since its last known use, infinite if not known."""
+    def look_up(self, engine: EngineName, keys: Sequence[BlockKey], now: float) -> list[Lookup]:
+        """Return what is known of each block at an engine."""
         with self._lock:
             blocks = self._engines.get(engine)
             if blocks is None:
-                return [math.inf] * len(keys)
-            return [now - blocks.used_at.get(key, -math.inf) for key in keys]
+                return [Lookup(math.inf)] * len(keys)
+            return [
+                Lookup(now - blocks.used_at.get(key, -math.inf), blocks.is_doubted(key))
+                for key in keys
+            ]
 
     def get_residence(self, engine: EngineName) -> Residence:
         """Return how long the engine keeps unused blocks."""
@@ -212,7 +246,9 @@
         self._count -= 1
         blocks.drop(key)
 
-    def _enforce_limit(self) -> None:
+    def _enforce_limit(self, grown: _EngineBlocks) -> None:
+        while len(grown.used_at) > grown.capacity:
+            self._drop(grown, next(iter(grown.used_at)))
         while self._count > self._limit:
             largest = max(self._engines.values(), key=lambda blocks: len(blocks.used_at))
             self._drop(largest, next(iter(largest.used_at)))
--- a/turmericproxy/cache/residence.py
+++ b/turmericproxy/cache/residence.py
@@ -5,6 +5,7 @@
 FIRST_GUESS = 30.0
 SMOOTHING = 0.1
 SHORTEST = 0.2
+SPREAD = 0.2
 
 
 @dataclass(frozen=True)
@@ -16,10 +17,11 @@
     def estimate_presence(self, age: float) -> float:
         """Return the chance that a block last used ``age`` seconds ago is still cached.
 
-        >>> Residence(10.0).estimate_presence(1.0), Residence(10.0).estimate_presence(10.0)
+        >>> Residence(10.0).estimate_presence(8.0), Residence(10.0).estimate_presence(10.0)
         (1.0, 0.5)
         """
-        return max(0.0, min(1.0, 1.5 - age / self.seconds))
+        left = (self.seconds - age) / (2 * SPREAD * self.seconds)
+        return max(0.0, min(1.0, 0.5 + left))
 
 
 def learn_eviction(residence: Residence, age: float) -> Residence:
--- a/turmericproxy/routing/engines.py
+++ b/turmericproxy/routing/engines.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from turmericproxy.cache.index import Lookup
 from turmericproxy.core import HostName, Incarnation, RequestId
 from turmericproxy.routing.health import Health
 from turmericproxy.routing.speed import Speed
@@ -21,6 +22,7 @@
     versions: Mapping[str, str]
     received_at: float
     own_tokens: float = 0.0
+    capacity_blocks: int = 0
 
 
 @dataclass(frozen=True)
@@ -38,7 +40,8 @@
     missing_tokens: int
     ahead_tokens: float
     dispatched_at: float
-    ages: list[float] = field(default_factory=list)
+    lookups: tuple[Lookup, ...] = ()
+    import_seconds: float = 0.0
     first_piece_seconds: float | None = None
 
 
--- a/turmericproxy/routing/fleet.py
+++ b/turmericproxy/routing/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from turmericproxy.cache.blocks import TOKENS_PER_BLOCK
-from turmericproxy.cache.index import BlockKey, PrefixIndex, create_key
+from turmericproxy.cache.index import BlockKey, Lookup, PrefixIndex, create_key
 from turmericproxy.configuration import Engine
 from turmericproxy.core import DomainName, EngineName, HostName, read_boottime
 from turmericproxy.logs import Part, log_event
@@ -53,22 +53,29 @@
     def record_dispatch(self, choice: Choice, keys: Sequence[BlockKey]) -> None:
         """Count a request that is about to be sent to its engine."""
         now = self._read_clock()
-        ages = self.index.measure_ages(choice.engine, keys, now)
+        lookups = self.index.look_up(choice.engine, keys, now)
         for place in choice.imports:
-            ages[place] = math.inf
+            lookups[place] = Lookup(math.inf)
         with self._lock:
             state = self._get_state(choice.engine)
             ahead = state.count_own_tokens() + state.count_other_tokens(now)
-            work = PendingWork(choice.missing_tokens, ahead, now, ages)
+            work = PendingWork(choice.missing_tokens, ahead, now, tuple(lookups))
             state.in_flight[choice.request.request_id] = work
         self.index.predict(choice.engine, keys, now)
 
+    def record_import(self, choice: Choice, seconds: float) -> None:
+        """Record that the import before a dispatch took some seconds."""
+        with self._lock:
+            work = self._get_state(choice.engine).in_flight.get(choice.request.request_id)
+            if work:
+                work.import_seconds = seconds
+
     def record_first_piece(self, choice: Choice, seconds: float) -> None:
-        """Record that the first piece came, ``seconds`` after the dispatch."""
+        """Record that the first piece came, ``seconds`` after the attempt began."""
         with self._lock:
             work = self._get_state(choice.engine).in_flight.get(choice.request.request_id)
             if work and work.first_piece_seconds is None:
-                work.first_piece_seconds = seconds
+                work.first_piece_seconds = max(0.0, seconds - work.import_seconds)
 
     def record_finish(self, choice: Choice, kind: FinishKind, usage: TokenCounts | None) -> None:
         """Record how an attempt ended, with the engine's usage if it was complete."""
@@ -83,11 +90,13 @@
             self.index.retract(choice.engine, keys)
         elif work and usage:
             cached = usage.cached_tokens // TOKENS_PER_BLOCK
-            self.index.learn_usage(choice.engine, keys, cached, work.ages)
+            self.index.learn_usage(choice.engine, work.lookups, cached)
 
     def record_report(self, engine: EngineName, report: LoadReport, seconds: float) -> None:
         """Take in an engine's report and the seconds that its answer took."""
         is_new = self.index.observe_incarnation(engine, report.incarnation)
+        if report.capacity_blocks:
+            self.index.set_capacity(engine, report.capacity_blocks)
         with self._lock:
             state = self._get_state(engine)
             before = state.report
--- a/turmericproxy/routing/policies.py
+++ b/turmericproxy/routing/policies.py
@@ -5,21 +5,26 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from turmericproxy.cache.blocks import TOKENS_PER_BLOCK
 from turmericproxy.routing.requests import RoutingRequest
 from turmericproxy.routing.views import Candidate
 
 NEAR_SECONDS = 0.005
 NEAR_SHARE = 0.05
+WASTE_WEIGHT = 1.0
 
 
 @dataclass(frozen=True)
 class ExpectedTime:
     """Take the engine with the least expected time to the first token.
 
-    Among engines that differ by less than ``near_seconds`` or ``near_share``, all hosts agree
-    on one by the hash of the prompt's last block.
+    Time spent on computing blocks that another engine holds counts ``waste_weight`` times more,
+    since it delays the requests that come later. Among engines that differ by less than
+    ``near_seconds`` or ``near_share``, all hosts agree on one by the hash of the prompt's last
+    block.
     """
 
+    waste_weight: float = WASTE_WEIGHT
     near_seconds: float = NEAR_SECONDS
     near_share: float = NEAR_SHARE
 
@@ -71,13 +76,21 @@
 def _(
     policy: ExpectedTime, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
 ) -> Candidate:
-    best = min(candidate.expected_seconds for candidate in candidates)
-    limit = max(best + policy.near_seconds, best * (1 + policy.near_share))
-    near = [candidate for candidate in candidates if candidate.expected_seconds <= limit]
+    most_cached = max(candidate.cached_blocks for candidate in candidates)
+    costs = [_compute_cost(policy, candidate, most_cached) for candidate in candidates]
+    limit = max(min(costs) + policy.near_seconds, min(costs) * (1 + policy.near_share))
+    near = [c for c, cost in zip(candidates, costs, strict=True) if cost <= limit]
     key = request.blocks[-1] if request.blocks else request.request_id
     return max(near, key=lambda candidate: weigh_rendezvous(key, candidate.view.engine))
 
 
+def _compute_cost(policy: ExpectedTime, candidate: Candidate, most_cached: int) -> float:
+    """Return the expected seconds with those wasted on blocks that another engine holds."""
+    wasted_tokens = TOKENS_PER_BLOCK * (most_cached - candidate.cached_blocks)
+    wasted = wasted_tokens / candidate.view.tokens_per_second
+    return candidate.expected_seconds + policy.waste_weight * wasted
+
+
 @select.register
 def _(
     policy: RoundRobin, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -223,4 +223,5 @@
         versions=dict(body["versions"]),
         received_at=read_boottime(),
         own_tokens=own_tokens,
+        capacity_blocks=int(body["capacity_blocks"]),
     )
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -149,16 +149,19 @@
         known = choice.imports.start if choice.imports else choice.cached_blocks
         self._sharing.add(DispatchNote(choice.engine, keys, known))
         if choice.imports:
-            self._transfers.import_blocks(choice)
+            seconds = self._transfers.import_blocks(choice)
+            self.fleet.record_import(choice, seconds)
 
     @record_dispatch.register
     def _(self, choice: UpstreamChoice) -> None:
         self.plain.record_start(choice.upstream)
 
     def record_first_piece(self, choice: Choice, seconds: float) -> None:
-        """Record that the first piece came, ``seconds`` after the dispatch."""
+        """Record that the first piece came, ``seconds`` after the attempt began."""
         self.fleet.record_first_piece(choice, seconds)
         self._sharing.mark_changed(choice.engine)
+        # The engine has computed the whole prompt when its first piece comes.
+        self._transfers.offer(choice.engine, choice.address, choice.request.blocks)
 
     @singledispatchmethod
     def record_finish(
@@ -171,8 +174,6 @@
     def _(self, choice: Choice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
         self.fleet.record_finish(choice, kind, usage)
         self._sharing.mark_changed(choice.engine)
-        if kind is FinishKind.DONE:
-            self._transfers.offer(choice.engine, choice.address, choice.request.blocks)
 
     @record_finish.register
     def _(self, choice: UpstreamChoice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
--- a/turmericproxy/routing/sharing.py
+++ b/turmericproxy/routing/sharing.py
@@ -14,6 +14,7 @@
 from turmericproxy.routing.engines import PeerWork
 
 NOTE_KIND = "routing.dispatches"
+KEPT_KIND = "routing.kept"
 SHORTEST_PAUSE = 0.05
 REFRESH_PAUSE = 1.0
 BYTES_PER_SECOND = 6_000
@@ -97,6 +98,7 @@
         if self._links is None:
             return
         self._links.register(NOTE_KIND, self.receive)
+        self._links.register(KEPT_KIND, lambda host, body: _pack_keys(self._kept.list_keys()))
         threading.Thread(target=self._run, name="work-sharing", daemon=True).start()
 
     def close(self) -> None:
@@ -158,11 +160,23 @@
                 self._chains.add(keys)
         return keys
 
+    def _fetch_kept(self, host: HostName) -> bool:
+        """Take over what a peer knows of the kept blocks, after a start."""
+        packed = self._links.call(host, KEPT_KIND, None)
+        if not isinstance(packed, bytes):
+            return False
+        self._kept.add(_unpack_keys(packed))
+        return True
+
     def _run(self) -> None:
+        is_filled = False
         while not self._closed.is_set():
             self._wake.wait(REFRESH_PAUSE)
             self._wake.clear()
-            self._hosts = 1 + len(self._links.list_reachable())
+            reachable = self._links.list_reachable()
+            self._hosts = 1 + len(reachable)
+            if reachable and not is_filled:
+                is_filled = self._fetch_kept(reachable[0].host)
             batch = self.create_batch()
             sent = self._links.broadcast(NOTE_KIND, batch) if batch else 0
             size = len(msgpack.packb(batch)) if sent else 0
--- a/turmericproxy/routing/transfers.py
+++ b/turmericproxy/routing/transfers.py
@@ -39,8 +39,8 @@
 class Transfers:
     """Export computed blocks in the background, and import kept ones before a dispatch.
 
-    ``tell`` is called with the blocks that were exported. After a failure nothing is imported
-    for ``PAUSE_AFTER_FAILURE`` seconds, and engines compute instead.
+    ``tell`` is called with the blocks that were exported. After an import took too long nothing
+    is imported for ``PAUSE_AFTER_FAILURE`` seconds, and engines compute instead.
     """
 
     def __init__(
@@ -61,6 +61,8 @@
 
     def start(self) -> None:
         """Start to export in the background."""
+        if not self._is_used:
+            return
         threading.Thread(target=self._run, name="exports", daemon=True).start()
 
     def close(self) -> None:
@@ -81,8 +83,8 @@
             per_block = self._seconds_per_block
         return KeptChain(self.kept.find(keys), FIRST_SECONDS_PER_CALL, per_block)
 
-    def import_blocks(self, choice: Choice) -> bool:
-        """Let the engine import the blocks of a choice; return whether it has them all."""
+    def import_blocks(self, choice: Choice) -> float:
+        """Let the engine import the blocks of a choice; return the seconds that it took."""
         blocks = [choice.request.blocks[place] for place in choice.imports]
         expected = FIRST_SECONDS_PER_CALL + self._seconds_per_block * len(blocks)
         body = {
@@ -99,14 +101,15 @@
         )
         elapsed = time.monotonic() - started
         if isinstance(answer, CallFailure) or answer[0] != 200:
-            self._pause(choice.engine)
-            return False
+            if not isinstance(answer, CallFailure) or not answer.is_unsent:
+                self._pause(choice.engine)
+            return elapsed
         count = int(answer[1]["blocks"])
         if count:
             self._learn(max(0.0, elapsed - FIRST_SECONDS_PER_CALL) / count)
         if count < len(blocks):
             self.kept.discard(create_key(block) for block in blocks[count:])
-        return count == len(blocks)
+        return elapsed
 
     def offer(self, engine: EngineName, address: str, blocks: Sequence[str]) -> None:
         """Ask for an export of the blocks that are not kept yet, within the allowance."""
