Give every request to an upstream its own connection; prove streams under failure

Cause: after idle pooled connections went silent, each attempt took another silent one and waited its first-byte deadline, so a chat failed after three (6.0 s with a deadline of 2 s) and a lookup took 1.13 s. Ruled out: dropping the pool after a failure, which still loses one deadline.

--- a/turmericproxy/bench/cluster.py
+++ b/turmericproxy/bench/cluster.py
@@ -26,6 +26,7 @@
 READY_SECONDS = 20.0
 POLL_SECONDS = 0.05
 CALL_SECONDS = 5.0
+SETTLED_SHARE = 0.9
 
 
 class ClusterError(Exception):
@@ -126,6 +127,18 @@
         """Set faults of a stand-in over its control call."""
         self.call(name, "POST", "/control", faults)
 
+    def await_restart(self, engine: str, before: str) -> None:
+        """Wait until an engine is back under another incarnation than ``before``."""
+        self.await_condition(
+            f"{engine} is back", lambda: self._read_incarnation(engine) not in ("", before)
+        )
+
+    def _read_incarnation(self, engine: str) -> str:
+        try:
+            return str(self.call(engine, "GET", "/v1/load")["incarnation"])
+        except ClusterError:
+            return ""
+
     def read_truth(self, name: str) -> Any:
         """Return what an engine or a service says that it ran."""
         is_service = name in {service.name for service in self.plan.services}
@@ -236,15 +249,18 @@
             f"revision {wanted} at every host",
             lambda: all(self.read_revision(name) >= wanted for name in self.host_names),
         )
-        accounts = {account.name for account in self.plan.accounts}
-        self.await_condition(
-            "a bucket of every client account",
-            lambda: accounts <= self._list_accounts_with_buckets(),
-        )
+        self.await_condition("the buckets of every client account", self._are_buckets_split)
 
-    def _list_accounts_with_buckets(self) -> set[str]:
-        statuses = [self.operate(name, "GET", "/v1/status") for name in self.host_names]
-        return {bucket["account"] for status in statuses for bucket in status["buckets"]}
+    def _are_buckets_split(self) -> bool:
+        depths: dict[str, float] = {}
+        for name in self.host_names:
+            for bucket in self.operate(name, "GET", "/v1/status")["buckets"]:
+                account = bucket["account"]
+                depths[account] = depths.get(account, 0.0) + bucket["depth"]
+        return all(
+            depths.get(account.name, 0.0) >= SETTLED_SHARE * account.burst
+            for account in self.plan.accounts
+        )
 
 
 def start_cluster(plan: ClusterPlan, folder: Path | None = None) -> Cluster:
--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -75,12 +75,12 @@
             "stream": True,
             "start": self.start,
         }
-        return self._open(CHAT_PATH, body, fresh=False)
+        return self._open(CHAT_PATH, body)
 
     def resume(self, after: int) -> AttemptFailure | None:
         """Ask the same engine for the pieces after the last one that arrived."""
         self._drop_answer()
-        return self._open(RESUME_PATH, {"request_id": self.request_id, "after": after}, fresh=True)
+        return self._open(RESUME_PATH, {"request_id": self.request_id, "after": after})
 
     def read_events(self) -> Iterator[Event | AttemptFailure]:
         """Return the events as they come, and a failure if the connection breaks."""
@@ -117,14 +117,15 @@
             fresh=True,
         )
 
-    def _open(self, path: str, body: object, *, fresh: bool) -> AttemptFailure | None:
+    def _open(self, path: str, body: object) -> AttemptFailure | None:
+        # An idle pooled connection may have gone silent: every request has a connection of its own.
         answer = self._client.open(
             "POST",
             path,
             body=json.dumps(body).encode(),
             headers={"Content-Type": "application/json", "X-Request-Id": self.request_id},
             read_timeout=self._settings.first_byte_timeout,
-            fresh=fresh,
+            fresh=True,
         )
         self._was_sent |= not (isinstance(answer, CallFailure) and answer.is_unsent)
         if isinstance(answer, CallFailure):
--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -94,14 +94,14 @@
     ) -> HttpResponse | _Failure:
         headers = select_headers(call.headers, exchange.key)
         headers["X-Request-Id"] = exchange.request_id
-        # A pooled connection may have gone silent, so a call that can't be sent again gets its own.
+        # An idle pooled connection may have gone silent: every call has a connection of its own.
         answer = self._parts.clients.get(choice.address).open(
             call.method,
             call.path,
             body=call.body or None,
             headers=headers,
             read_timeout=call.route.timeout,
-            fresh=not call.is_repeatable,
+            fresh=True,
         )
         if isinstance(answer, CallFailure):
             kind = FinishKind.UNREACHABLE if answer.is_unsent else FinishKind.TIMEOUT
--- a/turmericproxy/standins/engine/options.py
+++ b/turmericproxy/standins/engine/options.py
@@ -65,6 +65,11 @@
             self.crossed -= 1
             return self.crossed_after
 
+    def count_left(self) -> dict[str, int]:
+        """Return how many crossed answers and broken streams are still to come."""
+        with self._lock:
+            return {"crossed": self.crossed, "broken": int(self.break_stream_after is not None)}
+
     def take_break(self) -> int | None:
         """Return after how many pieces this stream is cut, or ``None``."""
         with self._lock:
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -208,6 +208,7 @@
             "cached": core.list_blocks(),
             "versions": dict(core.weights.versions),
             "orders": list(self._orders.accepted),
+            "faults_left": self.faults.count_left(),
             "served": self.served.describe(),
         }
         return create_json_response(200, truth)
--- a/turmericproxy/standins/service.py
+++ b/turmericproxy/standins/service.py
@@ -11,7 +11,8 @@
 from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
 
 POLL = 0.1
-CROSSED_NAME = "another-service"
+CROSSED_ID = "another-request"
+CROSSED_BODY = "the body of another request"
 
 
 @dataclass(frozen=True)
@@ -126,9 +127,16 @@
         if self.faults.take("fail_after"):
             return _drop(request)
         time.sleep(self.faults.late)
-        name = CROSSED_NAME if self.faults.take("crossed") else self.options.name
-        value = {"service": name, "path": request.path, "run": run, "echo": body}
-        return create_json_response(200, value)
+        request_id = request.headers.get("x-request-id", "")
+        if self.faults.take("crossed"):
+            request_id, body = CROSSED_ID, CROSSED_BODY
+        value = {
+            "service": self.options.name,
+            "path": request.path,
+            "run": run,
+            "echo": body,
+        }
+        return create_json_response(200, value, {"X-Request-Id": request_id})
 
     def _run(self, request: HttpRequest, body: str) -> int:
         time.sleep(self.options.work_time)
