Hold fresh calls to their own deadlines

Cause: urllib3 sets the socket to the connection's timeout again before it reads the answer's head, so a call on a connection of its own waited the connect timeout (0.5 s) for an answer, whatever its first-byte deadline; a slower booking was told 'outcome unknown'. The idle deadline did not reach it either, as such an answer names no connection. Ruled out: the relay, which passed the bytes on. The first test fails on the old code, the other two without the idle deadline (the body is waited for 5 s).

--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -14,7 +14,7 @@
 from turmericproxy.core import RequestId, read_boottime
 from turmericproxy.routing import Choice, FinishKind
 from turmericproxy.settings.schema import UpstreamSettings
-from turmericproxy.web import CallFailure, HttpClient, set_idle_timeout
+from turmericproxy.web import CallFailure, HttpClient
 
 CHAT_PATH = "/v1/chat/completions"
 RESUME_PATH = "/v1/resume"
@@ -125,6 +125,7 @@
             body=json.dumps(body).encode(),
             headers={"Content-Type": "application/json", "X-Request-Id": self.request_id},
             read_timeout=self._settings.first_byte_timeout,
+            idle_timeout=self._settings.idle_timeout,
             fresh=True,
         )
         self._was_sent |= not (isinstance(answer, CallFailure) and answer.is_unsent)
@@ -135,7 +136,6 @@
             answer.close()
             kind = REFUSED_KINDS.get(answer.status, FinishKind.UNREACHABLE)
             return AttemptFailure(kind, f"the engine answered {answer.status}")
-        set_idle_timeout(answer, self._settings.idle_timeout)
         self._answer = answer
         return None
 
--- a/turmericproxy/web/__init__.py
+++ b/turmericproxy/web/__init__.py
@@ -1,6 +1,6 @@
 """Serve and call HTTP through cheroot and urllib3."""
 
-from turmericproxy.web.client import CallFailure, FailureStage, HttpClient, set_idle_timeout
+from turmericproxy.web.client import CallFailure, FailureStage, HttpClient
 from turmericproxy.web.server import HttpRequest, HttpResponse, HttpServer, create_json_response
 
 __all__ = [
@@ -11,5 +11,4 @@
     "HttpResponse",
     "HttpServer",
     "create_json_response",
-    "set_idle_timeout",
 ]
--- a/turmericproxy/web/client.py
+++ b/turmericproxy/web/client.py
@@ -77,16 +77,19 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         read_timeout: float | None = None,
+        idle_timeout: float | None = None,
         fresh: bool = False,
     ) -> urllib3.BaseHTTPResponse | CallFailure:
         """Send a request and return the open answer, whose body is still to be read.
 
-        The caller releases the answer with ``release_conn`` or ends it with ``close``.
+        ``idle_timeout`` limits how long a fresh answer may stay silent once its head has come, by
+        default as long as ``read_timeout``. The caller releases the answer with ``release_conn``
+        or ends it with ``close``.
         """
         limit = read_timeout or float(self._timeout.read_timeout or 0)
         sent = {**self._headers, **(headers or {})}
         if fresh:
-            return self._open_fresh(method, path, body, sent, limit)
+            return self._open_fresh(method, path, body, sent, (limit, idle_timeout or limit))
         try:
             return self._pool.urlopen(
                 method,
@@ -103,7 +106,12 @@
             return _describe_failure(error)
 
     def _open_fresh(
-        self, method: str, path: str, body: bytes | None, headers: dict[str, str], limit: float
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        limits: tuple[float, float],
     ) -> urllib3.BaseHTTPResponse | CallFailure:
         """Send a request on a connection of its own, which is closed with the answer."""
         host, port = self._endpoint
@@ -114,7 +122,10 @@
             connection.close()
             return CallFailure(FailureStage.CONNECT, type(error).__name__)
         try:
-            connection.sock.settimeout(limit)
+            # The answer may close the connection while its body is still read from the socket.
+            sock = connection.sock
+            connection.timeout, idle_timeout = limits
+            sock.settimeout(connection.timeout)
             connection.request(
                 method,
                 path,
@@ -123,7 +134,9 @@
                 preload_content=False,
                 decode_content=False,
             )
-            return connection.getresponse()
+            answer = connection.getresponse()
+            sock.settimeout(idle_timeout)
+            return answer
         except TimeoutError as error:
             connection.close()
             return CallFailure(FailureStage.ANSWER, type(error).__name__)
@@ -170,11 +183,3 @@
     if isinstance(error, ReadTimeoutError):
         return CallFailure(FailureStage.ANSWER, type(error).__name__)
     return CallFailure(FailureStage.SENT, type(error).__name__)
-
-
-def set_idle_timeout(answer: urllib3.BaseHTTPResponse, seconds: float) -> None:
-    """Limit how long the rest of an open answer may stay silent between two reads."""
-    connection = getattr(answer, "connection", None)
-    sock = getattr(connection, "sock", None)
-    if sock is not None:
-        sock.settimeout(seconds)
