Give each local cluster a loopback address of its own

Cause: a port that was picked free was taken by an outgoing connection before its process bound it; one start of a cluster in ten failed with 'address in use' on a busy machine. Ruled out: more tries; the ports now lie below the range for outgoing connections, on an address made from the process id. Conclusion: clusters side by side no longer meet.

--- a/turmericproxy/bench/layout.py
+++ b/turmericproxy/bench/layout.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from turmericproxy.bench.plan import ClusterPlan, EnginePlan, HostPlan, ServicePlan
-from turmericproxy.bench.processes import Sources, build_options, pick_ports
+from turmericproxy.bench.processes import Sources, build_options, pick_addresses
 from turmericproxy.bench.relay import Relay
 
 HOST_LISTENERS = ("callers", "operators", "peers")
@@ -100,12 +100,11 @@
 
 
 def create_layout(plan: ClusterPlan) -> Layout:
-    """Pick free ports for all listeners, and open the relay if the plan asks for it."""
+    """Pick addresses for all listeners, and open the relay if the plan asks for it."""
     names = ["platform", *(item.name for item in plan.engines)]
     names += [service.name for service in plan.services]
     names += [f"{host.name}.{part}" for host in plan.hosts for part in HOST_LISTENERS]
-    ports = pick_ports(len(names))
-    addresses = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
+    addresses = dict(zip(names, pick_addresses(len(names)), strict=True))
     sources = Sources()
     if not plan.relays:
         return Layout(plan, addresses, {}, None, sources)
--- a/turmericproxy/bench/processes.py
+++ b/turmericproxy/bench/processes.py
@@ -1,5 +1,6 @@
 """Start, pause and end processes, and tell whose a loopback connection is."""
 
+import itertools
 import os
 import signal
 import socket
@@ -11,6 +12,9 @@
 PROGRAM = str(Path(sys.executable).with_name("turmericproxy"))
 UNKNOWN_SOURCE = "outside"
 LOG_TAIL_BYTES = 2_000
+FIRST_PORT = 10_000
+
+_PORTS = itertools.count(FIRST_PORT)
 
 
 class ManagedProcess:
@@ -113,13 +117,15 @@
         return ""
 
 
-def pick_ports(count: int) -> list[int]:
-    """Return free loopback ports; they are all held until the last is picked."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports: list[int] = [server.getsockname()[1] for server in held]
-    for server in held:
-        server.close()
-    return ports
+def pick_addresses(count: int) -> list[str]:
+    """Return loopback addresses that nobody else uses.
+
+    The network number comes from this process's id. The ports lie below those that the system
+    gives to outgoing connections, so that none is taken before its process has started.
+    """
+    number = os.getpid()
+    network = f"127.{1 + (number >> 16) % 254}.{(number >> 8) & 255}.{1 + (number & 255) % 254}"
+    return [f"{network}:{next(_PORTS)}" for _ in range(count)]
 
 
 def build_options(options: Mapping[str, object]) -> list[str]:
