Record a claim's dispatch in the relay; mend a step name that two features used

Cause: release() depended on the run state of the refusal alone, and record_dispatch() had no caller. The relay records it now as soon as a byte may have been sent, so that a wrong refusal can't give a dispatched claim back. Ruled out: recording before the connection is made, which would hold claims back that were surely not sent.

--- a/features/bookings.feature
+++ b/features/bookings.feature
@@ -22,6 +22,6 @@
 
   Scenario: Platform away, a booking is refused at once
     Given a booking cluster
-    When the platform goes down
+    When the platform refuses every call
     Then new bookings at every host are refused with "claim_unavailable" within 1 second
     And a booking goes through once the platform is back
--- a/features/steps/bookings.py
+++ b/features/steps/bookings.py
@@ -139,7 +139,7 @@
         assert after[name] > context.before[name], (name, context.before, after)
 
 
-@when("the platform goes down")
+@when("the platform refuses every call")
 def stop_platform_for_good(context):
     context.cleanups.append(partial(context.cluster.set_faults, "platform", **QUIET))
     context.cluster.set_faults("platform", down=True)
--- /dev/null
+++ b/tests/callers/test_plain.py
@@ -0,0 +1,66 @@
+"""Check that a claimed call counts as dispatched as soon as a byte may have been sent."""
+
+import socket
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from tests.callers.test_filters import EXCHANGE
+from turmericproxy.callers.clients import UpstreamClients
+from turmericproxy.callers.plain import PlainParts, PlainRelay
+from turmericproxy.core import DomainName, Refusal, RunState, UpstreamName, read_boottime
+from turmericproxy.metrics import Metrics
+from turmericproxy.routing import RetryBudget, UpstreamChoice
+from turmericproxy.settings.schema import UpstreamSettings
+
+CLAIM: Any = "claim"
+
+
+class FixedSelector:
+    """Choose one upstream."""
+
+    def __init__(self, address: str) -> None:
+        self.choice = UpstreamChoice(UpstreamName("booking-1"), address, DomainName("north"))
+
+    def choose_upstream(self, *_: object) -> UpstreamChoice:
+        return self.choice
+
+    def record_dispatch(self, *_: object) -> None:
+        """Do nothing."""
+
+    record_finish = record_dispatch
+
+
+class RecordingClaims:
+    """Record the dispatched claims."""
+
+    def __init__(self) -> None:
+        self.dispatched: list[object] = []
+
+    def record_dispatch(self, claim: object) -> None:
+        self.dispatched.append(claim)
+
+
+@pytest.mark.parametrize(
+    ("is_listening", "run"), [(True, RunState.UNKNOWN), (False, RunState.NOT_RUN)]
+)
+def test_dispatch_is_recorded_unless_nothing_was_sent(is_listening: bool, run: RunState) -> None:
+    claims: Any = RecordingClaims()
+    keys: Any = type("Keys", (), {"check": lambda *_: None})()
+    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=0.2))
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        selector: Any = FixedSelector(f"127.0.0.1:{silent.getsockname()[1]}")
+        parts = PlainParts(selector, keys, claims, clients, RetryBudget(1.0, 9.0), Metrics())
+        if not is_listening:
+            silent.close()
+        exchange = _create_exchange()
+        answer = PlainRelay(parts)(exchange)
+    assert isinstance(answer, Refusal) and answer.run is run
+    assert claims.dispatched == ([CLAIM] if is_listening else [])
+
+
+def _create_exchange() -> Any:
+    call: Any = EXCHANGE.call
+    quick = replace(call, route=call.route.model_copy(update={"timeout": 0.2}))
+    return replace(EXCHANGE, call=quick, claim=CLAIM, deadline=read_boottime() + 10)
--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -70,7 +70,9 @@
             )
         )
         self._plain = PlainRelay(
-            PlainParts(parts.selector, parts.keys, self._clients, budget, parts.metrics)
+            PlainParts(
+                parts.selector, parts.keys, parts.claims, self._clients, budget, parts.metrics
+            )
         )
         self._chain = compose_chain(
             (
--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -5,6 +5,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from turmericproxy.bookings import ClaimController
 from turmericproxy.callers.calls import PlainCall
 from turmericproxy.callers.clients import UpstreamClients
 from turmericproxy.callers.exchange import Answer, Exchange
@@ -26,6 +27,7 @@
 
     selector: Selector
     keys: KeyController
+    claims: ClaimController
     clients: UpstreamClients
     budget: RetryBudget
     metrics: Metrics
@@ -110,9 +112,13 @@
             read_timeout=call.route.timeout,
             fresh=True,
         )
+        if isinstance(answer, CallFailure) and answer.is_unsent:
+            reason = f"the upstream can't be reached: {answer.reason}"
+            return _Failure(FinishKind.UNREACHABLE, reason)
+        if exchange.claim is not None:
+            self._parts.claims.record_dispatch(exchange.claim)
         if isinstance(answer, CallFailure):
-            kind = FinishKind.UNREACHABLE if answer.is_unsent else FinishKind.TIMEOUT
-            return _Failure(kind, f"no answer from the upstream: {answer.reason}")
+            return _Failure(FinishKind.TIMEOUT, f"no answer from the upstream: {answer.reason}")
         return _read_answer(answer, exchange)
 
 
