--- a/features/bookings.feature
+++ b/features/bookings.feature
@@ -5,7 +5,7 @@
   Scenario Outline: Bookings and their repeats while <failure>
     Given a booking cluster
     When at least 200 bookings are sent and repeated over all hosts while <failure>
-    Then no booking ran twice
+    Then no idempotency key ran twice
     And nothing ran whose caller was told "not_run"
     And every booking was answered with its one run or its caller told how it stands
     And at least <share>% of the bookings were answered
--- a/features/steps/bookings.py
+++ b/features/steps/bookings.py
@@ -94,7 +94,7 @@
     print(f"{len(context.load.bookings)} bookings, {calls} calls, {answered} answered")
 
 
-@then("no booking ran twice")
+@then("no idempotency key ran twice")
 def check_run_at_most_once(context):
     twice = {key: n for key, n in count_runs(context.cluster).items() if n > 1}
     assert not twice, twice
