Bound waiting records, survive faults of a batch, set retention

Cause: while the platform drops answers, each probe leaves a batch of claims to be released later; without a bound an outage of an hour at tens of bookings a second would outgrow 64 MB (estimate, not run). A host with 2000 records waiting refuses claims as not run. A fault of the program in a sender thread ended it for good; it now counts as a lost answer.

--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 import pytest
 from hypothesis import given, seed
@@ -133,3 +134,18 @@
             assert isinstance(queued[0].result(), Refusal)
     finally:
         batcher.close()
+
+
+def test_fault_of_one_batch_does_not_end_the_batcher() -> None:
+    class BrokenClient:
+        def commit(self, _: object) -> object:
+            raise ValueError("the platform answered 400")
+
+    client: Any = BrokenClient()
+    batcher = Batcher(client)
+    batcher.start()
+    try:
+        for number in range(4):
+            assert isinstance(batcher.submit(create_write(f"k{number}"), 1.0), AnswerLost)
+    finally:
+        batcher.close()
--- a/tests/bookings/test_controller.py
+++ b/tests/bookings/test_controller.py
@@ -12,7 +12,7 @@
 from turmericproxy.bookings.retention import Sweeper
 from turmericproxy.core import AccountName, HostName, Incarnation, Refusal, ResultCode, RunState
 from turmericproxy.platform import PlatformClient
-from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.settings.schema import BookingSettings, PlatformSettings
 from turmericproxy.standins.platform import PlatformStandIn, create_platform
 from turmericproxy.web import HttpClient
 
@@ -62,7 +62,10 @@
     settings = PlatformSettings(address=f"127.0.0.1:{port}", timeout=1.0)
     client = PlatformClient(settings, HostName(host))
     controller = ClaimController(
-        client, HostName(host), Incarnation(incarnation), claim_timeout=claim_timeout
+        client,
+        HostName(host),
+        Incarnation(incarnation),
+        settings=BookingSettings(claim_timeout=claim_timeout),
     )
     controller.start()
     return controller
@@ -168,6 +171,16 @@
     assert scene.b.claim(ACCOUNT, "before", "digest") == StoredOutcome(OUTCOME)
 
 
+def test_claims_are_refused_while_too_many_records_wait(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    claim(scene.a, "before")
+    monkeypatch.setattr("turmericproxy.bookings.controller.MOST_WAITING", 0)
+    expect_refusal(scene.a, "more", ResultCode.CLAIM_UNAVAILABLE, RunState.NOT_RUN)
+    monkeypatch.undo()
+    claim(scene.a, "more")
+
+
 def test_close_stores_what_is_left(scene: Scene) -> None:
     host = create_controller(scene.platform.port, "c", "c")
     held = [claim(host, f"k{n}") for n in range(30)]
--- a/turmericproxy/bookings/batch.py
+++ b/turmericproxy/bookings/batch.py
@@ -1,6 +1,7 @@
 """Gather claim writes of many requests into one transaction."""
 
 import json
+import logging
 import threading
 import time
 from collections.abc import Sequence
@@ -8,6 +9,7 @@
 
 from turmericproxy.bookings.claims import ClaimWrite
 from turmericproxy.core import Refusal, ResultCode, refuse
+from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import (
     AnswerLost,
     Committed,
@@ -166,7 +168,10 @@
 
     def _run(self) -> None:
         while batch := self._take_batch():
-            self._send_batch(batch)
+            try:
+                self._send_batch(batch)
+            except Exception as error:
+                _report_fault(batch, error)
             with self._changed:
                 self._busy.difference_update(p.item.write.row_key for p in batch)
                 self._changed.notify_all()
@@ -223,5 +228,13 @@
     return time.monotonic() - min(p.queued for p in batch) > QUEUE_WAIT_SECONDS
 
 
+def _report_fault(batch: list[_Pending], error: Exception) -> None:
+    reason = f"{type(error).__name__}: {error}"
+    log_event(Part.BOOKINGS, "a batch failed", level=logging.ERROR, reason=reason, rows=len(batch))
+    for pending in batch:
+        if not pending.result:
+            pending.resolve(AnswerLost(reason))
+
+
 def _refuse(reason: str) -> Refusal:
     return refuse(ResultCode.PLATFORM_UNAVAILABLE, reason, retry_after=RETRY_SECONDS)
--- a/turmericproxy/bookings/controller.py
+++ b/turmericproxy/bookings/controller.py
@@ -41,12 +41,14 @@
 )
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import AnswerLost, PlatformClient
+from turmericproxy.settings.schema import BookingSettings
 
-CLAIM_TIMEOUT_SECONDS = 2.5
 RETRY_PAUSE_SECONDS = 0.05
 FINISH_WAIT_SECONDS = 0.25
 CLOSE_WAIT_SECONDS = 5.0
 LEAST_RETRY_AFTER_SECONDS = 0.5
+MOST_WAITING = 2000
+DEFAULT_SETTINGS = BookingSettings()
 
 IsAlive = Callable[[HostName, Incarnation], bool | None]
 
@@ -65,7 +67,7 @@
     """Give each idempotency key of a client account to one attempt at a time.
 
     ``is_alive`` tells whether a host still runs under an incarnation, and ``None`` when that is
-    not known. A claim takes at most ``claim_timeout`` seconds.
+    not known.
     """
 
     def __init__(
@@ -74,16 +76,16 @@
         host: HostName,
         incarnation: Incarnation,
         is_alive: IsAlive = lambda host, incarnation: None,
-        claim_timeout: float = CLAIM_TIMEOUT_SECONDS,
+        settings: BookingSettings = DEFAULT_SETTINGS,
     ) -> None:
         self._platform = platform
         self._host = host
         self._incarnation = incarnation
         self._is_alive = is_alive
-        self._claim_timeout = claim_timeout
+        self._settings = settings
         self._batcher = Batcher(platform)
         self._settler = Settler(platform, self._batcher)
-        self._sweeper = Sweeper(platform)
+        self._sweeper = Sweeper(platform, settings.retention)
         self._open: dict[AttemptId, bool] = {}
         self._lock = threading.Lock()
 
@@ -109,6 +111,8 @@
         Only a returned claim may be dispatched. An attempt that got none never is, and its row,
         should it appear, is released in the background.
         """
+        if self._settler.count_waiting() >= MOST_WAITING:
+            return _refuse_claim("too many records wait for the platform", None)
         attempt = _Attempt(
             create_row_key(account, key),
             ClaimRecord(
@@ -119,7 +123,7 @@
                 body_digest,
                 time.time(),
             ),
-            time.monotonic() + self._claim_timeout,
+            time.monotonic() + self._settings.claim_timeout,
         )
         result = self._run_attempt(attempt)
         if isinstance(result, Claim):
--- a/turmericproxy/bookings/retention.py
+++ b/turmericproxy/bookings/retention.py
@@ -1,5 +1,6 @@
 """Delete bookings that are older than their retention time."""
 
+import logging
 import random
 import threading
 import time
@@ -11,7 +12,6 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import Committed, Condition, PlatformClient, Row, Transaction, Write
 
-RETENTION_SECONDS = 24 * 3600.0
 PAGE_ROWS = 1000
 PAGE_INTERVAL_SECONDS = 30.0
 FULL_PAGE_INTERVAL_SECONDS = 1.0
@@ -45,7 +45,7 @@
     def __init__(
         self,
         platform: PlatformClient,
-        retention: float = RETENTION_SECONDS,
+        retention: float,
         interval: float = PAGE_INTERVAL_SECONDS,
         draw: Callable[[int], bytes] = random.randbytes,
     ) -> None:
@@ -85,8 +85,16 @@
                 self._platform.delete_object(body_object)
         return len(rows)
 
+    def _try_sweep(self) -> int:
+        try:
+            return self.sweep_page()
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            log_event(Part.BOOKINGS, "a sweep failed", level=logging.ERROR, reason=reason)
+            return 0
+
     def _run(self) -> None:
         interval = self._interval
         while not self._stopped.wait(interval * random.uniform(0.5, 1.5)):
-            is_full = self.sweep_page() > PAGE_ROWS / 2
+            is_full = self._try_sweep() > PAGE_ROWS / 2
             interval = min(FULL_PAGE_INTERVAL_SECONDS, interval) if is_full else self._interval
--- a/turmericproxy/bookings/settlement.py
+++ b/turmericproxy/bookings/settlement.py
@@ -83,8 +83,7 @@
     def _run(self) -> None:
         while taken := self._take():
             tries, settlement = taken
-            is_settled = self._settle(settlement)
-            if not is_settled:
+            if not self._try_settle(settlement):
                 self.add(settlement, tries + 1)
             with self._changed:
                 self._running -= 1
@@ -101,6 +100,20 @@
                 self._changed.wait(wait)
             return None
 
+    def _try_settle(self, settlement: Settlement) -> bool:
+        try:
+            return self._settle(settlement)
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            log_event(
+                Part.BOOKINGS,
+                "a record could not be stored and is tried again",
+                level=logging.ERROR,
+                reason=reason,
+                row=settlement.row_key,
+            )
+            return False
+
     def _settle(self, settlement: Settlement) -> bool:
         stored = read_stored(self._platform, settlement.row_key)
         if isinstance(stored, Refusal):
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -48,7 +48,9 @@
             domain,
             incarnation,
         )
-        self.claims = ClaimController(self.platform, host, incarnation, self._is_alive)
+        self.claims = ClaimController(
+            self.platform, host, incarnation, self._is_alive, settings.bookings
+        )
         self.selector = Selector(
             self.configuration, self.links, settings.routing, settings.upstreams, host, domain
         )
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -74,6 +74,16 @@
     maximum_age: float | None = Field(default=None, gt=0)
 
 
+class BookingSettings(Section):
+    """Set how long a claim may take and how long its key is remembered, in seconds.
+
+    ``retention`` counts from the last write; a key that comes after it runs again.
+    """
+
+    claim_timeout: float = Field(default=2.5, gt=0)
+    retention: float = Field(default=24 * 3600.0, ge=60)
+
+
 class RateSettings(Section):
     """Set how buckets are lapsed and granted again, in seconds."""
 
@@ -115,6 +125,7 @@
     upstreams: UpstreamSettings = UpstreamSettings()
     links: PeerLinkSettings = PeerLinkSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    bookings: BookingSettings = BookingSettings()
     rates: RateSettings = RateSettings()
     routing: RoutingSettings = RoutingSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
