--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -1,8 +1,10 @@
 """Check what the client concludes from the platform's answers and silences."""
 
 import socket
+import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
 import pytest
@@ -22,7 +24,13 @@
 from turmericproxy.platform.breaker import LONGEST_INTERVAL_SECONDS, Breaker
 from turmericproxy.settings.schema import PlatformSettings
 from turmericproxy.standins.platform import PlatformStandIn, create_platform
-from turmericproxy.web import HttpClient, HttpServer, create_json_response
+from turmericproxy.web import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    create_json_response,
+)
 
 
 @dataclass
@@ -127,6 +135,36 @@
         assert time.monotonic() - started < 0.05
 
 
+def test_connections_that_went_silent_are_not_used_again() -> None:
+    silent_sockets: set[int] = set()
+    is_cut = threading.Event()
+    released = threading.Event()
+
+    def handle(request: HttpRequest) -> HttpResponse:
+        number = request.connection.getpeername()[1]
+        if is_cut.is_set() and number in silent_sockets:
+            released.wait(10)
+        elif not is_cut.is_set():
+            silent_sockets.add(number)
+        return create_json_response(200, {"value": 1, "version": 1})
+
+    server = HttpServer("127.0.0.1:0", handle, threads=16)
+    server.start()
+    client = create_client(server.port, timeout=0.3)
+    try:
+        with ThreadPoolExecutor(8) as pool:
+            list(pool.map(lambda n: client.read_row("t", "x"), range(32)))
+        assert len(silent_sockets) > 1
+        is_cut.set()
+        results = [client.read_row("t", "x") for _ in range(4)]
+        assert isinstance(results[0], Refusal)
+        assert results[1:] == [Row("x", 1, 1)] * 3
+    finally:
+        released.set()
+        client.close()
+        server.close()
+
+
 def test_breaker_lets_one_call_through_after_each_interval() -> None:
     now = 0.0
     breaker = Breaker(read_clock=lambda: now, draw=lambda: 0.0)
