Prove the model of leases and debits, and replay two of its counterexamples

Inductive invariants for both systems; with one guard removed each of seven variants finds its counterexample. The model at first let the regrant be sent without the read that the code makes just before it; the replay on the real keepers showed the difference.

--- a/specifications/buckets.py
+++ b/specifications/buckets.py
@@ -259,11 +259,12 @@
 
 
 def may_regrant(s: State) -> z3.BoolRef:
-    """Return whether the guardian sends the write that passes the share on."""
+    """Return whether the guardian, after a read, sends the write that passes the share on."""
     return z3.And(
         s["watched"],
         z3.Not(s["regrant_sent"]),
-        s["watch_version"] > 0,
+        s["standing"] == LOST,
+        s["watch_version"] == s["version"],
         s["now"] >= s["watch_since"] + REGRANT_AFTER,
     )
 
--- /dev/null
+++ b/tests/specifications/test_buckets.py
@@ -0,0 +1,230 @@
+"""Prove the model of leases and debits, find what each guard prevents, and replay it."""
+
+from dataclasses import replace
+
+import pytest
+import z3
+
+from specifications import buckets
+from specifications.search import (
+    Counterexample,
+    TransitionSystem,
+    prove_inductive,
+    search_bounded,
+)
+from tests.rates.fakes import Process, World
+from turmericproxy.core import AccountName, HostName
+from turmericproxy.rates import tenure
+from turmericproxy.rates.bucket import MICRO
+from turmericproxy.rates.table import RateTable
+from turmericproxy.settings.schema import RateSettings
+
+LEASES = buckets.create_lease_system()
+DEBITS = buckets.create_debit_system()
+PROMISE_STEPS = ("wait", "ask_promise", "promise", "renew_by_guardian", "may_regrant", "regrant")
+RATE = 1000.0
+
+
+def replace_update(system: TransitionSystem, name: str, update) -> TransitionSystem:
+    steps = {**system.steps, name: replace(system.steps[name], update=update)}
+    return replace(system, steps=steps)
+
+
+def keep_steps(system: TransitionSystem, names: tuple[str, ...]) -> TransitionSystem:
+    return replace(system, steps={name: system.steps[name] for name in names})
+
+
+def promise_while_marked(s):
+    return {"asked": z3.IntVal(buckets.ANSWERED), "asked_granted": s["guarded"] == 1}
+
+
+def promise_earlier_incarnation(s):
+    return {"asked": z3.IntVal(buckets.ANSWERED), "asked_granted": z3.Not(s["watched"])}
+
+
+def start_marked(s):
+    """Return the state after mark_lost, apply_mark and set_watch."""
+    marked = {"version": 2, "standing": buckets.LOST, "watch_version": 2, "mark_version": 1}
+    zeros = ("now", "holder", "lease_2", "ready_2", "read", "asked", "watch_since")
+    false = ("has_2", "mark_sent", "regrant_sent", "has_c")
+    return z3.And(
+        *(s[name] == value for name, value in marked.items()),
+        *(s[name] == 0 for name in zeros),
+        *(z3.Not(s[name]) for name in false),
+        s["incarnation"] == 1,
+        s["guarded"] == 1,
+        s["lease_1"] == buckets.LEASE,
+        s["has_1"],
+        s["watched"],
+    )
+
+
+def without_wait(s):
+    is_marked = z3.And(s["standing"] == buckets.LOST, s["watch_version"] == s["version"])
+    return z3.And(s["watched"], z3.Not(s["regrant_sent"]), is_marked)
+
+
+def without_version(s):
+    return z3.And(s["regrant_sent"], s["holder"] == buckets.OF_A)
+
+
+def without_takeover_wait(s):
+    return z3.And(s["incarnation"] == 2, s["standing"] == buckets.OPEN)
+
+
+def without_flight_limit(s):
+    return s["debit"] == buckets.ANSWERED
+
+
+def test_no_short_run_spends_a_share_twice():
+    assert search_bounded(LEASES, 7) is None
+
+
+def test_leases_keep_an_inductive_invariant():
+    assert prove_inductive(replace(LEASES, invariant=buckets.strengthen_lease)) is None
+
+
+def test_no_short_run_of_debits_exceeds_the_burst():
+    assert search_bounded(DEBITS, 7) is None
+
+
+def test_debits_keep_an_inductive_invariant():
+    assert prove_inductive(replace(DEBITS, invariant=buckets.strengthen_debit)) is None
+
+
+BROKEN = {
+    "no wait before a regrant": (LEASES.without_guard("may_regrant", without_wait), 6),
+    "regrant whatever the version": (LEASES.without_guard("regrant", without_version), 9),
+    "no wait after a takeover": (LEASES.without_guard("begin", without_takeover_wait), 3),
+    "promise an earlier incarnation": (
+        replace_update(LEASES, "promise", promise_earlier_incarnation),
+        7,
+    ),
+    "promise while marked": (
+        replace(
+            keep_steps(replace_update(LEASES, "promise", promise_while_marked), PROMISE_STEPS),
+            initial=start_marked,
+        ),
+        15,
+    ),
+    "admit late answers": (DEBITS.without_guard("admit", without_flight_limit), 7),
+    "give back all": (replace_update(DEBITS, "give_back", buckets.give_back_all), 8),
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_each_guard_prevents_a_counterexample(name):
+    system, depth = BROKEN[name]
+    found = search_bounded(system, depth)
+    print(found)
+    assert found is not None
+
+
+class Replay:
+    """Take the steps of a counterexample on the keepers of host a0 and its guardian a1."""
+
+    def __init__(self) -> None:
+        self.world = World(seed=0)
+        settings = RateSettings(regrant_after=float(buckets.REGRANT_AFTER))
+        self.settings = settings
+        self.holder = Process(self.world, "a0", "a", settings)
+        self.guardian = Process(self.world, "a1", "a", settings)
+        self.second: Process | None = None
+        self.world.set_account("a", RATE, 4000)
+        for _ in range(40):
+            self.holder.step()
+            self.guardian.step()
+            self.world.clock.now += 0.1
+        self.holder.step()
+        self.guardian.step()
+        row = self.world.table.read_row("rates", "host/a0")
+        assert row and row.value["guardian"]["host"] == "a1"
+        self.world.faults.unhealthy.add(HostName("a0"))
+        self.world.faults.silent.add(HostName("a0"))
+
+    def run(self, found: Counterexample) -> None:
+        for name, before, after in zip(found.steps, found.states, found.states[1:], strict=False):
+            if name == "wait":
+                self.wait(after["now"] - before["now"])
+            else:
+                getattr(self, name)()
+
+    def wait(self, seconds: float) -> None:
+        for _ in range(int(seconds * 10)):
+            self.world.clock.now += 0.1
+            for process in self.list_processes():
+                process.keepers.holdings.record_tick()
+            self.guardian.step("host")
+
+    def list_processes(self) -> list[Process]:
+        return [p for p in (self.holder, self.guardian, self.second) if p]
+
+    def mark_lost(self) -> None:
+        self.world.faults.commit_fates.append("late")
+        self.guardian.keepers.regrant.step()
+
+    def apply_mark(self) -> None:
+        self.world.faults.late.pop()()
+
+    def set_watch(self) -> None:
+        self.guardian.keepers.regrant.step()
+
+    def may_regrant(self) -> None:
+        self.world.faults.commit_fates.append("late")
+        self.guardian.keepers.regrant.step()
+
+    def regrant(self) -> None:
+        if self.world.faults.late:
+            self.world.faults.late.pop()()
+        self.guardian.keepers.ledger.reload()
+
+    def take_over(self) -> None:
+        self.holder.is_paused = True
+        self.second = Process(self.world, "a0", "a", self.settings)
+        self.second.step("host")
+
+    def begin(self) -> None:
+        assert self.second
+        self.second.step("host")
+
+    def measure_rights(self) -> float:
+        """Return the tokens a second that all processes together may spend."""
+        found = [p.keepers for p in self.list_processes() if p.keepers.holdings.is_open()]
+        held = [keepers.holdings.find(AccountName("a")) for keepers in found]
+        return sum(bucket.rate for bucket in held if bucket) / MICRO
+
+
+def find(name: str) -> Counterexample:
+    system, depth = BROKEN[name]
+    found = search_bounded(system, depth)
+    assert found is not None
+    return found
+
+
+def regrant_at_once(row, version, watch, marker, now, regrant_after):
+    return row.standing is tenure.Standing.LOST and version == watch.version
+
+
+def test_replay_without_the_wait_before_a_regrant(monkeypatch):
+    found = find("no wait before a regrant")
+    replay = Replay()
+    replay.run(found)
+    assert replay.measure_rights() == RATE
+    monkeypatch.setattr(tenure, "may_regrant", regrant_at_once)
+    replay = Replay()
+    replay.run(found)
+    assert replay.measure_rights() > RATE
+
+
+def test_replay_of_a_late_regrant_without_its_condition(monkeypatch):
+    found = find("regrant whatever the version")
+    replay = Replay()
+    replay.run(found)
+    assert replay.measure_rights() == RATE
+    commit = RateTable.commit_account
+    monkeypatch.setattr(
+        RateTable, "commit_account", lambda self, new, old, *guards: commit(self, new, old)
+    )
+    replay = Replay()
+    replay.run(found)
+    assert replay.measure_rights() > RATE
