--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -24,7 +24,6 @@
     """Take in what the polls bring."""
 
     index: PrefixIndex
-    plain: PlainSelector
 
     def record_report(self, engine: EngineName, report: LoadReport, distance: float) -> None:
         """Take in an engine's report and the seconds that its answer took."""
@@ -63,7 +62,7 @@
         self._engine = engine
         self._client = client
         self._state = state
-        self._incarnation: Incarnation | None = None
+        self.incarnation: Incarnation | None = None
         self._next = 0
 
     def step(self) -> float:
@@ -78,9 +77,9 @@
     def apply(self, body: dict[str, Any]) -> None:
         """Take in a batch of events; a gap in their numbers makes the index doubt the engine."""
         incarnation = Incarnation(body["incarnation"])
-        if incarnation != self._incarnation:
-            is_first = self._incarnation is None
-            self._incarnation = incarnation
+        if incarnation != self.incarnation:
+            is_first = self.incarnation is None
+            self.incarnation = incarnation
             self._state.index.observe_incarnation(self._engine, incarnation)
             self._next = 0
             if not is_first:
@@ -108,9 +107,14 @@
     """Keep two loops for each engine and one for each plain service of the configuration."""
 
     def __init__(
-        self, state: PolledState, settings: RoutingSettings, upstreams: UpstreamSettings
+        self,
+        state: PolledState,
+        plain: PlainSelector,
+        settings: RoutingSettings,
+        upstreams: UpstreamSettings,
     ) -> None:
         self._state = state
+        self._plain = plain
         self._pause = settings.load_poll
         self._connect_timeout = upstreams.connect_timeout
         self._lock = threading.Lock()
@@ -194,9 +198,9 @@
         def step() -> float:
             answer = client.call_json("GET", "/load")
             if isinstance(answer, CallFailure) or answer[0] != 200:
-                self._state.plain.record_silence(upstream, _classify(answer))
+                self._plain.record_silence(upstream, _classify(answer))
             else:
-                self._state.plain.record_report(upstream, int(answer[1]["running"]))
+                self._plain.record_report(upstream, int(answer[1]["running"]))
             return self._pause
 
         return step
@@ -207,7 +211,7 @@
         return FinishKind.UNREACHABLE
     if isinstance(answer, CallFailure):
         return FinishKind.TIMEOUT
-    return FinishKind.BROKEN
+    return FinishKind.FAILED
 
 
 def _parse_report(body: dict[str, Any], own_tokens: float) -> LoadReport:
@@ -219,4 +223,5 @@
         versions=dict(body["versions"]),
         received_at=read_boottime(),
         own_tokens=own_tokens,
+        capacity_blocks=int(body["capacity_blocks"]),
     )
--- a/turmericproxy/routing/sharing.py
+++ b/turmericproxy/routing/sharing.py
@@ -2,17 +2,19 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import msgpack
 
 from turmericproxy.cache.index import BlockKey, PrefixIndex
+from turmericproxy.cache.kept import KeptBlocks
 from turmericproxy.core import EngineName, HostName, read_boottime
 from turmericproxy.routing.engines import PeerWork
 
 NOTE_KIND = "routing.dispatches"
+KEPT_KIND = "routing.kept"
 SHORTEST_PAUSE = 0.05
 REFRESH_PAUSE = 1.0
 BYTES_PER_SECOND = 6_000
@@ -78,12 +80,25 @@
         self._wake = threading.Event()
         self._closed = threading.Event()
         self._hosts = 1
+        self._exported: list[BlockKey] = []
+        self._kept = KeptBlocks(0)
+
+    def follow_kept(self, kept: KeptBlocks) -> None:
+        """Add the blocks that peers export to ``kept``."""
+        self._kept = kept
+
+    def add_kept(self, keys: Sequence[BlockKey]) -> None:
+        """Tell peers of exported blocks with the next batch."""
+        with self._lock:
+            self._exported += keys
+        self._wake.set()
 
     def start(self) -> None:
         """Start to send and receive notes."""
         if self._links is None:
             return
         self._links.register(NOTE_KIND, self.receive)
+        self._links.register(KEPT_KIND, lambda host, body: _pack_keys(self._kept.list_keys()))
         threading.Thread(target=self._run, name="work-sharing", daemon=True).start()
 
     def close(self) -> None:
@@ -119,17 +134,20 @@
         for engine, known_last, new in body["dispatches"]:
             keys = self._unpack_chain(known_last, new)
             self._state.index.predict(EngineName(engine), keys, now)
+        self._kept.add(_unpack_keys(body["kept"]))
 
     def create_batch(self) -> dict[str, Any] | None:
         """Return the next batch, or ``None`` if there is nothing to tell."""
         with self._lock:
             notes, self._notes = self._notes, []
             changed, self._changed = self._changed, set()
-        if not notes and not changed:
+            exported, self._exported = self._exported, []
+        if not notes and not changed and not exported:
             return None
         return {
             "work": {engine: round(self._state.count_own_tokens(engine)) for engine in changed},
             "dispatches": [_pack_note(note) for note in notes if note.keys],
+            "kept": _pack_keys(exported),
         }
 
     def _unpack_chain(self, known_last: bytes, new: bytes) -> tuple[BlockKey, ...]:
@@ -137,20 +155,28 @@
         with self._lock:
             if known_last:
                 known = self._chains.find(int.from_bytes(known_last, "big"))
-            added = tuple(
-                int.from_bytes(new[place : place + KEY_BYTES], "big")
-                for place in range(0, len(new), KEY_BYTES)
-            )
-            keys = known + added
+            keys = known + _unpack_keys(new)
             if keys:
                 self._chains.add(keys)
         return keys
 
+    def _fetch_kept(self, host: HostName) -> bool:
+        """Take over what a peer knows of the kept blocks, after a start."""
+        packed = self._links.call(host, KEPT_KIND, None)
+        if not isinstance(packed, bytes):
+            return False
+        self._kept.add(_unpack_keys(packed))
+        return True
+
     def _run(self) -> None:
+        is_filled = False
         while not self._closed.is_set():
             self._wake.wait(REFRESH_PAUSE)
             self._wake.clear()
-            self._hosts = 1 + len(self._links.list_reachable())
+            reachable = self._links.list_reachable()
+            self._hosts = 1 + len(reachable)
+            if reachable and not is_filled:
+                is_filled = self._fetch_kept(reachable[0].host)
             batch = self.create_batch()
             sent = self._links.broadcast(NOTE_KIND, batch) if batch else 0
             size = len(msgpack.packb(batch)) if sent else 0
@@ -160,5 +186,13 @@
 def _pack_note(note: DispatchNote) -> tuple[str, bytes, bytes]:
     known = min(note.known, len(note.keys))
     known_last = note.keys[known - 1].to_bytes(KEY_BYTES, "big") if known else b""
-    new = b"".join(key.to_bytes(KEY_BYTES, "big") for key in note.keys[known:])
-    return note.engine, known_last, new
+    return note.engine, known_last, _pack_keys(note.keys[known:])
+
+
+def _pack_keys(keys: Iterable[BlockKey]) -> bytes:
+    return b"".join(key.to_bytes(KEY_BYTES, "big") for key in keys)
+
+
+def _unpack_keys(packed: bytes) -> tuple[BlockKey, ...]:
+    places = range(0, len(packed), KEY_BYTES)
+    return tuple(int.from_bytes(packed[p : p + KEY_BYTES], "big") for p in places)
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -51,7 +51,7 @@
     """Set the deadlines on calls to upstreams, in seconds."""
 
     connect_timeout: float = Field(default=0.5, gt=0)
-    first_byte_timeout: float = Field(default=10.0, gt=0)
+    first_byte_timeout: float = Field(default=2.0, gt=0)
     idle_timeout: float = Field(default=3.0, gt=0)
 
 
@@ -82,10 +82,14 @@
 
 
 class RoutingSettings(Section):
-    """Set the bounds of the prefix index and the pace of load reports."""
+    """Set the bounds of the prefix index and the pace of load reports.
+
+    With ``kept_cache``, blocks are exported to the store of kept KV cache and imported from it.
+    """
 
     index_blocks: int = Field(default=200_000, ge=1000)
     load_poll: float = Field(default=0.2, gt=0)
+    kept_cache: bool = True
     policy: Annotated[
         str, StringConstraints(pattern="^(expected_time|round_robin|least_loaded|hash_first)$")
     ] = "expected_time"
