--- a/tests/rates/test_keepers.py
+++ b/tests/rates/test_keepers.py
@@ -250,7 +250,8 @@
     chaos.world.faults.call_fates.clear()
     for process in list(chaos.processes):
         process.is_paused = False
-        process.is_dead = chaos.world.hosts[process.host] is not process
+        process.is_dead |= chaos.world.hosts[process.host] is not process
+    chaos.restart()
     chaos.settle(40.0)
     held = [p.keepers.holdings.find(ACCOUNT) for p in chaos.processes if p.runs]
     limit = create_limit(RATE, BURST, SETTINGS.debit_timeout)
--- a/tests/specifications/test_buckets.py
+++ b/tests/specifications/test_buckets.py
@@ -135,12 +135,11 @@
             self.holder.step()
             self.guardian.step()
             self.world.clock.now += 0.1
-        self.holder.step()
-        self.guardian.step()
         row = self.world.table.read_row("rates", "host/a0")
         assert row and row.value["guardian"]["host"] == "a1"
         self.world.faults.unhealthy.add(HostName("a0"))
         self.world.faults.silent.add(HostName("a0"))
+        self.wait(buckets.LEASE * 0.6)
 
     def run(self, found: Counterexample) -> None:
         for name, before, after in zip(found.steps, found.states, found.states[1:], strict=False):
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -15,6 +15,7 @@
 
 PROMISE_KIND = "rates.promise"
 RENEWALS_PER_LEASE = 5
+UNHEARD_RENEWALS = 2.5
 
 
 class HostKeeper:
@@ -39,6 +40,7 @@
         self._wait = 0.0
         self._watches: dict[HostName, Watch] = {}
         self._guarded: dict[HostName, Incarnation] = {}
+        self._heard_at: dict[HostName, float] = {}
         self.levels: dict[str, int] = {}
         self.reload: Callable[[], bool] = lambda: True
         context.links.register(PROMISE_KIND, self._handle_promise)
@@ -182,10 +184,22 @@
             known = self._guarded.get(host)
             if known is None or body["new"]:
                 self._guarded[host] = incarnation
+            self._heard_at[host] = self._read_clock()
             is_current = self._guarded[host] == incarnation
             promised = is_current and tenure.promise(self._watches.get(host))
         return {"promised": promised, "incarnation": self._me.incarnation}
 
+    def list_unheard(self) -> tuple[HostName, ...]:
+        """Return the guarded hosts that have not asked for a promise for some renewals."""
+        oldest = self._read_clock() - UNHEARD_RENEWALS * self.renewal_interval
+        with self._lock:
+            return tuple(host for host, at in self._heard_at.items() if at < oldest)
+
+    def forget_unheard(self, host: HostName) -> None:
+        """Expect no more from a host that has another guardian or has passed its shares on."""
+        with self._lock:
+            self._heard_at.pop(host, None)
+
     def set_watch(self, host: HostName, watch: Watch | None) -> None:
         """Stop promising anything to a host that is to be marked, or start again."""
         with self._lock:
--- a/turmericproxy/rates/regrant_keeper.py
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -13,6 +13,8 @@
 from turmericproxy.rates.table import Versioned, get_host_version
 from turmericproxy.rates.tenure import HostRow, Standing, Watch
 
+POLLS_APART = 3.0
+
 
 class RegrantKeeper:
     """Mark hosts that the platform lists as gone, wait, and take their shares over, empty."""
@@ -30,22 +32,32 @@
         self._read_clock = context.read_clock
         self._host_keeper = host_keeper
         self._ledger_keeper = ledger_keeper
+        self._polled_at = 0.0
         self._watched: set[HostName] = set()
         self._absent_since: dict[HostName, float] = {}
 
     def step(self) -> None:
         """Look for lost hosts and go on with those found earlier."""
-        if not self._holdings.is_open():
+        if not self._holdings.is_open() or not self._is_due():
             return
         hosts = self._platform.list_hosts()
         if isinstance(hosts, Refusal) or not _lists(hosts, self._member.host):
             return
+        self._polled_at = self._read_clock()
+        for host in set(self._host_keeper.list_unheard()) & _find_live(hosts):
+            self._host_keeper.forget_unheard(host)
         reachable = {peer.host for peer in self._links.list_reachable()}
         lost = _find_lost(hosts, self._member.domain) - reachable
         withdrawn = self._find_withdrawn(hosts) - reachable
         for host in sorted((lost | withdrawn | self._watched) - {self._member.host}):
             self._handle_host(host, host in lost | withdrawn, host in withdrawn)
 
+    def _is_due(self) -> bool:
+        """Return whether to read the list of hosts: at once for a guarded host that is silent."""
+        if self._watched or self._host_keeper.list_unheard():
+            return True
+        return self._read_clock() >= self._polled_at + POLLS_APART * self._regrant_after
+
     def _find_withdrawn(self, hosts: HostList) -> set[HostName]:
         """Return the hosts with a row that the platform has not listed for the regrant time."""
         listed = {entry.host for entry in hosts.hosts}
@@ -129,6 +141,7 @@
 
     def _forget(self, host: HostName) -> None:
         self._watched.discard(host)
+        self._host_keeper.forget_unheard(host)
         self._host_keeper.set_watch(host, None)
 
 
@@ -136,5 +149,9 @@
     return any(e.host == host and e.state is not HostState.GONE for e in hosts.hosts)
 
 
+def _find_live(hosts: HostList) -> set[HostName]:
+    return {e.host for e in hosts.hosts if e.state is HostState.LIVE}
+
+
 def _find_lost(hosts: HostList, domain: DomainName) -> set[HostName]:
     return {e.host for e in hosts.hosts if e.domain == domain and e.state is HostState.GONE}
