Look one socket up in place of reading all of them in the relay

Cause of one failed run of 'Open connections to engines go silent for good' (11 s, TimeoutError at several engines in the same millisecond): the relay read /proc/net/tcp for each connection, 22,947 lines and 83 ms under the interpreter's lock, so that new connections outlasted the first-byte deadline of 2 s. Ruled out: the hosts' retries.

--- a/turmericproxy/bench/processes.py
+++ b/turmericproxy/bench/processes.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 
+from turmericproxy.bench.sockets import find_inode
+
 PROGRAM = str(Path(sys.executable).with_name("turmericproxy"))
 UNKNOWN_SOURCE = "outside"
 LOG_TAIL_BYTES = 2_000
@@ -66,7 +68,7 @@
 
 
 class Sources:
-    """Tell by the system's socket tables which process opened a loopback connection."""
+    """Tell by the kernel's sockets which process opened a loopback connection."""
 
     def __init__(self) -> None:
         self._processes: Iterable[ManagedProcess] = ()
@@ -78,24 +80,14 @@
     def identify(self, accepted: socket.socket) -> str:
         """Return the name of the process at the other end of an accepted connection."""
         try:
-            inode = _find_inode(accepted.getpeername()[1], accepted.getsockname()[1])
+            inode = find_inode(accepted.getpeername(), accepted.getsockname())
         except OSError:
             return UNKNOWN_SOURCE
         owners = (process for process in self._processes if _owns(process.pid, inode))
         return next((process.name for process in owners), UNKNOWN_SOURCE)
 
 
-def _find_inode(local_port: int, remote_port: int) -> str:
-    local, remote = f":{local_port:04X}", f":{remote_port:04X}"
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        for line in table:
-            columns = line.split()
-            if columns[1].endswith(local) and columns[2].endswith(remote):
-                return columns[9]
-    return ""
-
-
-def _owns(pid: int | None, inode: str) -> bool:
+def _owns(pid: int | None, inode: int | None) -> bool:
     if pid is None or not inode:
         return False
     folder, link = f"/proc/{pid}/fd", f"socket:[{inode}]"
