--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,154 @@
+"""Let hosts and upstreams leave while callers go on."""
+
+import itertools
+import random
+import time
+
+from behave import then, when
+
+from features.support.load import Chat, SteadyLoad, send_chat, write_text
+from turmericproxy.bench.calls import Caller
+from turmericproxy.web import CallFailure, HttpClient
+
+READY_SECONDS = 0.2
+STOP_SECONDS = 20.0
+
+
+class Balancer:
+    """Send callers to hosts that are ready, as of a probe at most ``READY_SECONDS`` ago."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._turns = itertools.count()
+        self._probed = {}
+
+    def pick(self):
+        """Return the name of the next ready host."""
+        names = self._cluster.host_names
+        while True:
+            name = names[next(self._turns) % len(names)]
+            if self._is_ready(name):
+                return name
+
+    def _is_ready(self, name):
+        probed_at, is_ready = self._probed.get(name, (0.0, False))
+        if time.monotonic() - probed_at > READY_SECONDS:
+            client = HttpClient(self._cluster.get_address(name, "callers"), read_timeout=1.0)
+            answer = client.call_json("GET", "/readyz", fresh=True)
+            is_ready = not isinstance(answer, CallFailure) and answer[0] == 200
+            self._probed[name] = (time.monotonic(), is_ready)
+        return is_ready
+
+
+def stream(context, balancer, source):
+    chat = Chat(balancer.pick(), write_text(source, 300), 20)
+    return chat.host, send_chat(context.cluster, chat).find_fault()
+
+
+def ask(context, balancer, source):
+    chat = Chat(balancer.pick(), write_text(source, 300), 10, is_streamed=False)
+    return chat.host, send_chat(context.cluster, chat).find_fault()
+
+
+def call_plain(context, host, path, body, headers):
+    cluster = context.cluster
+    caller = Caller(cluster.get_address(host, "callers"), cluster.keys["afinaciones"])
+    answer = caller.call("POST", path, body.encode(), headers)
+    caller.close()
+    is_own = answer.status == 200 and answer.value["echo"] == body
+    return host, "" if is_own else f"{host}: {answer}"
+
+
+def book(context, balancer, source):
+    body = f"visit {source.getrandbits(64):x}"
+    headers = {"Idempotency-Key": body}
+    return call_plain(context, balancer.pick(), "/r/bookings/visits", body, headers)
+
+
+def look_up(context, balancer, source):
+    body = f"visit {source.getrandbits(64):x}"
+    return call_plain(context, balancer.pick(), "/r/visits/lookup", body, {})
+
+
+def start_load(context, count, kinds):
+    balancer = Balancer(context.cluster)
+    sources = [random.Random(context.random.random()) for _ in range(count)]
+
+    def call(number):
+        return kinds[number % len(kinds)](context, balancer, sources[number])
+
+    context.load = SteadyLoad(call, count)
+    context.load.start()
+
+
+@when("{count:d} callers stream, ask and book through ready hosts without pause")
+def start_mixed(context, count):
+    start_load(context, count, (stream, ask, book))
+
+
+@when("{count:d} callers stream through both hosts without pause")
+def start_streams(context, count):
+    start_load(context, count, (stream,))
+
+
+@when("{count:d} callers look visits up through both hosts without pause")
+def start_lookups(context, count):
+    start_load(context, count, (look_up,))
+
+
+@when("{host} is asked to stop after {seconds:g} second")
+def stop_host(context, host, seconds):
+    time.sleep(seconds)
+    context.cluster.stop_host(host)
+    context.exit_code = context.cluster.get_process(host).wait(STOP_SECONDS)
+
+
+@when("the callers go on for {seconds:g} second after it has stopped")
+def go_on(context, seconds):
+    time.sleep(seconds)
+    context.results = context.load.stop()
+
+
+@then("{host} has ended with exit code {code:d}")
+def check_exit(context, host, code):
+    assert context.exit_code == code, context.exit_code
+
+
+@then("no request of the callers was cut or refused")
+def check_results(context):
+    faults = [fault for _, fault in context.results if fault]
+    assert context.results and not faults, (len(context.results), faults[:5])
+
+
+@then("both hosts have served requests")
+def check_hosts(context):
+    assert {host for host, _ in context.results} == set(context.cluster.host_names)
+
+
+@when("{name} is set to leave")
+def set_leaving(context, name):
+    cluster = context.cluster
+    is_engine = name in {engine.name for engine in cluster.plan.engines}
+    time.sleep(1.0)
+    context.before = count_requests(cluster, name)
+    cluster.set_leaving("engine" if is_engine else "upstream", name)
+    context.left_at = time.monotonic()
+
+
+def count_requests(cluster, name):
+    truth = cluster.read_truth(name)
+    return len(truth["served"] if isinstance(truth, dict) else truth)
+
+
+@then("{name} gets no new request from {start:g} seconds on for {length:g} seconds")
+def check_no_new_work(context, name, start, length):
+    cluster = context.cluster
+    time.sleep(max(0.0, context.left_at + start - time.monotonic()))
+    at_start = count_requests(cluster, name)
+    done_at_start = len(context.load.results)
+    time.sleep(length)
+    at_end = count_requests(cluster, name)
+    context.results = context.load.stop()
+    assert context.before > 0, "nothing was sent before it was set to leave"
+    assert len(context.results) > done_at_start, "nothing was sent after it left"
+    assert at_end == at_start, (context.before, at_start, at_end)
--- a/turmericproxy/bench/cluster.py
+++ b/turmericproxy/bench/cluster.py
@@ -154,6 +154,13 @@
         path = f"/v1/resources/{kind}/{name}"
         return self.operate(host or self.host_names[0], "PUT", path, dict(fields))
 
+    def set_leaving(self, kind: str, name: str) -> None:
+        """Set an engine or upstream to leave."""
+        path = f"/v1/resources/{kind}/{name}"
+        current = self.operate(self.host_names[0], "GET", path)
+        fields = {k: v for k, v in current.items() if k not in ("kind", "name", "revision")}
+        self.put_resource(kind, name, {**fields, "state": "leaving"})
+
     def create_key(self, account: str, name: str = "caller") -> tuple[str, str]:
         """Create a key of a client account and return its id and its secret."""
         body = {"account": account, "name": name}
