--- a/features/rates.feature
+++ b/features/rates.feature
@@ -1,7 +1,7 @@
 Feature: No client account gets more than its rate and burst over all hosts together
 
-  Five hosts in three failure domains serve a client account of 100 tokens a second, burst 200,
-  whose callers send several times as much. Calls cost 10 tokens.
+  Five hosts in three failure domains serve a client account of 100 tokens a second, burst 50,
+  whose callers send several times as much. Calls cost 2 tokens.
 
   @own_cluster
   Scenario: A domain is cut off while a host is paused past its lease
--- a/features/steps/rates.py
+++ b/features/steps/rates.py
@@ -10,12 +10,11 @@
 from turmericproxy.bench.plan import AccountPlan, ClusterPlan, HostPlan, RoutePlan, ServicePlan
 
 ACCOUNT, ROUTE = "afinaciones", "visits"
-RATE, BURST, COST = 100.0, 200, 10
+RATE, BURST, COST = 100.0, 50, 2
 REGRANT_SECONDS = 3.0
 SETTINGS = {
     "rates": {"regrant_after": REGRANT_SECONDS},
     "links": {"heartbeat": 0.2, "silence": 1.0, "call_timeout": 0.3},
-    "platform_timeouts": {},
 }
 HOSTS = (("n1", "north"), ("n2", "north"), ("s1", "south"), ("s2", "south"), ("e1", "east"))
 MEASURED_SECONDS = 3.0
@@ -23,10 +22,9 @@
 
 
 def create_plan():
-    settings = {key: value for key, value in SETTINGS.items() if value}
     services = tuple(ServicePlan(f"visits-{d}", d) for d in ("north", "south", "east"))
     return ClusterPlan(
-        hosts=tuple(HostPlan(name, domain, settings) for name, domain in HOSTS),
+        hosts=tuple(HostPlan(name, domain, SETTINGS) for name, domain in HOSTS),
         services=services,
         accounts=(AccountPlan(ACCOUNT, RATE, BURST),),
         routes=(
