--- a/turmericproxy/bench/runs.py
+++ b/turmericproxy/bench/runs.py
@@ -18,6 +18,7 @@
 
 POLICIES = ("expected_time", "round_robin", "least_loaded", "hash_first")
 WARM_UP_SHARE = 0.15
+DECISION_MARK = '"decision": true'
 
 Report = Callable[[str], None]
 
@@ -84,6 +85,7 @@
         results = send_calls(calls, _create_target(cluster, plan.shape))
         if plan.is_disturbed:
             disturbances.close()
+        _write_decisions(folder, plan, cluster)
     finally:
         cluster.close()
     _write_calls(folder, plan, results)
@@ -102,9 +104,20 @@
     return Target(hosts, dict(cluster.keys), shape.model, ROUTE)
 
 
+def _write_decisions(folder: Path, plan: RunPlan, cluster: Cluster) -> None:
+    """Keep the decisions that the hosts logged."""
+    with _name_file(folder, "decisions", plan).open("w", encoding="utf-8") as lines:
+        for name in cluster.host_names:
+            log = cluster.get_process(name).log.read_text(encoding="utf-8", errors="replace")
+            lines.writelines(line + "\n" for line in log.splitlines() if DECISION_MARK in line)
+
+
+def _name_file(folder: Path, kind: str, plan: RunPlan) -> Path:
+    return folder / f"{kind}-{plan.shape.name}-{plan.policy}-{plan.seed}.jsonl"
+
+
 def _write_calls(folder: Path, plan: RunPlan, results: Sequence[CallResult]) -> None:
-    name = f"calls-{plan.shape.name}-{plan.policy}-{plan.seed}.jsonl"
-    with (folder / name).open("w", encoding="utf-8") as lines:
+    with _name_file(folder, "calls", plan).open("w", encoding="utf-8") as lines:
         for result in results:
             lines.write(json.dumps(result.describe()) + "\n")
 
--- a/turmericproxy/routing/fleet.py
+++ b/turmericproxy/routing/fleet.py
@@ -17,6 +17,8 @@
 
 DISTANCE_SMOOTHING = 0.1
 
+StoredCallback = Callable[[EngineName, Sequence[BlockKey]], None]
+
 
 class Fleet:
     """Hold the state of each engine and the index of their blocks."""
@@ -26,6 +28,16 @@
         self._lock = threading.Lock()
         self._states: dict[EngineName, EngineState] = {}
         self.index = PrefixIndex(index_blocks)
+        self._follow_stored: StoredCallback | None = None
+
+    def follow_stored(self, callback: StoredCallback) -> None:
+        """Call back with the blocks that an engine says it stored."""
+        self._follow_stored = callback
+
+    def record_stored(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
+        """Pass on that an engine stored blocks."""
+        if self._follow_stored:
+            self._follow_stored(engine, keys)
 
     def view(self, engine: Engine, model: str, keys: Sequence[BlockKey], now: float) -> EngineView:
         """Return what the host sees of an engine for a request with these blocks."""
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -2,10 +2,10 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-from turmericproxy.cache.index import PrefixIndex, create_key
+from turmericproxy.cache.index import BlockKey, PrefixIndex, create_key
 from turmericproxy.configuration import Kind, Snapshot
 from turmericproxy.core import EngineName, Incarnation, UpstreamName, read_boottime
 from turmericproxy.logs import Part, log_event
@@ -31,6 +31,9 @@
     def record_silence(self, engine: EngineName, kind: FinishKind) -> None:
         """Take in that an engine did not report its load."""
 
+    def record_stored(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
+        """Pass on that an engine stored blocks."""
+
     def count_own_tokens(self, engine: EngineName) -> float:
         """Return the tokens that own requests wait for at an engine."""
 
@@ -91,6 +94,9 @@
             self._next = max(self._next, event["seq"])
             self._apply_event(event, incarnation, now)
         self._next = max(self._next, int(body["next"]))
+        stored = [create_key(e["block"]) for e in body["events"] if e["kind"] == "stored"]
+        if stored:
+            self._state.record_stored(self._engine, stored)
 
     def _apply_event(self, event: dict[str, Any], incarnation: Incarnation, now: float) -> None:
         index, engine = self._state.index, self._engine
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -74,6 +74,7 @@
             is_used=settings.kept_cache and settings.policy == "expected_time",
         )
         self._sharing.follow_kept(self._transfers.kept)
+        self.fleet.follow_stored(self._transfers.take_stored)
         self._pollers = Pollers(self.fleet, self.plain, settings, upstream_settings)
 
     def start(self) -> None:
@@ -148,6 +149,7 @@
             self._shares.add(request.account, tokens, self._read_clock())
         known = choice.imports.start if choice.imports else choice.cached_blocks
         self._sharing.add(DispatchNote(choice.engine, keys, known))
+        self._transfers.expect(choice)
         if choice.imports:
             seconds = self._transfers.import_blocks(choice)
             self.fleet.record_import(choice, seconds)
--- a/turmericproxy/routing/transfers.py
+++ b/turmericproxy/routing/transfers.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -19,6 +20,7 @@
 EXPORT_RESERVE = 40.0
 WAITING_EXPORTS = 128
 EXPORT_TIMEOUT = 2.0
+EXPECTED_LIMIT = 4_096
 IMPORT_SLACK = 3.0
 SHORTEST_IMPORT_TIMEOUT = 0.1
 FIRST_SECONDS_PER_CALL = 0.005
@@ -58,6 +60,7 @@
         self._allowance = EXPORT_RESERVE
         self._allowed_at = read_boottime()
         self._waiting: set[int] = set()
+        self._expected: OrderedDict[int, _Export] = OrderedDict()
 
     def start(self) -> None:
         """Start to export in the background."""
@@ -111,6 +114,25 @@
             self.kept.discard(create_key(block) for block in blocks[count:])
         return elapsed
 
+    def expect(self, choice: Choice) -> None:
+        """Export the blocks that the engine computes for a choice as soon as it stores them."""
+        for place in range(choice.cached_blocks, len(choice.request.blocks)):
+            block = choice.request.blocks[place]
+            expected = _Export(choice.engine, choice.address, (block,))
+            with self._lock:
+                self._expected[create_key(block)] = expected
+                if len(self._expected) > EXPECTED_LIMIT:
+                    self._expected.popitem(last=False)
+
+    def take_stored(self, engine: EngineName, keys: Sequence[int]) -> None:
+        """Take in that an engine stored blocks."""
+        with self._lock:
+            found = [self._expected.pop(key) for key in keys if key in self._expected]
+        at_engine = [export for export in found if export.engine == engine]
+        if at_engine:
+            blocks = [block for export in at_engine for block in export.blocks]
+            self.offer(engine, at_engine[0].address, blocks)
+
     def offer(self, engine: EngineName, address: str, blocks: Sequence[str]) -> None:
         """Ask for an export of the blocks that are not kept yet, within the allowance."""
         keys = [create_key(block) for block in blocks]
