Count imported blocks as present only after their import

The logged decisions show the cause: the note of a dispatch reached a peer while the import was still running, and the peer's request for the same blocks came first and computed them all.

--- a/tests/routing/test_selector.py
+++ b/tests/routing/test_selector.py
@@ -6,6 +6,7 @@
     create_snapshot,
     report_load,
 )
+from turmericproxy.cache.index import create_key
 from turmericproxy.core import EngineName, Incarnation, Refusal, ResultCode
 from turmericproxy.routing import Choice, FinishKind, Usage
 
@@ -61,7 +62,7 @@
     report_load(selector, 0, clock, queued=4, queued_tokens=100_000)
     refusal = selector.choose(create_request(1, deadline=clock() + 1.0))
     assert isinstance(refusal, Refusal) and refusal.code is ResultCode.DEADLINE_UNREACHABLE
-    assert 3.9 < refusal.retry_after < 4.3
+    assert 1.55 < refusal.retry_after < 1.57
 
 
 def test_full_slots_are_refused():
@@ -83,3 +84,22 @@
     assert isinstance(selector.choose(create_request(4)), Refusal)
     clock.now += 10.0
     send(selector, create_request(5))
+
+
+def test_blocks_count_as_present_only_after_their_import(monkeypatch):
+    clock = Clock()
+    selector = create_selector(create_snapshot(engines=1), clock)
+    chain = create_chain("rules", "notes")
+    keys = [create_key(block) for block in chain]
+    selector._transfers.kept.add(keys)
+    during: list[list[float]] = []
+
+    def import_blocks(choice) -> float:
+        during.append(selector.fleet.index.estimate_presence(choice.engine, keys, clock()))
+        return 0.02
+
+    monkeypatch.setattr(selector._transfers, "import_blocks", import_blocks)
+    choice = send(selector, create_request(1, chain))
+    assert choice.imports == range(2)
+    assert during == [[]]
+    assert selector.fleet.index.estimate_presence(choice.engine, keys, clock()) == [1.0, 1.0]
--- a/turmericproxy/bench/callers.py
+++ b/turmericproxy/bench/callers.py
@@ -144,6 +144,7 @@
     path = "/v1/chat/completions" if is_chat else f"/r/{target.route}/visits"
     try:
         answer = balancer.open(path, body, headers)
+        result = replace(result, request_id=answer.headers.get("X-Request-Id", ""))
         result = _read(answer, result, call, due)
     except (HTTPError, OSError, ValueError) as error:
         result = replace(result, reason=f"{type(error).__name__}: {error}"[:200])
--- a/turmericproxy/bench/results.py
+++ b/turmericproxy/bench/results.py
@@ -28,6 +28,7 @@
     is_noise: bool
     at: float
     ending: Ending
+    request_id: str = ""
     code: int = 0
     reason: str = ""
     first_token: float | None = None
--- a/turmericproxy/bench/runs.py
+++ b/turmericproxy/bench/runs.py
@@ -1,6 +1,7 @@
 """Run workloads against clusters of real processes and keep what came out."""
 
 import json
+import os
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
@@ -43,6 +44,7 @@
     oracle_hit_rate: float
     faults: tuple[str, ...]
     wall_seconds: float
+    machine_load: float
 
     def describe(self) -> dict[str, object]:
         """Return the result as a value for JSON."""
@@ -56,6 +58,7 @@
             "oracle_hit_rate": self.oracle_hit_rate,
             "faults": list(self.faults),
             "wall_seconds": self.wall_seconds,
+            "machine_load": self.machine_load,
         }
 
 
@@ -96,6 +99,7 @@
         oracle_hit_rate=find_best_hit_rate(plan.shape, create_replay(plan.shape, calls)),
         faults=tuple(disturbances.faults),
         wall_seconds=round(time.monotonic() - started, 2),
+        machine_load=round(os.getloadavg()[0], 1),
     )
 
 
@@ -130,5 +134,5 @@
         f"p50 {measures.p50:.3f} p95 {measures.p95:.3f} p99 {measures.p99:.3f} s, "
         f"wasted {measures.wasted:.3f}, worst/median {measures.worst_ratio:.2f}, "
         f"refused {measures.refused:.4f}, failed {measures.failed:.4f} "
-        f"({result.wall_seconds:.0f} s)"
+        f"({result.wall_seconds:.0f} s, machine load {result.machine_load})"
     )
--- a/turmericproxy/routing/fleet.py
+++ b/turmericproxy/routing/fleet.py
@@ -71,9 +71,14 @@
         with self._lock:
             state = self._get_state(choice.engine)
             ahead = state.count_own_tokens() + state.count_other_tokens(now)
-            work = PendingWork(choice.missing_tokens, ahead, now, tuple(lookups))
+            work = PendingWork(
+                choice.request.prompt_tokens, choice.missing_tokens, ahead, now, tuple(lookups)
+            )
             state.in_flight[choice.request.request_id] = work
-        self.index.predict(choice.engine, keys, now)
+
+    def predict_blocks(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
+        """Expect that an engine holds blocks by the time it runs the next request."""
+        self.index.predict(engine, keys, self._read_clock())
 
     def record_import(self, choice: Choice, seconds: float) -> None:
         """Record that the import before a dispatch took some seconds."""
@@ -98,6 +103,7 @@
             self._record_ending(choice.engine, state, kind)
             if work and usage:
                 _learn_speed(state, work, usage)
+                state.learn_miss_share(usage.prompt_tokens, usage.cached_tokens)
         if kind is FinishKind.UNREACHABLE:
             self.index.retract(choice.engine, keys)
         elif work and usage:
@@ -135,6 +141,11 @@
         with self._lock:
             return self._get_state(engine).count_own_tokens()
 
+    def count_own_prompt_tokens(self, engine: EngineName) -> float:
+        """Return the whole prompts that own requests at an engine wait for."""
+        with self._lock:
+            return self._get_state(engine).count_own_prompt_tokens()
+
     def list_versions(self, engine: EngineName, now: float) -> dict[str, str]:
         """Return the versions that a healthy engine reports, by model."""
         with self._lock:
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -34,8 +34,8 @@
     def record_stored(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
         """Pass on that an engine stored blocks."""
 
-    def count_own_tokens(self, engine: EngineName) -> float:
-        """Return the tokens that own requests wait for at an engine."""
+    def count_own_prompt_tokens(self, engine: EngineName) -> float:
+        """Return the whole prompts that own requests at an engine wait for."""
 
 
 class _Loop:
@@ -191,7 +191,7 @@
                 log_event(Part.ROUTING, "engine gave no load report", engine=name, kind=kind.value)
                 self._state.record_silence(engine, kind)
                 return self._pause
-            own_tokens = self._state.count_own_tokens(engine)
+            own_tokens = self._state.count_own_prompt_tokens(engine)
             self._state.record_report(engine, _parse_report(answer[1], own_tokens), elapsed)
             return self._pause
 
@@ -228,6 +228,6 @@
         queued_tokens=int(body["queued_tokens"]),
         versions=dict(body["versions"]),
         received_at=read_boottime(),
-        own_tokens=own_tokens,
+        own_prompt_tokens=own_tokens,
         capacity_blocks=int(body["capacity_blocks"]),
     )
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -147,12 +147,14 @@
         with self._lock:
             tokens = request.prompt_tokens + request.max_tokens
             self._shares.add(request.account, tokens, self._read_clock())
-        known = choice.imports.start if choice.imports else choice.cached_blocks
-        self._sharing.add(DispatchNote(choice.engine, keys, known))
         self._transfers.expect(choice)
         if choice.imports:
+            # Until the import is done, a request that relies on the blocks would compute them.
             seconds = self._transfers.import_blocks(choice)
             self.fleet.record_import(choice, seconds)
+        self.fleet.predict_blocks(choice.engine, keys)
+        known = choice.imports.start if choice.imports else choice.cached_blocks
+        self._sharing.add(DispatchNote(choice.engine, keys, known))
 
     @record_dispatch.register
     def _(self, choice: UpstreamChoice) -> None:
--- a/turmericproxy/routing/sharing.py
+++ b/turmericproxy/routing/sharing.py
@@ -15,9 +15,9 @@
 
 NOTE_KIND = "routing.dispatches"
 KEPT_KIND = "routing.kept"
-SHORTEST_PAUSE = 0.05
+SHORTEST_PAUSE = 0.02
 REFRESH_PAUSE = 1.0
-BYTES_PER_SECOND = 6_000
+BYTES_PER_SECOND = 64_000
 REMEMBERED_CHAINS = 4_096
 LONGEST_NOTE = 256
 KEY_BYTES = 8
