--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -104,7 +104,9 @@
         decision = decide(self._policy, views, request, now, self._take_turn(), kept)
         if isinstance(decision, Refusal):
             return _log_refusal(request, decision)
-        choice = _create_choice(request, decision, self._rank(snapshot, request, now))
+        seconds = decision.taken.compute_seconds
+        priority = self._rank(snapshot, request, seconds, now)
+        choice = _create_choice(request, decision, priority)
         _log_choice(choice, decision)
         return choice
 
@@ -192,13 +194,15 @@
             self._turn += 1
             return self._turn
 
-    def _rank(self, snapshot: Snapshot, request: RoutingRequest, now: float) -> int:
+    def _rank(
+        self, snapshot: Snapshot, request: RoutingRequest, compute_seconds: float, now: float
+    ) -> int:
         account = snapshot.find_account(request.account)
         if account is None:
             return 0
         hosts = self._sharing.count_hosts()
         with self._lock:
-            return self._shares.rank(request.account, account.rate, hosts, now)
+            return self._shares.rank(request.account, account.rate, hosts, compute_seconds, now)
 
 
 def _create_choice(request: RoutingRequest, decision: Decision, priority: int) -> Choice:
--- a/turmericproxy/routing/shares.py
+++ b/turmericproxy/routing/shares.py
@@ -6,6 +6,9 @@
 
 HALF_LIFE = 4.0
 TOLERATED_RATIO = 1.5
+LONG_COMPUTE_SECONDS = 0.12
+LONG_PRIORITY = 0
+USUAL_PRIORITY = 1
 LOWEST_PRIORITY = 9
 
 
@@ -28,16 +31,19 @@
         return float(self.tokens * 0.5 ** (max(0.0, now - self.counted_at) / HALF_LIFE))
 
 
-def compute_priority(use: RecentUse, rate: float, hosts: int, now: float) -> int:
-    """Return the priority, 0 the soonest, of an account with that fleet-wide rate.
+def compute_priority(
+    use: RecentUse, rate: float, hosts: int, compute_seconds: float, now: float
+) -> int:
+    """Return the priority, 0 the soonest, of a request of an account with that fleet-wide rate.
 
     The balancer spreads an account's requests, so a host's part times the number of hosts
-    stands for the whole.
+    stands for the whole. Inside the rate, a request that takes long to compute goes first: it
+    has the least time to wait for others, and others lose little by waiting for it.
     """
     ratio = use.measure_rate(now) * hosts / rate
-    if ratio <= TOLERATED_RATIO:
-        return 0
-    return min(LOWEST_PRIORITY, int(ratio))
+    if ratio > TOLERATED_RATIO:
+        return min(LOWEST_PRIORITY, USUAL_PRIORITY + int(ratio))
+    return LONG_PRIORITY if compute_seconds > LONG_COMPUTE_SECONDS else USUAL_PRIORITY
 
 
 class AccountShares:
@@ -50,6 +56,9 @@
         """Count the tokens of a dispatch."""
         self._uses[account] = self._uses.get(account, RecentUse()).add(tokens, now)
 
-    def rank(self, account: AccountName, rate: float, hosts: int, now: float) -> int:
+    def rank(
+        self, account: AccountName, rate: float, hosts: int, compute_seconds: float, now: float
+    ) -> int:
         """Return the priority of the account's next request."""
-        return compute_priority(self._uses.get(account, RecentUse()), rate, hosts, now)
+        use = self._uses.get(account, RecentUse())
+        return compute_priority(use, rate, hosts, compute_seconds, now)
