--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -1,11 +1,11 @@
 """Choose an engine or plain service for each request."""
 
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any, Protocol
 
-from turmericproxy.cache.index import BlockKey, create_key
+from turmericproxy.cache.index import create_key
 from turmericproxy.configuration import Route, Snapshot, UpstreamState
 from turmericproxy.core import (
     DomainName,
@@ -23,7 +23,6 @@
 from turmericproxy.routing.plain import PlainSelector
 from turmericproxy.routing.policies import create_policy, weigh_rendezvous
 from turmericproxy.routing.polling import Pollers
-from turmericproxy.routing.replicas import ChainUses, choose_replica
 from turmericproxy.routing.requests import (
     Choice,
     FinishKind,
@@ -31,10 +30,9 @@
     TokenCounts,
     UpstreamChoice,
 )
-from turmericproxy.routing.scoring import KeptChain
 from turmericproxy.routing.shares import AccountShares
 from turmericproxy.routing.sharing import DispatchNote, WorkSharing
-from turmericproxy.routing.transfers import Replica, Transfers
+from turmericproxy.routing.transfers import Transfers
 from turmericproxy.settings.schema import RoutingSettings, UpstreamSettings
 
 
@@ -71,12 +69,11 @@
         self.plain = PlainSelector(domain, host, read_clock)
         self._sharing = WorkSharing(links, self.fleet)
         self._transfers = Transfers(
-            self,
+            self._sharing.add_kept,
             upstream_settings.connect_timeout,
             is_used=settings.kept_cache and settings.policy == "expected_time",
         )
-        self._uses = ChainUses()
-        self._sharing.follow_peers(self._transfers.kept, self._uses)
+        self._sharing.follow_kept(self._transfers.kept)
         self.fleet.follow_stored(self._transfers.take_stored)
         self._pollers = Pollers(self.fleet, self.plain, settings, upstream_settings)
 
@@ -111,8 +108,6 @@
         priority = self._rank(snapshot, request, seconds, now)
         choice = _create_choice(request, decision, priority)
         _log_choice(choice, decision)
-        if keys and self._uses.take_due(keys[-1], now):
-            self._replicate(request, decision, kept)
         return choice
 
     def choose_version(self, model: ModelName, request_id: RequestId) -> str | None:
@@ -159,8 +154,6 @@
             # Until the import is done, a request that relies on the blocks would compute them.
             seconds = self._transfers.import_blocks(choice)
             self.fleet.record_import(choice, seconds)
-        if keys:
-            self._uses.count(keys[-1], self._read_clock())
         self.fleet.predict_blocks(choice.engine, keys)
         known = choice.imports.start if choice.imports else choice.cached_blocks
         self._sharing.add(DispatchNote(choice.engine, keys, known))
@@ -192,36 +185,10 @@
     def _(self, choice: UpstreamChoice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
         self.plain.record_end(choice.upstream, kind)
 
-    def record_kept(self, keys: Sequence[BlockKey]) -> None:
-        """Take in that blocks were exported."""
-        self._sharing.add_kept(keys)
-
-    def record_replica(self, replica: Replica) -> None:
-        """Take in that an engine has imported a chain."""
-        keys = tuple(create_key(block) for block in replica.blocks)
-        self.fleet.predict_blocks(replica.engine, keys)
-        self._sharing.add(DispatchNote(replica.engine, keys, 0, is_use=False))
-
     def describe_upstreams(self) -> dict[str, dict[str, float]]:
         """Return what the host knows of engines and plain services, by name."""
         return {**self.fleet.describe(), **self.plain.describe()}
 
-    def _replicate(self, request: RoutingRequest, decision: Decision, kept: KeptChain) -> None:
-        target = choose_replica(decision.candidates, decision.taken, kept)
-        if target is None:
-            return
-        view = target.view
-        replica = Replica(view.engine, view.address, request.model, request.version, request.blocks)
-        self._transfers.replicate(replica)
-        log_decision(
-            Part.CACHE,
-            "hot prefix gets a replica",
-            request_id=request.request_id,
-            engine=view.engine,
-            blocks=len(request.blocks),
-            queue=round(target.queue_seconds, 4),
-        )
-
     def _take_turn(self) -> int:
         with self._lock:
             self._turn += 1
--- a/turmericproxy/routing/sharing.py
+++ b/turmericproxy/routing/sharing.py
@@ -12,7 +12,6 @@
 from turmericproxy.cache.kept import KeptBlocks
 from turmericproxy.core import EngineName, HostName, read_boottime
 from turmericproxy.routing.engines import PeerWork
-from turmericproxy.routing.replicas import ChainUses
 
 NOTE_KIND = "routing.dispatches"
 KEPT_KIND = "routing.kept"
@@ -26,15 +25,11 @@
 
 @dataclass(frozen=True)
 class DispatchNote:
-    """Say that a chain of blocks was sent to an engine, of which the first ones were there.
-
-    A replica is told of in the same way, but is no use of the chain.
-    """
+    """Say that a chain of blocks was sent to an engine, of which the first ones were there."""
 
     engine: EngineName
     keys: tuple[BlockKey, ...]
     known: int
-    is_use: bool = True
 
 
 class _Chains:
@@ -87,12 +82,10 @@
         self._hosts = 1
         self._exported: list[BlockKey] = []
         self._kept = KeptBlocks(0)
-        self._uses = ChainUses()
 
-    def follow_peers(self, kept: KeptBlocks, uses: ChainUses) -> None:
-        """Add the blocks that peers export to ``kept`` and the chains they use to ``uses``."""
+    def follow_kept(self, kept: KeptBlocks) -> None:
+        """Add the blocks that peers export to ``kept``."""
         self._kept = kept
-        self._uses = uses
 
     def add_kept(self, keys: Sequence[BlockKey]) -> None:
         """Tell peers of exported blocks with the next batch."""
@@ -138,11 +131,9 @@
         now = read_boottime()
         for engine, tokens in body["work"].items():
             self._state.record_peer_work(EngineName(engine), host, PeerWork(float(tokens), now))
-        for engine, known_last, new, is_use in body["dispatches"]:
+        for engine, known_last, new in body["dispatches"]:
             keys = self._unpack_chain(known_last, new)
             self._state.index.predict(EngineName(engine), keys, now)
-            if is_use:
-                self._uses.count(keys[-1], now)
         self._kept.add(_unpack_keys(body["kept"]))
 
     def create_batch(self) -> dict[str, Any] | None:
@@ -192,10 +183,10 @@
             self._closed.wait(max(SHORTEST_PAUSE, size * sent / BYTES_PER_SECOND))
 
 
-def _pack_note(note: DispatchNote) -> tuple[str, bytes, bytes, bool]:
+def _pack_note(note: DispatchNote) -> tuple[str, bytes, bytes]:
     known = min(note.known, len(note.keys))
     known_last = note.keys[known - 1].to_bytes(KEY_BYTES, "big") if known else b""
-    return note.engine, known_last, _pack_keys(note.keys[known:]), note.is_use
+    return note.engine, known_last, _pack_keys(note.keys[known:])
 
 
 def _pack_keys(keys: Iterable[BlockKey]) -> bytes:
--- a/turmericproxy/routing/transfers.py
+++ b/turmericproxy/routing/transfers.py
@@ -1,13 +1,11 @@
 """Move blocks between engines and the store of kept KV cache."""
 
-import contextlib
 import queue
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Protocol
 
 from turmericproxy.cache.index import create_key
 from turmericproxy.cache.kept import KeptBlocks
@@ -20,7 +18,7 @@
 KEPT_LIMIT = 20_000
 EXPORTS_PER_SECOND = 20.0
 EXPORT_RESERVE = 40.0
-WAITING_JOBS = 128
+WAITING_EXPORTS = 128
 EXPORT_TIMEOUT = 2.0
 EXPECTED_LIMIT = 4_096
 IMPORT_SLACK = 3.0
@@ -40,40 +38,21 @@
     blocks: tuple[str, ...]
 
 
-@dataclass(frozen=True)
-class Replica:
-    """Name the blocks of a chain that an engine is asked to import in the background."""
-
-    engine: EngineName
-    address: str
-    model: str
-    version: str
-    blocks: tuple[str, ...]
-
-
-class TransferListener(Protocol):
-    """Take in what the background transfers have done."""
-
-    def record_kept(self, keys: Sequence[int]) -> None:
-        """Take in that blocks were exported."""
-
-    def record_replica(self, replica: Replica) -> None:
-        """Take in that an engine has imported a chain."""
-
-
 class Transfers:
     """Export computed blocks in the background, and import kept ones before a dispatch.
 
-    The listener is told of exports and replicas that are done. After an import took too long
-    nothing is imported for ``PAUSE_AFTER_FAILURE`` seconds, and engines compute instead.
+    ``tell`` is called with the blocks that were exported. After an import took too long nothing
+    is imported for ``PAUSE_AFTER_FAILURE`` seconds, and engines compute instead.
     """
 
-    def __init__(self, listener: TransferListener, connect_timeout: float, is_used: bool) -> None:
+    def __init__(
+        self, tell: Callable[[Sequence[int]], None], connect_timeout: float, is_used: bool
+    ) -> None:
         self.kept = KeptBlocks(KEPT_LIMIT)
-        self._listener = listener
+        self._tell = tell
         self._connect_timeout = connect_timeout
         self._is_used = is_used
-        self._jobs: queue.Queue[_Export | Replica | None] = queue.Queue(WAITING_JOBS)
+        self._exports: queue.Queue[_Export | None] = queue.Queue(WAITING_EXPORTS)
         self._clients: dict[str, HttpClient] = {}
         self._lock = threading.Lock()
         self._seconds_per_block = FIRST_SECONDS_PER_BLOCK
@@ -87,17 +66,17 @@
         """Start to export in the background."""
         if not self._is_used:
             return
-        threading.Thread(target=self._run, name="transfers", daemon=True).start()
+        threading.Thread(target=self._run, name="exports", daemon=True).start()
 
     def close(self) -> None:
         """End the exports."""
         with self._lock:
             self._is_used = False
         try:
-            self._jobs.put_nowait(None)
+            self._exports.put_nowait(None)
         except queue.Full:
-            self._jobs.get_nowait()
-            self._jobs.put_nowait(None)
+            self._exports.get_nowait()
+            self._exports.put_nowait(None)
 
     def describe_chain(self, keys: Sequence[int]) -> KeptChain:
         """Return which blocks are kept and the cost of importing them."""
@@ -109,25 +88,15 @@
 
     def import_blocks(self, choice: Choice) -> float:
         """Let the engine import the blocks of a choice; return the seconds that it took."""
-        blocks = tuple(choice.request.blocks[place] for place in choice.imports)
-        replica = Replica(
-            choice.engine, choice.address, choice.request.model, choice.version, blocks
-        )
-        started = time.monotonic()
-        self._import(replica)
-        return time.monotonic() - started
-
-    def replicate(self, replica: Replica) -> None:
-        """Import a chain in the background; it is told to peers when the engine has it."""
-        with contextlib.suppress(queue.Full):
-            self._jobs.put_nowait(replica)
-
-    def _import(self, replica: Replica) -> bool:
-        blocks = replica.blocks
+        blocks = [choice.request.blocks[place] for place in choice.imports]
         expected = FIRST_SECONDS_PER_CALL + self._seconds_per_block * len(blocks)
-        body = {"blocks": blocks, "model": replica.model, "version": replica.version}
+        body = {
+            "blocks": blocks,
+            "model": choice.request.model,
+            "version": choice.version,
+        }
         started = time.monotonic()
-        answer = self._get_client(replica.address).call_json(
+        answer = self._get_client(choice.address).call_json(
             "POST",
             "/v1/kv/import",
             body,
@@ -136,14 +105,14 @@
         elapsed = time.monotonic() - started
         if isinstance(answer, CallFailure) or answer[0] != 200:
             if not isinstance(answer, CallFailure) or not answer.is_unsent:
-                self._pause(replica.engine)
-            return False
+                self._pause(choice.engine)
+            return elapsed
         count = int(answer[1]["blocks"])
         if count:
             self._learn(max(0.0, elapsed - FIRST_SECONDS_PER_CALL) / count)
         if count < len(blocks):
             self.kept.discard(create_key(block) for block in blocks[count:])
-        return count == len(blocks)
+        return elapsed
 
     def expect(self, choice: Choice) -> None:
         """Export the blocks that the engine computes for a choice as soon as it stores them."""
@@ -178,21 +147,17 @@
                 return
             self._waiting.update(create_key(block) for block in wanted)
         try:
-            self._jobs.put_nowait(_Export(engine, address, tuple(wanted)))
+            self._exports.put_nowait(_Export(engine, address, tuple(wanted)))
         except queue.Full:
             self._forget(wanted)
 
     def _run(self) -> None:
         while True:
-            job = self._jobs.get()
-            if job is None:
+            export = self._exports.get()
+            if export is None:
                 return
-            if isinstance(job, Replica):
-                if self._import(job):
-                    self._listener.record_replica(job)
-                continue
-            self._export(job)
-            self._forget(job.blocks)
+            self._export(export)
+            self._forget(export.blocks)
 
     def _export(self, export: _Export) -> None:
         answer = self._get_client(export.address).call_json(
@@ -204,7 +169,7 @@
         if int(answer[1]["blocks"]) == len(export.blocks):
             keys = [create_key(block) for block in export.blocks]
             self.kept.add(keys)
-            self._listener.record_kept(keys)
+            self._tell(keys)
 
     def _forget(self, blocks: Sequence[str]) -> None:
         with self._lock:
