--- a/turmericproxy/bench/runs.py
+++ b/turmericproxy/bench/runs.py
@@ -3,7 +3,7 @@
 import json
 import os
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
@@ -11,7 +11,7 @@
 from turmericproxy.bench.cluster import Cluster, start_cluster
 from turmericproxy.bench.disturbances import DisturbanceThread
 from turmericproxy.bench.fleet_plan import ROUTE, create_plan
-from turmericproxy.bench.measures import Measures, measure
+from turmericproxy.bench.measures import Measures, collect_first_tokens, measure
 from turmericproxy.bench.oracle import create_replay, find_best_hit_rate
 from turmericproxy.bench.results import CallResult
 from turmericproxy.bench.shapes import Shape
@@ -41,6 +41,7 @@
 
     plan: RunPlan
     measures: Measures
+    first_tokens: Mapping[str, tuple[float, ...]]
     oracle_hit_rate: float
     faults: tuple[str, ...]
     wall_seconds: float
@@ -96,6 +97,7 @@
     return RunResult(
         plan=plan,
         measures=measure(results, counted, plan.shape.noisy_account),
+        first_tokens=collect_first_tokens(counted, plan.shape.noisy_account),
         oracle_hit_rate=find_best_hit_rate(plan.shape, create_replay(plan.shape, calls)),
         faults=tuple(disturbances.faults),
         wall_seconds=round(time.monotonic() - started, 2),
--- a/turmericproxy/cli/bench.py
+++ b/turmericproxy/cli/bench.py
@@ -18,8 +18,12 @@
     policy: Annotated[list[str] | None, typer.Option(help="Policy; may be repeated.")] = None,
     calm: Annotated[bool, typer.Option(help="Leave out the faults.")] = False,
     quick: Annotated[bool, typer.Option(help="One seed, short workloads, one user.")] = False,
+    speed: Annotated[bool, typer.Option(help="Measure only what one host adds and needs.")] = False,
 ) -> None:
     """Measure the policies under both users' workloads and print a table for each."""
+    _run_speed(out)
+    if speed:
+        return
     from turmericproxy.bench.plots import plot_runs
     from turmericproxy.bench.runs import POLICIES, RunPlan, run_all
     from turmericproxy.bench.shapes import SHAPES
@@ -39,3 +43,9 @@
     (out / "tables.txt").write_text(tables, encoding="utf-8")
     if plot_runs(results, out / "measures.png"):
         typer.echo(f"raw figures and plot are in {out}/")
+
+
+def _run_speed(out: Path) -> None:
+    from turmericproxy.bench.speed import measure_speed, write_speed
+
+    typer.echo(write_speed(measure_speed(out)) + "\n")
