--- a/tests/routing/test_queue.py
+++ b/tests/routing/test_queue.py
@@ -64,3 +64,12 @@
     for thread in threads:
         thread.join(5)
     assert len(order) == 2
+
+
+def test_second_leave_frees_no_second_place():
+    queue = FairQueue(running=1)
+    first = queue.enter(QUIET, 10, read_boottime() + 10)
+    queue.leave(first)
+    queue.leave(first)
+    assert isinstance(queue.enter(QUIET, 10, read_boottime() + 10), Ticket)
+    assert isinstance(queue.enter(QUIET, 10, read_boottime() + 0.05), Refusal)
--- a/turmericproxy/routing/transfers.py
+++ b/turmericproxy/routing/transfers.py
@@ -127,10 +127,12 @@
     def take_stored(self, engine: EngineName, keys: Sequence[int]) -> None:
         """Take in that an engine stored blocks."""
         with self._lock:
-            found = [self._expected.pop(key) for key in keys if key in self._expected]
-        at_engine = [export for export in found if export.engine == engine]
-        if at_engine:
+            found = [self._expected[key] for key in keys if key in self._expected]
+            at_engine = [export for export in found if export.engine == engine]
             blocks = [block for export in at_engine for block in export.blocks]
+            for block in blocks:
+                del self._expected[create_key(block)]
+        if at_engine:
             self.offer(engine, at_engine[0].address, blocks)
 
     def offer(self, engine: EngineName, address: str, blocks: Sequence[str]) -> None:
@@ -151,6 +153,11 @@
         except queue.Full:
             self._forget(wanted)
 
+    def count_waiting(self) -> int:
+        """Return the number of blocks whose export is under way."""
+        with self._lock:
+            return len(self._waiting)
+
     def _run(self) -> None:
         while True:
             export = self._exports.get()
