--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -74,6 +74,7 @@
             is_used=settings.kept_cache and settings.policy == "expected_time",
         )
         self._sharing.follow_kept(self._transfers.kept)
+        self.fleet.follow_stored(self._transfers.take_stored)
         self._pollers = Pollers(self.fleet, self.plain, settings, upstream_settings)
 
     def start(self) -> None:
@@ -103,7 +104,9 @@
         decision = decide(self._policy, views, request, now, self._take_turn(), kept)
         if isinstance(decision, Refusal):
             return _log_refusal(request, decision)
-        choice = _create_choice(request, decision, self._rank(snapshot, request, now))
+        seconds = decision.taken.compute_seconds
+        priority = self._rank(snapshot, request, seconds, now)
+        choice = _create_choice(request, decision, priority)
         _log_choice(choice, decision)
         return choice
 
@@ -146,11 +149,14 @@
         with self._lock:
             tokens = request.prompt_tokens + request.max_tokens
             self._shares.add(request.account, tokens, self._read_clock())
-        known = choice.imports.start if choice.imports else choice.cached_blocks
-        self._sharing.add(DispatchNote(choice.engine, keys, known))
+        self._transfers.expect(choice)
         if choice.imports:
+            # Until the import is done, a request that relies on the blocks would compute them.
             seconds = self._transfers.import_blocks(choice)
             self.fleet.record_import(choice, seconds)
+        self.fleet.predict_blocks(choice.engine, keys)
+        known = choice.imports.start if choice.imports else choice.cached_blocks
+        self._sharing.add(DispatchNote(choice.engine, keys, known))
 
     @record_dispatch.register
     def _(self, choice: UpstreamChoice) -> None:
@@ -188,13 +194,15 @@
             self._turn += 1
             return self._turn
 
-    def _rank(self, snapshot: Snapshot, request: RoutingRequest, now: float) -> int:
+    def _rank(
+        self, snapshot: Snapshot, request: RoutingRequest, compute_seconds: float, now: float
+    ) -> int:
         account = snapshot.find_account(request.account)
         if account is None:
             return 0
         hosts = self._sharing.count_hosts()
         with self._lock:
-            return self._shares.rank(request.account, account.rate, hosts, now)
+            return self._shares.rank(request.account, account.rate, hosts, compute_seconds, now)
 
 
 def _create_choice(request: RoutingRequest, decision: Decision, priority: int) -> Choice:
