--- a/turmericproxy/callers/filters.py
+++ b/turmericproxy/callers/filters.py
@@ -59,10 +59,9 @@
         call = parse_call(exchange.request, self._configuration.snapshot(), self._body_limit)
         if isinstance(call, Refusal):
             return call
-        if isinstance(call, PlainCall):
-            refusal = check_secrecy(call, exchange.key)
-            if refusal:
-                return refusal
+        refusal = check_secrecy(call, exchange.key)
+        if refusal:
+            return refusal
         if isinstance(call, ChatCall):
             version = self._selector.choose_version(call.model, exchange.request_id)
             call = replace(call, version=version or call.version)
--- a/turmericproxy/callers/secrets.py
+++ b/turmericproxy/callers/secrets.py
@@ -1,13 +1,16 @@
 """Keep callers' keys out of everything that is sent to upstreams."""
 
+import re
 from collections.abc import Iterable
+from functools import singledispatch
 from urllib.parse import unquote
 
-from turmericproxy.callers.calls import PlainCall
+from turmericproxy.callers.calls import Call, ChatCall, PlainCall
 from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.web import HttpRequest
 
 BEARER = "bearer "
+JSON_ESCAPE = re.compile(r"\\u([0-9a-fA-F]{4})")
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -45,10 +48,34 @@
     }
 
 
-def check_secrecy(call: PlainCall, key: str | None) -> Refusal | None:
-    """Refuse a call whose path or body would show the caller's key to an upstream."""
-    if key is None:
+def check_secrecy(call: Call, key: str | None) -> Refusal | None:
+    """Refuse a call whose texts would show the caller's key to an upstream."""
+    if key is None or not any(_holds_key(text, key) for text in list_texts(call)):
         return None
-    if key in unquote(call.path) or key.encode() in call.body:
-        return refuse(ResultCode.KEY_IN_REQUEST, "the path or body holds the caller's key")
-    return None
+    return refuse(ResultCode.KEY_IN_REQUEST, "the path, the body or the prompt holds the key")
+
+
+@singledispatch
+def list_texts(call: Call) -> tuple[str, ...]:
+    """Return the texts of a call that an upstream would see, headers apart."""
+    raise TypeError(f"no texts are known for {type(call).__name__}")
+
+
+@list_texts.register
+def _(call: PlainCall) -> tuple[str, ...]:
+    return call.path, call.body.decode("utf-8", "replace")
+
+
+@list_texts.register
+def _(call: ChatCall) -> tuple[str, ...]:
+    return (call.prompt,)
+
+
+def _holds_key(text: str, key: str) -> bool:
+    if key in text or ("%" in text and key in unquote(text)):
+        return True
+    return "\\u" in text and key in JSON_ESCAPE.sub(_decode_escape, text)
+
+
+def _decode_escape(match: re.Match[str]) -> str:
+    return chr(int(match[1], 16))
