Show what engines serve in the status; read weights whole in the stand-in

Cause of a rollout that never ended: the stand-in took the weight store's bytes for JSON and asked again for ever.

--- /dev/null
+++ b/features/steps/cache.py
@@ -0,0 +1,235 @@
+"""Compare what hosts expect of the engines' caches with what the engines held."""
+
+import json
+import random
+import threading
+import time
+from dataclasses import replace
+
+from behave import then, when
+
+from features.support.load import Chat, SteadyLoad, send_chat, write_text
+from turmericproxy.cache.blocks import TOKENS_PER_BLOCK
+
+NOTES_CHARACTERS = 20_000
+ANSWER_PIECES = 8
+CACHE_SECONDS = 10.0
+ROLLOUT_SECONDS = 15.0
+
+
+def list_engines(context):
+    return [engine.name for engine in context.cluster.plan.engines]
+
+
+def list_served(context):
+    """Return the records of all engines, each with the engine's name."""
+    return [
+        {**served, "engine": name}
+        for name in list_engines(context)
+        for served in context.cluster.read_truth(name)["served"]
+    ]
+
+
+def send_notes(context, host, account="afinaciones"):
+    question = f" Question {context.random.getrandbits(32):x}?"
+    chat = Chat(host, context.notes + question, ANSWER_PIECES, account=account)
+    run = send_chat(context.cluster, chat)
+    context.runs.append(run)
+    return run
+
+
+def list_own(context, account):
+    """Return the records of the requests that a client account sent in this scenario."""
+    ids = {r.result.request_id for r in context.runs if r.chat.account == account}
+    return [s for s in list_served(context) if s["request_id"].rpartition("-")[0] in ids]
+
+
+@when("long case notes are sent until both hosts find them cached")
+def send_until_cached(context):
+    context.notes = write_text(context.random, NOTES_CHARACTERS)
+    context.runs = []
+    deadline = time.monotonic() + CACHE_SECONDS
+    for host in context.cluster.host_names:
+        while send_notes(context, host).result.usage.get("cached_tokens", 0) == 0:
+            assert time.monotonic() < deadline, "the notes were never cached"
+
+
+@when("every engine that holds them crashes for {seconds:g} seconds")
+def crash_holders(context, seconds):
+    context.crashed = {}
+    for name in list_engines(context):
+        truth = context.cluster.read_truth(name)
+        if truth["cached"]:
+            context.crashed[name] = truth["incarnation"]
+            context.cluster.set_faults(name, crash=seconds)
+    assert context.crashed
+
+
+@when("both hosts send the case notes again while the engines come back")
+@when("both hosts send the case notes again")
+def send_again(context):
+    for host in context.cluster.host_names * 2:
+        send_notes(context, host)
+
+
+@when("both hosts see the engines' new incarnations")
+def await_seen(context):
+    for name, before in context.crashed.items():
+        context.cluster.await_restart(name, before)
+    for host in context.cluster.host_names:
+        context.cluster.await_condition(
+            f"{host} sees the new incarnations", lambda host=host: sees_new(context, host)
+        )
+    context.seen_after = len(context.runs)
+
+
+def sees_new(context, host):
+    status = json.dumps(context.cluster.operate(host, "GET", "/v1/status")["upstreams"])
+    news = [context.cluster.read_truth(name)["incarnation"] for name in context.crashed]
+    return all(incarnation in status for incarnation in news)
+
+
+@then("every answer was whole and the engine's known text")
+def check_answers(context):
+    faults = [run.find_fault() for run in context.runs if run.find_fault()]
+    assert not faults, faults
+
+
+@then("the first request to each new incarnation found nothing cached")
+def check_first(context):
+    for name, before in context.crashed.items():
+        served = context.cluster.read_truth(name)["served"]
+        later = [s for s in served if s["incarnation"] != before]
+        assert not later or later[0]["cached_tokens"] == 0, later[0]
+
+
+def read_decisions(context):
+    """Return the choices of engines that the hosts have logged."""
+    decisions = []
+    for host in context.cluster.host_names:
+        for line in context.cluster.get_process(host).log.read_text().splitlines():
+            if "engine chosen" in line:
+                decisions.append(json.loads(line))
+    return decisions
+
+
+@then("no host expected more from a new incarnation than it held")
+def check_expected(context):
+    ids = {run.result.request_id for run in context.runs[context.seen_after :]}
+    expected = {
+        (d["request_id"], d["engine"]): d["cached_blocks"]
+        for d in read_decisions(context)
+        if d["request_id"] in ids
+    }
+    assert expected
+    held = {
+        (s["request_id"].rpartition("-")[0], s["engine"]): s["cached_tokens"] // TOKENS_PER_BLOCK
+        for s in list_served(context)
+    }
+    too_much = {key: (n, held.get(key)) for key, n in expected.items() if n > held.get(key, 0)}
+    assert not too_much, too_much
+
+
+@when("the same case notes are sent for {account}")
+def send_for_account(context, account):
+    for host in context.cluster.host_names:
+        send_notes(context, host, account)
+
+
+@then("the requests for {account} found nothing cached that {other} sent")
+def check_account(context, account, other):
+    own = list_own(context, account)
+    seen = set()
+    for served in own:
+        assert served["cached_tokens"] == 0 or served["engine"] in seen, served
+        seen.add(served["engine"])
+    assert own
+    assert any(served["cached_tokens"] > 0 for served in list_own(context, other))
+
+
+@then("no salt was used for two client accounts")
+def check_salts(context):
+    salts = {
+        account: {served["salt"] for served in list_own(context, account)}
+        for account in ("afinaciones", "satnica")
+    }
+    assert all(len(values) == 1 for values in salts.values()), salts
+    assert not salts["afinaciones"] & salts["satnica"], salts
+
+
+@when("chats run without pause while the model changes to version {version}")
+def change_version(context, version):
+    cluster, sources = context.cluster, [random.Random(n) for n in range(4)]
+
+    def call(number):
+        host = cluster.host_names[number % 2]
+        return send_chat(cluster, Chat(host, write_text(sources[number], 300), 12))
+
+    load = SteadyLoad(call, 4)
+    load.start()
+    watch = LoadingWatch(cluster)
+    watch.start()
+    cluster.put_resource("model", "verdict", {"version": version})
+    cluster.await_condition(
+        f"version {version} at every engine",
+        lambda: all(
+            cluster.read_truth(name)["versions"] == {"verdict": version}
+            for name in list_engines(context)
+        ),
+        ROLLOUT_SECONDS,
+    )
+    context.most_loading = watch.stop()
+    context.runs += load.stop()
+
+
+class LoadingWatch:
+    """Watch how many engines load weights at a time."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._most = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        """Start to watch."""
+        self._thread.start()
+
+    def stop(self):
+        """Return the largest number that was seen."""
+        self._stopped.set()
+        self._thread.join()
+        return self._most
+
+    def _run(self):
+        names = [engine.name for engine in self._cluster.plan.engines]
+        while not self._stopped.is_set():
+            truths = [self._cluster.read_truth(name) for name in names]
+            self._most = max(self._most, sum(bool(truth["loading"]) for truth in truths))
+
+
+@then("every answer was whole and the text of one version")
+def check_versions(context):
+    found = {"1": 0, "2": 0}
+    for run in context.runs:
+        matching = [version for version in found if not run.find_fault(version)]
+        assert matching, (run.find_fault("1"), replace(run.result, text=""))
+        found[matching[0]] += 1
+    assert all(found.values()), found
+
+
+@then("the requests to version {new} found nothing cached that version {old} computed")
+def check_weights(context, new, old):
+    served = list_served(context)
+    first = {}
+    for record in served:
+        if record["version"] == new and record["prompt_tokens"] > TOKENS_PER_BLOCK:
+            first.setdefault(record["engine"], record)
+    assert first
+    assert all(record["cached_tokens"] == 0 for record in first.values()), first
+    assert any(s["version"] == old and s["cached_tokens"] for s in served)
+
+
+@then("at most {count:d} engines loaded weights at a time")
+def check_loading(context, count):
+    assert 1 <= context.most_loading <= count, context.most_loading
--- a/turmericproxy/routing/fleet.py
+++ b/turmericproxy/routing/fleet.py
@@ -131,7 +131,7 @@
                 return {}
             return dict(state.report.versions)
 
-    def describe(self) -> dict[str, dict[str, float]]:
+    def describe(self) -> dict[str, dict[str, object]]:
         """Return what the host knows of each engine, by name."""
         now = self._read_clock()
         with self._lock:
@@ -173,8 +173,11 @@
     state.speed = learn_first_piece(state.speed, missing, work.ahead_tokens, seconds)
 
 
-def _describe(state: EngineState, now: float) -> dict[str, float]:
+def _describe(state: EngineState, now: float) -> dict[str, object]:
+    report = state.report
     return {
+        "incarnation": report.incarnation if report else None,
+        "versions": dict(report.versions) if report else {},
         "in_flight": len(state.in_flight),
         "own_tokens": state.count_own_tokens(),
         "other_tokens": round(state.count_other_tokens(now)),
--- a/turmericproxy/routing/plain.py
+++ b/turmericproxy/routing/plain.py
@@ -97,7 +97,7 @@
             state = self._states.setdefault(upstream, ServiceState())
             state.health = record_ending(state.health, kind, self._read_clock())
 
-    def describe(self) -> dict[str, dict[str, float]]:
+    def describe(self) -> dict[str, dict[str, object]]:
         """Return what the host knows of each service, by name."""
         now = self._read_clock()
         with self._lock:
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -179,7 +179,7 @@
     def _(self, choice: UpstreamChoice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
         self.plain.record_end(choice.upstream, kind)
 
-    def describe_upstreams(self) -> dict[str, dict[str, float]]:
+    def describe_upstreams(self) -> dict[str, dict[str, object]]:
         """Return what the host knows of engines and plain services, by name."""
         return {**self.fleet.describe(), **self.plain.describe()}
 
--- a/turmericproxy/standins/engine/orders.py
+++ b/turmericproxy/standins/engine/orders.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass
 from typing import Any
 
+from urllib3.exceptions import HTTPError
+
 from turmericproxy.standins.engine.core import EngineCore
 from turmericproxy.web import CallFailure, HttpClient
 
 ADAPTER_LOAD_SHARE = 0.2
 WEIGHT_RETRY = 0.1
+RETRIED_STATUSES = (429, 503)
 
 
 @dataclass(frozen=True)
@@ -64,8 +67,18 @@
     def _fetch_weights(self, model: str, version: str) -> None:
         if self._weight_store is None:
             return
-        while True:
-            answer = self._weight_store.call_json("GET", f"/v1/weights/{model}/{version}")
-            if not isinstance(answer, CallFailure) and answer[0] not in (429, 503):
-                return
+        path = f"/v1/weights/{model}/{version}"
+        while not self._read_all(self._weight_store, path):
             time.sleep(WEIGHT_RETRY)
+
+    def _read_all(self, store: HttpClient, path: str) -> bool:
+        answer = store.open("GET", path, fresh=True)
+        if isinstance(answer, CallFailure):
+            return False
+        try:
+            answer.read()
+        except (HTTPError, OSError):
+            return False
+        finally:
+            answer.close()
+        return answer.status not in RETRIED_STATUSES
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -207,6 +207,7 @@
             "incarnation": core.incarnation,
             "cached": core.list_blocks(),
             "versions": dict(core.weights.versions),
+            "loading": sorted(core.weights.loading),
             "orders": list(self._orders.accepted),
             "faults_left": self.faults.count_left(),
             "served": self.served.describe(),
