--- a/turmericproxy/bench/processes.py
+++ b/turmericproxy/bench/processes.py
@@ -1,5 +1,6 @@
 """Start, pause and end processes, and tell whose a loopback connection is."""
 
+import itertools
 import os
 import signal
 import socket
@@ -8,9 +9,14 @@
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 
+from turmericproxy.bench.sockets import find_inode
+
 PROGRAM = str(Path(sys.executable).with_name("turmericproxy"))
 UNKNOWN_SOURCE = "outside"
 LOG_TAIL_BYTES = 2_000
+FIRST_PORT = 10_000
+
+_PORTS = itertools.count(FIRST_PORT)
 
 
 class ManagedProcess:
@@ -66,7 +72,7 @@
 
 
 class Sources:
-    """Tell by the system's socket tables which process opened a loopback connection."""
+    """Tell by the kernel's sockets which process opened a loopback connection."""
 
     def __init__(self) -> None:
         self._processes: Iterable[ManagedProcess] = ()
@@ -78,24 +84,14 @@
     def identify(self, accepted: socket.socket) -> str:
         """Return the name of the process at the other end of an accepted connection."""
         try:
-            inode = _find_inode(accepted.getpeername()[1], accepted.getsockname()[1])
+            inode = find_inode(accepted.getpeername(), accepted.getsockname())
         except OSError:
             return UNKNOWN_SOURCE
         owners = (process for process in self._processes if _owns(process.pid, inode))
         return next((process.name for process in owners), UNKNOWN_SOURCE)
 
 
-def _find_inode(local_port: int, remote_port: int) -> str:
-    local, remote = f":{local_port:04X}", f":{remote_port:04X}"
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        for line in table:
-            columns = line.split()
-            if columns[1].endswith(local) and columns[2].endswith(remote):
-                return columns[9]
-    return ""
-
-
-def _owns(pid: int | None, inode: str) -> bool:
+def _owns(pid: int | None, inode: int | None) -> bool:
     if pid is None or not inode:
         return False
     folder, link = f"/proc/{pid}/fd", f"socket:[{inode}]"
@@ -113,13 +109,15 @@
         return ""
 
 
-def pick_ports(count: int) -> list[int]:
-    """Return free loopback ports; they are all held until the last is picked."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports: list[int] = [server.getsockname()[1] for server in held]
-    for server in held:
-        server.close()
-    return ports
+def pick_addresses(count: int) -> list[str]:
+    """Return loopback addresses that nobody else uses.
+
+    The network number comes from this process's id. The ports lie below those that the system
+    gives to outgoing connections, so that none is taken before its process has started.
+    """
+    number = os.getpid()
+    network = f"127.{1 + (number >> 16) % 254}.{(number >> 8) & 255}.{1 + (number & 255) % 254}"
+    return [f"{network}:{next(_PORTS)}" for _ in range(count)]
 
 
 def build_options(options: Mapping[str, object]) -> list[str]:
--- a/turmericproxy/routing/fleet.py
+++ b/turmericproxy/routing/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from turmericproxy.cache.blocks import TOKENS_PER_BLOCK
-from turmericproxy.cache.index import BlockKey, PrefixIndex, create_key
+from turmericproxy.cache.index import BlockKey, Lookup, PrefixIndex, create_key
 from turmericproxy.configuration import Engine
 from turmericproxy.core import DomainName, EngineName, HostName, read_boottime
 from turmericproxy.logs import Part, log_event
@@ -17,6 +17,8 @@
 
 DISTANCE_SMOOTHING = 0.1
 
+StoredCallback = Callable[[EngineName, Sequence[BlockKey]], None]
+
 
 class Fleet:
     """Hold the state of each engine and the index of their blocks."""
@@ -26,6 +28,16 @@
         self._lock = threading.Lock()
         self._states: dict[EngineName, EngineState] = {}
         self.index = PrefixIndex(index_blocks)
+        self._follow_stored: StoredCallback | None = None
+
+    def follow_stored(self, callback: StoredCallback) -> None:
+        """Call back with the blocks that an engine says it stored."""
+        self._follow_stored = callback
+
+    def record_stored(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
+        """Pass on that an engine stored blocks."""
+        if self._follow_stored:
+            self._follow_stored(engine, keys)
 
     def view(self, engine: Engine, model: str, keys: Sequence[BlockKey], now: float) -> EngineView:
         """Return what the host sees of an engine for a request with these blocks."""
@@ -53,22 +65,34 @@
     def record_dispatch(self, choice: Choice, keys: Sequence[BlockKey]) -> None:
         """Count a request that is about to be sent to its engine."""
         now = self._read_clock()
-        ages = self.index.measure_ages(choice.engine, keys, now)
+        lookups = self.index.look_up(choice.engine, keys, now)
         for place in choice.imports:
-            ages[place] = math.inf
+            lookups[place] = Lookup(math.inf)
         with self._lock:
             state = self._get_state(choice.engine)
             ahead = state.count_own_tokens() + state.count_other_tokens(now)
-            work = PendingWork(choice.missing_tokens, ahead, now, ages)
+            work = PendingWork(
+                choice.request.prompt_tokens, choice.missing_tokens, ahead, now, tuple(lookups)
+            )
             state.in_flight[choice.request.request_id] = work
-        self.index.predict(choice.engine, keys, now)
+
+    def predict_blocks(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
+        """Expect that an engine holds blocks by the time it runs the next request."""
+        self.index.predict(engine, keys, self._read_clock())
+
+    def record_import(self, choice: Choice, seconds: float) -> None:
+        """Record that the import before a dispatch took some seconds."""
+        with self._lock:
+            work = self._get_state(choice.engine).in_flight.get(choice.request.request_id)
+            if work:
+                work.import_seconds = seconds
 
     def record_first_piece(self, choice: Choice, seconds: float) -> None:
-        """Record that the first piece came, ``seconds`` after the dispatch."""
+        """Record that the first piece came, ``seconds`` after the attempt began."""
         with self._lock:
             work = self._get_state(choice.engine).in_flight.get(choice.request.request_id)
             if work and work.first_piece_seconds is None:
-                work.first_piece_seconds = seconds
+                work.first_piece_seconds = max(0.0, seconds - work.import_seconds)
 
     def record_finish(self, choice: Choice, kind: FinishKind, usage: TokenCounts | None) -> None:
         """Record how an attempt ended, with the engine's usage if it was complete."""
@@ -79,15 +103,18 @@
             self._record_ending(choice.engine, state, kind)
             if work and usage:
                 _learn_speed(state, work, usage)
+                state.learn_miss_share(usage.prompt_tokens, usage.cached_tokens)
         if kind is FinishKind.UNREACHABLE:
             self.index.retract(choice.engine, keys)
         elif work and usage:
             cached = usage.cached_tokens // TOKENS_PER_BLOCK
-            self.index.learn_usage(choice.engine, keys, cached, work.ages)
+            self.index.learn_usage(choice.engine, work.lookups, cached)
 
     def record_report(self, engine: EngineName, report: LoadReport, seconds: float) -> None:
         """Take in an engine's report and the seconds that its answer took."""
         is_new = self.index.observe_incarnation(engine, report.incarnation)
+        if report.capacity_blocks:
+            self.index.set_capacity(engine, report.capacity_blocks)
         with self._lock:
             state = self._get_state(engine)
             before = state.report
@@ -114,6 +141,11 @@
         with self._lock:
             return self._get_state(engine).count_own_tokens()
 
+    def count_own_prompt_tokens(self, engine: EngineName) -> float:
+        """Return the whole prompts that own requests at an engine wait for."""
+        with self._lock:
+            return self._get_state(engine).count_own_prompt_tokens()
+
     def list_versions(self, engine: EngineName, now: float) -> dict[str, str]:
         """Return the versions that a healthy engine reports, by model."""
         with self._lock:
@@ -122,7 +154,7 @@
                 return {}
             return dict(state.report.versions)
 
-    def describe(self) -> dict[str, dict[str, float]]:
+    def describe(self) -> dict[str, dict[str, object]]:
         """Return what the host knows of each engine, by name."""
         now = self._read_clock()
         with self._lock:
@@ -164,8 +196,11 @@
     state.speed = learn_first_piece(state.speed, missing, work.ahead_tokens, seconds)
 
 
-def _describe(state: EngineState, now: float) -> dict[str, float]:
+def _describe(state: EngineState, now: float) -> dict[str, object]:
+    report = state.report
     return {
+        "incarnation": report.incarnation if report else None,
+        "versions": dict(report.versions) if report else {},
         "in_flight": len(state.in_flight),
         "own_tokens": state.count_own_tokens(),
         "other_tokens": round(state.count_other_tokens(now)),
--- a/turmericproxy/routing/transfers.py
+++ b/turmericproxy/routing/transfers.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -19,6 +20,7 @@
 EXPORT_RESERVE = 40.0
 WAITING_EXPORTS = 128
 EXPORT_TIMEOUT = 2.0
+EXPECTED_LIMIT = 4_096
 IMPORT_SLACK = 3.0
 SHORTEST_IMPORT_TIMEOUT = 0.1
 FIRST_SECONDS_PER_CALL = 0.005
@@ -39,8 +41,8 @@
 class Transfers:
     """Export computed blocks in the background, and import kept ones before a dispatch.
 
-    ``tell`` is called with the blocks that were exported. After a failure nothing is imported
-    for ``PAUSE_AFTER_FAILURE`` seconds, and engines compute instead.
+    ``tell`` is called with the blocks that were exported. After an import took too long nothing
+    is imported for ``PAUSE_AFTER_FAILURE`` seconds, and engines compute instead.
     """
 
     def __init__(
@@ -58,9 +60,12 @@
         self._allowance = EXPORT_RESERVE
         self._allowed_at = read_boottime()
         self._waiting: set[int] = set()
+        self._expected: OrderedDict[int, _Export] = OrderedDict()
 
     def start(self) -> None:
         """Start to export in the background."""
+        if not self._is_used:
+            return
         threading.Thread(target=self._run, name="exports", daemon=True).start()
 
     def close(self) -> None:
@@ -81,8 +86,8 @@
             per_block = self._seconds_per_block
         return KeptChain(self.kept.find(keys), FIRST_SECONDS_PER_CALL, per_block)
 
-    def import_blocks(self, choice: Choice) -> bool:
-        """Let the engine import the blocks of a choice; return whether it has them all."""
+    def import_blocks(self, choice: Choice) -> float:
+        """Let the engine import the blocks of a choice; return the seconds that it took."""
         blocks = [choice.request.blocks[place] for place in choice.imports]
         expected = FIRST_SECONDS_PER_CALL + self._seconds_per_block * len(blocks)
         body = {
@@ -99,14 +104,36 @@
         )
         elapsed = time.monotonic() - started
         if isinstance(answer, CallFailure) or answer[0] != 200:
-            self._pause(choice.engine)
-            return False
+            if not isinstance(answer, CallFailure) or not answer.is_unsent:
+                self._pause(choice.engine)
+            return elapsed
         count = int(answer[1]["blocks"])
         if count:
             self._learn(max(0.0, elapsed - FIRST_SECONDS_PER_CALL) / count)
         if count < len(blocks):
             self.kept.discard(create_key(block) for block in blocks[count:])
-        return count == len(blocks)
+        return elapsed
+
+    def expect(self, choice: Choice) -> None:
+        """Export the blocks that the engine computes for a choice as soon as it stores them."""
+        for place in range(choice.cached_blocks, len(choice.request.blocks)):
+            block = choice.request.blocks[place]
+            expected = _Export(choice.engine, choice.address, (block,))
+            with self._lock:
+                self._expected[create_key(block)] = expected
+                if len(self._expected) > EXPECTED_LIMIT:
+                    self._expected.popitem(last=False)
+
+    def take_stored(self, engine: EngineName, keys: Sequence[int]) -> None:
+        """Take in that an engine stored blocks."""
+        with self._lock:
+            found = [self._expected[key] for key in keys if key in self._expected]
+            at_engine = [export for export in found if export.engine == engine]
+            blocks = [block for export in at_engine for block in export.blocks]
+            for block in blocks:
+                del self._expected[create_key(block)]
+        if at_engine:
+            self.offer(engine, at_engine[0].address, blocks)
 
     def offer(self, engine: EngineName, address: str, blocks: Sequence[str]) -> None:
         """Ask for an export of the blocks that are not kept yet, within the allowance."""
@@ -126,6 +153,11 @@
         except queue.Full:
             self._forget(wanted)
 
+    def count_waiting(self) -> int:
+        """Return the number of blocks whose export is under way."""
+        with self._lock:
+            return len(self._waiting)
+
     def _run(self) -> None:
         while True:
             export = self._exports.get()
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -207,7 +207,9 @@
             "incarnation": core.incarnation,
             "cached": core.list_blocks(),
             "versions": dict(core.weights.versions),
+            "loading": sorted(core.weights.loading),
             "orders": list(self._orders.accepted),
+            "faults_left": self.faults.count_left(),
             "served": self.served.describe(),
         }
         return create_json_response(200, truth)
