--- /dev/null
+++ b/turmericproxy/bench/slopes_configuration.py
@@ -0,0 +1,239 @@
+"""Measure how the cost of configuration and keys grows with its sizes, and print JSON lines."""
+
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from types import MappingProxyType
+from typing import Any
+
+import msgpack
+
+from turmericproxy.bench.cluster import Cluster, start_cluster
+from turmericproxy.bench.plan import ClusterPlan, HostPlan
+from turmericproxy.bench.slopes import Slope, fit_slope, print_slopes
+from turmericproxy.configuration import spread
+from turmericproxy.configuration.deltas import ChangeId, Delta
+from turmericproxy.configuration.resources import Account, Engine, Key, Kind, Resource
+from turmericproxy.configuration.snapshot import Snapshot, VersionedResource
+from turmericproxy.configuration.state import ConfigurationState
+from turmericproxy.core import DomainName, HostName, Incarnation, KeyId, Revision, create_id
+from turmericproxy.keys import Identity, KeyController, compute_digest
+from turmericproxy.keys.marks import MarkRegister, MarkSet
+from turmericproxy.peers import PeerLinks
+from turmericproxy.platform import PlatformClient
+from turmericproxy.settings.schema import (
+    ConfigurationSettings,
+    PeerLinkSettings,
+    PlatformSettings,
+)
+
+REPEATS = 5
+CHANGES = 10
+WAIT_SECONDS = 15
+CHECKS = 2_000
+TABLE_SIZES = (250, 500, 1_000, 2_000, 4_000)
+FRAME_SIZES = (1, 2, 4, 8, 16)
+HOST_COUNTS = (2, 4, 6, 8)
+
+
+def measure_deltas() -> Iterator[Slope]:
+    """Measure the bytes of a frame of deltas, and the CPU to write, read and install it."""
+    frames = [[_create_delta(n + 1) for n in range(size)] for size in FRAME_SIZES]
+    packed = [_pack(spread.encode_deltas(deltas)) for deltas in frames]
+    yield fit_slope("delta bytes", "B", "deltas", FRAME_SIZES, [float(len(p)) for p in packed])
+    sent = [_time(lambda d=d: _pack(spread.encode_deltas(d))) for d in frames]  # type: ignore[misc]
+    yield fit_slope("delta CPU, sender", "s", "deltas", FRAME_SIZES, sent)
+    taken = [_time(lambda p=p: _take_deltas(p)) for p in packed]  # type: ignore[misc]
+    yield fit_slope("delta CPU, receiver", "s", "deltas", FRAME_SIZES, taken)
+    installs = [_time_install(size) for size in TABLE_SIZES]
+    yield fit_slope("install CPU of one key", "s", "keys", TABLE_SIZES, installs)
+
+
+def measure_snapshots() -> Iterator[Slope]:
+    """Measure the memory of resources in a host, and the bytes and CPU of a whole snapshot."""
+    for name, create in (("account", _create_account), ("key", _create_key)):
+        used = [_measure_bytes(lambda n=n, c=create: _create_table(c, n)) for n in TABLE_SIZES]  # type: ignore[misc]
+        yield fit_slope(f"{name} memory", "B", f"{name}s", TABLE_SIZES, used)
+    used = [_measure_bytes(lambda n=n: _create_table(_create_engine, n)) for n in TABLE_SIZES]  # type: ignore[misc]
+    yield fit_slope("engine memory", "B", "engines", TABLE_SIZES, used)
+    snapshots = [_create_snapshot(size) for size in TABLE_SIZES]
+    packed = [_pack(spread.encode_snapshot(snapshot)) for snapshot in snapshots]
+    yield fit_slope("snapshot bytes", "B", "keys", TABLE_SIZES, [float(len(p)) for p in packed])
+    read = [_time(lambda p=p: spread.decode_snapshot(msgpack.unpackb(p))) for p in packed]  # type: ignore[misc]
+    yield fit_slope("snapshot CPU, receiver", "s", "keys", TABLE_SIZES, read)
+
+
+def measure_keys() -> Iterator[Slope]:
+    """Measure the CPU of checks and of the index of keys, and the memory of marks."""
+    checked = [_time_checks(size) for size in TABLE_SIZES]
+    yield fit_slope("key check CPU", "s", "keys", TABLE_SIZES, checked)
+    indexed = [_time_index(size) for size in TABLE_SIZES]
+    yield fit_slope("key index CPU", "s", "keys", TABLE_SIZES, indexed)
+    marked = [_measure_bytes(lambda n=n: _create_marks(n)) for n in TABLE_SIZES]  # type: ignore[misc]
+    yield fit_slope("mark memory", "B", "marks", TABLE_SIZES, marked)
+
+
+def measure_spread() -> Iterator[Slope]:
+    """Measure the time from "accepted" to in force on the last of N linked hosts."""
+    medians, worst = [], []
+    for count in HOST_COUNTS:
+        seconds = _measure_cluster(count)
+        medians.append(statistics.median(seconds))
+        worst.append(max(seconds))
+    yield fit_slope("time to in force, median", "s", "hosts", HOST_COUNTS, medians)
+    yield fit_slope("time to in force, longest", "s", "hosts", HOST_COUNTS, worst)
+
+
+def main() -> None:
+    """Print one line for each slope."""
+    for measure in (measure_deltas, measure_snapshots, measure_keys, measure_spread):
+        print_slopes(measure())
+
+
+def _time(run: Callable[[], object], rounds: int = 20) -> float:
+    best = float("inf")
+    for _ in range(REPEATS):
+        started = time.process_time()
+        for _ in range(rounds):
+            run()
+        best = min(best, (time.process_time() - started) / rounds)
+    return best
+
+
+def _measure_bytes(create: Callable[[], object]) -> float:
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = create()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del kept
+    return float(used)
+
+
+def _pack(body: Any) -> bytes:
+    return bytes(msgpack.packb([spread.DELTA_KIND, 1, body]))
+
+
+def _create_account(number: int) -> Account:
+    return Account(name=f"account-{number}", rate=1000.0 + number, burst=10_000 + number)
+
+
+def _create_key(number: int) -> Key:
+    digest = compute_digest(f"secret-{number}")
+    return Key(name=f"key-{number:016x}", account=f"account-{number % 240}", digest=digest)
+
+
+def _create_engine(number: int) -> Engine:
+    address = f"127.0.{number // 250}.{number % 250}:8000"
+    return Engine(
+        name=f"engine-{number}", domain=f"domain-{number % 6}", address=address, models=("verdict",)
+    )
+
+
+def _create_table(
+    create: Callable[[int], Resource], count: int
+) -> MappingProxyType[str, VersionedResource]:
+    resources = [create(number) for number in range(count)]
+    return MappingProxyType({r.name: VersionedResource(r, Revision(1)) for r in resources})
+
+
+def _create_snapshot(keys: int) -> Snapshot:
+    return Snapshot(Revision(1), {Kind.KEY: _create_table(_create_key, keys)})
+
+
+def _create_delta(revision: int) -> Delta:
+    key = _create_key(revision)
+    spec = {"account": key.account, "digest": key.digest}
+    return Delta(Revision(revision), ChangeId(create_id()), Kind.KEY, key.name, spec)
+
+
+def _create_marks(count: int) -> MarkRegister:
+    register = MarkRegister()
+    keys = frozenset(KeyId(f"key-{number:016x}") for number in range(count))
+    register.add(MarkSet(keys), Revision(0))
+    return register
+
+
+def _take_deltas(packed: bytes) -> None:
+    body = msgpack.unpackb(packed)[2]
+    ConfigurationState().install_deltas(spread.decode_deltas(body))
+
+
+def _time_install(keys: int) -> float:
+    snapshot, delta = _create_snapshot(keys), _create_delta(2)
+
+    def install() -> None:
+        state = ConfigurationState()
+        state.install_snapshot(snapshot)
+        state.install_deltas((delta,))
+
+    return _time(install)
+
+
+def _create_keys(snapshot: Snapshot) -> KeyController:
+    state = _FixedState()
+    state.install_snapshot(snapshot)
+    links = PeerLinks(
+        HostName("h"), DomainName("d"), Incarnation("i"), "127.0.0.1:0", PeerLinkSettings()
+    )
+    platform = PlatformClient(PlatformSettings(address="127.0.0.1:1"), HostName("h"))
+    settings = ConfigurationSettings()
+    return KeyController(state, platform, links, settings)  # type: ignore[arg-type]
+
+
+class _FixedState(ConfigurationState):
+    """Stand for the controller of a host whose configuration doesn't change."""
+
+    def measure_age(self) -> float:
+        """Return that the platform has just confirmed the snapshot."""
+        return 0.0
+
+
+def _time_checks(count: int) -> float:
+    keys = _create_keys(_create_snapshot(count))
+    secrets = [f"secret-{number * 7919 % count}" for number in range(CHECKS)]
+
+    def check() -> None:
+        for secret in secrets:
+            identity = keys.identify(secret)
+            assert isinstance(identity, Identity)
+            assert keys.check(identity) is None
+
+    return _time(check, rounds=1) / CHECKS
+
+
+def _time_index(count: int) -> float:
+    snapshot = _create_snapshot(count)
+    return _time(lambda: _create_keys(snapshot).identify("secret-0"))
+
+
+def _measure_cluster(count: int) -> list[float]:
+    hosts = tuple(HostPlan(f"host-{n}", f"domain-{n % 3}") for n in range(count))
+    cluster = start_cluster(ClusterPlan(hosts=hosts))
+    try:
+        with ThreadPoolExecutor(count) as pool:
+            return [_time_change(cluster, pool, number) for number in range(CHANGES)]
+    finally:
+        cluster.close()
+
+
+def _time_change(cluster: Cluster, pool: ThreadPoolExecutor, number: int) -> float:
+    since = cluster.read_revision(cluster.host_names[0])
+    path = f"/v1/watch?since={since}&wait={WAIT_SECONDS}"
+
+    def wait_for_change(host: str) -> float:
+        answer = cluster.operate(host, "GET", path)
+        assert answer["changes"], "the change was not in force in time"
+        return time.monotonic()
+
+    waiting = [pool.submit(wait_for_change, host) for host in cluster.host_names]
+    host = cluster.host_names[number % len(cluster.host_names)]
+    cluster.put_resource("account", f"measured-{number}", {"rate": 1.0, "burst": 10}, host=host)
+    accepted_at = time.monotonic()
+    return max(0.0, max(future.result() for future in waiting) - accepted_at)
+
+
+if __name__ == "__main__":
+    main()
