--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -25,9 +25,6 @@
     And 8 accounts are created at host "n1"
     Then the accepted changes are in force on hosts "n1, n2" within 11 seconds
     And hosts "s1, s2" still serve the keys that they know
-    When calls from hosts "n1, n2" to hosts "s1, s2" pass again
-    Then hosts "n1, n2" see the others behind for 200 readings
-    And no host went to a lower revision
     When the cut is healed
     Then the accepted changes are in force on all hosts within 11 seconds
     And no host went to a lower revision
