--- a/features/rates.feature
+++ b/features/rates.feature
@@ -8,8 +8,10 @@
     Given five linked hosts under a rate that is sent several times over
     When domain "south" is cut off from the others and from the platform under load
     And host "n1" is frozen until its share was granted again
+    And host "n1" is cut off from all other hosts and from the platform
     And host "n1" goes on
-    And the cut under load is healed
+    Then host "n1" admits nothing for 3 seconds
+    When the cut under load is healed
     Then the whole rate is admitted again within 20 seconds
     And no interval had more than rate and burst
 
--- a/features/steps/rates.py
+++ b/features/steps/rates.py
@@ -91,6 +91,14 @@
     print(f"granted again after {taken:.2f} s")
 
 
+@when('host "{host}" is cut off from all other hosts and from the platform')
+def isolate(context, host):
+    faults.cut_platform(context.cluster, host)
+    for other, _ in HOSTS:
+        context.cluster.relay.cut(f"{host}->{other}.*")
+        context.cluster.relay.cut(f"{other}->{host}.*")
+
+
 @when('host "{host}" goes on')
 def resume(context, host):
     context.cluster.resume_host(host)
@@ -150,6 +158,17 @@
     )
 
 
+@then('host "{host}" admits nothing for {seconds:d} seconds')
+def check_host_admits_nothing(context, host, seconds):
+    begun = time.monotonic()
+    time.sleep(seconds)
+    admitted = context.load.count_since(begun, host)
+    everywhere = context.load.count_since(begun)
+    print(f"{admitted} calls admitted at {host}, {everywhere} at all hosts")
+    assert admitted == 0
+    assert everywhere > 0
+
+
 @then("the whole rate is admitted again within {seconds:d} seconds")
 def check_whole_rate(context, seconds):
     end = time.monotonic() + seconds
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -15,7 +15,6 @@
 
 PROMISE_KIND = "rates.promise"
 RENEWALS_PER_LEASE = 5
-UNHEARD_RENEWALS = 2.5
 
 
 class HostKeeper:
@@ -189,9 +188,9 @@
             promised = is_current and tenure.promise(self._watches.get(host))
         return {"promised": promised, "incarnation": self._me.incarnation}
 
-    def list_unheard(self) -> tuple[HostName, ...]:
-        """Return the guarded hosts that have not asked for a promise for some renewals."""
-        oldest = self._read_clock() - UNHEARD_RENEWALS * self.renewal_interval
+    def list_unheard(self, seconds: float) -> tuple[HostName, ...]:
+        """Return the guarded hosts that have not asked for a promise for some seconds."""
+        oldest = self._read_clock() - seconds
         with self._lock:
             return tuple(host for host, at in self._heard_at.items() if at < oldest)
 
--- a/turmericproxy/rates/regrant_keeper.py
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -14,6 +14,8 @@
 from turmericproxy.rates.tenure import HostRow, Standing, Watch
 
 POLLS_APART = 3.0
+URGENT_POLLS_APART = 0.05
+UNHEARD_SHARE = 0.25
 
 
 class RegrantKeeper:
@@ -44,19 +46,22 @@
         if isinstance(hosts, Refusal) or not _lists(hosts, self._member.host):
             return
         self._polled_at = self._read_clock()
-        for host in set(self._host_keeper.list_unheard()) & _find_live(hosts):
-            self._host_keeper.forget_unheard(host)
         reachable = {peer.host for peer in self._links.list_reachable()}
+        for host in set(self._host_keeper.list_unheard(self._regrant_after)) & reachable:
+            # It runs and has chosen another guardian.
+            self._host_keeper.forget_unheard(host)
         lost = _find_lost(hosts, self._member.domain) - reachable
         withdrawn = self._find_withdrawn(hosts) - reachable
         for host in sorted((lost | withdrawn | self._watched) - {self._member.host}):
             self._handle_host(host, host in lost | withdrawn, host in withdrawn)
 
     def _is_due(self) -> bool:
-        """Return whether to read the list of hosts: at once for a guarded host that is silent."""
-        if self._watched or self._host_keeper.list_unheard():
+        """Return whether to read the list of hosts: soon for a guarded host that is silent."""
+        if self._watched:
             return True
-        return self._read_clock() >= self._polled_at + POLLS_APART * self._regrant_after
+        unheard = self._host_keeper.list_unheard(UNHEARD_SHARE * self._regrant_after)
+        apart = URGENT_POLLS_APART if unheard else POLLS_APART
+        return self._read_clock() >= self._polled_at + apart * self._regrant_after
 
     def _find_withdrawn(self, hosts: HostList) -> set[HostName]:
         """Return the hosts with a row that the platform has not listed for the regrant time."""
@@ -149,9 +154,5 @@
     return any(e.host == host and e.state is not HostState.GONE for e in hosts.hosts)
 
 
-def _find_live(hosts: HostList) -> set[HostName]:
-    return {e.host for e in hosts.hosts if e.state is HostState.LIVE}
-
-
 def _find_lost(hosts: HostList, domain: DomainName) -> set[HostName]:
     return {e.host for e in hosts.hosts if e.domain == domain and e.state is HostState.GONE}
