--- a/tests/rates/fakes.py
+++ b/tests/rates/fakes.py
@@ -141,6 +141,8 @@
             return self.world.table.apply_transaction(body["conditions"], body["writes"])
 
         fate = _take(self.world.faults.commit_fates)
+        if fate == "refused":
+            return AWAY
         if fate == "late":
             self.world.faults.late.append(apply)
             return AnswerLost("late")
--- a/turmericproxy/rates/regrant_keeper.py
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -52,8 +52,9 @@
             self._host_keeper.forget_unheard(host)
         lost = _find_lost(hosts, self._member.domain) - reachable
         withdrawn = self._find_withdrawn(hosts) - reachable
+        present = frozenset(reachable | _find_live(hosts))
         for host in sorted((lost | withdrawn | self._watched) - {self._member.host}):
-            self._handle_host(host, host in lost | withdrawn, host in withdrawn)
+            self._handle_host(host, host in lost | withdrawn, host in withdrawn, present)
 
     def _is_due(self) -> bool:
         """Return whether to read the list of hosts: soon for a guarded host that is silent."""
@@ -81,7 +82,9 @@
         self._absent_since = {host: self._absent_since.get(host, now) for host in absent}
         return {h for h, since in self._absent_since.items() if now >= since + self._regrant_after}
 
-    def _handle_host(self, host: HostName, is_lost: bool, is_withdrawn: bool) -> None:
+    def _handle_host(
+        self, host: HostName, is_lost: bool, is_withdrawn: bool, present: frozenset[HostName]
+    ) -> None:
         read = self._table.read_host(host)
         if read is None or isinstance(read, Refusal):
             return
@@ -91,7 +94,7 @@
         elif watch and read.version != watch.version and read.row.standing is Standing.OPEN:
             # The host is back, and what this host sent can no longer take effect.
             self._forget(host)
-        elif (watch or is_lost) and tenure.may_mark(read.row, self._me, is_withdrawn):
+        elif (watch or is_lost) and tenure.may_mark(read.row, self._me, is_withdrawn, present):
             self._mark(read)
         elif watch and read.row.standing is Standing.RETIRED:
             self._forget(host)
@@ -154,5 +157,9 @@
     return any(e.host == host and e.state is not HostState.GONE for e in hosts.hosts)
 
 
+def _find_live(hosts: HostList) -> set[HostName]:
+    return {e.host for e in hosts.hosts if e.state is HostState.LIVE}
+
+
 def _find_lost(hosts: HostList, domain: DomainName) -> set[HostName]:
     return {e.host for e in hosts.hosts if e.domain == domain and e.state is HostState.GONE}
--- a/turmericproxy/rates/tenure.py
+++ b/turmericproxy/rates/tenure.py
@@ -114,17 +114,19 @@
     return regrant_after * LEASE_SHARE
 
 
-def may_mark(row: HostRow, marker: Guardian, is_withdrawn: bool) -> bool:
+def may_mark(
+    row: HostRow, marker: Guardian, is_withdrawn: bool, present: frozenset[HostName]
+) -> bool:
     """Return whether a host may mark another's row as lost.
 
-    The guardian may. Once the row is marked, or its host has closed, or the platform no longer
-    lists the host at all, others may go on with it.
+    The guardian may. Others may if the host has closed, if the platform no longer lists it at all,
+    or if it is marked and the marker is not among the hosts ``present``.
     """
     if row.standing is Standing.RETIRED:
         return False
-    if row.standing is Standing.OPEN:
-        return is_withdrawn or row.guardian == marker
-    return True
+    if row.standing is Standing.LOST:
+        return row.marked_by not in present
+    return row.standing is Standing.CLOSED or is_withdrawn or row.guardian == marker
 
 
 def mark_lost(row: HostRow, marker: HostName) -> HostRow:
