Let the newest version of a host's row decide whom its guardian promises to

A message that introduces a new incarnation may be lost, or an earlier incarnation's may come late. Now each question carries the version of the row that the asker has read, and the guardian heeds the highest. The split is read again after a debit found less than expected.

--- a/turmericproxy/bench/rate_fleet.py
+++ b/turmericproxy/bench/rate_fleet.py
@@ -15,6 +15,16 @@
 LOOPBACK = "127.0.0.1:0"
 
 
+class CountedLinks(PeerLinks):
+    """Count the bytes that a host has sent to others."""
+
+    def count_sent_bytes(self) -> int:
+        """Return the bytes sent on the connections that are open now."""
+        with self._lock:
+            dialled = [link.connection for link in self._links.values() if link.connection]
+            return sum(connection.sent_bytes for connection in [*dialled, *self._inbound])
+
+
 class FixedConfiguration:
     """Hold a snapshot that the measurement replaces."""
 
@@ -46,7 +56,7 @@
     host: HostName
     domain: DomainName
     incarnation: Incarnation
-    links: PeerLinks
+    links: CountedLinks
     health: HttpServer
     configuration: FixedConfiguration
     platform: PlatformClient
@@ -173,7 +183,7 @@
 
     def _create_host(self, name: HostName, domain: DomainName) -> FleetHost:
         incarnation = Incarnation(create_id())
-        links = PeerLinks(name, domain, incarnation, LOOPBACK, self.link_settings)
+        links = CountedLinks(name, domain, incarnation, LOOPBACK, self.link_settings)
         links.start()
         health = HttpServer(LOOPBACK, _answer_health, threads=2)
         health.start()
--- /dev/null
+++ b/turmericproxy/bench/slopes_rates.py
@@ -0,0 +1,166 @@
+"""Measure what admission, debits, buckets and heartbeats cost, as lines over several sizes.
+
+Run with ``python -m turmericproxy.bench.slopes_rates``. Hosts run in one process here, so that the
+CPU of a debit holds both ends of it.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+from turmericproxy.bench.rate_fleet import FleetHost, RateFleet
+from turmericproxy.bench.slopes import Slope, fit_slope, print_slopes
+from turmericproxy.core import AccountName, DomainName, HostName, read_boottime
+from turmericproxy.rates.bucket import MICRO
+from turmericproxy.rates.holdings import Holdings
+from turmericproxy.rates.ledger import (
+    Member,
+    create_limit,
+    create_split,
+    decode_row,
+    encode_row,
+)
+from turmericproxy.settings.schema import PeerLinkSettings, RateSettings
+
+ADMISSIONS = (2_000, 4_000, 8_000, 16_000)
+DEBITS = (400, 800, 1_600, 3_200)
+ACCOUNTS = (60, 120, 240, 480)
+HOSTS = (2, 4, 6, 8)
+TARGET_HOLDERS = 18
+RATE, BURST = 1e7, 100_000_000
+READY_SECONDS = 20.0
+IDLE_SECONDS = 4.0
+HEARTBEAT_SECONDS = 0.1
+ACCOUNT = "account-0"
+
+
+def measure_admissions() -> Iterator[Slope]:
+    """Measure the CPU of admissions from the own bucket."""
+    fleet = _start_fleet((1,), 1)
+    try:
+        controller = fleet.list_running()[0].controller
+        costs = []
+        for count in ADMISSIONS:
+            begun = time.process_time()
+            for _ in range(count):
+                controller.admit(AccountName(ACCOUNT), 10, read_boottime() + 1.0)
+            costs.append((time.process_time() - begun) * 1e6)
+        yield fit_slope("local admission CPU", "us", "admissions", ADMISSIONS, costs)
+    finally:
+        fleet.close()
+
+
+def measure_debits() -> Iterator[Slope]:
+    """Measure the CPU and the bytes of debits, each of one token at one other host."""
+    fleet = _start_fleet((2,), 1)
+    try:
+        asker, holder = fleet.list_running()
+        desk = asker.controller.keepers.desk
+        row = asker.controller.keepers.ledger.find_row(AccountName(ACCOUNT))
+        assert row is not None
+        shares = tuple(share for share in row.shares if share.host == holder.host)
+        cpu, sent = [], []
+        for count in DEBITS:
+            begun, bytes_before = time.process_time(), _count_bytes(fleet)
+            for _ in range(count):
+                desk.collect(AccountName(ACCOUNT), shares, MICRO, 1.0)
+            cpu.append((time.process_time() - begun) * 1e6)
+            sent.append(float(_count_bytes(fleet) - bytes_before))
+        yield fit_slope("debit CPU, both ends", "us", "debits", DEBITS, cpu)
+        yield fit_slope("debit bytes, both ways", "B", "debits", DEBITS, sent)
+    finally:
+        fleet.close()
+
+
+def measure_memory() -> Iterator[Slope]:
+    """Measure the memory of buckets, and of splits over as many holders as the target has."""
+    members = tuple(
+        Member(HostName(f"host-{n}"), DomainName(f"domain-{n % 6}")) for n in range(TARGET_HOLDERS)
+    )
+    buckets, rows = [], []
+    for count in ACCOUNTS:
+        holdings = Holdings(pause_limit=1.0)
+        tracemalloc.start()
+        for number in range(count):
+            holdings.install(AccountName(f"account-{number}"), MICRO, MICRO)
+        buckets.append(float(tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        limit = create_limit(RATE, BURST, 0.1)
+        encoded = [
+            encode_row(create_split(AccountName(f"account-{n}"), limit, 1, members))
+            for n in range(count)
+        ]
+        tracemalloc.start()
+        decoded = [decode_row(value) for value in encoded]
+        rows.append(float(tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        assert len(decoded) == count
+    yield fit_slope("bucket memory", "B", "accounts", ACCOUNTS, buckets)
+    yield fit_slope(f"split memory, {TARGET_HOLDERS} holders", "B", "accounts", ACCOUNTS, rows)
+
+
+def measure_upkeep() -> Iterator[Slope]:
+    """Measure the idle CPU of one host, its platform stand-in included, over accounts."""
+    shares = []
+    for count in ACCOUNTS:
+        fleet = _start_fleet((1,), count)
+        try:
+            begun = time.process_time()
+            time.sleep(IDLE_SECONDS)
+            shares.append((time.process_time() - begun) / IDLE_SECONDS)
+        finally:
+            fleet.close()
+    yield fit_slope("upkeep CPU", "share of a core", "accounts", ACCOUNTS, shares)
+
+
+def measure_heartbeats() -> Iterator[Slope]:
+    """Measure the bytes a second of a host over its links, heartbeats alone."""
+    rates = []
+    for count in HOSTS:
+        fleet = _start_fleet((count,), 1)
+        try:
+            before = _count_bytes(fleet)
+            time.sleep(IDLE_SECONDS)
+            rates.append((_count_bytes(fleet) - before) / IDLE_SECONDS / count)
+        finally:
+            fleet.close()
+    links = tuple(count - 1 for count in HOSTS)
+    name = f"bytes sent a host, a heartbeat each {HEARTBEAT_SECONDS} s"
+    yield fit_slope(name, "B/s", "links", links, rates)
+
+
+def main() -> None:
+    """Print one line for each slope."""
+    for measure in (
+        measure_admissions,
+        measure_debits,
+        measure_memory,
+        measure_heartbeats,
+        measure_upkeep,
+    ):
+        print_slopes(measure())
+
+
+def _start_fleet(hosts_per_domain: tuple[int, ...], accounts: int) -> RateFleet:
+    links = PeerLinkSettings(heartbeat=HEARTBEAT_SECONDS, silence=1.0)
+    fleet = RateFleet(RateSettings(), links)
+    fleet.start(hosts_per_domain)
+    for number in range(accounts):
+        fleet.set_account(f"account-{number}", RATE, BURST)
+    end = read_boottime() + READY_SECONDS
+    while read_boottime() < end and not all(_is_ready(h, accounts) for h in fleet.list_running()):
+        time.sleep(0.05)
+    return fleet
+
+
+def _is_ready(host: FleetHost, accounts: int) -> bool:
+    reports = host.controller.list_buckets()
+    return len(reports) == accounts and all(report.is_open for report in reports)
+
+
+def _count_bytes(fleet: RateFleet) -> int:
+    return sum(host.links.count_sent_bytes() for host in fleet.list_running())
+
+
+if __name__ == "__main__":
+    main()
--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -21,7 +21,7 @@
 from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.context import Links
 from turmericproxy.rates.debits import GrantPart
-from turmericproxy.rates.keepers import create_keepers
+from turmericproxy.rates.keepers import Keepers, create_keepers
 from turmericproxy.rates.ledger import LedgerRow, Member, create_limit
 from turmericproxy.rates.table import Platform
 from turmericproxy.settings.schema import RateSettings
@@ -88,6 +88,11 @@
         self._wake = threading.Event()
         self._threads: list[threading.Thread] = []
 
+    @property
+    def keepers(self) -> Keepers:
+        """Return the keepers of this host's part of the ledger."""
+        return self._keepers
+
     def start(self) -> None:
         """Start to take this host's part of the ledger over and to keep it."""
         self._configuration.subscribe(lambda _snapshot: self._wake.set())
@@ -163,6 +168,8 @@
             log_decision(Part.RATES, "admitted by debits", account=row.account, parts=len(parts))
             return Grant(row.account, tokens, parts)
         self._desk.give_back(parts, amount)
+        # The holders had less than expected: the split may have changed.
+        self._keepers.ledger.mark_stale(row.account)
         return self._refuse(row, amount, amount - max(0, missing), reachable)
 
     def _refuse(
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
 
@@ -17,6 +18,14 @@
 RENEWALS_PER_LEASE = 5
 
 
+@dataclass(frozen=True)
+class GuardedHost:
+    """Hold the newest incarnation that asked for a promise, and its version of the row."""
+
+    incarnation: Incarnation
+    version: int
+
+
 class HostKeeper:
     """Write this host's row, renew its lease, and answer the hosts that it guards.
 
@@ -38,7 +47,7 @@
         self._ready_at = 0.0
         self._wait = 0.0
         self._watches: dict[HostName, Watch] = {}
-        self._guarded: dict[HostName, Incarnation] = {}
+        self._guarded: dict[HostName, GuardedHost] = {}
         self._heard_at: dict[HostName, float] = {}
         self.levels: dict[str, int] = {}
         self.reload: Callable[[], bool] = lambda: True
@@ -62,7 +71,7 @@
         now = self._read_clock()
         if now < self._ready_at:
             return
-        if not self._renew_by_guardian(self._own.row):
+        if not self._renew_by_guardian(self._own):
             self._renew_by_platform()
         self._choose_guardian()
 
@@ -85,26 +94,27 @@
     def _begin(self, own: Versioned[HostRow]) -> None:
         with self._lock:
             self._own = own
-        if own.row.guardian and self._wait:
+        if own.row.guardian:
             # From now on the guardian promises nothing to the earlier incarnation.
-            self._ask_promise(own.row.guardian, is_new=True)
+            self._ask_promise(own.row.guardian, own.version)
         self._ready_at = self._read_clock() + self._wait
         log_event(Part.RATES, "host row taken over", wait=self._wait, levels=len(self.levels))
 
-    def _renew_by_guardian(self, own: HostRow) -> bool:
+    def _renew_by_guardian(self, own: Versioned[HostRow]) -> bool:
         lease = self._holdings.read_lease()
         asked_at = self._read_clock()
         if self._unsettled is not None or not tenure.is_held(lease, asked_at):
             return False
-        if own.guardian is None or not self._ask_promise(own.guardian, is_new=False):
+        guardian = own.row.guardian
+        if guardian is None or not self._ask_promise(guardian, own.version):
             return False
         self._holdings.renew_lease(
             lambda old, now: tenure.renew_by_guardian(old, asked_at, now, self._regrant_after)
         )
         return True
 
-    def _ask_promise(self, guardian: Guardian, is_new: bool) -> bool:
-        body = {"host": self._me.host, "incarnation": self._me.incarnation, "new": is_new}
+    def _ask_promise(self, guardian: Guardian, version: int | None) -> bool:
+        body = {"host": self._me.host, "incarnation": self._me.incarnation, "version": version}
         reply = self._links.call(guardian.host, PROMISE_KIND, body, self.renewal_interval)
         if not isinstance(reply, dict):
             return False
@@ -181,10 +191,10 @@
         host, incarnation = HostName(body["host"]), Incarnation(body["incarnation"])
         with self._lock:
             known = self._guarded.get(host)
-            if known is None or body["new"]:
-                self._guarded[host] = incarnation
+            if known is None or body["version"] > known.version:
+                known = self._guarded[host] = GuardedHost(incarnation, body["version"])
             self._heard_at[host] = self._read_clock()
-            is_current = self._guarded[host] == incarnation
+            is_current = known.incarnation == incarnation
             promised = is_current and tenure.promise(self._watches.get(host))
         return {"promised": promised, "incarnation": self._me.incarnation}
 
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -54,22 +54,26 @@
         return known.row if known else None
 
     def fetch_from_peers(self, account: AccountName) -> LedgerRow | None:
-        """Return the newest split that a reachable host knows, and remember it."""
-        replies = [
-            self._links.call(peer.host, ROW_KIND, {"account": account}, self._debit_timeout)
-            for peer in self._links.list_reachable()
-        ]
-        found = [reply for reply in replies if isinstance(reply, dict)]
-        if not found:
-            return None
-        newest = max(found, key=lambda reply: int(reply["version"]))
-        row = ledger.decode_row(newest["row"])
+        """Return the split that the first reachable host knows, and remember it."""
+        for peer in self._links.list_reachable():
+            reply = self._links.call(peer.host, ROW_KIND, {"account": account}, self._debit_timeout)
+            if isinstance(reply, dict):
+                return self._remember(Versioned(ledger.decode_row(reply["row"]), reply["version"]))
+        return None
+
+    def _remember(self, read: Versioned[LedgerRow]) -> LedgerRow:
+        account = read.row.account
         with self._lock:
             known = self._rows.get(account)
-            if known is None or (known.version or 0) < newest["version"]:
-                self._rows[account] = Versioned(row, newest["version"])
-                self._stale.add(account)
-        return row
+            if known is None or (known.version or 0) < (read.version or 0):
+                self._rows[account] = read
+            self._stale.add(account)
+        return read.row
+
+    def mark_stale(self, account: AccountName) -> None:
+        """Read the split again at the next step."""
+        with self._lock:
+            self._stale.add(account)
 
     def reload(self) -> bool:
         """Read all splits anew and size the buckets by them; return whether that succeeded."""
@@ -247,5 +251,4 @@
         return {"row": ledger.encode_row(known.row), "version": known.version}
 
     def _handle_changed(self, _sender: HostName, body: Any) -> None:
-        with self._lock:
-            self._stale.add(AccountName(body["account"]))
+        self.mark_stale(AccountName(body["account"]))
