Spread simultaneous imports of a prefix; kill a host among the faults

One of the four restarted hosts is now killed without warning, which breaks its streams: failed 0.0027, refused none.

--- a/turmericproxy/bench/disturbances.py
+++ b/turmericproxy/bench/disturbances.py
@@ -10,7 +10,8 @@
 EVENT_LOSS = 0.2
 ENGINE_DOWN = 0.8
 CRASHED_ENGINE = "engine-2"
-RESTARTED_HOSTS = ("host-2", "host-4", "host-6", "host-8")
+KILLED_HOST = "host-2"
+RESTARTED_HOSTS = ("host-4", "host-6", "host-8")
 
 
 @dataclass(frozen=True)
@@ -34,9 +35,11 @@
 
 
 def restart_herd(cluster: Cluster) -> None:
-    """Stop half of the hosts at once and start them again when they have drained."""
+    """Kill one host and stop three at once, and start them again as soon as they have ended."""
     for host in RESTARTED_HOSTS:
         cluster.stop_host(host)
+    cluster.kill_host(KILLED_HOST)
+    cluster.start_host(KILLED_HOST, wait=False)
     for host in RESTARTED_HOSTS:
         cluster.get_process(host).wait(10.0)
         cluster.start_host(host, wait=False)
--- a/turmericproxy/routing/policies.py
+++ b/turmericproxy/routing/policies.py
@@ -80,7 +80,9 @@
     costs = [_compute_cost(policy, candidate, most_cached) for candidate in candidates]
     limit = max(min(costs) + policy.near_seconds, min(costs) * (1 + policy.near_share))
     near = [c for c, cost in zip(candidates, costs, strict=True) if cost <= limit]
-    key = request.blocks[-1] if request.blocks else request.request_id
+    # Hosts that import the same blocks at the same moment had better use several engines.
+    is_spread = not request.blocks or all(candidate.imports for candidate in near)
+    key = request.request_id if is_spread else request.blocks[-1]
     return max(near, key=lambda candidate: weigh_rendezvous(key, candidate.view.engine))
 
 
