Change the weights of a model without refusing requests

Cause of a 502 during a change of version: two of three engines loaded at a time while hosts still took them for serving (reports lag 0.1 s, polls 0.2 s), and their 503 counted as a failure of the engine. Now half of the engines of a model go on serving, one that came back counts after 1 s, a loading engine serves no version, and a chat that has sent nothing takes a version served elsewhere. Ruled out: holding requests back until the load is over.

--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -22,7 +22,8 @@
 CANCEL_TIMEOUT_SECONDS = 0.5
 READ_BYTES = 65536
 HTTP_OK = 200
-REFUSED_KINDS = {409: FinishKind.WRONG_VERSION}
+# An engine answers 503 while it loads the weights of the model.
+REFUSED_KINDS = {409: FinishKind.WRONG_VERSION, 503: FinishKind.WRONG_VERSION}
 
 
 @dataclass(frozen=True)
--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -124,7 +124,9 @@
 
     def _follow_version(self) -> None:
         """Take the version that engines serve now; nothing of the old one was sent yet."""
-        version = self._parts.selector.choose_version(self._call.model, self._exchange.request_id)
+        version = self._parts.selector.choose_version(
+            self._call.model, self._exchange.request_id, self._excluded
+        )
         self._call = replace(self._call, version=version or self._call.version)
         self._blocks = self._chain_blocks()
 
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -214,13 +214,19 @@
     return FinishKind.FAILED
 
 
+def _list_served(body: dict[str, Any]) -> dict[str, str]:
+    """Return the version of each model; a model whose weights are being loaded has none."""
+    loading = frozenset(body.get("loading", ()))
+    return {m: "" if m in loading else version for m, version in body["versions"].items()}
+
+
 def _parse_report(body: dict[str, Any], own_tokens: float) -> LoadReport:
     return LoadReport(
         incarnation=Incarnation(body["incarnation"]),
         running=int(body["running"]),
         queued=int(body["queued"]),
         queued_tokens=int(body["queued_tokens"]),
-        versions=dict(body["versions"]),
+        versions=_list_served(body),
         received_at=read_boottime(),
         own_tokens=own_tokens,
         capacity_blocks=int(body["capacity_blocks"]),
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -107,7 +107,12 @@
         _log_choice(choice, decision)
         return choice
 
-    def choose_version(self, model: ModelName, request_id: RequestId) -> str | None:
+    def choose_version(
+        self,
+        model: ModelName,
+        request_id: RequestId,
+        excluded: frozenset[EngineName] = frozenset(),
+    ) -> str | None:
         """Return the weights version for a request, by the share of engines that serve it.
 
         While engines change over, requests divide among the versions as the engines do.
@@ -120,7 +125,9 @@
         reported = [
             self.fleet.list_versions(EngineName(engine.name), now).get(model)
             for engine in snapshot.list_engines()
-            if model in engine.models and engine.state is UpstreamState.ACTIVE
+            if model in engine.models
+            and engine.state is UpstreamState.ACTIVE
+            and engine.name not in excluded
         ]
         versions = sorted(version for version in reported if version)
         if not versions:
--- a/turmericproxy/weights/controller.py
+++ b/turmericproxy/weights/controller.py
@@ -1,20 +1,22 @@
 """Order engines to load weights until their reports show the wanted versions."""
 
 import threading
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Protocol
 
 from turmericproxy.configuration import Engine, Snapshot
-from turmericproxy.core import EngineName, HostName, TickWatch, read_boottime
+from turmericproxy.core import EngineName, HostName, ModelName, TickWatch, read_boottime
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.settings.schema import UpstreamSettings
 from turmericproxy.web import CallFailure, HttpClient
-from turmericproxy.weights.orders import EngineReport, LoadOrder, plan_orders
+from turmericproxy.weights.orders import EngineReport, LoadOrder, Place, plan_orders
 
 ACTIVE_POLL_SECONDS = 0.2
 IDLE_POLL_SECONDS = 2.0
 AWAITED_SECONDS = 1.0
+SETTLE_SECONDS = 1.0
 PAUSE_LIMIT_SECONDS = 1.0
 CALL_SECONDS = 1.0
 UNFENCED_AGE_SECONDS = 3.0
@@ -54,6 +56,7 @@
         self._host = host
         self._clients: dict[str, HttpClient] = {}
         self._awaited: tuple[_AwaitedOrder, ...] = ()
+        self._served_since: dict[tuple[Place, str], float] = {}
         self._watch = TickWatch(PAUSE_LIMIT_SECONDS)
         self._closed = threading.Event()
         self._pool = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="weights")
@@ -75,7 +78,9 @@
         reports = self._read_reports(snapshot)
         self._forget_settled(snapshot, reports)
         self._watch.record_tick()
-        orders = plan_orders(snapshot, reports, [item.order for item in self._awaited])
+        awaited = [item.order for item in self._awaited]
+        settling = self._list_settling(reports)
+        orders = plan_orders(snapshot, reports, awaited, settling)
         # The process may have been paused since the reports were read.
         if self._watch.is_paused():
             return True
@@ -84,7 +89,7 @@
             if engine and self._is_entitled(engine):
                 self._send(engine, order)
         is_loading = any(report.loading for report in reports.values())
-        return bool(orders or self._awaited or is_loading)
+        return bool(orders or self._awaited or is_loading or settling)
 
     def _run(self) -> None:
         while not self._closed.is_set():
@@ -106,6 +111,22 @@
             return None
         return EngineReport(dict(answer[1]["versions"]), frozenset(answer[1].get("loading", ())))
 
+    def _list_settling(self, reports: Mapping[EngineName, EngineReport]) -> frozenset[Place]:
+        """Return where a version has been served for less than hosts need to learn of it."""
+        now = read_boottime()
+        served = {
+            ((name, ModelName(model)), version)
+            for name, report in reports.items()
+            for model, version in report.versions.items()
+            if model not in report.loading
+        }
+        self._served_since = {entry: self._served_since.get(entry, now) for entry in served}
+        return frozenset(
+            place
+            for (place, _), begun in self._served_since.items()
+            if now - begun < SETTLE_SECONDS
+        )
+
     def _forget_settled(self, snapshot: Snapshot, reports: dict[EngineName, EngineReport]) -> None:
         now = read_boottime()
         self._awaited = tuple(
--- a/turmericproxy/weights/orders.py
+++ b/turmericproxy/weights/orders.py
@@ -8,6 +8,8 @@
 
 LOADS_AT_ONCE = 2
 
+Place = tuple[EngineName, ModelName]
+
 
 @dataclass(frozen=True)
 class EngineReport:
@@ -33,7 +35,8 @@
 
     engines: Mapping[EngineName, Engine]
     reports: Mapping[EngineName, EngineReport]
-    loading: set[tuple[EngineName, ModelName]]
+    loading: set[Place]
+    settling: frozenset[Place]
 
     def is_serving(self, engine: EngineName, model: ModelName) -> bool:
         """Return whether an engine takes requests for a model now."""
@@ -43,28 +46,37 @@
             and self.engines[engine].state is UpstreamState.ACTIVE
         )
 
+    def is_settled(self, engine: EngineName, model: ModelName) -> bool:
+        """Return whether every host can know that an engine takes requests for a model."""
+        return self.is_serving(engine, model) and (engine, model) not in self.settling
+
     def is_needed(self, engine: EngineName, model: ModelName) -> bool:
-        """Return whether a load at this engine would leave none that serves the model."""
-        others = [
+        """Return whether a load here would leave less than half of the engines serving."""
+        if not self.is_serving(engine, model):
+            return False
+        able = [
             name
             for name, other in self.engines.items()
-            if name != engine and model in other.models and other.state is UpstreamState.ACTIVE
+            if model in other.models and other.state is UpstreamState.ACTIVE
         ]
-        if not others or not self.is_serving(engine, model):
+        if len(able) < 2:
             return False
-        return not any(self.is_serving(name, model) for name in others)
+        left = [name for name in able if name != engine and self.is_settled(name, model)]
+        return 2 * len(left) < len(able)
 
 
 def plan_orders(
     snapshot: Snapshot,
     reports: Mapping[EngineName, EngineReport],
     awaited: Iterable[LoadOrder] = (),
+    settling: frozenset[Place] = frozenset(),
 ) -> tuple[LoadOrder, ...]:
     """Return the orders to send now, in the order of the engines' names.
 
     Engines without a report are out of reach and left out. ``awaited`` are orders whose effect the
-    reports do not show yet. At most two engines load at a time, and a model that several engines
-    serve is never left without one. All hosts plan alike, so that their orders double each other.
+    reports do not show yet; ``settling`` says where engines came to serve a model so recently that
+    some host may not know. At most two engines load at a time, and half of the engines of a model
+    go on serving it. All hosts plan alike, so that their orders double each other.
     """
     engines = {
         EngineName(engine.name): engine
@@ -74,7 +86,7 @@
     loading = {(name, ModelName(model)) for name in engines for model in reports[name].loading} | {
         (order.engine, order.model) for order in awaited if order.engine in engines
     }
-    fleet = _Fleet(engines, reports, loading)
+    fleet = _Fleet(engines, reports, loading, settling)
     orders = []
     for order in _list_differences(snapshot, fleet):
         if len(fleet.loading) >= LOADS_AT_ONCE:
