Share the step that crashes every engine; print what a failed step says

Cause: two features defined one step, so no scenario could be loaded; the failure of a step was not shown. Ruled out: another wording for the same act; the stricter of the two stays, which asks that something was cached before the crash. Run: features cache and routing pass. Conclusion: one step, and failures name their cause.

--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -84,12 +84,6 @@
     assert usage["cached_tokens"] >= BLOCK_TOKENS, usage
 
 
-@when("every engine crashes for {seconds:g} seconds")
-def crash_engines(context, seconds):
-    for plan in context.cluster.plan.engines:
-        context.cluster.set_faults(plan.name, crash=seconds)
-
-
 @then(
     "within {seconds:d} seconds a chat with the same notes is whole, and its engine says "
     "what was cached"
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -7,6 +7,7 @@
 import xml.etree.ElementTree as ElementTree
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -53,9 +54,20 @@
                 passed += 1
             else:
                 failed.add(f"{feature['location'].split(':')[0]}::{scenario['name']}")
+                print_fault(scenario)
     return Outcome(passed, frozenset(failed), exit_code)
 
 
+def print_fault(scenario: dict[str, Any]) -> None:
+    """Print the step that failed and its error."""
+    for step in scenario["steps"]:
+        result = step.get("result", {})
+        if result.get("status") not in ("passed", "skipped", None):
+            print(f"{step['keyword']} {step['name']}: {result['status']}")
+            message = result.get("error_message", "")
+            print(message if isinstance(message, str) else "\n".join(message))
+
+
 def read_known_red() -> frozenset[str]:
     """Return the names of the tests that KNOWN-RED.txt lists.
 
