Tell peers of an engine's work before an import, of its blocks after it

Two requests of different hosts had met at an engine that looked idle to both, since the note of the first waited for its import.

--- a/tests/routing/test_selector.py
+++ b/tests/routing/test_selector.py
@@ -86,7 +86,7 @@
     send(selector, create_request(5))
 
 
-def test_blocks_count_as_present_only_after_their_import(monkeypatch):
+def test_work_is_told_at_once_but_blocks_only_after_their_import(monkeypatch):
     clock = Clock()
     selector = create_selector(create_snapshot(engines=1), clock)
     chain = create_chain("rules", "notes")
@@ -96,6 +96,8 @@
 
     def import_blocks(choice) -> float:
         during.append(selector.fleet.index.estimate_presence(choice.engine, keys, clock()))
+        batch = selector._sharing.create_batch()
+        assert batch["work"] == {choice.engine: 1_000} and not batch["dispatches"]
         return 0.02
 
     monkeypatch.setattr(selector._transfers, "import_blocks", import_blocks)
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -149,6 +149,7 @@
         with self._lock:
             tokens = request.prompt_tokens + request.max_tokens
             self._shares.add(request.account, tokens, self._read_clock())
+        self._sharing.mark_changed(choice.engine)
         self._transfers.expect(choice)
         if choice.imports:
             # Until the import is done, a request that relies on the blocks would compute them.
