Refuse bookings at once while the platform is silent

Now silence makes the breaker probe with one call at a time, a batcher whose senders all wait refuses after half a second, the pause grows for OVERLOADED only, and four senders keep claims going while answers take 1.5 s. The test of silent connections had passed with the pool kept: urllib3 puts the failed connection on top, so calls one after the other never met the silent ones. Calls overlap in it now.

--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -146,6 +146,7 @@
             released.wait(10)
         elif not is_cut.is_set():
             silent_sockets.add(number)
+        time.sleep(0.03)  # Calls overlap, so that each needs a connection of its own.
         return create_json_response(200, {"value": 1, "version": 1})
 
     server = HttpServer("127.0.0.1:0", handle, threads=16)
@@ -153,12 +154,13 @@
     client = create_client(server.port, timeout=0.3)
     try:
         with ThreadPoolExecutor(8) as pool:
-            list(pool.map(lambda n: client.read_row("t", "x"), range(32)))
-        assert len(silent_sockets) > 1
-        is_cut.set()
-        results = [client.read_row("t", "x") for _ in range(4)]
-        assert isinstance(results[0], Refusal)
-        assert results[1:] == [Row("x", 1, 1)] * 3
+            list(pool.map(lambda _: client.read_row("t", "x"), range(32)))
+            assert len(silent_sockets) > 4
+            is_cut.set()
+            assert isinstance(client.read_row("t", "x"), Refusal)
+            assert client.read_row("t", "x") == Row("x", 1, 1)
+            results = list(pool.map(lambda _: client.read_row("t", "x"), range(4)))
+        assert results == [Row("x", 1, 1)] * 4
     finally:
         released.set()
         client.close()
--- a/turmericproxy/bookings/batch.py
+++ b/turmericproxy/bookings/batch.py
@@ -23,10 +23,11 @@
 TABLE = "bookings"
 MOST_ROWS = 100
 MOST_BYTES = 1024 * 1024
-SENDERS = 2
+SENDERS = 4
 FIRST_GAP_SECONDS = 0.004
 LONGEST_GAP_SECONDS = 0.128
 QUEUE_WAIT_SECONDS = 1.0
+STALL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
 
 
@@ -116,6 +117,8 @@
         self._platform = platform
         self._queue: list[_Pending] = []
         self._busy: set[str] = set()
+        self._running = 0
+        self._last_start = 0.0
         self._gap = FIRST_GAP_SECONDS
         self._next_send = 0.0
         self._is_closed = False
@@ -144,14 +147,17 @@
     def submit(self, write: ClaimWrite, timeout: float) -> WriteResult:
         """Send a write and return its result; a refusal means that it was surely not written.
 
-        An unsent write is refused after ``QUEUE_WAIT_SECONDS``; after ``timeout`` seconds a sent
-        one counts as ``AnswerLost``.
+        An unsent write is refused after ``QUEUE_WAIT_SECONDS``, or at once while every sender waits
+        and none began within ``STALL_SECONDS``; after ``timeout`` seconds a sent one counts as
+        ``AnswerLost``.
         """
         size = len(json.dumps(write.record.to_json()))
         pending = _Pending(SizedWrite(write, size), time.monotonic())
         with self._changed:
             if self._is_closed:
                 return _refuse("the host is closing")
+            if self._is_stalled():
+                return _refuse("the platform does not answer")
             self._queue.append(pending)
             self._changed.notify()
         if not pending.ready.wait(min(timeout, QUEUE_WAIT_SECONDS)) and not self._withdraw(pending):
@@ -173,6 +179,7 @@
             except Exception as error:
                 _report_fault(batch, error)
             with self._changed:
+                self._running -= 1
                 self._busy.difference_update(p.item.write.row_key for p in batch)
                 self._changed.notify_all()
 
@@ -181,11 +188,20 @@
             while not self._is_closed:
                 wait = self._next_send - time.monotonic()
                 if self._queue and wait <= 0 and (batch := self._select_pending()):
-                    self._next_send = time.monotonic() + self._gap
+                    self._start_batch(time.monotonic())
                     return batch
                 self._changed.wait(wait if self._queue and wait > 0 else None)
             return []
 
+    def _start_batch(self, now: float) -> None:
+        self._next_send = now + self._gap
+        self._last_start = now
+        self._running += 1
+
+    def _is_stalled(self) -> bool:
+        is_full = self._running == SENDERS
+        return is_full and time.monotonic() - self._last_start > STALL_SECONDS
+
     def _select_pending(self) -> list[_Pending]:
         items = [pending.item for pending in self._queue]
         places = select_batch(items, frozenset(self._busy), MOST_ROWS, MOST_BYTES)
@@ -201,14 +217,14 @@
         while batch:
             transaction = create_transaction([pending.item.write for pending in batch])
             result = self._platform.commit(transaction)
-            self._gap = adapt_gap(self._gap, isinstance(result, Refusal))
+            self._gap = adapt_gap(self._gap, _is_overloaded(result))
             match result:
                 case Committed():
                     for pending in batch:
                         version = result.get_version(TABLE, pending.item.write.row_key)
                         pending.resolve(Written(version))
                     return
-                case Refusal(code=ResultCode.OVERLOADED) if not _is_overdue(batch):
+                case Refusal() if _is_overloaded(result) and not _is_overdue(batch):
                     time.sleep(self._gap)
                 case Conflict(failed=failed):
                     batch = _resolve_conflicts(batch, frozenset(failed))
@@ -224,6 +240,10 @@
     return [pending for index, pending in enumerate(batch) if index not in failed]
 
 
+def _is_overloaded(result: object) -> bool:
+    return isinstance(result, Refusal) and result.code is ResultCode.OVERLOADED
+
+
 def _is_overdue(batch: list[_Pending]) -> bool:
     return time.monotonic() - min(p.queued for p in batch) > QUEUE_WAIT_SECONDS
 
--- a/turmericproxy/platform/client.py
+++ b/turmericproxy/platform/client.py
@@ -131,7 +131,8 @@
         http = self._http
         answer = _send(http, method, path, value, is_json)
         if isinstance(answer, CallFailure):
-            self._breaker.record(entered, False)
+            is_silent = answer.stage is FailureStage.ANSWER
+            self._breaker.record(entered, False, is_silent)
             return self._drop_connections(http, answer)
         status, content, headers = answer
         self._breaker.record(entered, status < SERVER_FAULT_STATUS)
