Refuse keys on a starting host until it knows the withdrawals of the hosts it reaches

Cause: with the platform down a starting host took the whole state from a peer, in which a withdrawn key still stands, and accepted that key until the first exchange of marks some milliseconds later.

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -34,6 +34,9 @@
     def list_reachable(self) -> tuple[PeerState, ...]:
         return (self._peer,)
 
+    def call(self, host: HostName, kind: str, body: Any, timeout: float) -> Any:
+        return {"open": [], "covered": {}}
+
     def broadcast(self, kind: str, body: Any) -> int:
         self.sent.append((kind, body))
         return 1
--- a/tests/keys/test_controller.py
+++ b/tests/keys/test_controller.py
@@ -1,5 +1,6 @@
 """Check creating, recognising and withdrawing keys on several hosts."""
 
+import threading
 import time
 from collections.abc import Iterator
 
@@ -8,7 +9,7 @@
 from tests.hosts import Fleet, create_host, run_fleet, wait_until
 from turmericproxy.configuration.changes import Accepted
 from turmericproxy.configuration.resources import Kind
-from turmericproxy.core import AccountName, KeyId, Refusal, ResultCode
+from turmericproxy.core import AccountName, HostName, KeyId, Refusal, ResultCode
 from turmericproxy.keys import CreatedKey, Identity, KeyController, Withdrawn, compute_digest
 from turmericproxy.settings.schema import ConfigurationSettings
 
@@ -76,19 +77,32 @@
     assert isinstance(missing, Refusal) and missing.code is ResultCode.RESOURCE_NOT_FOUND
 
 
-def test_host_that_joins_later_learns_an_unwritten_withdrawal(fleet: Fleet) -> None:
+def test_host_that_joins_later_never_accepts_a_key_whose_withdrawal_is_unwritten(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
     created = create_key(fleet)
     fleet.set_faults(down=True)
     fleet.hosts[0].keys.withdraw(created.key_id)
     late = create_host("late", fleet.address)
     fleet.hosts.append(late)
+    exchange = late.keys._exchange_marks
+    released = threading.Event()
+
+    def exchange_late(host: HostName) -> bool:
+        released.wait(5.0)
+        return exchange(host)
+
+    monkeypatch.setattr(late.keys, "_exchange_marks", exchange_late)
     late.start()
     late.links.set_peers([fleet.hosts[2].address])
     fleet.wait_for_revision(fleet.revision)
+    assert read_code(late.keys, created.secret) is ResultCode.KEYS_TOO_OLD
+    released.set()
     wait_until(
-        lambda: read_code(late.keys, created.secret) is ResultCode.KEY_WITHDRAWN,
+        lambda: read_code(late.keys, created.secret) is not ResultCode.KEYS_TOO_OLD,
         WITHDRAWAL_SECONDS,
     )
+    assert read_code(late.keys, created.secret) is ResultCode.KEY_WITHDRAWN
 
 
 def test_key_that_came_back_in_a_later_snapshot_still_does_not_work(fleet: Fleet) -> None:
--- a/turmericproxy/keys/controller.py
+++ b/turmericproxy/keys/controller.py
@@ -32,6 +32,7 @@
 MARKS_DIGEST = "keys"
 EXCHANGE_TIMEOUT_SECONDS = 1.0
 CHECK_SECONDS = 0.2
+START_CHECK_SECONDS = 0.02
 COVER_PAUSE_SECONDS = 2.0
 FOREIGN_COVER_DELAY_SECONDS = 15.0
 WITHDRAW_TIMEOUT_SECONDS = 2.0
@@ -63,7 +64,10 @@
 
 
 class KeyController:
-    """Tell which client account a key belongs to, and stop withdrawn keys on every host."""
+    """Tell which client account a key belongs to, and stop withdrawn keys on every host.
+
+    A host that reaches others refuses every key until it knows which ones they saw withdrawn.
+    """
 
     def __init__(
         self,
@@ -82,6 +86,7 @@
         self._cover_at: dict[KeyId, float] = {}
         self._lock = threading.Lock()
         self._outbox = MarkSet()
+        self._has_exchanged = False
         self._peer_loop = Loop(Part.KEYS, "mark-exchange", self._check_peers)
         self._cover_loop = Loop(Part.KEYS, "mark-cover", self._cover_marks)
         links.register(MARKS_KIND, self._receive_marks)
@@ -103,7 +108,7 @@
     def identify(self, secret: str) -> Identity | Refusal:
         """Return whose key this is, or why it is refused."""
         self._guard.await_current()
-        refusal = self._check_age()
+        refusal = self._check_knowledge()
         if refusal is not None:
             return refusal
         identity = self._get_index().get(compute_digest(secret))
@@ -114,7 +119,7 @@
     def check(self, identity: Identity) -> Refusal | None:
         """Return why the key no longer works, or ``None`` if it does."""
         self._guard.await_current()
-        return self._check_age() or self._check_withdrawn(identity)
+        return self._check_knowledge() or self._check_withdrawn(identity)
 
     def create(self, account: AccountName, name: str) -> CreatedKey | Refusal:
         """Create a key of a client account; its id starts with ``name``."""
@@ -154,11 +159,14 @@
             other.revision <= own_revision for other in revisions
         )
 
-    def _check_age(self) -> Refusal | None:
+    def _check_knowledge(self) -> Refusal | None:
         age = self._configuration.measure_age()
         if not self._configuration.snapshot().revision and age == float("inf"):
             reason = "no configuration is loaded yet"
             return refuse(ResultCode.KEYS_TOO_OLD, reason, retry_after=RELOAD_SECONDS)
+        if not self._has_exchanged and self._links.list_reachable():
+            reason = "the withdrawals that other hosts know are not known yet"
+            return refuse(ResultCode.KEYS_TOO_OLD, reason, retry_after=RELOAD_SECONDS)
         limit = self._settings.maximum_age
         if limit is not None and age > limit:
             reason = f"keys were last confirmed more than {limit:g} seconds ago"
@@ -211,10 +219,13 @@
     def _check_peers(self) -> float:
         self._flush_outbox()
         own = compute_marks_digest(self._register.marks())
-        for peer in self._links.list_reachable():
-            if peer.digest.get(MARKS_DIGEST, own) != own:
-                self._exchange_marks(peer.host)
-        return CHECK_SECONDS
+        answered = [
+            self._exchange_marks(peer.host)
+            for peer in self._links.list_reachable()
+            if not self._has_exchanged or peer.digest.get(MARKS_DIGEST, own) != own
+        ]
+        self._has_exchanged = self._has_exchanged or any(answered)
+        return CHECK_SECONDS if self._has_exchanged else START_CHECK_SECONDS
 
     def _flush_outbox(self) -> None:
         with self._lock:
@@ -222,11 +233,13 @@
         if marks.open or marks.covered:
             self._links.broadcast(MARKS_KIND, encode_marks(marks))
 
-    def _exchange_marks(self, host: HostName) -> None:
+    def _exchange_marks(self, host: HostName) -> bool:
         body = encode_marks(MarkSet(self._register.marks().open))
         answer = self._links.call(host, EXCHANGE_KIND, body, EXCHANGE_TIMEOUT_SECONDS)
-        if not isinstance(answer, Refusal):
-            self._add_marks(decode_marks(answer))
+        if isinstance(answer, Refusal):
+            return False
+        self._add_marks(decode_marks(answer))
+        return True
 
     def _cover_marks(self) -> float:
         now = read_boottime()
