--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -110,7 +110,12 @@
         _log_choice(choice, decision)
         return choice
 
-    def choose_version(self, model: ModelName, request_id: RequestId) -> str | None:
+    def choose_version(
+        self,
+        model: ModelName,
+        request_id: RequestId,
+        excluded: frozenset[EngineName] = frozenset(),
+    ) -> str | None:
         """Return the weights version for a request, by the share of engines that serve it.
 
         While engines change over, requests divide among the versions as the engines do.
@@ -123,7 +128,9 @@
         reported = [
             self.fleet.list_versions(EngineName(engine.name), now).get(model)
             for engine in snapshot.list_engines()
-            if model in engine.models and engine.state is UpstreamState.ACTIVE
+            if model in engine.models
+            and engine.state is UpstreamState.ACTIVE
+            and engine.name not in excluded
         ]
         versions = sorted(version for version in reported if version)
         if not versions:
@@ -149,6 +156,7 @@
         with self._lock:
             tokens = request.prompt_tokens + request.max_tokens
             self._shares.add(request.account, tokens, self._read_clock())
+        self._sharing.mark_changed(choice.engine)
         self._transfers.expect(choice)
         if choice.imports:
             # Until the import is done, a request that relies on the blocks would compute them.
