Ask anew before refusing, try again when requests collect at once, and rest between looks

Causes: an estimate stayed too low after tokens were given back, and requests that collected at the same time each found a part.

--- a/tests/rates/test_keepers.py
+++ b/tests/rates/test_keepers.py
@@ -106,7 +106,7 @@
             self.record(amount)
         else:
             desk = process.keepers.desk
-            self.world.faults.late += [lambda: desk.give_back(parts, amount)] * 2
+            self.world.faults.late += [lambda: desk.give_back(ACCOUNT, parts, amount)] * 2
 
     def record(self, amount: int) -> None:
         self.admissions.append(Admission(self.world.clock.now, amount))
--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -17,19 +17,17 @@
     read_boottime,
     refuse,
 )
-from turmericproxy.logs import Part, log_decision
+from turmericproxy.rates.admission import Admission, Grant
 from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.context import Links
-from turmericproxy.rates.debits import GrantPart
 from turmericproxy.rates.keepers import Keepers, create_keepers
-from turmericproxy.rates.ledger import LedgerRow, Member, create_limit
+from turmericproxy.rates.ledger import Member, create_limit
 from turmericproxy.rates.table import Platform
 from turmericproxy.settings.schema import RateSettings
 
 LEDGER_STEP_SECONDS = 0.5
 TICK_SECONDS = 0.1
 OVERTAKEN_SECONDS = 0.05
-LEAST_RETRY_SECONDS = 0.05
 
 
 class Configuration(Protocol):
@@ -42,15 +40,6 @@
         """Call back with each new revision."""
 
 
-@dataclass(frozen=True)
-class Grant:
-    """Hold the tokens that a request was admitted with, and the hosts that deducted them."""
-
-    account: AccountName
-    tokens: int
-    parts: tuple[GrantPart, ...] = ()
-
-
 @dataclass(frozen=True)
 class BucketReport:
     """Describe a bucket of this host; ``rate`` is in tokens a second, the others in tokens."""
@@ -78,12 +67,12 @@
         self._configuration = configuration
         self._settings = settings
         self._member = Member(host, domain)
-        self._links = links
         self._keepers = keepers = create_keepers(
             platform, links, configuration.snapshot, settings, self._member, incarnation
         )
         self._holdings = keepers.holdings
         self._desk = keepers.desk
+        self._admission = Admission(keepers.context, keepers.desk)
         self._closing = threading.Event()
         self._wake = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -126,12 +115,11 @@
         known = self._configuration.snapshot().find_account(account)
         if known is None:
             return refuse(ResultCode.ACCOUNT_NOT_ALLOWED, f"no client account {account}")
-        amount = tokens * MICRO
-        if amount <= 0:
+        if tokens <= 0:
             return Grant(account, 0)
-        local = self._holdings.take(account, amount, least=amount)
-        if local.amount:
-            return Grant(account, tokens, (GrantPart(self._member.host, local.id, amount),))
+        local = self._admission.admit_locally(account, tokens)
+        if local:
+            return local
         row = self._keepers.ledger.find_row(account)
         row = row or self._keepers.ledger.fetch_from_peers(account)
         if row is None:
@@ -140,55 +128,22 @@
                 "no host that holds tokens of the client account is known yet",
                 retry_after=LEDGER_STEP_SECONDS,
             )
-        if amount > row.limit.burst:
+        if tokens * MICRO > row.limit.burst:
             return refuse(
                 ResultCode.REQUEST_OVER_BURST,
                 f"{tokens} tokens are more than the {row.limit.burst // MICRO} of the burst",
             )
         latest = create_limit(known.rate, known.burst, self._settings.debit_timeout).flight
         flight = min(min(row.limit.flight, latest) / MICRO, deadline - read_boottime())
-        return self._admit_by_debits(row, tokens, flight)
-
-    def _admit_by_debits(self, row: LedgerRow, tokens: int, flight: float) -> Grant | Refusal:
-        amount = tokens * MICRO
-        reachable = {peer.host for peer in self._links.list_reachable()}
-        others = tuple(share for share in row.shares if share.host in reachable)
-        levels = self._desk.estimate_levels(row.account, others)
-        own = self._holdings.measure(row.account)
-        if own.level + sum(levels.values()) < amount:
-            return self._refuse(row, amount, own.level + sum(levels.values()), reachable)
-        started = read_boottime()
-        local = self._holdings.take(row.account, amount, least=1)
-        parts: tuple[GrantPart, ...] = ()
-        if local.amount:
-            parts = (GrantPart(self._member.host, local.id, local.amount),)
-        parts += self._desk.collect(row.account, others, amount - local.amount, flight)
-        missing = amount - sum(part.amount for part in parts)
-        if missing <= 0 and read_boottime() - started <= flight:
-            log_decision(Part.RATES, "admitted by debits", account=row.account, parts=len(parts))
-            return Grant(row.account, tokens, parts)
-        self._desk.give_back(parts, amount)
-        # The holders had less than expected: the split may have changed.
-        self._keepers.ledger.mark_stale(row.account)
-        return self._refuse(row, amount, amount - max(0, missing), reachable)
-
-    def _refuse(
-        self, row: LedgerRow, amount: int, available: int, reachable: set[HostName]
-    ) -> Refusal:
-        rate = sum(share.rate for share in row.shares if share.host in reachable)
-        rate += self._holdings.measure(row.account).rate
-        wait = (amount - available) / rate if rate else self._settings.regrant_after
-        log_decision(Part.RATES, "refused", account=row.account, available=available, need=amount)
-        return refuse(
-            ResultCode.RATE_EXCEEDED,
-            f"the client account has {available // MICRO} of {amount // MICRO} tokens left",
-            retry_after=max(LEAST_RETRY_SECONDS, wait),
-        )
+        answer = self._admission.admit_by_debits(row, tokens, flight)
+        if isinstance(answer, Refusal) and self._desk.is_outdated(row):
+            self._keepers.ledger.mark_stale(account)
+        return answer
 
     def give_back(self, grant: Grant, unused: int) -> None:
         """Give back tokens that a request did not use; a grant counts once."""
         if unused > 0:
-            self._desk.give_back(grant.parts, unused * MICRO)
+            self._desk.give_back(grant.account, grant.parts, unused * MICRO)
 
     def list_buckets(self) -> tuple[BucketReport, ...]:
         """Return the buckets of this host in order of their accounts."""
--- a/turmericproxy/rates/debits.py
+++ b/turmericproxy/rates/debits.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from turmericproxy.core import AccountName, DomainName, HostName
 from turmericproxy.rates.context import RateContext
 from turmericproxy.rates.holdings import Taken
-from turmericproxy.rates.ledger import Share
+from turmericproxy.rates.ledger import LedgerRow, Share
 
 DEBIT_KIND = "rates.debit"
 GIVE_BACK_KIND = "rates.give_back"
@@ -126,7 +126,23 @@
             need -= sum(part.amount for part in found)
         return parts
 
-    def give_back(self, parts: Iterable[GrantPart], unused: int) -> None:
+    def refresh(
+        self, account: AccountName, shares: Iterable[Share], older: float, timeout: float
+    ) -> bool:
+        """Ask for the levels that are older than some seconds; return whether any was."""
+        oldest = self._read_clock() - older
+        known = {share.host: self._estimates.get((account, share.host)) for share in shares}
+        stale = [host for host, found in known.items() if found is None or found.at < oldest]
+        if stale:
+            self._ask(account, tuple(Request(host, 0) for host in stale), timeout)
+        return bool(stale)
+
+    def is_outdated(self, row: LedgerRow) -> bool:
+        """Return whether a holder has answered with another depth than the split gives it."""
+        known = [(self._estimates.get((row.account, s.host)), s.burst) for s in row.shares]
+        return any(found and found.depth != burst for found, burst in known)
+
+    def give_back(self, account: AccountName, parts: Iterable[GrantPart], unused: int) -> None:
         """Give back ``unused`` micro-tokens, those of other hosts first."""
         ordered = sorted(parts, key=lambda part: part.host == self._member.host)
         for part in ordered:
@@ -137,8 +153,14 @@
             if part.host == self._member.host:
                 self._holdings.give_back(part.taken_id, amount)
             else:
-                body = {"id": part.taken_id, "unused": amount}
-                self._links.send(part.host, GIVE_BACK_KIND, body)
+                self._return_to(account, part.host, part.taken_id, amount)
+
+    def _return_to(self, account: AccountName, host: HostName, taken_id: str, amount: int) -> None:
+        self._links.send(host, GIVE_BACK_KIND, {"id": taken_id, "unused": amount})
+        known = self._estimates.get((account, host))
+        if known:
+            level = min(known.depth, known.level + amount)
+            self._estimates[(account, host)] = replace(known, level=level)
 
     def close(self) -> None:
         """Stop the worker threads."""
@@ -162,9 +184,7 @@
         estimate = Estimate(reply["level"], reply["rate"], reply["depth"], asked_at)
         self._estimates[(account, request.host)] = estimate
         if self._read_clock() - asked_at > timeout:
-            self._links.send(
-                request.host, GIVE_BACK_KIND, {"id": reply["id"], "unused": reply["amount"]}
-            )
+            self._return_to(account, request.host, reply["id"], reply["amount"])
             return None
         if not reply["amount"]:
             return None
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -1,6 +1,7 @@
 """Keep the splits of the client accounts in line with the configuration."""
 
 import threading
+from dataclasses import dataclass
 from typing import Any
 
 from turmericproxy.configuration import Kind
@@ -23,6 +24,15 @@
 CHANGED_KIND = "rates.changed"
 
 
+@dataclass(frozen=True)
+class Done:
+    """Remember at which revision and version a split needed no change, and when."""
+
+    revision: int
+    version: int | None
+    at: float
+
+
 class LedgerKeeper:
     """Create, read and adjust the rows of the client accounts, and size the buckets by them."""
 
@@ -41,6 +51,7 @@
         self._rows: dict[AccountName, Versioned[LedgerRow]] = {}
         self._unsettled: dict[AccountName, int | None] = {}
         self._stale: set[AccountName] = set()
+        self._done: dict[AccountName, Done] = {}
         self._last_seen: dict[HostName, float] = {}
         self._is_overtaken = False
         self._started_at = self._read_clock()
@@ -98,6 +109,8 @@
             self._last_seen[peer.host] = now
         snapshot = self._read_snapshot()
         for name, entry in snapshot.get_table(Kind.ACCOUNT).items():
+            if self._is_done(AccountName(name), entry.version, now):
+                continue
             account = snapshot.find_account(name)
             assert account is not None
             limit = ledger.create_limit(account.rate, account.burst, self._debit_timeout)
@@ -120,12 +133,25 @@
         changed = ledger.change_limit(known.row, limit, revision)
         new = ledger.adjust(changed, self._member, self._find_silent(known.row))
         if new == known.row:
+            if not ledger.is_unbalanced(new):
+                self._done[account] = Done(revision, known.version, self._read_clock())
             return
         if self.write(new, known):
             log_decision(
                 Part.RATES, "split changed", account=account, share=new.find_share(own.row.host)
             )
 
+    def _is_done(self, account: AccountName, revision: int, now: float) -> bool:
+        """Return whether nothing has changed since the last look, which was not long ago."""
+        done = self._done.get(account)
+        with self._lock:
+            known = self._rows.get(account)
+            is_stale = account in self._stale
+        if done is None or known is None or is_stale:
+            return False
+        is_same = (done.revision, done.version) == (revision, known.version)
+        return is_same and now < done.at + self._settle_after
+
     def _refresh(self, account: AccountName) -> Versioned[LedgerRow] | None | Refusal:
         with self._lock:
             known = self._rows.get(account)
