--- a/turmericproxy/routing/speed.py
+++ b/turmericproxy/routing/speed.py
@@ -1,43 +1,65 @@
 """Learn how fast an engine computes prompts."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 FIRST_TOKENS_PER_SECOND = 20_000.0
 FIRST_OVERHEAD = 0.01
-SMOOTHING = 0.2
-SMOOTHING_DOWN = 0.04
-SMALL_WORK_TOKENS = 300
-LARGE_WORK_TOKENS = 1_000
-LOWEST_TOKENS_PER_SECOND = 100.0
+FIRST_WEIGHT = 1.0
+FIRST_WORK_TOKENS = 8_000.0
+KEPT_SHARE = 0.97
+LOWEST_TOKENS_PER_SECOND = 500.0
+HIGHEST_TOKENS_PER_SECOND = 10_000_000.0
+LONGEST_OVERHEAD = 0.5
 
 
 @dataclass(frozen=True)
 class Speed:
-    """Hold prompt tokens computed a second, and seconds that even a cached prompt takes."""
+    """Hold a line through the latest requests: seconds to the first piece over tokens computed.
 
-    tokens_per_second: float = FIRST_TOKENS_PER_SECOND
-    overhead: float = FIRST_OVERHEAD
+    The sums are weighted; older requests fade. The line starts through two assumed points.
+    """
+
+    weight: float = 2 * FIRST_WEIGHT
+    tokens: float = FIRST_WEIGHT * FIRST_WORK_TOKENS
+    seconds: float = FIRST_WEIGHT * (
+        2 * FIRST_OVERHEAD + FIRST_WORK_TOKENS / FIRST_TOKENS_PER_SECOND
+    )
+    tokens_squared: float = FIRST_WEIGHT * FIRST_WORK_TOKENS**2
+    tokens_seconds: float = (
+        FIRST_WEIGHT
+        * FIRST_WORK_TOKENS
+        * (FIRST_OVERHEAD + FIRST_WORK_TOKENS / FIRST_TOKENS_PER_SECOND)
+    )
+
+    @property
+    def tokens_per_second(self) -> float:
+        """Return the prompt tokens that the engine computes a second."""
+        spread = self.weight * self.tokens_squared - self.tokens**2
+        joint = self.weight * self.tokens_seconds - self.tokens * self.seconds
+        if joint <= 0:
+            return HIGHEST_TOKENS_PER_SECOND
+        return min(HIGHEST_TOKENS_PER_SECOND, max(LOWEST_TOKENS_PER_SECOND, spread / joint))
 
-    def estimate_seconds(self, tokens: float) -> float:
-        """Return the seconds that an engine needs for the tokens, without its overhead."""
-        return tokens / self.tokens_per_second
+    @property
+    def overhead(self) -> float:
+        """Return the seconds that even a cached prompt takes."""
+        computing = self.tokens / self.tokens_per_second
+        return min(LONGEST_OVERHEAD, max(0.0, (self.seconds - computing) / self.weight))
 
 
 def learn_first_piece(speed: Speed, missing: int, ahead: float, seconds: float) -> Speed:
     """Return the speed after a first piece came ``seconds`` after its dispatch.
 
     ``missing`` counts the tokens that the engine had to compute for the request and ``ahead``
-    those of the requests before it, as far as they were known. Work that was not known of makes
-    an engine seem slow, so a slower pace is learnt more slowly than a faster one.
+    those of the requests before it, as far as they were known. The less of the work is surely
+    known, the less the request counts.
     """
     work = missing + ahead
-    if work <= SMALL_WORK_TOKENS:
-        overhead = speed.overhead + SMOOTHING * (seconds - speed.overhead)
-        return replace(speed, overhead=max(0.0, overhead))
-    if missing < LARGE_WORK_TOKENS:
-        return speed
-    busy = max(seconds - speed.overhead, seconds * 0.1, 1e-4)
-    observed = work / busy
-    weight = (SMOOTHING if observed > speed.tokens_per_second else SMOOTHING_DOWN) * missing / work
-    pace = speed.tokens_per_second ** (1 - weight) * observed**weight
-    return replace(speed, tokens_per_second=max(LOWEST_TOKENS_PER_SECOND, pace))
+    weight = missing / max(1.0, work)
+    return Speed(
+        KEPT_SHARE * speed.weight + weight,
+        KEPT_SHARE * speed.tokens + weight * work,
+        KEPT_SHARE * speed.seconds + weight * seconds,
+        KEPT_SHARE * speed.tokens_squared + weight * work**2,
+        KEPT_SHARE * speed.tokens_seconds + weight * work * seconds,
+    )
