Link each host to few others by rings, and dial the rest on demand

Cause: a full mesh of heartbeats costs 4.3 kB/s at 8 hosts and grows with the fleet; hosts that the settings do not name were never linked. Ruled out: calls relayed over neighbours, which add a hop to every debit; an unlinked host is dialled when it is called and dropped after 30 s without use. Run: 18 hosts hold at most 8 links each and reach all 17 others; with dialling on demand removed the test fails. Conclusion: today's 8 hosts stay a full mesh; from 13 hosts on the links stay few.

--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -12,6 +12,7 @@
 from turmericproxy.metrics import Metrics
 from turmericproxy.operators import create_operator_server
 from turmericproxy.peers import PeerAddress, PeerLinks
+from turmericproxy.peers.membership import MembershipController
 from turmericproxy.platform import PlatformClient
 from turmericproxy.rates import RateController
 from turmericproxy.routing import FairQueue, Selector
@@ -29,6 +30,14 @@
         self.metrics = Metrics()
         self.platform = PlatformClient(settings.platform, host)
         self.links = PeerLinks(host, domain, incarnation, settings.listen.peers, settings.links)
+        self.membership = MembershipController(
+            self.platform,
+            self.links,
+            (
+                PeerAddress(HostName(peer.host), DomainName(peer.domain), peer.address)
+                for peer in settings.peers
+            ),
+        )
         self.configuration = ConfigurationController(
             self.platform, self.links, settings.configuration
         )
@@ -83,10 +92,7 @@
     def start(self) -> None:
         """Start every part; callers are served last, when the configuration is known."""
         self.links.start()
-        self.links.set_peers(
-            PeerAddress(HostName(peer.host), DomainName(peer.domain), peer.address)
-            for peer in self.settings.peers
-        )
+        self.membership.start()
         self.configuration.start()
         self.keys.start()
         self.rates.start()
@@ -108,6 +114,7 @@
         self.operators.close()
         self.keys.close()
         self.configuration.close()
+        self.membership.close()
         self.links.close()
         self.platform.close()
         log_event(Part.HOST, "stopped", drained=is_drained)
--- a/turmericproxy/peers/links.py
+++ b/turmericproxy/peers/links.py
@@ -23,6 +23,7 @@
 
 HEARTBEAT_KIND = "heartbeat"
 LISTEN_BACKLOG = 512
+ON_DEMAND_IDLE_SECONDS = 30.0
 
 Handler = Callable[[HostName, Any], Any]
 
@@ -56,6 +57,8 @@
         self.heard_of_at = 0.0
         self.wake = threading.Event()
         self.is_wanted = True
+        self.used_at = read_boottime()
+        self.dial_lock = threading.Lock()
 
 
 class PeerLinks:
@@ -80,6 +83,8 @@
         self._handlers: dict[str, Handler] = {}
         self._digest: dict[str, Any] = {}
         self._links: dict[HostName, _Link] = {}
+        self._on_demand: dict[HostName, _Link] = {}
+        self._directory: dict[HostName, PeerAddress] = {}
         self._inbound: set[Connection] = set()
         self._lock = threading.Lock()
         self._closed = threading.Event()
@@ -115,8 +120,9 @@
                 self._listener.shutdown(socket.SHUT_RDWR)
             self._listener.close()
         with self._lock:
-            links, inbound = list(self._links.values()), list(self._inbound)
-            self._links = {}
+            links = [*self._links.values(), *self._on_demand.values()]
+            inbound = list(self._inbound)
+            self._links, self._on_demand, self._directory = {}, {}, {}
         for link in links:
             self._drop(link)
         for connection in inbound:
@@ -135,6 +141,11 @@
         for link in added:
             threading.Thread(target=self._keep_link, args=(link,), daemon=True).start()
 
+    def set_directory(self, peers: Iterable[PeerAddress]) -> None:
+        """Say where hosts are that are not linked; a call to one opens a link while it is used."""
+        with self._lock:
+            self._directory = {peer.host: peer for peer in peers if peer.host != self.host}
+
     def list_reachable(self) -> tuple[PeerState, ...]:
         """Return the hosts whose heartbeat was answered within the silence limit."""
         oldest = read_boottime() - self._settings.silence
@@ -164,8 +175,36 @@
     def _find_connection(self, host: HostName) -> Connection | None:
         with self._lock:
             link = self._links.get(host)
+        if link is None:
+            link = self._open_on_demand(host)
         return link.connection if link else None
 
+    def _open_on_demand(self, host: HostName) -> _Link | None:
+        with self._lock:
+            peer = self._directory.get(host)
+            link = self._on_demand.get(host)
+            is_new = link is None and peer is not None
+            if is_new and peer is not None:
+                link = self._on_demand[host] = _Link(peer)
+        if link is None:
+            return None
+        link.used_at = read_boottime()
+        with link.dial_lock:
+            if link.connection is None:
+                self._beat(link)
+        if is_new:
+            threading.Thread(target=self._keep_on_demand, args=(link,), daemon=True).start()
+        return link
+
+    def _keep_on_demand(self, link: _Link) -> None:
+        while link.is_wanted and read_boottime() - link.used_at < ON_DEMAND_IDLE_SECONDS:
+            link.wake.wait(self._settings.heartbeat)
+            if link.connection is not None:
+                self._beat(link)
+        with self._lock:
+            self._on_demand.pop(link.peer.host, None)
+        self._drop(link)
+
     def _create_heartbeat(self) -> dict[str, Any]:
         with self._lock:
             digest = self._digest
