--- a/turmericproxy/bench/slopes_rates.py
+++ b/turmericproxy/bench/slopes_rates.py
@@ -30,6 +30,8 @@
 RATE, BURST = 1e7, 100_000_000
 READY_SECONDS = 20.0
 IDLE_SECONDS = 4.0
+SETTLE_SECONDS = 5.0
+UPKEEP_SECONDS = 30.0
 HEARTBEAT_SECONDS = 0.1
 ACCOUNT = "account-0"
 
@@ -105,9 +107,10 @@
     for count in ACCOUNTS:
         fleet = _start_fleet((1,), count)
         try:
+            time.sleep(SETTLE_SECONDS)
             begun = time.process_time()
-            time.sleep(IDLE_SECONDS)
-            shares.append((time.process_time() - begun) / IDLE_SECONDS)
+            time.sleep(UPKEEP_SECONDS)
+            shares.append((time.process_time() - begun) / UPKEEP_SECONDS)
         finally:
             fleet.close()
     yield fit_slope("upkeep CPU", "share of a core", "accounts", ACCOUNTS, shares)
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -22,6 +22,7 @@
 
 ROW_KIND = "rates.row"
 CHANGED_KIND = "rates.changed"
+LOOKS_APART = 3.0
 
 
 @dataclass(frozen=True)
@@ -47,6 +48,7 @@
         self._read_clock = context.read_clock
         self._debit_timeout = context.settings.debit_timeout
         self._settle_after = context.lease
+        self._look_again_after = LOOKS_APART * context.settings.regrant_after
         self._lock = threading.Lock()
         self._rows: dict[AccountName, Versioned[LedgerRow]] = {}
         self._unsettled: dict[AccountName, int | None] = {}
@@ -150,7 +152,7 @@
         if done is None or known is None or is_stale:
             return False
         is_same = (done.revision, done.version) == (revision, known.version)
-        return is_same and now < done.at + self._settle_after
+        return is_same and now < done.at + self._look_again_after
 
     def _refresh(self, account: AccountName) -> Versioned[LedgerRow] | None | Refusal:
         with self._lock:
