--- a/specifications/buckets.py
+++ b/specifications/buckets.py
@@ -1,10 +1,11 @@
 """Model the lease on a host's shares, their passing on, and debits between buckets.
 
-The first system has one share of host A, whose incarnations are 1 and 2, and its guardian C. Steps
-are named after the functions of ``turmericproxy.rates`` that take them. Reads, promises and
-writes take effect and are answered at any later time or never; a process that takes no step is
-paused; a cut is a message that is never answered. Two processes of one host do not run at the same
-time, but an earlier one may be paused for any time and then go on.
+The first system has one share of host A, whose incarnations are 1 and 2, its guardian C, and
+host D, which may go on with a host that C has marked; ``has_c`` stands for both heirs. Steps are
+named after the functions of ``turmericproxy.rates`` that take them. Reads, promises and writes take
+effect and are answered at any later time or never; a process that takes no step is paused; a cut is
+a message that is never answered. The guardian hears of incarnation 2 as it takes over; should that
+message be lost, the code relies on its pause limit, which the model leaves out.
 
 The second system has one bucket and one debit from it, with an interval that begins at any time.
 """
@@ -79,6 +80,11 @@
         "regrant_sent": truth,
         "regrant_version": number,
         "has_c": truth,
+        "marked_by_d": truth,
+        "watch_d_version": number,
+        "watch_d_since": number,
+        "regrant_d_sent": truth,
+        "regrant_d_version": number,
     }
     return TransitionSystem(variables, _start_lease, _create_lease_steps(), is_safe)
 
@@ -104,11 +110,19 @@
         z3.Not(s["has_c"]),
         s["watch_version"] == 0,
         s["mark_version"] == 0,
+        z3.Not(s["marked_by_d"]),
+        s["watch_d_version"] == 0,
+        z3.Not(s["regrant_d_sent"]),
     )
 
 
 def _create_lease_steps() -> dict[str, Step]:
-    return {**_create_time_steps(), **_create_holder_steps(), **_create_guardian_steps()}
+    return {
+        **_create_time_steps(),
+        **_create_holder_steps(),
+        **_create_guardian_steps(),
+        **_create_second_marker_steps(),
+    }
 
 
 def _create_time_steps() -> dict[str, Step]:
@@ -229,7 +243,11 @@
             },
         ),
         "set_watch": Step(
-            lambda s: z3.And(s["standing"] == LOST, s["watch_version"] != s["version"]),
+            lambda s: z3.And(
+                s["standing"] == LOST,
+                z3.Not(s["marked_by_d"]),
+                s["watch_version"] != s["version"],
+            ),
             lambda s: {
                 "watched": z3.BoolVal(True),
                 "watch_version": s["version"],
@@ -253,6 +271,44 @@
     }
 
 
+def _create_second_marker_steps() -> dict[str, Step]:
+    """Return the steps of host D, which goes on with a marked host in place of C."""
+    return {
+        "mark_again": Step(
+            lambda s: s["standing"] == LOST,
+            lambda s: {"version": s["version"] + 1, "marked_by_d": z3.BoolVal(True)},
+        ),
+        "set_watch_again": Step(
+            lambda s: z3.And(
+                s["standing"] == LOST, s["marked_by_d"], s["watch_d_version"] != s["version"]
+            ),
+            lambda s: {"watch_d_version": s["version"], "watch_d_since": s["now"]},
+        ),
+        "may_regrant_again": Step(
+            lambda s: z3.And(
+                z3.Not(s["regrant_d_sent"]),
+                s["standing"] == LOST,
+                s["watch_d_version"] == s["version"],
+                s["now"] >= s["watch_d_since"] + REGRANT_AFTER,
+            ),
+            lambda s: {
+                "regrant_d_sent": z3.BoolVal(True),
+                "regrant_d_version": s["watch_d_version"],
+            },
+        ),
+        "regrant_again": Step(
+            lambda s: z3.And(
+                s["regrant_d_sent"], s["holder"] == OF_A, s["version"] == s["regrant_d_version"]
+            ),
+            lambda s: {
+                "regrant_d_sent": z3.BoolVal(False),
+                "holder": z3.IntVal(OF_C),
+                "has_c": z3.BoolVal(True),
+            },
+        ),
+    }
+
+
 def is_promised(s: State) -> z3.BoolRef:
     """Return whether the guardian promises to leave the share to incarnation 1."""
     return z3.And(z3.Not(s["watched"]), s["guarded"] == 1)
@@ -291,6 +347,7 @@
     now, version = s["now"], s["version"]
     is_marked = z3.And(s["standing"] == LOST, s["watch_version"] == version)
     marked_for = now - s["watch_since"]
+    is_marked_by_d = z3.And(s["standing"] == LOST, s["watch_d_version"] == version)
     return z3.And(
         is_safe(s),
         s["has_c"] == (s["holder"] == OF_C),
@@ -323,6 +380,17 @@
             z3.And(s["regrant_sent"], s["regrant_version"] == version),
             z3.And(is_marked, marked_for >= REGRANT_AFTER),
         ),
+        # The same holds for a row that D has marked again.
+        s["watch_d_version"] <= version,
+        z3.Implies(s["watch_d_version"] > 0, s["watch_d_since"] >= 0),
+        z3.Implies(s["watch_d_version"] == version, s["standing"] == LOST),
+        z3.Implies(is_marked_by_d, z3.And(now >= s["watch_d_since"], s["watch_d_version"] > 0)),
+        z3.Implies(is_marked_by_d, _end_by(s, s["watch_d_since"] + LEASE)),
+        z3.Implies(s["regrant_d_sent"], s["regrant_d_version"] <= version),
+        z3.Implies(
+            z3.And(s["regrant_d_sent"], s["regrant_d_version"] == version),
+            z3.And(is_marked_by_d, now >= s["watch_d_since"] + REGRANT_AFTER),
+        ),
         # A new incarnation waits for the lease of the earlier one.
         z3.Implies(s["incarnation"] == 2, z3.And(s["guarded"] == 2, _end_by_1(s, s["ready_2"]))),
         z3.Implies(
--- a/tests/specifications/test_buckets.py
+++ b/tests/specifications/test_buckets.py
@@ -46,7 +46,8 @@
     """Return the state after mark_lost, apply_mark and set_watch."""
     marked = {"version": 2, "standing": buckets.LOST, "watch_version": 2, "mark_version": 1}
     zeros = ("now", "holder", "lease_2", "ready_2", "read", "asked", "watch_since")
-    false = ("has_2", "mark_sent", "regrant_sent", "has_c")
+    zeros += ("watch_d_version",)
+    false = ("has_2", "mark_sent", "regrant_sent", "has_c", "marked_by_d", "regrant_d_sent")
     return z3.And(
         *(s[name] == value for name, value in marked.items()),
         *(s[name] == 0 for name in zeros),
