Spread transactions over the answer time of a slow platform

Ruled out: a longer wait in the queue, which makes refusals late when the platform is silent. The pause between two starts is now at least the answer time divided by the senders.

--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -1,5 +1,6 @@
 """Check how claim writes are gathered, and that a conflict fails only its own write."""
 
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -12,6 +13,8 @@
 from turmericproxy.bookings.batch import (
     FIRST_GAP_SECONDS,
     LONGEST_GAP_SECONDS,
+    SENDERS,
+    STALL_SECONDS,
     Batcher,
     RowConflict,
     SizedWrite,
@@ -149,3 +152,39 @@
             assert isinstance(batcher.submit(create_write(f"k{number}"), 1.0), AnswerLost)
     finally:
         batcher.close()
+
+
+def test_slow_platform_still_takes_steady_writes(platform: PlatformStandIn) -> None:
+    control = HttpClient(f"127.0.0.1:{platform.port}")
+    control.call_json("POST", "/control", {"slow": 1.2})
+    batcher = Batcher(create_client(platform))
+    batcher.start()
+    try:
+        assert isinstance(batcher.submit(create_write("first"), 2.5), Written)
+        with ThreadPoolExecutor(64) as pool:
+            sent = []
+            for number in range(60):
+                time.sleep(0.03)
+                sent.append(pool.submit(batcher.submit, create_write(f"k{number}"), 2.5))
+            results = [future.result() for future in sent]
+        assert all(isinstance(result, Written) for result in results)
+    finally:
+        batcher.close()
+
+
+def test_silent_platform_is_refused_at_once(platform: PlatformStandIn) -> None:
+    control = HttpClient(f"127.0.0.1:{platform.port}")
+    control.call_json("POST", "/control", {"slow": 1.5})
+    batcher = Batcher(create_client(platform))
+    batcher.start()
+    try:
+        with ThreadPoolExecutor(SENDERS) as pool:
+            for number in range(SENDERS):
+                pool.submit(batcher.submit, create_write(f"k{number}"), 1.5)
+                time.sleep(0.05)
+            time.sleep(STALL_SECONDS)
+            started = time.monotonic()
+            assert isinstance(batcher.submit(create_write("later"), 1.5), Refusal)
+            assert time.monotonic() - started < 0.2
+    finally:
+        batcher.close()
--- a/turmericproxy/bookings/batch.py
+++ b/turmericproxy/bookings/batch.py
@@ -94,6 +94,18 @@
     return max(gap * 0.9, FIRST_GAP_SECONDS)
 
 
+def compute_pause(gap: float, answer_time: float) -> float:
+    """Return the seconds between the starts of two transactions.
+
+    The senders are spread over the time that an answer takes, so that a slow platform finds one of
+    them free soon.
+
+    >>> compute_pause(0.004, 0.002), compute_pause(0.004, 1.0)
+    (0.004, 0.25)
+    """
+    return max(gap, answer_time / SENDERS)
+
+
 @dataclass
 class _Pending:
     item: SizedWrite
@@ -119,6 +131,7 @@
         self._busy: set[str] = set()
         self._running = 0
         self._last_start = 0.0
+        self._answer_time = 0.0
         self._gap = FIRST_GAP_SECONDS
         self._next_send = 0.0
         self._is_closed = False
@@ -194,7 +207,7 @@
             return []
 
     def _start_batch(self, now: float) -> None:
-        self._next_send = now + self._gap
+        self._next_send = now + compute_pause(self._gap, self._answer_time)
         self._last_start = now
         self._running += 1
 
@@ -213,11 +226,19 @@
         self._queue = [p for place, p in enumerate(self._queue) if place not in chosen]
         return batch
 
+    def _record_answer_time(self, result: object, seconds: float) -> None:
+        if isinstance(result, Committed | Conflict):
+            self._answer_time += (seconds - self._answer_time) / 2
+        elif not _is_overloaded(result):
+            self._answer_time = 0.0
+
     def _send_batch(self, batch: list[_Pending]) -> None:
         while batch:
             transaction = create_transaction([pending.item.write for pending in batch])
+            started = time.monotonic()
             result = self._platform.commit(transaction)
             self._gap = adapt_gap(self._gap, _is_overloaded(result))
+            self._record_answer_time(result, time.monotonic() - started)
             match result:
                 case Committed():
                     for pending in batch:
