Keep threads of the operators' listener free of watchers

Cause: each watch held one of 12 threads for up to 20 s, so 12 of them shut operators out: the new test then got no answer to a status call within its deadline. At most 8 watch now; further ones are told to come back.

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from turmericproxy.configuration.deltas import ChangeId, Delta
-from turmericproxy.configuration.follower import Follower
+from turmericproxy.configuration.follower import DIGEST_DELAY_SECONDS, Follower
 from turmericproxy.configuration.resources import Kind
 from turmericproxy.configuration.spread import DELTA_KIND, encode_deltas
 from turmericproxy.configuration.state import ConfigurationState
@@ -18,11 +18,14 @@
 class RecordedLinks:
     """Record what is broadcast; one peer is linked whose revision is ``revision``."""
 
-    def __init__(self, revision: int) -> None:
+    def __init__(self, revision: int, age: float | None = None) -> None:
         self.handlers: dict[str, Callable[[HostName, Any], Any]] = {}
         self.sent: list[tuple[str, Any]] = []
         self._peer = PeerState(
-            HostName("p"), DomainName("d"), Incarnation("i"), {"revision": revision}
+            HostName("p"),
+            DomainName("d"),
+            Incarnation("i"),
+            {"revision": revision} | ({} if age is None else {"configuration_age": age}),
         )
 
     def register(self, kind: str, handler: Callable[[HostName, Any], Any]) -> None:
@@ -35,7 +38,7 @@
         return (self._peer,)
 
     def call(self, host: HostName, kind: str, body: Any, timeout: float) -> Any:
-        return {"open": [], "covered": {}}
+        return {"open": [], "covered": {}, "deltas": []}
 
     def broadcast(self, kind: str, body: Any) -> int:
         self.sent.append((kind, body))
@@ -59,6 +62,14 @@
     assert links.sent == [(DELTA_KIND, encode_deltas(deltas[2:]))]
 
 
+def test_contact_of_a_peer_counts_only_for_a_snapshot_as_new_as_its_own() -> None:
+    for revision, limit in ((0, 100.0 + DIGEST_DELAY_SECONDS), (1, float("inf"))):
+        links = RecordedLinks(revision, age=100.0)
+        follower = Follower(None, links, ConfigurationSettings(), ConfigurationState())  # type: ignore[arg-type]
+        follower._check_peers()
+        assert limit <= follower.measure_age() <= limit + 5
+
+
 def test_new_marks_are_passed_on_once() -> None:
     links = RecordedLinks(revision=0)
     state = ConfigurationState()
--- a/tests/operators/test_api.py
+++ b/tests/operators/test_api.py
@@ -3,6 +3,7 @@
 import json
 import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -10,11 +11,12 @@
 import pytest
 from typer.testing import CliRunner
 
-from tests.hosts import Fleet, run_fleet
+from tests.hosts import Fleet, run_fleet, wait_until
 from turmericproxy.cli.app import app
 from turmericproxy.cli.exits import ExitCode
 from turmericproxy.keys import compute_digest
 from turmericproxy.operators import create_operator_server
+from turmericproxy.operators.api import OPERATOR_THREADS, WATCHERS
 from turmericproxy.settings.schema import HostSettings, ListenSettings, PlatformSettings
 from turmericproxy.web import HttpClient, HttpServer
 
@@ -154,6 +156,19 @@
     assert console.call("GET", "/v1/watch?since=99&wait=0")[1] == empty
 
 
+def test_watchers_leave_threads_for_other_calls(console: Console) -> None:
+    since = console.put("account/a", ACCOUNT)[1]["revision"]
+    with ThreadPoolExecutor(OPERATOR_THREADS + 2) as pool:
+        path = f"/v1/watch?since={since}&wait=10"
+        waiting = [pool.submit(console.call, "GET", path) for _ in range(OPERATOR_THREADS + 2)]
+        refused = len(waiting) - WATCHERS
+        wait_until(lambda: sum(future.done() for future in waiting) == refused)
+        assert console.call("GET", "/v1/status")[0] == 200
+        assert console.put("account/b", ACCOUNT)[0] == 200
+        statuses = [future.result()[0] for future in waiting]
+    assert statuses.count(200) == WATCHERS and set(statuses) == {200, 503}
+
+
 def test_commands_apply_show_and_delete(console: Console, tmp_path: Path) -> None:
     before = console.fleet.revision
     file = tmp_path / "resources.yaml"
--- a/turmericproxy/operators/api.py
+++ b/turmericproxy/operators/api.py
@@ -1,5 +1,6 @@
 """Route the requests of operators."""
 
+import threading
 from collections.abc import Callable, Mapping
 
 from turmericproxy.configuration.changes import Accepted, refuse_faults
@@ -16,6 +17,8 @@
 from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
 
 OPERATOR_THREADS = 12
+WATCHERS = 8
+WATCH_RETRY_SECONDS = 2.0
 LONGEST_WAIT_SECONDS = 20.0
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -39,6 +42,7 @@
         self._keys = keys
         self._status_sources = status_sources
         self._write_metrics = write_metrics
+        self._watch_places = threading.BoundedSemaphore(WATCHERS)
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -180,7 +184,13 @@
         if isinstance(wait, Refusal):
             return wait
         after = Revision(int(since))
-        self._configuration.wait_beyond(after, min(wait, LONGEST_WAIT_SECONDS))
+        if not self._watch_places.acquire(blocking=False):
+            reason = f"{WATCHERS} calls watch this host already"
+            return refuse(ResultCode.OVERLOADED, reason, retry_after=WATCH_RETRY_SECONDS)
+        try:
+            self._configuration.wait_beyond(after, min(wait, LONGEST_WAIT_SECONDS))
+        finally:
+            self._watch_places.release()
         changes = self._configuration.list_changes(after)
         if changes is None:
             return self._reset_watch()
