--- a/turmericproxy/routing/shares.py
+++ b/turmericproxy/routing/shares.py
@@ -6,11 +6,9 @@
 
 HALF_LIFE = 4.0
 TOLERATED_RATIO = 1.5
-FIRST_TOKEN_AIM = 0.34
-TIGHT_COMPUTE_SECONDS = 0.12
-TIGHT_PRIORITY = 0
+LONG_COMPUTE_SECONDS = 0.12
+LONG_PRIORITY = 0
 USUAL_PRIORITY = 1
-LATE_PRIORITY = 2
 LOWEST_PRIORITY = 9
 
 
@@ -39,16 +37,13 @@
     """Return the priority, 0 the soonest, of a request of an account with that fleet-wide rate.
 
     The balancer spreads an account's requests, so a host's part times the number of hosts
-    stands for the whole. Inside the rate, a request that takes long to compute goes first, since
-    it has the least time to wait; one that takes longer than the aim goes after those that can
-    still meet it.
+    stands for the whole. Inside the rate, a request that takes long to compute goes first: it
+    has the least time to wait for others, and others lose little by waiting for it.
     """
     ratio = use.measure_rate(now) * hosts / rate
     if ratio > TOLERATED_RATIO:
-        return min(LOWEST_PRIORITY, LATE_PRIORITY + int(ratio))
-    if compute_seconds > FIRST_TOKEN_AIM:
-        return LATE_PRIORITY
-    return TIGHT_PRIORITY if compute_seconds > TIGHT_COMPUTE_SECONDS else USUAL_PRIORITY
+        return min(LOWEST_PRIORITY, USUAL_PRIORITY + int(ratio))
+    return LONG_PRIORITY if compute_seconds > LONG_COMPUTE_SECONDS else USUAL_PRIORITY
 
 
 class AccountShares:
