--- a/tests/routing/test_sharing.py
+++ b/tests/routing/test_sharing.py
@@ -1,5 +1,6 @@
 from tests.routing.support import create_chain
 from turmericproxy.cache.index import create_key
+from turmericproxy.cache.kept import KeptBlocks
 from turmericproxy.core import EngineName, HostName
 from turmericproxy.routing.fleet import Fleet
 from turmericproxy.routing.sharing import DispatchNote, WorkSharing
@@ -41,3 +42,24 @@
     assert batch["dispatches"] == [("engine-2", KEYS[2].to_bytes(8, "big"), b"")]
     other.receive(PEER, batch)
     assert receiver.index.count_blocks() == 6
+
+
+class AnsweringLinks:
+    """Answer calls from the handlers of one other host."""
+
+    def __init__(self, other: WorkSharing) -> None:
+        self._other = other
+
+    def call(self, host: HostName, kind: str, body: object) -> object:
+        return self._other.describe_kept(host, body)
+
+
+def test_started_host_takes_over_what_is_kept():
+    known, started = KeptBlocks(100_000), KeptBlocks(100_000)
+    known.add(range(10_000))
+    peer = WorkSharing(None, Fleet(1000))
+    peer.follow_kept(known)
+    sharing = WorkSharing(AnsweringLinks(peer), Fleet(1000))
+    sharing.follow_kept(started)
+    assert sharing.fetch_kept(PEER)
+    assert started.list_keys() == tuple(range(10_000 - 8_192, 10_000))
--- a/turmericproxy/routing/sharing.py
+++ b/turmericproxy/routing/sharing.py
@@ -20,6 +20,7 @@
 BYTES_PER_SECOND = 64_000
 REMEMBERED_CHAINS = 4_096
 LONGEST_NOTE = 256
+LARGEST_ANSWER_BLOCKS = 8_192
 KEY_BYTES = 8
 
 
@@ -98,7 +99,7 @@
         if self._links is None:
             return
         self._links.register(NOTE_KIND, self.receive)
-        self._links.register(KEPT_KIND, lambda host, body: _pack_keys(self._kept.list_keys()))
+        self._links.register(KEPT_KIND, self.describe_kept)
         threading.Thread(target=self._run, name="work-sharing", daemon=True).start()
 
     def close(self) -> None:
@@ -136,6 +137,10 @@
             self._state.index.predict(EngineName(engine), keys, now)
         self._kept.add(_unpack_keys(body["kept"]))
 
+    def describe_kept(self, host: HostName, body: Any) -> bytes:
+        """Return the kept blocks used last, for a peer that has just started."""
+        return _pack_keys(self._kept.list_keys()[-LARGEST_ANSWER_BLOCKS:])
+
     def create_batch(self) -> dict[str, Any] | None:
         """Return the next batch, or ``None`` if there is nothing to tell."""
         with self._lock:
@@ -160,7 +165,7 @@
                 self._chains.add(keys)
         return keys
 
-    def _fetch_kept(self, host: HostName) -> bool:
+    def fetch_kept(self, host: HostName) -> bool:
         """Take over what a peer knows of the kept blocks, after a start."""
         packed = self._links.call(host, KEPT_KIND, None)
         if not isinstance(packed, bytes):
@@ -176,7 +181,7 @@
             reachable = self._links.list_reachable()
             self._hosts = 1 + len(reachable)
             if reachable and not is_filled:
-                is_filled = self._fetch_kept(reachable[0].host)
+                is_filled = self.fetch_kept(reachable[0].host)
             batch = self.create_batch()
             sent = self._links.broadcast(NOTE_KIND, batch) if batch else 0
             size = len(msgpack.packb(batch)) if sent else 0
