Go on with a stream while its attempts bring pieces

Now four attempts in a row without a piece end a stream, and a chat whose attempt failed waits up to 1.5 s, within its deadline, for an engine to return. The retry budget still bounds both. Ruled out: a larger number of attempts, which long streams would use up as well.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -64,7 +64,16 @@
 
   Scenario: Engines crash while they stream
     Given a quick cluster
-    When 12 streams of 60 pieces run through both hosts
+    When 12 streams of 120 pieces run through both hosts
     And every engine that streams crashes in turn for 0.4 seconds
     Then every stream is whole and is the known text
     And at least 1 stream was running on an engine that crashed
+
+  Scenario: Crashes, silence, crossed answers and breaks come together
+    Given a relayed cluster
+    When every engine crosses its next 1 answers from piece 2 on
+    And 12 streams of 250 pieces run through both hosts
+    And the open connections from both hosts to the engines go silent for good
+    And every engine that streams crashes in turn for 0.2 seconds
+    Then every stream is whole and is the known text
+    And at least 1 stream was running on an engine that crashed
--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -1,6 +1,7 @@
 """Bring the stream of one chat to its end, over several attempts if need be."""
 
 import hashlib
+import itertools
 import time
 from collections.abc import Generator, Iterator
 from dataclasses import dataclass, replace
@@ -33,8 +34,9 @@
 from turmericproxy.routing import Choice, FinishKind, RetryBudget, RoutingRequest, Selector, Usage
 from turmericproxy.settings.schema import UpstreamSettings
 
-MAXIMUM_ATTEMPTS = 4
+FRUITLESS_ATTEMPTS = 4
 CONTINUE_SECONDS = 10.0
+RETURN_SECONDS = 1.5
 CHOICE_PAUSE_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 1.0
 SALT_BYTES = 8
@@ -62,7 +64,7 @@
 
 
 class ChatStream:
-    """Return the pieces of one answer in order, over as many attempts as are allowed.
+    """Return the pieces of one answer in order, over as many attempts as bring pieces.
 
     The last item is a ``StreamEnd``, or a refusal if the answer could not be completed.
     """
@@ -94,34 +96,53 @@
 
     def _run_attempts(self) -> Generator[Item, None, None]:
         failure: AttemptFailure | None = None
-        for number in range(MAXIMUM_ATTEMPTS):
+        fruitless = 0
+        for number in itertools.count():
             choice = self._choose_engine() if failure is None else self._choose_again(failure)
             if isinstance(choice, Refusal):
                 yield choice
                 return
+            before = self._next_index
             failure = yield from self._run_attempt(choice, number)
             if failure is None:
                 return
             self._excluded |= {choice.engine}
             self._report_failure(choice, failure)
-        yield self._refuse_broken(failure.reason if failure else "")
+            fruitless = 0 if self._next_index > before else fruitless + 1
+            if fruitless == FRUITLESS_ATTEMPTS:
+                yield self._refuse_broken(failure.reason)
+                return
 
     def _choose_again(self, failure: AttemptFailure) -> Choice | Refusal:
-        """Choose for a further attempt; a stream that has begun waits for an engine to return."""
+        """Choose for a further attempt, and wait for an engine to return if there is none.
+
+        A stream that has begun waits longer, as only this host can complete it.
+        """
         if not self._parts.budget.take():
             return self._refuse_broken(f"{failure.reason}; the host's retries are used up")
         if failure.kind is FinishKind.WRONG_VERSION and not self._next_index:
             self._follow_version()
-        give_up_at = read_boottime() + (CONTINUE_SECONDS if self._next_index else 0.0)
+        give_up_at = self._limit_wait(read_boottime())
         while True:
             choice = self._choose_engine()
             if isinstance(choice, Choice):
                 return choice
-            if choice.code in KEY_CODES or read_boottime() >= give_up_at:
+            if self._is_final(choice) or read_boottime() >= give_up_at:
                 return self._refuse_broken(f"{failure.reason}; {choice.reason}")
             self._excluded = frozenset()
             time.sleep(CHOICE_PAUSE_SECONDS)
 
+    def _is_final(self, refusal: Refusal) -> bool:
+        """Return whether waiting for an engine to return would not help."""
+        if refusal.code in KEY_CODES:
+            return True
+        return not self._next_index and refusal.code is not ResultCode.NO_UPSTREAM
+
+    def _limit_wait(self, now: float) -> float:
+        if self._next_index:
+            return now + CONTINUE_SECONDS
+        return min(now + RETURN_SECONDS, self._exchange.deadline)
+
     def _follow_version(self) -> None:
         """Take the version that engines serve now; nothing of the old one was sent yet."""
         version = self._parts.selector.choose_version(
