--- a/turmericproxy/cli/serve.py
+++ b/turmericproxy/cli/serve.py
@@ -7,11 +7,10 @@
 
 import typer
 
+from turmericproxy.cli.exits import ExitCode
 from turmericproxy.logs import configure_logs
 from turmericproxy.settings import HostSettings, load_settings
 
-EXIT_SETTINGS_INVALID = 2
-
 
 def serve_host(
     settings: Annotated[Path, typer.Option(help="The YAML file with the host's settings.")],
@@ -24,7 +23,7 @@
     if not isinstance(loaded, HostSettings):
         for fault in loaded:
             typer.echo(str(fault), err=True)
-        raise typer.Exit(EXIT_SETTINGS_INVALID)
+        raise typer.Exit(ExitCode.INVALID)
     configure_logs(loaded.log_level, loaded.host)
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/turmericproxy/core/results.py
+++ b/turmericproxy/core/results.py
@@ -21,7 +21,6 @@
     UNKNOWN_ROUTE = 102
     UNKNOWN_MODEL = 103
     METHOD_NOT_ALLOWED = 104
-    IDEMPOTENCY_KEY_REQUIRED = 105
     KEY_IN_REQUEST = 106
     REQUEST_TIMEOUT = 107
 
@@ -66,7 +65,6 @@
     ResultCode.UNKNOWN_ROUTE: 404,
     ResultCode.UNKNOWN_MODEL: 404,
     ResultCode.METHOD_NOT_ALLOWED: 405,
-    ResultCode.IDEMPOTENCY_KEY_REQUIRED: 400,
     ResultCode.KEY_IN_REQUEST: 400,
     ResultCode.REQUEST_TIMEOUT: 408,
     ResultCode.KEY_MISSING: 401,
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -42,7 +42,6 @@
 
     body_bytes: int = Field(default=4 * 1024 * 1024, ge=1024)
     header_timeout: float = Field(default=10.0, gt=0)
-    request_timeout: float = Field(default=60.0, gt=0)
     first_token_deadline: float = Field(default=10.0, gt=0)
     threads: int = Field(default=96, ge=4, le=2048)
 
