--- a/features/support/clusters.py
+++ b/features/support/clusters.py
@@ -53,10 +53,15 @@
     )
 
 
+IMPATIENT_SETTINGS = {"limits": {"header_timeout": 1}}
+
 PLANS: dict[str, Callable[[], ClusterPlan]] = {
     "small": create_small_plan,
     "booking": create_booking_plan,
     "quick": create_routed_plan,
+    "impatient": lambda: create_small_plan(
+        hosts=(HostPlan("host-a", "north", IMPATIENT_SETTINGS),)
+    ),
     "relayed": lambda: create_routed_plan(relays=True),
 }
 
