Send refused batches again together with later rows

With four senders each refused batch was sent again by itself; refused rows now go back to the front of the queue and join later ones, and a withdrawn one is surely not written. test_conflict_fails_only_its_own_write failed once in 5 runs (counted transactions while threads still started); all rows are queued first now and the count must be exactly 3.

--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -79,8 +79,14 @@
 
 
 def submit_all(batcher: Batcher, writes: list[ClaimWrite]) -> list[object]:
+    """Queue all writes before the batcher starts."""
     with ThreadPoolExecutor(len(writes)) as pool:
-        return list(pool.map(lambda write: batcher.submit(write, 5.0), writes))
+        futures = [pool.submit(batcher.submit, write, 5.0) for write in writes]
+        deadline = time.monotonic() + 5.0
+        while len(batcher._queue) < len(writes) and time.monotonic() < deadline:
+            time.sleep(0.001)
+        batcher.start()
+        return [future.result() for future in futures]
 
 
 def test_conflict_fails_only_its_own_write_and_load_is_gathered(
@@ -89,7 +95,6 @@
     client = create_client(platform)
     client.commit(create_transaction([create_write(f"taken-{n}") for n in range(20)]))
     batcher = Batcher(client)
-    batcher.start()
     try:
         keys = [f"{'taken' if n % 2 else 'free'}-{n}" for n in range(40)]
         results = submit_all(batcher, [create_write(key) for key in keys])
@@ -98,7 +103,7 @@
             assert isinstance(result, RowConflict if taken else Written), (key, result)
         control = HttpClient(f"127.0.0.1:{platform.port}")
         _, counts = control.call_json("GET", "/control")  # type: ignore[misc]
-        assert counts["writes"] <= 20
+        assert counts["writes"] == 3
     finally:
         batcher.close()
 
@@ -107,10 +112,9 @@
     platform = create_platform("127.0.0.1:0", writes=20)
     platform.start()
     batchers = [Batcher(create_client(platform)) for _ in range(4)]
-    for batcher in batchers:
-        batcher.start()
     try:
-        writes = [[create_write(f"{n}-{m}") for m in range(25)] for n in range(4)]
+        # Two tokens for four first transactions: some are refused, and go out again whole.
+        writes = [[create_write(f"{n}-{m}") for m in range(100)] for n in range(4)]
         with ThreadPoolExecutor(4) as pool:
             results = list(pool.map(submit_all, batchers, writes))
         assert all(isinstance(result, Written) for group in results for result in group)
--- a/turmericproxy/bookings/batch.py
+++ b/turmericproxy/bookings/batch.py
@@ -175,6 +175,7 @@
             self._changed.notify()
         if not pending.ready.wait(min(timeout, QUEUE_WAIT_SECONDS)) and not self._withdraw(pending):
             pending.ready.wait(max(0.0, pending.queued + timeout - time.monotonic()))
+            self._withdraw(pending)
         return pending.result or AnswerLost("no answer in time")
 
     def _withdraw(self, pending: _Pending) -> bool:
@@ -226,9 +227,21 @@
         self._queue = [p for place, p in enumerate(self._queue) if place not in chosen]
         return batch
 
+    def _requeue_batch(self, batch: list[_Pending]) -> None:
+        # The rows join those that came since, so that the platform sees fewer transactions.
+        with self._changed:
+            if not self._is_closed:
+                for pending in batch:
+                    pending.is_sent = False
+                self._queue[:0] = batch
+                self._next_send = time.monotonic() + self._gap
+                return
+        for pending in batch:
+            pending.resolve(_refuse("the host is closing"))
+
     def _record_answer_time(self, result: object, seconds: float) -> None:
         if isinstance(result, Committed | Conflict):
-            self._answer_time += (seconds - self._answer_time) / 2
+            self._answer_time = max(seconds, (seconds + self._answer_time) / 2)
         elif not _is_overloaded(result):
             self._answer_time = 0.0
 
@@ -245,8 +258,9 @@
                         version = result.get_version(TABLE, pending.item.write.row_key)
                         pending.resolve(Written(version))
                     return
-                case Refusal() if _is_overloaded(result) and not _is_overdue(batch):
-                    time.sleep(self._gap)
+                case Refusal() if _is_overloaded(result):
+                    self._requeue_batch(batch)
+                    return
                 case Conflict(failed=failed):
                     batch = _resolve_conflicts(batch, frozenset(failed))
                 case _:
@@ -265,10 +279,6 @@
     return isinstance(result, Refusal) and result.code is ResultCode.OVERLOADED
 
 
-def _is_overdue(batch: list[_Pending]) -> bool:
-    return time.monotonic() - min(p.queued for p in batch) > QUEUE_WAIT_SECONDS
-
-
 def _report_fault(batch: list[_Pending], error: Exception) -> None:
     reason = f"{type(error).__name__}: {error}"
     log_event(Part.BOOKINGS, "a batch failed", level=logging.ERROR, reason=reason, rows=len(batch))
