--- a/tests/rates/fakes.py
+++ b/tests/rates/fakes.py
@@ -2,6 +2,7 @@
 
 import copy
 import random
+from concurrent.futures import Executor, Future
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -85,6 +86,15 @@
         self.clock.now += self.draw.uniform(0, self.faults.slowness)
 
 
+class InlineExecutor(Executor):
+    """Run each call at once, so that a run is the same every time."""
+
+    def submit(self, fn: Any, /, *args: Any, **kwargs: Any) -> Future[Any]:
+        future: Future[Any] = Future()
+        future.set_result(fn(*args, **kwargs))
+        return future
+
+
 class Process:
     """Run the keepers of one incarnation of a host."""
 
@@ -106,6 +116,7 @@
             self.member,
             self.incarnation,
             world.clock.read,
+            InlineExecutor(),
         )
 
     @property
--- a/turmericproxy/rates/debits.py
+++ b/turmericproxy/rates/debits.py
@@ -1,7 +1,7 @@
 """Ask the hosts that hold buckets to deduct tokens for a request of this host."""
 
 from collections.abc import Iterable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Executor
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -12,7 +12,6 @@
 
 DEBIT_KIND = "rates.debit"
 GIVE_BACK_KIND = "rates.give_back"
-DEBIT_WORKERS = 16
 
 
 @dataclass(frozen=True)
@@ -83,12 +82,12 @@
 class DebitDesk:
     """Answer the debits of other hosts and send those of this one."""
 
-    def __init__(self, context: RateContext) -> None:
+    def __init__(self, context: RateContext, workers: Executor) -> None:
         self._links = context.links
         self._holdings = context.holdings
         self._member = context.member
         self._read_clock = context.read_clock
-        self._workers = ThreadPoolExecutor(DEBIT_WORKERS, thread_name_prefix="debit")
+        self._workers = workers
         self._estimates: dict[tuple[AccountName, HostName], Estimate] = {}
         context.links.register(DEBIT_KIND, self._handle_debit)
         context.links.register(GIVE_BACK_KIND, self._handle_give_back)
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import Any
 
@@ -84,9 +84,9 @@
             self._begin(old)
             return
         row = old.row if old else None
-        new = tenure.take_over(row, self._member.host, self._member.domain, self._me.incarnation)
+        new = tenure.take_over(row, self._member, self._me.incarnation, self._regrant_after)
         self.levels = dict(row.levels or {}) if row else {}
-        self._wait = tenure.measure_takeover_wait(row, self._regrant_after)
+        self._wait = tenure.measure_takeover_wait(row)
         outcome = self._table.commit_host(new, old)
         if isinstance(outcome, Committed):
             self._begin(Versioned(new, get_host_version(outcome, new.host)))
@@ -181,9 +181,7 @@
         if not present or own.row.guardian in present:
             return
         chosen = min(present, key=lambda guardian: _rank(self._member.host, guardian.host))
-        new = HostRow(
-            own.row.host, own.row.domain, self._me.incarnation, Standing.OPEN, guardian=chosen
-        )
+        new = replace(own.row, guardian=chosen)
         if self._holdings.is_open():
             self._write_own(new, own)
 
@@ -228,15 +226,8 @@
         own = self._own
         if own is None or self._unsettled is not None:
             return
-        row = own.row
-        closed = HostRow(
-            row.host,
-            row.domain,
-            row.incarnation,
-            Standing.CLOSED,
-            row.guardian,
-            levels={str(account): level for account, level in levels.items()},
-        )
+        left = {str(account): level for account, level in levels.items()}
+        closed = replace(own.row, standing=Standing.CLOSED, levels=left)
         self._table.commit_host(closed, own)
 
 
--- a/turmericproxy/rates/keepers.py
+++ b/turmericproxy/rates/keepers.py
@@ -1,6 +1,7 @@
 """Put the keepers of the rate ledger together."""
 
 from collections.abc import Callable
+from concurrent.futures import Executor, ThreadPoolExecutor
 from dataclasses import dataclass
 
 from turmericproxy.configuration import Snapshot
@@ -17,6 +18,7 @@
 from turmericproxy.settings.schema import RateSettings
 
 PAUSE_SHARE = 0.5
+DEBIT_WORKERS = 16
 
 
 @dataclass(frozen=True)
@@ -43,8 +45,12 @@
     member: Member,
     incarnation: Incarnation,
     read_clock: Callable[[], float] = read_boottime,
+    workers: Executor | None = None,
 ) -> Keepers:
-    """Return the keepers of a host, with an empty set of buckets."""
+    """Return the keepers of a host, with an empty set of buckets.
+
+    Debits at several hosts are sent by ``workers``, or by threads of their own.
+    """
     pause_limit = settings.regrant_after * LEASE_SHARE * PAUSE_SHARE
     holdings = Holdings(pause_limit, read_clock)
     context = RateContext(
@@ -53,4 +59,10 @@
     host = HostKeeper(context)
     ledger = LedgerKeeper(context, host)
     host.reload = ledger.reload
-    return Keepers(context, host, ledger, RegrantKeeper(context, host, ledger), DebitDesk(context))
+    return Keepers(
+        context,
+        host,
+        ledger,
+        RegrantKeeper(context, host, ledger),
+        DebitDesk(context, workers or ThreadPoolExecutor(DEBIT_WORKERS, "debit")),
+    )
--- a/turmericproxy/rates/tenure.py
+++ b/turmericproxy/rates/tenure.py
@@ -23,6 +23,7 @@
 from enum import Enum
 
 from turmericproxy.core import DomainName, HostName, Incarnation
+from turmericproxy.rates.ledger import Member
 
 LEASE_SHARE = 0.5
 
@@ -48,6 +49,7 @@
 class HostRow:
     """Hold what the table says of one host.
 
+    ``lease`` is the length of its leases in seconds, as settings may differ between hosts.
     ``levels`` are the micro-tokens that a host which closed has left in its buckets. ``marked_by``
     is the host that has marked the row as lost.
     """
@@ -56,6 +58,7 @@
     domain: DomainName
     incarnation: Incarnation
     standing: Standing
+    lease: float
     guardian: Guardian | None = None
     marked_by: HostName | None = None
     levels: Mapping[str, int] | None = None
@@ -102,16 +105,20 @@
     return watch is None
 
 
-def take_over(row: HostRow | None, host: HostName, domain: DomainName, new: Incarnation) -> HostRow:
+def take_over(
+    row: HostRow | None, member: Member, new: Incarnation, regrant_after: float
+) -> HostRow:
     """Return the row that a new incarnation writes for itself."""
-    return HostRow(host, domain, new, Standing.OPEN, row.guardian if row else None)
+    lease = regrant_after * LEASE_SHARE
+    guardian = row.guardian if row else None
+    return HostRow(member.host, member.domain, new, Standing.OPEN, lease, guardian)
 
 
-def measure_takeover_wait(row: HostRow | None, regrant_after: float) -> float:
+def measure_takeover_wait(row: HostRow | None) -> float:
     """Return for how many seconds the earlier incarnation may still spend."""
     if row is None or row.standing is Standing.CLOSED:
         return 0.0
-    return regrant_after * LEASE_SHARE
+    return row.lease
 
 
 def may_mark(
@@ -150,7 +157,7 @@
     """Return whether the shares of a marked host may pass on: after ``G`` without a change."""
     if row.standing is not Standing.LOST or row.marked_by != marker or version != watch.version:
         return False
-    return now >= watch.since + regrant_after
+    return now >= watch.since + max(regrant_after, row.lease / LEASE_SHARE)
 
 
 def encode_host_row(row: HostRow) -> dict[str, object]:
