Measure with another limit of debits; check that a host that lost its row stops

A process that found its row taken by another took it over again in a first version. Reverted before it was committed; such a host goes on by debits until it is started again.

--- a/tests/rates/test_late_writes.py
+++ b/tests/rates/test_late_writes.py
@@ -114,3 +114,16 @@
     assert holdings.close() == {ACCOUNT: 0}
     holdings.give_back(taken.id, 7)
     assert holdings.find(ACCOUNT) is None
+
+
+def test_a_host_whose_row_was_taken_by_an_earlier_process_stops_spending():
+    world = World(seed=0)
+    (earlier,) = start_hosts(world, "a0")
+    later = Process(world, "a0", "a", SETTINGS)
+    run(world, [later], 4.0)
+    assert measure_rights([later]) == RATE
+    # The earlier process was paused before it had begun, and begins now.
+    earlier.keepers.host._own = None
+    earlier.step("host")
+    run(world, [later], 2.1)
+    assert measure_rights([later]) == 0
--- a/turmericproxy/bench/rate_policies.py
+++ b/turmericproxy/bench/rate_policies.py
@@ -26,10 +26,10 @@
 class RatePolicy(ABC):
     """Admit tokens at the hosts of a fleet in one way."""
 
-    def __init__(self, rate: float, burst: int, seed: int) -> None:
+    def __init__(self, rate: float, burst: int, seed: int, settings: RateSettings) -> None:
         self.rate = rate
         self.burst = burst
-        self.fleet = RateFleet(RateSettings(), seed=seed)
+        self.fleet = RateFleet(settings, seed=seed)
 
     def start(self) -> None:
         """Start the fleet and wait until it can admit."""
@@ -204,9 +204,11 @@
 }
 
 
-def create_policy(name: str, rate: float, burst: int, seed: int) -> RatePolicy:
+def create_policy(
+    name: str, rate: float, burst: int, seed: int, settings: RateSettings
+) -> RatePolicy:
     """Return a policy by its name."""
-    return POLICIES[name](rate, burst, seed)
+    return POLICIES[name](rate, burst, seed, settings)
 
 
 def _read_micro() -> int:
--- a/turmericproxy/bench/rates.py
+++ b/turmericproxy/bench/rates.py
@@ -19,6 +19,7 @@
 
 from turmericproxy.bench.rate_policies import POLICIES, RatePolicy, create_policy
 from turmericproxy.core import HostName
+from turmericproxy.settings.schema import RateSettings
 
 RATE = 20_000.0
 BURST = 40_000
@@ -52,6 +53,7 @@
     """Hold the figures of one run; latencies are in milliseconds."""
 
     policy: str
+    debit_timeout: float
     seed: int
     load: float
     loses_host: bool
@@ -136,9 +138,11 @@
     return most
 
 
-def measure_policy(name: str, seed: int, load: float, seconds: float, lost: bool) -> RateRun:
+def measure_policy(
+    name: str, seed: int, load: float, seconds: float, lost: bool, settings: RateSettings
+) -> RateRun:
     """Run one policy under one seeded load."""
-    policy = create_policy(name, RATE, BURST, seed)
+    policy = create_policy(name, RATE, BURST, seed, settings)
     policy.start()
     try:
         arrivals = create_arrivals(seed, load, seconds)
@@ -152,6 +156,7 @@
     cuts = quantiles([o.latency * 1000 for o in outcomes], n=100)
     return RateRun(
         name,
+        settings.debit_timeout,
         seed,
         load,
         lost,
@@ -173,14 +178,16 @@
     seconds: Annotated[float, typer.Option(help="Length of a run.")] = 10.0,
     lost: Annotated[bool, typer.Option(help="Kill a host after two seconds.")] = False,
     policy: Annotated[list[str] | None, typer.Option(help="Policy; may be repeated.")] = None,
+    debit_timeout: Annotated[float | None, typer.Option(help="Limit of a debit, s.")] = None,
     out: Annotated[Path, typer.Option(help="File for the figures.")] = Path("out/rates.jsonl"),
 ) -> None:
     """Measure every policy and add a JSON line for each run."""
     out.parent.mkdir(parents=True, exist_ok=True)
+    settings = RateSettings(debit_timeout=debit_timeout) if debit_timeout else RateSettings()
     for name in policy or list(POLICIES):
         for load in loads:
             for seed in seeds:
-                line = json.dumps(asdict(measure_policy(name, seed, load, seconds, lost)))
+                line = json.dumps(asdict(measure_policy(name, seed, load, seconds, lost, settings)))
                 typer.echo(line)
                 with out.open("a", encoding="utf-8") as file:
                     file.write(line + "\n")
