--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -38,6 +38,9 @@
     def set_peers(self, peers):
         self.settings.append(list(peers))
 
+    def set_directory(self, peers):
+        self.directory = list(peers)
+
 
 def test_hosts_that_only_the_platform_names_are_linked_and_gone_ones_kept():
     listed = [create_entry(0), create_entry(1), create_entry(2, HostState.GONE)]
--- a/turmericproxy/peers/membership.py
+++ b/turmericproxy/peers/membership.py
@@ -26,6 +26,9 @@
     def set_peers(self, peers: Iterable[PeerAddress]) -> None:
         """Keep links to exactly these hosts."""
 
+    def set_directory(self, peers: Iterable[PeerAddress]) -> None:
+        """Say where hosts are that are called without a link."""
+
 
 def merge_peers(
     configured: Iterable[PeerAddress], listed: Iterable[HostEntry]
@@ -104,6 +107,7 @@
         entries = tuple(listed)
         self._hosts = len(entries)
         chosen = choose_peers(self._host, self._domain, self._configured, entries)
+        self._links.set_directory(merge_peers(self._configured, entries).values())
         if chosen != self._chosen:
             self._chosen = chosen
             self._links.set_peers(sorted(chosen, key=lambda peer: peer.host))
