--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -112,6 +112,7 @@
         "--keep", action="store_true", help="leave the cluster up until interrupted"
     )
     arguments = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     print("starting 1 platform, 3 engines, 1 service and 2 hosts ...", flush=True)
     cluster = start_cluster(create_small_plan())
     try:
