Move what is known of other hosts out of the links' module

Ruled out: nothing. Run: 50 tests of peers, keys and configuration pass. Conclusion: no change of behaviour.

--- a/turmericproxy/configuration/follower.py
+++ b/turmericproxy/configuration/follower.py
@@ -23,7 +23,8 @@
 from turmericproxy.core.loops import Loop
 from turmericproxy.core.results import Refusal, ResultCode, refuse
 from turmericproxy.logs import Part, log_event
-from turmericproxy.peers.links import PeerLinks, PeerState
+from turmericproxy.peers.links import PeerLinks
+from turmericproxy.peers.states import PeerState
 from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import ConfigurationSettings
 
--- a/turmericproxy/peers/links.py
+++ b/turmericproxy/peers/links.py
@@ -4,8 +4,7 @@
 import logging
 import socket
 import threading
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from turmericproxy.core import (
@@ -19,6 +18,7 @@
 )
 from turmericproxy.logs import Part, log_event
 from turmericproxy.peers.connection import Connection
+from turmericproxy.peers.states import PeerAddress, PeerState, create_state
 from turmericproxy.settings.schema import PeerLinkSettings
 
 HEARTBEAT_KIND = "heartbeat"
@@ -28,25 +28,6 @@
 Handler = Callable[[HostName, Any], Any]
 
 
-@dataclass(frozen=True)
-class PeerAddress:
-    """Say where another host listens for peers."""
-
-    host: HostName
-    domain: DomainName
-    address: str
-
-
-@dataclass(frozen=True)
-class PeerState:
-    """Hold what the last heartbeat of another host said."""
-
-    host: HostName
-    domain: DomainName
-    incarnation: Incarnation
-    digest: Mapping[str, Any]
-
-
 class _Link:
     """Hold the connection that this host dialled to one other host."""
 
@@ -222,7 +203,7 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
-            _InboundLink(self, sock).start()
+            _InboundLink(self, sock, self._settings.silence).start()
 
     def _keep_link(self, link: _Link) -> None:
         while not self._closed.is_set() and link.is_wanted:
@@ -235,7 +216,7 @@
             return
         sent_at = read_boottime()
         reply = connection.call(HEARTBEAT_KIND, self._create_heartbeat(), self._settings.silence)
-        state = None if isinstance(reply, Refusal) else _create_state(reply)
+        state = None if isinstance(reply, Refusal) else create_state(reply)
         if state is None or state.host != link.peer.host:
             log_event(Part.PEERS, "link lost", level=logging.WARNING, peer=link.peer.host)
             link.connection = None
@@ -291,10 +272,10 @@
 class _InboundLink:
     """Answer the frames of a host that dialled this one."""
 
-    def __init__(self, links: PeerLinks, sock: socket.socket) -> None:
+    def __init__(self, links: PeerLinks, sock: socket.socket, silence: float) -> None:
         self._links = links
         self._sender = HostName("")
-        self._connection = Connection(sock, self._handle, links._settings.silence)
+        self._connection = Connection(sock, self._handle, silence)
 
     def start(self) -> None:
         """Start to read frames."""
@@ -305,12 +286,3 @@
         if kind == HEARTBEAT_KIND:
             self._sender = HostName(body["host"])
         return self._links.handle_frame(self._sender, kind, body)
-
-
-def _create_state(body: Mapping[str, Any]) -> PeerState:
-    return PeerState(
-        HostName(body["host"]),
-        DomainName(body["domain"]),
-        Incarnation(body["incarnation"]),
-        body["digest"],
-    )
--- a/turmericproxy/peers/membership.py
+++ b/turmericproxy/peers/membership.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from turmericproxy.core import DomainName, HostName, Refusal
-from turmericproxy.peers.links import PeerAddress
+from turmericproxy.peers.states import PeerAddress
 from turmericproxy.peers.topology import Node, choose_neighbours
 from turmericproxy.platform import HostEntry, HostList, HostState
 
