--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup run test bench format lint types clean
+SLOPES := hosts routing configuration bookings rates
+
+.PHONY: setup run test bench slopes format lint types clean
 
 setup: $(STAMP)
 
@@ -22,6 +24,14 @@
 bench: setup
 	$(BIN)/turmericproxy bench
 
+slopes: setup
+	mkdir -p out
+	rm -f out/slopes.jsonl
+	for part in $(SLOPES); do \
+	  echo "measuring $$part ..."; \
+	  $(BIN)/python -m turmericproxy.bench.slopes_$$part >> out/slopes.jsonl || exit 1; \
+	done
+
 format: setup
 	$(BIN)/black .
 
