Make the test of refused writes meet a refusal every time

Cause: with refused batches not sent again the test still passed: its four batchers started one after the other and the platform's tokens had come back. The token is now taken right before the one batcher starts, and the test counts the refusal.

--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -1,7 +1,7 @@
 """Check how claim writes are gathered, and that a conflict fails only its own write."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -25,7 +25,7 @@
 )
 from turmericproxy.bookings.claims import ClaimWrite
 from turmericproxy.core import HostName, Refusal
-from turmericproxy.platform import AnswerLost, PlatformClient
+from turmericproxy.platform import AnswerLost, Committed, PlatformClient
 from turmericproxy.settings.schema import PlatformSettings
 from turmericproxy.standins.platform import PlatformStandIn, create_platform
 from turmericproxy.web import HttpClient
@@ -78,13 +78,16 @@
     return PlatformClient(settings, HostName("h"))
 
 
-def submit_all(batcher: Batcher, writes: list[ClaimWrite]) -> list[object]:
-    """Queue all writes before the batcher starts."""
+def submit_all(
+    batcher: Batcher, writes: list[ClaimWrite], prepare: Callable[[], object] = lambda: None
+) -> list[object]:
+    """Queue all writes, prepare the platform, and only then start the batcher."""
     with ThreadPoolExecutor(len(writes)) as pool:
         futures = [pool.submit(batcher.submit, write, 5.0) for write in writes]
         deadline = time.monotonic() + 5.0
         while len(batcher._queue) < len(writes) and time.monotonic() < deadline:
             time.sleep(0.001)
+        prepare()
         batcher.start()
         return [future.result() for future in futures]
 
@@ -109,18 +112,23 @@
 
 
 def test_writes_beyond_the_platform_limit_wait_and_are_not_lost() -> None:
-    platform = create_platform("127.0.0.1:0", writes=20)
+    platform = create_platform("127.0.0.1:0", writes=4)
     platform.start()
-    batchers = [Batcher(create_client(platform)) for _ in range(4)]
+    client = create_client(platform)
+    batcher = Batcher(client)
+
+    def take_token() -> None:
+        assert isinstance(client.commit(create_transaction([create_write("other")])), Committed)
+
     try:
-        # Two tokens for four first transactions: some are refused, and go out again whole.
-        writes = [[create_write(f"{n}-{m}") for m in range(100)] for n in range(4)]
-        with ThreadPoolExecutor(4) as pool:
-            results = list(pool.map(submit_all, batchers, writes))
-        assert all(isinstance(result, Written) for group in results for result in group)
+        writes = [create_write(f"k{number}") for number in range(50)]
+        results = submit_all(batcher, writes, prepare=take_token)
+        assert all(isinstance(result, Written) for result in results)
+        control = HttpClient(f"127.0.0.1:{platform.port}")
+        _, counts = control.call_json("GET", "/control")  # type: ignore[misc]
+        assert counts["refused"] > 0 and counts["writes"] == 2
     finally:
-        for batcher in batchers:
-            batcher.close()
+        batcher.close()
         platform.close()
 
 
