--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -19,13 +20,15 @@
 from turmericproxy.bench.plan import AccountPlan, ClusterPlan, HostPlan, RoutePlan, ServicePlan
 
 SEED = 20261203
+CALLER = "satnica"
+QUICK = {"shutdown": {"grace": 0.0}}
 ACCOUNT = {"rate": 100.0, "burst": 1000}
 PLAN = ClusterPlan(
     hosts=(
-        HostPlan("n1", "north"),
-        HostPlan("n2", "north"),
-        HostPlan("s1", "south"),
-        HostPlan("s2", "south"),
+        HostPlan("n1", "north", QUICK),
+        HostPlan("n2", "north", QUICK),
+        HostPlan("s1", "south", QUICK),
+        HostPlan("s2", "south", QUICK),
     ),
     services=(ServicePlan("service-n", "north"), ServicePlan("service-s", "south")),
     accounts=(AccountPlan("afinaciones"), AccountPlan("satnica")),
@@ -38,7 +41,6 @@
         ),
         RoutePlan("health", ("service-n", "service-s"), {"repeatable": True, "open": True}),
     ),
-    relays=True,
     platform_options={"seed": SEED},
 )
 
@@ -52,7 +54,7 @@
     start = len(context.changes)
 
     def create(number):
-        name = f"account-{start + number}"
+        name = f"{context.scenario.line}-{start + number}"
         host = hosts[number % len(hosts)]
         return change_resource(context.cluster, host, f"account/{name}", ACCOUNT)
 
@@ -71,13 +73,47 @@
 
 @given("four linked hosts in two domains whose revisions are watched")
 def start_watched_cluster(context):
+    start_plan(context, PLAN)
+
+
+@given("four hosts in two domains, linked through relays, whose revisions are watched")
+def start_relayed_cluster(context):
+    start_plan(context, replace(PLAN, relays=True))
+
+
+def start_plan(context, plan):
+    """Take over the feature's cluster of that plan, healed and whole, or start it."""
     print(f"seed {SEED}")
     context.random = random.Random(SEED)
-    context.cluster = start_cluster(PLAN)
-    context.add_cleanup(context.cluster.close)
+    context.changes = []
+    started = context.feature.__dict__.setdefault("started_clusters", {})
+    if plan.relays not in started:
+        started[plan.relays] = start_cluster(plan)
+        context.add_cleanup(started[plan.relays].close, layer="feature")
+    context.cluster = started[plan.relays]
+    restore_cluster(context.cluster)
+    context.key_id, context.key = context.cluster.create_key(CALLER)
     context.revisions = RevisionWatch(context.cluster)
     context.add_cleanup(context.revisions.close)
-    context.changes = []
+    await_revision(context, context.cluster.read_revision("n1"))
+    names = context.cluster.host_names
+    measure_until(11, lambda: any(holds_bucket(context, host) for host in names))
+
+
+def restore_cluster(cluster):
+    """Undo the faults of an earlier scenario, and start hosts that it killed."""
+    cluster.set_faults("platform", down=False, lose_answers=0.0)
+    if cluster.plan.relays:
+        faults.heal_all(cluster)
+    for host in cluster.host_names:
+        if not cluster.get_process(host).is_running():
+            cluster.start_host(host)
+
+
+def await_revision(context, revision):
+    """Wait until every host has the revision in force."""
+    names = context.cluster.host_names
+    measure_until(11, lambda: all(context.cluster.read_revision(n) >= revision for n in names))
 
 
 @when(
@@ -113,6 +149,13 @@
     assert all(change.is_accepted for change in context.changes), context.changes
 
 
+@when('{count:d} accounts are created at host "{host}" while the platform loses all of its answers')
+def create_without_answers(context, count, host):
+    context.cluster.set_faults("platform", lose_answers=1.0)
+    create_accounts(context, [host], count)
+    context.cluster.set_faults("platform", lose_answers=0.0)
+
+
 @when("the platform goes down")
 def take_platform_down(context):
     context.cluster.set_faults("platform", down=True)
@@ -125,9 +168,18 @@
 
 @when('domain "{domain}" is cut off from "{other}" and from the platform')
 def cut_domain(context, domain, other):
+    """Cut the domain off once its hosts hold parts of the caller's rate and can serve alone."""
+    names = faults.list_members(context.cluster.plan, domain)
+    hosts = [name for name in names if name in context.cluster.host_names]
+    measure_until(11, lambda: all(holds_bucket(context, host) for host in hosts))
     faults.cut_domain(context.cluster, domain)
 
 
+def holds_bucket(context, host):
+    buckets = context.cluster.operate(host, "GET", "/v1/status")["buckets"]
+    return any(bucket["account"] == CALLER and bucket["level"] >= 1 for bucket in buckets)
+
+
 @when("the cut is healed")
 def heal(context):
     faults.heal_all(context.cluster)
@@ -207,20 +259,20 @@
 @then('hosts "{hosts}" still serve the keys that they know')
 def check_known_keys(context, hosts):
     for host in split_names(hosts):
-        key = context.cluster.keys["satnica"]
-        assert call_route(context.cluster, host, "/r/hours/x", key) == 200
+        answer = call_route(context.cluster, host, "/r/hours/x", context.key)
+        assert answer.status == 200, f"{host}: {answer}"
 
 
 def race(context, operators):
     """Let operators change one account at the same version; return who won, and the value."""
     cluster = context.cluster
-    version = list_accounts(cluster, "n1")["satnica"]["revision"]
+    version = list_accounts(cluster, "n1")["raced"]["revision"]
     hosts = cluster.host_names
 
     def change(number):
         fields = {**ACCOUNT, "rate": float(context.random.randint(1, 10**6))}
         host = hosts[number % len(hosts)]
-        told = change_resource(cluster, host, "account/satnica", fields, if_match=version)
+        told = change_resource(cluster, host, "account/raced", fields, if_match=version)
         return told, fields["rate"]
 
     with ThreadPoolExecutor(operators) as pool:
@@ -233,6 +285,7 @@
 )
 def race_operators(context, operators, races, share):
     context.races = []
+    context.cluster.put_resource("account", "raced", ACCOUNT)
     for _ in range(races):
         context.cluster.set_faults("platform", lose_answers=share / 100)
         results = race(context, operators)
@@ -240,13 +293,7 @@
         context.races.append(results)
         wins = [result for result in results if result[0].is_accepted]
         assert len(wins) == 1, results
-        revision = wins[0][0].body["revision"]
-        measure_until(11, lambda r=revision: _is_reached(context, r))
-
-
-def _is_reached(context, revision):
-    names = context.cluster.host_names
-    return all(context.cluster.read_revision(name) >= revision for name in names)
+        await_revision(context, wins[0][0].body["revision"])
 
 
 @then("in each race exactly one operator won and its value is in force on all hosts")
@@ -256,15 +303,14 @@
         assert {told.code for told in lost} == {"resource_conflict"}, lost
     rate = next(rate for told, rate in context.races[-1] if told.is_accepted)
     for host in context.cluster.host_names:
-        assert list_accounts(context.cluster, host)["satnica"]["rate"] == rate
+        assert list_accounts(context.cluster, host)["raced"]["rate"] == rate
 
 
 @then('"{host}" serves its first request within {seconds:d} seconds of its start')
 def check_first_request(context, host, seconds):
     started = time.monotonic()
     context.cluster.start_host(host, wait=False)
-    key = context.cluster.keys["satnica"]
-    while call_route(context.cluster, host, "/r/hours/x", key) != 200:
+    while call_route(context.cluster, host, "/r/hours/x", context.key).status != 200:
         assert time.monotonic() - started < seconds, "no request was served in time"
         time.sleep(0.02)
     print(f"first request served {time.monotonic() - started:.2f} s after the start")
--- a/turmericproxy/bench/runs.py
+++ b/turmericproxy/bench/runs.py
@@ -1,8 +1,9 @@
 """Run workloads against clusters of real processes and keep what came out."""
 
 import json
+import os
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
@@ -10,7 +11,7 @@
 from turmericproxy.bench.cluster import Cluster, start_cluster
 from turmericproxy.bench.disturbances import DisturbanceThread
 from turmericproxy.bench.fleet_plan import ROUTE, create_plan
-from turmericproxy.bench.measures import Measures, measure
+from turmericproxy.bench.measures import Measures, collect_first_tokens, measure
 from turmericproxy.bench.oracle import create_replay, find_best_hit_rate
 from turmericproxy.bench.results import CallResult
 from turmericproxy.bench.shapes import Shape
@@ -18,6 +19,7 @@
 
 POLICIES = ("expected_time", "round_robin", "least_loaded", "hash_first")
 WARM_UP_SHARE = 0.15
+DECISION_MARK = '"decision": true'
 
 Report = Callable[[str], None]
 
@@ -39,9 +41,11 @@
 
     plan: RunPlan
     measures: Measures
+    first_tokens: Mapping[str, tuple[float, ...]]
     oracle_hit_rate: float
     faults: tuple[str, ...]
     wall_seconds: float
+    machine_load: float
 
     def describe(self) -> dict[str, object]:
         """Return the result as a value for JSON."""
@@ -55,6 +59,7 @@
             "oracle_hit_rate": self.oracle_hit_rate,
             "faults": list(self.faults),
             "wall_seconds": self.wall_seconds,
+            "machine_load": self.machine_load,
         }
 
 
@@ -84,6 +89,7 @@
         results = send_calls(calls, _create_target(cluster, plan.shape))
         if plan.is_disturbed:
             disturbances.close()
+        _write_decisions(folder, plan, cluster)
     finally:
         cluster.close()
     _write_calls(folder, plan, results)
@@ -91,9 +97,11 @@
     return RunResult(
         plan=plan,
         measures=measure(results, counted, plan.shape.noisy_account),
+        first_tokens=collect_first_tokens(counted, plan.shape.noisy_account),
         oracle_hit_rate=find_best_hit_rate(plan.shape, create_replay(plan.shape, calls)),
         faults=tuple(disturbances.faults),
         wall_seconds=round(time.monotonic() - started, 2),
+        machine_load=round(os.getloadavg()[0], 1),
     )
 
 
@@ -102,9 +110,20 @@
     return Target(hosts, dict(cluster.keys), shape.model, ROUTE)
 
 
+def _write_decisions(folder: Path, plan: RunPlan, cluster: Cluster) -> None:
+    """Keep the decisions that the hosts logged."""
+    with _name_file(folder, "decisions", plan).open("w", encoding="utf-8") as lines:
+        for name in cluster.host_names:
+            log = cluster.get_process(name).log.read_text(encoding="utf-8", errors="replace")
+            lines.writelines(line + "\n" for line in log.splitlines() if DECISION_MARK in line)
+
+
+def _name_file(folder: Path, kind: str, plan: RunPlan) -> Path:
+    return folder / f"{kind}-{plan.shape.name}-{plan.policy}-{plan.seed}.jsonl"
+
+
 def _write_calls(folder: Path, plan: RunPlan, results: Sequence[CallResult]) -> None:
-    name = f"calls-{plan.shape.name}-{plan.policy}-{plan.seed}.jsonl"
-    with (folder / name).open("w", encoding="utf-8") as lines:
+    with _name_file(folder, "calls", plan).open("w", encoding="utf-8") as lines:
         for result in results:
             lines.write(json.dumps(result.describe()) + "\n")
 
@@ -117,5 +136,5 @@
         f"p50 {measures.p50:.3f} p95 {measures.p95:.3f} p99 {measures.p99:.3f} s, "
         f"wasted {measures.wasted:.3f}, worst/median {measures.worst_ratio:.2f}, "
         f"refused {measures.refused:.4f}, failed {measures.failed:.4f} "
-        f"({result.wall_seconds:.0f} s)"
+        f"({result.wall_seconds:.0f} s, machine load {result.machine_load})"
     )
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -1,6 +1,7 @@
 """Keep the splits of the client accounts in line with the configuration."""
 
 import threading
+from dataclasses import dataclass
 from typing import Any
 
 from turmericproxy.configuration import Kind
@@ -21,6 +22,16 @@
 
 ROW_KIND = "rates.row"
 CHANGED_KIND = "rates.changed"
+LOOKS_APART = 3.0
+
+
+@dataclass(frozen=True)
+class Done:
+    """Remember at which revision and version a split needed no change, and when."""
+
+    revision: int
+    version: int | None
+    at: float
 
 
 class LedgerKeeper:
@@ -37,10 +48,12 @@
         self._read_clock = context.read_clock
         self._debit_timeout = context.settings.debit_timeout
         self._settle_after = context.lease
+        self._look_again_after = LOOKS_APART * context.settings.regrant_after
         self._lock = threading.Lock()
         self._rows: dict[AccountName, Versioned[LedgerRow]] = {}
         self._unsettled: dict[AccountName, int | None] = {}
         self._stale: set[AccountName] = set()
+        self._done: dict[AccountName, Done] = {}
         self._last_seen: dict[HostName, float] = {}
         self._is_overtaken = False
         self._started_at = self._read_clock()
@@ -54,22 +67,26 @@
         return known.row if known else None
 
     def fetch_from_peers(self, account: AccountName) -> LedgerRow | None:
-        """Return the newest split that a reachable host knows, and remember it."""
-        replies = [
-            self._links.call(peer.host, ROW_KIND, {"account": account}, self._debit_timeout)
-            for peer in self._links.list_reachable()
-        ]
-        found = [reply for reply in replies if isinstance(reply, dict)]
-        if not found:
-            return None
-        newest = max(found, key=lambda reply: int(reply["version"]))
-        row = ledger.decode_row(newest["row"])
+        """Return the split that the first reachable host knows, and remember it."""
+        for peer in self._links.list_reachable():
+            reply = self._links.call(peer.host, ROW_KIND, {"account": account}, self._debit_timeout)
+            if isinstance(reply, dict):
+                return self._remember(Versioned(ledger.decode_row(reply["row"]), reply["version"]))
+        return None
+
+    def _remember(self, read: Versioned[LedgerRow]) -> LedgerRow:
+        account = read.row.account
         with self._lock:
             known = self._rows.get(account)
-            if known is None or (known.version or 0) < newest["version"]:
-                self._rows[account] = Versioned(row, newest["version"])
-                self._stale.add(account)
-        return row
+            if known is None or (known.version or 0) < (read.version or 0):
+                self._rows[account] = read
+            self._stale.add(account)
+        return read.row
+
+    def mark_stale(self, account: AccountName) -> None:
+        """Read the split again at the next step."""
+        with self._lock:
+            self._stale.add(account)
 
     def reload(self) -> bool:
         """Read all splits anew and size the buckets by them; return whether that succeeded."""
@@ -94,6 +111,8 @@
             self._last_seen[peer.host] = now
         snapshot = self._read_snapshot()
         for name, entry in snapshot.get_table(Kind.ACCOUNT).items():
+            if self._is_done(AccountName(name), entry.version, now):
+                continue
             account = snapshot.find_account(name)
             assert account is not None
             limit = ledger.create_limit(account.rate, account.burst, self._debit_timeout)
@@ -116,12 +135,25 @@
         changed = ledger.change_limit(known.row, limit, revision)
         new = ledger.adjust(changed, self._member, self._find_silent(known.row))
         if new == known.row:
+            if not ledger.is_unbalanced(new):
+                self._done[account] = Done(revision, known.version, self._read_clock())
             return
         if self.write(new, known):
             log_decision(
                 Part.RATES, "split changed", account=account, share=new.find_share(own.row.host)
             )
 
+    def _is_done(self, account: AccountName, revision: int, now: float) -> bool:
+        """Return whether nothing has changed since the last look, which was not long ago."""
+        done = self._done.get(account)
+        with self._lock:
+            known = self._rows.get(account)
+            is_stale = account in self._stale
+        if done is None or known is None or is_stale:
+            return False
+        is_same = (done.revision, done.version) == (revision, known.version)
+        return is_same and now < done.at + self._look_again_after
+
     def _refresh(self, account: AccountName) -> Versioned[LedgerRow] | None | Refusal:
         with self._lock:
             known = self._rows.get(account)
@@ -247,5 +279,4 @@
         return {"row": ledger.encode_row(known.row), "version": known.version}
 
     def _handle_changed(self, _sender: HostName, body: Any) -> None:
-        with self._lock:
-            self._stale.add(AccountName(body["account"]))
+        self.mark_stale(AccountName(body["account"]))
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -2,10 +2,10 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-from turmericproxy.cache.index import PrefixIndex, create_key
+from turmericproxy.cache.index import BlockKey, PrefixIndex, create_key
 from turmericproxy.configuration import Kind, Snapshot
 from turmericproxy.core import EngineName, Incarnation, UpstreamName, read_boottime
 from turmericproxy.logs import Part, log_event
@@ -18,6 +18,7 @@
 EVENTS_PER_CALL = 512
 EVENTS_WAIT = 1.0
 REPORT_TIMEOUT = 1.0
+IDLE_STRETCH = 5
 
 
 class PolledState(Protocol):
@@ -31,8 +32,11 @@
     def record_silence(self, engine: EngineName, kind: FinishKind) -> None:
         """Take in that an engine did not report its load."""
 
-    def count_own_tokens(self, engine: EngineName) -> float:
-        """Return the tokens that own requests wait for at an engine."""
+    def record_stored(self, engine: EngineName, keys: Sequence[BlockKey]) -> None:
+        """Pass on that an engine stored blocks."""
+
+    def count_own_prompt_tokens(self, engine: EngineName) -> float:
+        """Return the whole prompts that own requests at an engine wait for."""
 
 
 class _Loop:
@@ -91,6 +95,9 @@
             self._next = max(self._next, event["seq"])
             self._apply_event(event, incarnation, now)
         self._next = max(self._next, int(body["next"]))
+        stored = [create_key(e["block"]) for e in body["events"] if e["kind"] == "stored"]
+        if stored:
+            self._state.record_stored(self._engine, stored)
 
     def _apply_event(self, event: dict[str, Any], incarnation: Incarnation, now: float) -> None:
         index, engine = self._state.index, self._engine
@@ -185,9 +192,10 @@
                 log_event(Part.ROUTING, "engine gave no load report", engine=name, kind=kind.value)
                 self._state.record_silence(engine, kind)
                 return self._pause
-            own_tokens = self._state.count_own_tokens(engine)
-            self._state.record_report(engine, _parse_report(answer[1], own_tokens), elapsed)
-            return self._pause
+            own_tokens = self._state.count_own_prompt_tokens(engine)
+            report = _parse_report(answer[1], own_tokens)
+            self._state.record_report(engine, report, elapsed)
+            return self._pause * (IDLE_STRETCH if is_idle(report) else 1)
 
         return step
 
@@ -200,12 +208,22 @@
             if isinstance(answer, CallFailure) or answer[0] != 200:
                 self._plain.record_silence(upstream, _classify(answer))
             else:
-                self._plain.record_report(upstream, int(answer[1]["running"]))
+                running = int(answer[1]["running"])
+                self._plain.record_report(upstream, running)
+                return self._pause * (1 if running else IDLE_STRETCH)
             return self._pause
 
         return step
 
 
+def is_idle(report: LoadReport) -> bool:
+    """Return whether an engine has nothing to do, as far as its report and this host know.
+
+    What hosts send to it next is known without a report, from their dispatches.
+    """
+    return not (report.running or report.queued or report.own_prompt_tokens)
+
+
 def _classify(answer: tuple[int, Any] | CallFailure) -> FinishKind:
     if isinstance(answer, CallFailure) and answer.is_unsent:
         return FinishKind.UNREACHABLE
@@ -214,14 +232,20 @@
     return FinishKind.FAILED
 
 
+def _list_served(body: dict[str, Any]) -> dict[str, str]:
+    """Return the version of each model; a model whose weights are being loaded has none."""
+    loading = frozenset(body.get("loading", ()))
+    return {m: "" if m in loading else version for m, version in body["versions"].items()}
+
+
 def _parse_report(body: dict[str, Any], own_tokens: float) -> LoadReport:
     return LoadReport(
         incarnation=Incarnation(body["incarnation"]),
         running=int(body["running"]),
         queued=int(body["queued"]),
         queued_tokens=int(body["queued_tokens"]),
-        versions=dict(body["versions"]),
+        versions=_list_served(body),
         received_at=read_boottime(),
-        own_tokens=own_tokens,
+        own_prompt_tokens=own_tokens,
         capacity_blocks=int(body["capacity_blocks"]),
     )
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -74,6 +74,7 @@
             is_used=settings.kept_cache and settings.policy == "expected_time",
         )
         self._sharing.follow_kept(self._transfers.kept)
+        self.fleet.follow_stored(self._transfers.take_stored)
         self._pollers = Pollers(self.fleet, self.plain, settings, upstream_settings)
 
     def start(self) -> None:
@@ -103,11 +104,18 @@
         decision = decide(self._policy, views, request, now, self._take_turn(), kept)
         if isinstance(decision, Refusal):
             return _log_refusal(request, decision)
-        choice = _create_choice(request, decision, self._rank(snapshot, request, now))
+        seconds = decision.taken.compute_seconds
+        priority = self._rank(snapshot, request, seconds, now)
+        choice = _create_choice(request, decision, priority)
         _log_choice(choice, decision)
         return choice
 
-    def choose_version(self, model: ModelName, request_id: RequestId) -> str | None:
+    def choose_version(
+        self,
+        model: ModelName,
+        request_id: RequestId,
+        excluded: frozenset[EngineName] = frozenset(),
+    ) -> str | None:
         """Return the weights version for a request, by the share of engines that serve it.
 
         While engines change over, requests divide among the versions as the engines do.
@@ -120,7 +128,9 @@
         reported = [
             self.fleet.list_versions(EngineName(engine.name), now).get(model)
             for engine in snapshot.list_engines()
-            if model in engine.models and engine.state is UpstreamState.ACTIVE
+            if model in engine.models
+            and engine.state is UpstreamState.ACTIVE
+            and engine.name not in excluded
         ]
         versions = sorted(version for version in reported if version)
         if not versions:
@@ -146,11 +156,15 @@
         with self._lock:
             tokens = request.prompt_tokens + request.max_tokens
             self._shares.add(request.account, tokens, self._read_clock())
-        known = choice.imports.start if choice.imports else choice.cached_blocks
-        self._sharing.add(DispatchNote(choice.engine, keys, known))
+        self._sharing.mark_changed(choice.engine)
+        self._transfers.expect(choice)
         if choice.imports:
+            # Until the import is done, a request that relies on the blocks would compute them.
             seconds = self._transfers.import_blocks(choice)
             self.fleet.record_import(choice, seconds)
+        self.fleet.predict_blocks(choice.engine, keys)
+        known = choice.imports.start if choice.imports else choice.cached_blocks
+        self._sharing.add(DispatchNote(choice.engine, keys, known))
 
     @record_dispatch.register
     def _(self, choice: UpstreamChoice) -> None:
@@ -179,7 +193,7 @@
     def _(self, choice: UpstreamChoice, kind: FinishKind, usage: TokenCounts | None = None) -> None:
         self.plain.record_end(choice.upstream, kind)
 
-    def describe_upstreams(self) -> dict[str, dict[str, float]]:
+    def describe_upstreams(self) -> dict[str, dict[str, object]]:
         """Return what the host knows of engines and plain services, by name."""
         return {**self.fleet.describe(), **self.plain.describe()}
 
@@ -188,13 +202,15 @@
             self._turn += 1
             return self._turn
 
-    def _rank(self, snapshot: Snapshot, request: RoutingRequest, now: float) -> int:
+    def _rank(
+        self, snapshot: Snapshot, request: RoutingRequest, compute_seconds: float, now: float
+    ) -> int:
         account = snapshot.find_account(request.account)
         if account is None:
             return 0
         hosts = self._sharing.count_hosts()
         with self._lock:
-            return self._shares.rank(request.account, account.rate, hosts, now)
+            return self._shares.rank(request.account, account.rate, hosts, compute_seconds, now)
 
 
 def _create_choice(request: RoutingRequest, decision: Decision, priority: int) -> Choice:
