--- a/specifications/booking.py
+++ b/specifications/booking.py
@@ -12,14 +12,31 @@
 
 import z3
 
+from specifications.booking_state import (
+    ABSENT,
+    CLAIMED,
+    CRASHED,
+    DISPATCHED,
+    DONE,
+    ENDING,
+    IDLE,
+    NO_WRITE,
+    OWNING,
+    RELEASED,
+    RELEASING,
+    SETTLED,
+    TRYING,
+    UNKNOWN,
+    WRITE_END,
+    WRITE_RELEASE,
+    WRITE_RENEWAL,
+    Attempt,
+    is_safe,
+)
 from specifications.search import State, Step, TransitionSystem
 
 ENVIRONMENT = ("apply_claim", "apply_settlement", "crash_host")
 
-ABSENT, CLAIMED, DONE, RELEASED, UNKNOWN = range(5)
-IDLE, TRYING, OWNING, DISPATCHED, ENDING, RELEASING, SETTLED, CRASHED = range(8)
-NO_WRITE, WRITE_END, WRITE_RELEASE, WRITE_RENEWAL = range(4)
-
 Update = Callable[[State], Mapping[str, Any]]
 
 
@@ -45,38 +62,9 @@
     renew_released: bool = True
 
 
-@dataclass(frozen=True)
-class _Attempt:
-    """Name the variables of one attempt.
-
-    ``inserts`` says that a write for an absent row was sent; ``claim_version`` is the version that
-    its last write over a released row depends on, or 0.
-    """
-
-    number: int
-
-    def name(self, variable: str) -> str:
-        return f"{variable}_{self.number}"
-
-    def get(self, state: State, variable: str) -> Any:
-        return state[self.name(variable)]
-
-    def is_in(self, state: State, *phases: int) -> z3.BoolRef:
-        return z3.Or([self.get(state, "phase") == phase for phase in phases])
-
-    def owns_row(self, state: State) -> z3.BoolRef:
-        return state["owner"] == self.number
-
-    def may_claim_take_effect(self, state: State) -> z3.BoolRef:
-        version, row = self.get(state, "claim_version"), state["version"]
-        return z3.Or(
-            z3.And(self.get(state, "inserts"), row == 0), z3.And(version != 0, version == row)
-        )
-
-
 def create_system(attempts: int, guards: Guards = Guards()) -> TransitionSystem:  # noqa: B008
     """Return the system for some attempts at one key."""
-    racing = [_Attempt(number + 1) for number in range(attempts)]
+    racing = [Attempt(number + 1) for number in range(attempts)]
     variables: dict[str, z3.SortRef] = {
         name: z3.IntSort() for name in ("owner", "state", "version", "next_version")
     }
@@ -105,78 +93,7 @@
     return z3.And(state["next_version"] == 1, *zeros)
 
 
-def is_safe(state: State, attempts: int) -> z3.BoolRef:
-    """Return what callers rely on: one run at most, a true "not run", and no blocked key."""
-    racing = [_Attempt(number + 1) for number in range(attempts)]
-    runs = z3.Sum([z3.If(attempt.get(state, "ran"), 1, 0) for attempt in racing])
-    parts = [runs <= 1]
-    for attempt in racing:
-        ran, told = attempt.get(state, "ran"), attempt.get(state, "told_not_run")
-        parts.append(z3.Not(z3.And(ran, told)))
-        blocks = z3.And(attempt.owns_row(state), state["state"] == CLAIMED)
-        parts.append(z3.Not(z3.And(attempt.is_in(state, SETTLED), told, blocks)))
-    return z3.And(parts)
-
-
-def is_consistent(state: State, attempts: int) -> z3.BoolRef:
-    """Return the inductive invariant: safety, and who may still change the row."""
-    parts = [is_safe(state, attempts), _is_row_consistent(state, attempts)]
-    for number in range(attempts):
-        parts += _list_attempt_facts(state, _Attempt(number + 1))
-    return z3.And(parts)
-
-
-def _is_row_consistent(state: State, attempts: int) -> z3.BoolRef:
-    return z3.And(
-        state["version"] >= 0,
-        state["version"] < state["next_version"],
-        (state["version"] == 0) == (state["state"] == ABSENT),
-        (state["version"] == 0) == (state["owner"] == 0),
-        state["owner"] >= 0,
-        state["owner"] <= attempts,
-        state["state"] >= ABSENT,
-        state["state"] <= UNKNOWN,
-    )
-
-
-def _list_attempt_facts(state: State, attempt: _Attempt) -> list[z3.BoolRef]:
-    claim, row = attempt.get(state, "claim_version"), state["version"]
-    write, write_version = attempt.get(state, "write"), attempt.get(state, "write_version")
-    owns, held = attempt.owns_row(state), state["state"] == CLAIMED
-    ended = z3.Or(state["state"] == DONE, state["state"] == UNKNOWN)
-    matches = z3.And(write != NO_WRITE, write_version == row)
-    told, ran = attempt.get(state, "told_not_run"), attempt.get(state, "ran")
-    return [
-        z3.And(claim >= 0, claim < state["next_version"]),
-        z3.And(write_version >= 0, write_version < state["next_version"]),
-        z3.And(write >= NO_WRITE, write <= WRITE_RENEWAL),
-        z3.And(attempt.get(state, "phase") >= IDLE, attempt.get(state, "phase") <= CRASHED),
-        z3.Implies(z3.And(claim != 0, claim == row), state["state"] == RELEASED),
-        z3.Implies(owns, claim != row),
-        z3.Implies(z3.And(owns, state["state"] == RELEASED), told),
-        z3.Implies(attempt.is_in(state, IDLE, TRYING), z3.Not(told)),
-        z3.Implies(attempt.is_in(state, OWNING), z3.And(owns, held, z3.Not(told))),
-        z3.Implies(attempt.is_in(state, IDLE, TRYING), write == NO_WRITE),
-        z3.Implies(attempt.is_in(state, OWNING, DISPATCHED), write == NO_WRITE),
-        z3.Implies(attempt.is_in(state, IDLE, TRYING, OWNING), z3.Not(ran)),
-        z3.Implies(attempt.is_in(state, DISPATCHED, ENDING), z3.And(ran, owns, z3.Not(told))),
-        z3.Implies(attempt.is_in(state, RELEASING), z3.And(told, z3.Not(ran))),
-        z3.Implies(attempt.is_in(state, IDLE), z3.Not(z3.Or(owns, attempt.get(state, "inserts")))),
-        z3.Implies(attempt.is_in(state, IDLE), claim == 0),
-        z3.Implies(ran, z3.And(owns, z3.Or(held, ended), z3.Not(told))),
-        z3.Implies(ran, z3.Or(write == NO_WRITE, write == WRITE_END)),
-        z3.Implies(write == WRITE_END, ran),
-        z3.Implies(z3.Or(write == WRITE_RELEASE, write == WRITE_RENEWAL), told),
-        z3.Implies(z3.And(matches, write == WRITE_RELEASE, row != 0), z3.And(owns, held)),
-        z3.Implies(z3.And(matches, write == WRITE_RENEWAL), state["state"] == RELEASED),
-        z3.Implies(
-            z3.And(attempt.is_in(state, SETTLED), told),
-            z3.Not(z3.Or(z3.And(owns, held), attempt.may_claim_take_effect(state))),
-        ),
-    ]
-
-
-def _create_steps(attempt: _Attempt, guards: Guards) -> dict[str, Step]:
+def _create_steps(attempt: Attempt, guards: Guards) -> dict[str, Step]:
     return {
         "write_claim": _write_claim(attempt, guards),
         "confirm_claim": _confirm_claim(attempt, guards),
@@ -195,7 +112,7 @@
     }
 
 
-def _write_claim(attempt: _Attempt, guards: Guards) -> Step:
+def _write_claim(attempt: Attempt, guards: Guards) -> Step:
     def is_claimable(state: State) -> z3.BoolRef:
         if not guards.claim_released:
             return z3.BoolVal(True)
@@ -217,7 +134,7 @@
     )
 
 
-def _apply_claim(attempt: _Attempt, guards: Guards) -> Step:
+def _apply_claim(attempt: Attempt, guards: Guards) -> Step:
     def guard(state: State) -> z3.BoolRef:
         if guards.check_version:
             return attempt.may_claim_take_effect(state)
@@ -235,7 +152,7 @@
     )
 
 
-def _confirm_claim(attempt: _Attempt, guards: Guards) -> Step:
+def _confirm_claim(attempt: Attempt, guards: Guards) -> Step:
     def guard(state: State) -> z3.BoolRef:
         is_ours = attempt.owns_row(state) if guards.confirm_attempt else z3.BoolVal(True)
         return z3.And(attempt.is_in(state, TRYING), state["state"] == CLAIMED, is_ours)
@@ -243,7 +160,7 @@
     return Step(guard, lambda s: {attempt.name("phase"): z3.IntVal(OWNING)})
 
 
-def _record_dispatch(attempt: _Attempt, guards: Guards) -> Step:
+def _record_dispatch(attempt: Attempt, guards: Guards) -> Step:
     phases = (OWNING,) if guards.dispatch_confirmed else (OWNING, TRYING, RELEASING)
     return Step(
         lambda s: attempt.is_in(s, *phases),
@@ -254,30 +171,30 @@
     )
 
 
-def _end_claim(attempt: _Attempt) -> Step:
+def _end_claim(attempt: Attempt) -> Step:
     return Step(
         lambda s: attempt.is_in(s, DISPATCHED),
         lambda s: {attempt.name("phase"): z3.IntVal(ENDING)},
     )
 
 
-def _release_claim(attempt: _Attempt, guards: Guards) -> Step:
+def _release_claim(attempt: Attempt, guards: Guards) -> Step:
     phases = (OWNING,) if guards.release_undispatched else (OWNING, DISPATCHED)
     return Step(lambda s: attempt.is_in(s, *phases), _tell_not_run(attempt))
 
 
-def _give_up_claim(attempt: _Attempt) -> Step:
+def _give_up_claim(attempt: Attempt) -> Step:
     return Step(lambda s: attempt.is_in(s, TRYING), _tell_not_run(attempt))
 
 
-def _tell_not_run(attempt: _Attempt) -> Update:
+def _tell_not_run(attempt: Attempt) -> Update:
     return lambda s: {
         attempt.name("phase"): z3.IntVal(RELEASING),
         attempt.name("told_not_run"): z3.BoolVal(True),
     }
 
 
-def _settle_claim(attempt: _Attempt, guards: Guards) -> Step:
+def _settle_claim(attempt: Attempt, guards: Guards) -> Step:
     """Read the row and send the write that is still wanted, or find that none is."""
 
     def decide(state: State) -> z3.ArithRef:
@@ -307,7 +224,7 @@
     return Step(lambda s: attempt.is_in(s, ENDING, RELEASING), update)
 
 
-def _apply_settlement(attempt: _Attempt) -> Step:
+def _apply_settlement(attempt: Attempt) -> Step:
     def update(state: State) -> Mapping[str, Any]:
         write = attempt.get(state, "write")
         renews = write == WRITE_RENEWAL
--- a/tests/specifications/test_booking.py
+++ b/tests/specifications/test_booking.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from specifications.booking import ENVIRONMENT, Guards, create_system, is_consistent
+from specifications.booking import ENVIRONMENT, Guards, create_system
+from specifications.booking_state import is_consistent
 from specifications.search import prove_inductive, search_bounded
 from tests.bookings.race import Race
 from turmericproxy.bookings import ClaimController, claims
