--- a/turmericproxy/keys/controller.py
+++ b/turmericproxy/keys/controller.py
@@ -243,7 +243,10 @@
 
     def _cover_marks(self) -> float:
         now = read_boottime()
-        for key_id in self._register.marks().open:
+        open_marks = self._register.marks().open
+        with self._lock:
+            self._cover_at = {key: at for key, at in self._cover_at.items() if key in open_marks}
+        for key_id in open_marks:
             if self._cover_at.get(key_id, 0.0) <= now:
                 self._cover(key_id, WITHDRAW_TIMEOUT_SECONDS)
         return CHECK_SECONDS
