--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -1,5 +1,6 @@
 """Check how claim writes are gathered, and that a conflict fails only its own write."""
 
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -12,6 +13,8 @@
 from turmericproxy.bookings.batch import (
     FIRST_GAP_SECONDS,
     LONGEST_GAP_SECONDS,
+    SENDERS,
+    STALL_SECONDS,
     Batcher,
     RowConflict,
     SizedWrite,
@@ -76,8 +79,14 @@
 
 
 def submit_all(batcher: Batcher, writes: list[ClaimWrite]) -> list[object]:
+    """Queue all writes before the batcher starts."""
     with ThreadPoolExecutor(len(writes)) as pool:
-        return list(pool.map(lambda write: batcher.submit(write, 5.0), writes))
+        futures = [pool.submit(batcher.submit, write, 5.0) for write in writes]
+        deadline = time.monotonic() + 5.0
+        while len(batcher._queue) < len(writes) and time.monotonic() < deadline:
+            time.sleep(0.001)
+        batcher.start()
+        return [future.result() for future in futures]
 
 
 def test_conflict_fails_only_its_own_write_and_load_is_gathered(
@@ -86,7 +95,6 @@
     client = create_client(platform)
     client.commit(create_transaction([create_write(f"taken-{n}") for n in range(20)]))
     batcher = Batcher(client)
-    batcher.start()
     try:
         keys = [f"{'taken' if n % 2 else 'free'}-{n}" for n in range(40)]
         results = submit_all(batcher, [create_write(key) for key in keys])
@@ -95,7 +103,7 @@
             assert isinstance(result, RowConflict if taken else Written), (key, result)
         control = HttpClient(f"127.0.0.1:{platform.port}")
         _, counts = control.call_json("GET", "/control")  # type: ignore[misc]
-        assert counts["writes"] <= 20
+        assert counts["writes"] == 3
     finally:
         batcher.close()
 
@@ -104,10 +112,9 @@
     platform = create_platform("127.0.0.1:0", writes=20)
     platform.start()
     batchers = [Batcher(create_client(platform)) for _ in range(4)]
-    for batcher in batchers:
-        batcher.start()
     try:
-        writes = [[create_write(f"{n}-{m}") for m in range(25)] for n in range(4)]
+        # Two tokens for four first transactions: some are refused, and go out again whole.
+        writes = [[create_write(f"{n}-{m}") for m in range(100)] for n in range(4)]
         with ThreadPoolExecutor(4) as pool:
             results = list(pool.map(submit_all, batchers, writes))
         assert all(isinstance(result, Written) for group in results for result in group)
@@ -149,3 +156,39 @@
             assert isinstance(batcher.submit(create_write(f"k{number}"), 1.0), AnswerLost)
     finally:
         batcher.close()
+
+
+def test_slow_platform_still_takes_steady_writes(platform: PlatformStandIn) -> None:
+    control = HttpClient(f"127.0.0.1:{platform.port}")
+    control.call_json("POST", "/control", {"slow": 1.2})
+    batcher = Batcher(create_client(platform))
+    batcher.start()
+    try:
+        assert isinstance(batcher.submit(create_write("first"), 2.5), Written)
+        with ThreadPoolExecutor(64) as pool:
+            sent = []
+            for number in range(60):
+                time.sleep(0.03)
+                sent.append(pool.submit(batcher.submit, create_write(f"k{number}"), 2.5))
+            results = [future.result() for future in sent]
+        assert all(isinstance(result, Written) for result in results)
+    finally:
+        batcher.close()
+
+
+def test_silent_platform_is_refused_at_once(platform: PlatformStandIn) -> None:
+    control = HttpClient(f"127.0.0.1:{platform.port}")
+    control.call_json("POST", "/control", {"slow": 1.5})
+    batcher = Batcher(create_client(platform))
+    batcher.start()
+    try:
+        with ThreadPoolExecutor(SENDERS) as pool:
+            for number in range(SENDERS):
+                pool.submit(batcher.submit, create_write(f"k{number}"), 1.5)
+                time.sleep(0.05)
+            time.sleep(STALL_SECONDS)
+            started = time.monotonic()
+            assert isinstance(batcher.submit(create_write("later"), 1.5), Refusal)
+            assert time.monotonic() - started < 0.2
+    finally:
+        batcher.close()
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -1,65 +1,73 @@
-"""Check that hosts find each other by the platform's list and call beyond their links."""
+"""Check which links follow from the settings and the platform's list."""
 
-from typing import Any
+from collections.abc import Iterable
 
-from tests.peers.test_links import await_condition, create_links, get_address
 from turmericproxy.core import DomainName, HostName, ResultCode, refuse
-from turmericproxy.peers import PeerAddress, PeerLinks
-from turmericproxy.peers.membership import MembershipController, merge_members
-from turmericproxy.peers.topology import FULL_MESH_HOSTS
-from turmericproxy.platform import HostEntry, HostList, HostState, PlatformClient
+from turmericproxy.peers import PeerAddress
+from turmericproxy.peers.membership import MembershipController, choose_peers
+from turmericproxy.platform import HostEntry, HostList, HostState
 
-ONE, TWO = HostName("h1"), HostName("h2")
-DOMAIN = DomainName("d1")
-AWAY = refuse(ResultCode.PLATFORM_UNAVAILABLE, "away")
+ME, DOMAIN = HostName("h0"), DomainName("d0")
 
 
-class ListingPlatform:
-    """Answer with a list that the test sets."""
+def create_entry(number: int, state: HostState = HostState.LIVE, port: int = 1) -> HostEntry:
+    host, domain = HostName(f"h{number}"), DomainName(f"d{number % 3}")
+    return HostEntry(host, domain, "", f"127.0.0.1:{port}", state, 0.0)
 
-    def __init__(self, answer: Any) -> None:
-        self.answer = answer
 
-    def list_hosts(self) -> Any:
+def create_configured(number: int) -> PeerAddress:
+    return PeerAddress(HostName(f"h{number}"), DomainName(f"d{number % 3}"), "127.0.0.1:9")
+
+
+def name_hosts(peers: Iterable[PeerAddress]) -> set[str]:
+    return {peer.host for peer in peers}
+
+
+class FakePlatform:
+    def __init__(self) -> None:
+        self.answer = refuse(ResultCode.PLATFORM_UNAVAILABLE, "away")
+
+    def list_hosts(self):
         return self.answer
 
 
-def create_entry(name: HostName, state: HostState, address: str = "127.0.0.1:1") -> HostEntry:
-    return HostEntry(name, DOMAIN, "127.0.0.1:2", address, state, 0.0)
-
-
-def create_controller(platform: Any, links: PeerLinks) -> MembershipController:
-    client: PlatformClient = platform
-    return MembershipController(client, links, ())
-
-
-def test_settings_go_before_the_list_and_gone_hosts_are_left_out() -> None:
-    configured = PeerAddress(ONE, DOMAIN, "127.0.0.1:7")
-    listed = (create_entry(ONE, HostState.GONE), create_entry(TWO, HostState.GONE))
-    assert merge_members([configured], listed) == {ONE: configured}
-    assert merge_members([], [create_entry(TWO, HostState.LEAVING)]).keys() == {TWO}
-
-
-def test_a_large_fleet_has_few_links_and_every_host_can_be_called() -> None:
-    fleet = [create_links(f"host-{n}") for n in range(FULL_MESH_HOSTS + 6)]
-    for links in fleet:
-        links.register("echo", lambda sender, body: [sender, body])
-    entries = [create_entry(k.host, HostState.LIVE, get_address(k).address) for k in fleet]
-    platform = ListingPlatform(HostList(tuple(entries), 0.0))
-    controllers = [create_controller(platform, links) for links in fleet]
-    try:
-        for controller in controllers:
-            controller.start()
-        caller = fleet[0]
-        assert await_condition(lambda: 0 < len(caller.list_reachable()) <= 8)
-        for other in fleet[1:]:
-            assert caller.call(other.host, "echo", 7, timeout=2.0) == [caller.host, 7]
-        linked = {state.host for state in caller.list_reachable()}
-        platform.answer = AWAY
-        controllers[0]._follow_platform()
-        assert {state.host for state in caller.list_reachable()} == linked
-    finally:
-        for controller in controllers:
-            controller.close()
-        for links in fleet:
-            links.close()
+class FakeLinks:
+    def __init__(self) -> None:
+        self.settings: list[list[PeerAddress]] = []
+
+    def set_peers(self, peers):
+        self.settings.append(list(peers))
+
+    def set_directory(self, peers):
+        self.directory = list(peers)
+
+
+def test_hosts_that_only_the_platform_names_are_linked_and_gone_ones_kept():
+    listed = [create_entry(0), create_entry(1), create_entry(2, HostState.GONE)]
+    chosen = choose_peers(ME, DOMAIN, [create_configured(3)], listed)
+    assert name_hosts(chosen) == {"h1", "h2", "h3"}
+
+
+def test_the_platform_goes_before_the_settings():
+    chosen = choose_peers(ME, DOMAIN, [create_configured(1)], [create_entry(1, port=7)])
+    assert [peer.address for peer in chosen] == ["127.0.0.1:7"]
+
+
+def test_a_large_fleet_links_few_and_none_that_is_gone():
+    listed = [create_entry(n, HostState.GONE if n % 4 == 3 else HostState.LIVE) for n in range(60)]
+    chosen = choose_peers(ME, DOMAIN, [], listed)
+    assert 4 <= len(chosen) <= 8
+    assert not name_hosts(chosen) & {f"h{n}" for n in range(3, 60, 4)}
+
+
+def test_links_follow_the_list_and_stay_while_the_platform_is_away():
+    platform, links = FakePlatform(), FakeLinks()
+    membership = MembershipController(platform, links, ME, DOMAIN, [create_configured(1)])
+    away = platform.answer
+    membership.start()
+    membership.close()
+    platform.answer = HostList((create_entry(0), create_entry(1), create_entry(2)), 0.0)
+    membership.step()
+    platform.answer = away
+    membership.step()
+    assert [name_hosts(peers) for peers in links.settings] == [{"h1"}, {"h1", "h2"}]
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -33,6 +33,8 @@
         self.membership = MembershipController(
             self.platform,
             self.links,
+            host,
+            domain,
             (
                 PeerAddress(HostName(peer.host), DomainName(peer.domain), peer.address)
                 for peer in settings.peers
