Debit the fullest buckets first, and keep debits to 30 ms

Causes: what debits may be under way is kept out of the burst, and a full bucket loses its refill while another is drained. Ruled out: estimates that stay too low, and requests that collect at once.

--- a/turmericproxy/rates/debits.py
+++ b/turmericproxy/rates/debits.py
@@ -12,6 +12,7 @@
 
 DEBIT_KIND = "rates.debit"
 GIVE_BACK_KIND = "rates.give_back"
+QUARTERS = 4
 
 
 @dataclass(frozen=True)
@@ -74,9 +75,17 @@
 def order_holders(
     shares: Iterable[Share], domain: DomainName, levels: dict[HostName, int]
 ) -> tuple[HostName, ...]:
-    """Return the holders with those of the own failure domain first, then the fullest."""
-    ordered = sorted(shares, key=lambda s: (s.domain != domain, -levels[s.host], s.host))
-    return tuple(share.host for share in ordered)
+    """Return the holders with the fullest buckets first, by quarters of their depth.
+
+    A bucket that is full loses what refills it. Within a quarter the own failure domain comes
+    first.
+    """
+
+    def rank(share: Share) -> tuple[int, bool, int, HostName]:
+        quarter = levels[share.host] * QUARTERS // share.burst if share.burst else 0
+        return -quarter, share.domain != domain, -levels[share.host], share.host
+
+    return tuple(share.host for share in sorted(shares, key=rank))
 
 
 class DebitDesk:
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -69,7 +69,7 @@
     def fetch_from_peers(self, account: AccountName) -> LedgerRow | None:
         """Return the split that the first reachable host knows, and remember it."""
         for peer in self._links.list_reachable():
-            reply = self._links.call(peer.host, ROW_KIND, {"account": account}, self._debit_timeout)
+            reply = self._links.call(peer.host, ROW_KIND, {"account": account})
             if isinstance(reply, dict):
                 return self._remember(Versioned(ledger.decode_row(reply["row"]), reply["version"]))
         return None
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -87,7 +87,7 @@
     """Set how buckets are lapsed and granted again, in seconds."""
 
     regrant_after: float = Field(default=10.0, gt=0)
-    debit_timeout: float = Field(default=0.1, gt=0)
+    debit_timeout: float = Field(default=0.03, gt=0)
 
 
 class RoutingSettings(Section):
