--- a/tests/specifications/test_buckets.py
+++ b/tests/specifications/test_buckets.py
@@ -5,7 +5,7 @@
 import pytest
 import z3
 
-from specifications import buckets
+from specifications import buckets, lease_states, leases
 from specifications.search import (
     Counterexample,
     TransitionSystem,
@@ -19,7 +19,7 @@
 from turmericproxy.rates.table import RateTable
 from turmericproxy.settings.schema import RateSettings
 
-LEASES = buckets.create_lease_system()
+LEASES = leases.create_lease_system()
 DEBITS = buckets.create_debit_system()
 PROMISE_STEPS = ("wait", "ask_promise", "promise", "renew_by_guardian", "may_regrant", "regrant")
 RATE = 1000.0
@@ -44,7 +44,7 @@
 
 def start_marked(s):
     """Return the state after mark_lost, apply_mark and set_watch."""
-    marked = {"version": 2, "standing": buckets.LOST, "watch_version": 2, "mark_version": 1}
+    marked = {"version": 2, "standing": lease_states.LOST, "watch_version": 2, "mark_version": 1}
     zeros = ("now", "holder", "lease_2", "ready_2", "read", "asked", "watch_since")
     zeros += ("watch_d_version",)
     false = ("has_2", "mark_sent", "regrant_sent", "has_c", "marked_by_d", "regrant_d_sent")
@@ -54,23 +54,23 @@
         *(z3.Not(s[name]) for name in false),
         s["incarnation"] == 1,
         s["guarded"] == 1,
-        s["lease_1"] == buckets.LEASE,
+        s["lease_1"] == lease_states.LEASE,
         s["has_1"],
         s["watched"],
     )
 
 
 def without_wait(s):
-    is_marked = z3.And(s["standing"] == buckets.LOST, s["watch_version"] == s["version"])
+    is_marked = z3.And(s["standing"] == lease_states.LOST, s["watch_version"] == s["version"])
     return z3.And(s["watched"], z3.Not(s["regrant_sent"]), is_marked)
 
 
 def without_version(s):
-    return z3.And(s["regrant_sent"], s["holder"] == buckets.OF_A)
+    return z3.And(s["regrant_sent"], s["holder"] == lease_states.OF_A)
 
 
 def without_takeover_wait(s):
-    return z3.And(s["incarnation"] == 2, s["standing"] == buckets.OPEN)
+    return z3.And(s["incarnation"] == 2, s["standing"] == lease_states.OPEN)
 
 
 def without_flight_limit(s):
@@ -82,7 +82,7 @@
 
 
 def test_leases_keep_an_inductive_invariant():
-    assert prove_inductive(replace(LEASES, invariant=buckets.strengthen_lease)) is None
+    assert prove_inductive(replace(LEASES, invariant=lease_states.strengthen_lease)) is None
 
 
 def test_no_short_run_of_debits_exceeds_the_burst():
@@ -126,7 +126,7 @@
 
     def __init__(self) -> None:
         self.world = World(seed=0)
-        settings = RateSettings(regrant_after=float(buckets.REGRANT_AFTER))
+        settings = RateSettings(regrant_after=float(lease_states.REGRANT_AFTER))
         self.settings = settings
         self.holder = Process(self.world, "a0", "a", settings)
         self.guardian = Process(self.world, "a1", "a", settings)
@@ -140,7 +140,7 @@
         assert row and row.value["guardian"]["host"] == "a1"
         self.world.faults.unhealthy.add(HostName("a0"))
         self.world.faults.silent.add(HostName("a0"))
-        self.wait(buckets.LEASE * 0.6)
+        self.wait(lease_states.LEASE * 0.6)
 
     def run(self, found: Counterexample) -> None:
         for name, before, after in zip(found.steps, found.states, found.states[1:], strict=False):
