--- a/turmericproxy/bench/fleet_plan.py
+++ b/turmericproxy/bench/fleet_plan.py
@@ -15,12 +15,16 @@
 DOMAINS = ("north", "centre", "south")
 HOSTS = 8
 ROUTE = "bookings"
+ALONE = "expected_time_alone"
 RATE_HEADROOM = 1.6
 BURST_SECONDS = 6.0
 
 
 def create_plan(shape: Shape, policy: str) -> ClusterPlan:
-    """Return the cluster of a user whose hosts route by a policy."""
+    """Return the cluster of a user whose hosts route by a policy.
+
+    ``ALONE`` is the host's own policy without the store of kept KV cache.
+    """
     services = _create_services(shape)
     return ClusterPlan(
         hosts=_create_hosts(policy),
@@ -40,7 +44,10 @@
 
 
 def _create_hosts(policy: str) -> tuple[HostPlan, ...]:
-    settings: dict[str, Any] = {"routing": {"policy": policy}}
+    routing: dict[str, Any] = {"policy": policy}
+    if policy == ALONE:
+        routing = {"policy": "expected_time", "kept_cache": False}
+    settings = {"routing": routing}
     return tuple(
         HostPlan(f"host-{number + 1}", _get_domain(number), settings) for number in range(HOSTS)
     )
--- a/turmericproxy/bench/runs.py
+++ b/turmericproxy/bench/runs.py
@@ -10,7 +10,7 @@
 from turmericproxy.bench.callers import Target, send_calls
 from turmericproxy.bench.cluster import Cluster, start_cluster
 from turmericproxy.bench.disturbances import DisturbanceThread
-from turmericproxy.bench.fleet_plan import ROUTE, create_plan
+from turmericproxy.bench.fleet_plan import ALONE, ROUTE, create_plan
 from turmericproxy.bench.measures import Measures, collect_first_tokens, measure
 from turmericproxy.bench.oracle import create_replay, find_best_hit_rate
 from turmericproxy.bench.results import CallResult
@@ -18,6 +18,7 @@
 from turmericproxy.bench.workload import create_workload
 
 POLICIES = ("expected_time", "round_robin", "least_loaded", "hash_first")
+ALL_POLICIES = (*POLICIES, ALONE)
 WARM_UP_SHARE = 0.15
 DECISION_MARK = '"decision": true'
 
--- a/turmericproxy/bench/tables.py
+++ b/turmericproxy/bench/tables.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 from statistics import fmean
 
+from turmericproxy.bench.fleet_plan import ALONE
 from turmericproxy.bench.measures import measure_worst_ratio, pool_first_tokens
-from turmericproxy.bench.runs import POLICIES, RunResult
+from turmericproxy.bench.runs import ALL_POLICIES, RunResult
 
 FIRST_TOKEN_TARGET = 0.34
 HIT_RATE_TARGET = 0.9
@@ -14,6 +15,7 @@
 REFUSED_TARGET = 0.01
 
 POOLED = "pooled"
+WIDTH = 26
 OWN_POLICY = "expected_time"
 
 
@@ -48,14 +50,14 @@
 def _write_user(user: str, results: Sequence[RunResult]) -> str:
     runs = [result for result in results if result.plan.shape.name == user]
     seeds = sorted({result.plan.seed for result in runs})
-    titles = "".join(f"{column.title:>22}" for column in COLUMNS) + f"{POOLED:>8}"
+    titles = "".join(f"{column.title:>{WIDTH}}" for column in COLUMNS) + f"{POOLED:>8}"
     lines = [f"{user}, seeds {', '.join(map(str, seeds))}: mean [lowest, highest]"]
-    lines.append(f"{'policy':<15}{titles}")
-    for policy in POLICIES:
+    lines.append(f"{'policy':<20}{titles}")
+    for policy in ALL_POLICIES:
         group = [result for result in runs if result.plan.policy == policy]
         if group:
-            cells = "".join(f"{_write_cell(column, group):>22}" for column in COLUMNS)
-            lines.append(f"{policy:<15}{cells}{_pool_worst_ratio(group):>8.2f}")
+            cells = "".join(f"{_write_cell(column, group):>{WIDTH}}" for column in COLUMNS)
+            lines.append(f"{policy:<20}{cells}{_pool_worst_ratio(group):>8.2f}")
     return "\n".join([*lines, *_write_targets(runs), ""])
 
 
@@ -72,7 +74,7 @@
 
 def _write_targets(runs: Sequence[RunResult]) -> list[str]:
     own = [run for run in runs if run.plan.policy == OWN_POLICY]
-    others = [run for run in runs if run.plan.policy != OWN_POLICY]
+    others = [run for run in runs if run.plan.policy not in (OWN_POLICY, ALONE)]
     if not own or not others:
         return []
     waste = _mean_by_policy(others, lambda run: run.measures.wasted)
--- a/turmericproxy/cli/bench.py
+++ b/turmericproxy/cli/bench.py
@@ -15,7 +15,9 @@
     first_seed: Annotated[int, typer.Option(help="First seed.")] = 1,
     seconds: Annotated[float, typer.Option(help="Length of a workload, seconds.")] = 10.0,
     user: Annotated[list[str] | None, typer.Option(help="User; may be repeated.")] = None,
-    policy: Annotated[list[str] | None, typer.Option(help="Policy; may be repeated.")] = None,
+    policy: Annotated[
+        list[str] | None, typer.Option(help="Policy; may be repeated; also expected_time_alone.")
+    ] = None,
     calm: Annotated[bool, typer.Option(help="Leave out the faults.")] = False,
     quick: Annotated[bool, typer.Option(help="One seed, short workloads, one user.")] = False,
     speed: Annotated[bool, typer.Option(help="Measure only what one host adds and needs.")] = False,
