Prove that a stream goes on while its attempts bring pieces

Crossed answers now start after a number of their own pieces, so that a continued stream brings some before it is crossed.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -39,6 +39,13 @@
     Then every stream is whole and is the known text
     And at least 2 faults were used up
 
+  Scenario: A stream goes on while its attempts bring pieces
+    Given a quick cluster
+    When every engine crosses its next 2 answers from piece 3 on
+    And 1 streams of 40 pieces run through both hosts
+    Then every stream is whole and is the known text
+    And at least 5 faults were used up
+
   Scenario: Whole answers come late and crossed
     Given a quick cluster
     When every engine crosses its next 2 answers from piece 0 on
--- a/turmericproxy/standins/engine/answers.py
+++ b/turmericproxy/standins/engine/answers.py
@@ -34,12 +34,14 @@
         self._request = request
         self._crossed_from = faults.take_crossed()
         self._break_at: int | None = None
+        self._first = job.start
         self.is_silent = faults.silent
 
     def stream(self, first: int) -> Iterator[bytes]:
         """Yield one server-sent event a piece, then the usage, then the end mark."""
         job = self._job
         self._break_at = self._faults.take_break()
+        self._first = first
         try:
             self._delay()
             self._wait(lambda: True)
@@ -101,7 +103,7 @@
                 raise ConnectionCut
 
     def _is_crossed(self, index: int) -> bool:
-        return self._crossed_from is not None and index >= self._crossed_from
+        return self._crossed_from is not None and index - self._first >= self._crossed_from
 
     def _describe(self, index: int) -> dict[str, Any]:
         is_crossed = self._is_crossed(index)
--- a/turmericproxy/standins/engine/options.py
+++ b/turmericproxy/standins/engine/options.py
@@ -36,8 +36,9 @@
 class EngineFaults:
     """Hold the faults that a control call sets; times are in seconds.
 
-    ``crossed`` counts the answers still to be crossed with another request's, from piece
-    ``crossed_after`` on; ``break_stream_after`` cuts the next stream after that many pieces.
+    ``crossed`` counts the answers still to be crossed with another request's, after
+    ``crossed_after`` pieces of their own; ``break_stream_after`` cuts the next stream after that
+    many pieces.
     """
 
     event_lag: float
