Try ejected upstreams with one request each when all are ejected

Ruled out: shorter ejections, which send more work to upstreams that stay sick. Conclusion: one request an upstream finds out that it is back.

--- a/turmericproxy/routing/decisions.py
+++ b/turmericproxy/routing/decisions.py
@@ -34,9 +34,11 @@
     ``turn`` counts the host's choices, ``now`` is a boot time in seconds, and ``kept`` says
     which blocks can be imported.
     """
-    serving = [view for view in views if is_serving(view, request)]
+    matching = [view for view in views if is_serving(view, request)]
+    # With every engine ejected one may be back already: each is tried with a request at a time.
+    serving = [view for view in matching if not view.is_ejected] or matching
     if not serving:
-        reason = "no healthy engine serves the model and version"
+        reason = "no engine serves the model and version"
         return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=RETRY_AFTER)
     free = [view for view in serving if view.has_room]
     if not free:
@@ -51,8 +53,8 @@
 
 
 def is_serving(view: EngineView, request: RoutingRequest) -> bool:
-    """Return whether an engine is healthy, not excluded, and serves the version asked for."""
-    if view.is_ejected or view.engine in request.excluded:
+    """Return whether an engine is not excluded and serves the version asked for."""
+    if view.engine in request.excluded:
         return False
     return view.version is None or view.version == request.version
 
--- a/turmericproxy/routing/plain.py
+++ b/turmericproxy/routing/plain.py
@@ -59,9 +59,11 @@
         active = [u for u in found if u is not None and u.state is UpstreamState.ACTIVE]
         with self._lock:
             healthy = [u for u in active if not self._get_state(u).health.is_ejected(now)]
-            free = [u for u in healthy if self._has_room(u, now)]
+            # With every service ejected one may be back already: each is tried with one call.
+            usable = healthy or active
+            free = [u for u in usable if self._has_room(u, now)]
             if not free:
-                return _refuse_call(bool(healthy))
+                return _refuse_call(bool(usable))
             taken = min(free, key=self._rank)
             load = self._get_state(taken).measure_load(taken)
         log_decision(
@@ -123,9 +125,9 @@
         return busy_tenths, is_far, -weigh_rendezvous(self._host, upstream.name)
 
 
-def _refuse_call(has_healthy: bool) -> Refusal:
-    if has_healthy:
+def _refuse_call(has_active: bool) -> Refusal:
+    if has_active:
         reason = "every service of the route has its slots taken"
         return refuse(ResultCode.OVERLOADED, reason, retry_after=RETRY_AFTER)
-    reason = "no service of the route is active and healthy"
+    reason = "no service of the route is active"
     return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=RETRY_AFTER)
