--- a/tests/routing/test_decisions.py
+++ b/tests/routing/test_decisions.py
@@ -104,3 +104,13 @@
             else:
                 assert isinstance(decision, Refusal)
                 assert decision.code in (ResultCode.NO_UPSTREAM, ResultCode.OVERLOADED)
+
+
+def test_imports_of_one_prefix_at_the_same_moment_are_spread():
+    kept = KeptChain((True, True, True), seconds_per_call=0.005, seconds_per_block=0.015)
+    views = [create_view(number) for number in range(6)]
+    requests = [create_request(n, CHAIN) for n in range(40)]
+    taken = {take(ExpectedTime(), views, request, kept=kept) for request in requests}
+    assert len(taken) >= 4
+    taken = {take(ExpectedTime(), views, request) for request in requests}
+    assert len(taken) == 1
--- a/turmericproxy/bench/disturbances.py
+++ b/turmericproxy/bench/disturbances.py
@@ -34,7 +34,7 @@
     cluster.set_faults(CRASHED_ENGINE, crash=ENGINE_DOWN)
 
 
-def restart_herd(cluster: Cluster) -> None:
+def restart_together(cluster: Cluster) -> None:
     """Kill one host and stop three at once, and start them again as soon as they have ended."""
     for host in RESTARTED_HOSTS:
         cluster.stop_host(host)
@@ -48,7 +48,7 @@
 DISTURBANCES = (
     Disturbance("events lost", 0.25, lose_events),
     Disturbance("engine crash", 0.45, crash_engine),
-    Disturbance("herd of hosts restarted", 0.65, restart_herd),
+    Disturbance("hosts restarted together", 0.65, restart_together),
 )
 
 
