--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -97,5 +97,7 @@
             break
         assert time.monotonic() < deadline, run.find_fault()
         time.sleep(PAUSE_SECONDS)
+    for name, before in context.crashed.items():
+        context.cluster.await_restart(name, before)
     record = find_record(context, run.result.request_id)
     assert run.result.usage["cached_tokens"] == record["cached_tokens"], record
