Write refusals at one place; name the variables of models at one place

Ruled out: nothing. Run: 76 tests of specifications, operators, callers and web pass; types clean. Conclusion: no change of behaviour.

--- a/specifications/booking_state.py
+++ b/specifications/booking_state.py
@@ -1,10 +1,10 @@
 """Describe the states of a booking row and its attempts, and what must hold of them."""
 
 from dataclasses import dataclass
-from typing import Any
 
 import z3
 
+from specifications.numbered import Numbered
 from specifications.search import State
 
 ABSENT, CLAIMED, DONE, RELEASED, UNKNOWN = range(5)
@@ -13,21 +13,13 @@
 
 
 @dataclass(frozen=True)
-class Attempt:
+class Attempt(Numbered):
     """Name the variables of one attempt.
 
     ``inserts`` says that a write for an absent row was sent; ``claim_version`` is the version that
     its last write over a released row depends on, or 0.
     """
 
-    number: int
-
-    def name(self, variable: str) -> str:
-        return f"{variable}_{self.number}"
-
-    def get(self, state: State, variable: str) -> Any:
-        return state[self.name(variable)]
-
     def is_in(self, state: State, *phases: int) -> z3.BoolRef:
         return z3.Or([self.get(state, "phase") == phase for phase in phases])
 
--- a/specifications/configuration.py
+++ b/specifications/configuration.py
@@ -11,6 +11,7 @@
 
 import z3
 
+from specifications.numbered import Numbered
 from specifications.search import State, Step, TransitionSystem
 
 ENVIRONMENT = ("apply_commit", "apply_old_commit", "restart_host", "commit_other")
@@ -37,20 +38,9 @@
 
 
 @dataclass(frozen=True)
-class _Numbered:
+class _Actor(Numbered):
     """Name the variables of one attempt or host."""
 
-    number: int
-
-    def name(self, variable: str) -> str:
-        return f"{variable}_{self.number}"
-
-    def get(self, state: State, variable: str) -> Any:
-        return state[self.name(variable)]
-
-    def set(self, **values: Any) -> dict[str, Any]:
-        return {self.name(variable): value for variable, value in values.items()}
-
     def is_in(self, state: State, *phases: int) -> z3.BoolRef:
         return z3.Or([self.get(state, "phase") == phase for phase in phases])
 
@@ -66,7 +56,7 @@
     attempts: int, guards: CommitGuards = CommitGuards()  # noqa: B008
 ) -> TransitionSystem:
     """Return the system in which some attempts at changes race and lose answers."""
-    racing = [_Numbered(number + 1) for number in range(attempts)]
+    racing = [_Actor(number + 1) for number in range(attempts)]
     variables: dict[str, z3.SortRef] = {"head": z3.IntSort()}
     steps: dict[str, Step] = {}
     for attempt in racing:
@@ -92,7 +82,7 @@
 def is_truthful(state: State, attempts: int) -> z3.BoolRef:
     """Return what operators rely on: accepted is committed once, refused never takes effect."""
     parts = []
-    for attempt in (_Numbered(number + 1) for number in range(attempts)):
+    for attempt in (_Actor(number + 1) for number in range(attempts)):
         commits = attempt.get(state, "commits")
         parts.append(commits <= 1)
         parts.append(z3.Implies(attempt.is_in(state, ACCEPTED), commits == 1))
@@ -103,7 +93,7 @@
 def is_commit_consistent(state: State, attempts: int) -> z3.BoolRef:
     """Return the inductive invariant: truthfulness, and which sent copies can still count."""
     parts = [is_truthful(state, attempts), state["head"] >= 0]
-    for attempt in (_Numbered(number + 1) for number in range(attempts)):
+    for attempt in (_Actor(number + 1) for number in range(attempts)):
         base, owned = attempt.get(state, "base"), attempt.get(state, "owned")
         commits, head = attempt.get(state, "commits"), state["head"]
         before = attempt.is_in(state, IDLE, READY)
@@ -119,7 +109,7 @@
     return z3.And(parts)
 
 
-def _create_commit_steps(attempt: _Numbered, guards: CommitGuards) -> dict[str, Step]:
+def _create_commit_steps(attempt: _Actor, guards: CommitGuards) -> dict[str, Step]:
     return {
         "create_transaction": Step(
             lambda state: attempt.is_in(state, IDLE),
@@ -171,7 +161,7 @@
     }
 
 
-def _create_application(attempt: _Numbered) -> Update:
+def _create_application(attempt: _Actor) -> Update:
     def apply_commit(state: State) -> Mapping[str, Any]:
         revision = state["head"] + 1
         commits = attempt.get(state, "commits") + 1
@@ -180,7 +170,7 @@
     return apply_commit
 
 
-def _create_settlement(attempt: _Numbered, guards: CommitGuards) -> Update:
+def _create_settlement(attempt: _Actor, guards: CommitGuards) -> Update:
     def settle_change(state: State) -> Mapping[str, Any]:
         doubtful = attempt.get(state, "doubtful")
         conflict = OVERTAKEN
@@ -197,7 +187,7 @@
     return settle_change
 
 
-def _create_reading(attempt: _Numbered, guards: CommitGuards) -> Update:
+def _create_reading(attempt: _Actor, guards: CommitGuards) -> Update:
     def read_change(state: State) -> Mapping[str, Any]:
         is_own: Any = attempt.is_committed(state) if guards.compare_change_id else True
         missing = DOUBTFUL if guards.resend_missing else REFUSED
@@ -227,7 +217,7 @@
     ``applied`` counts the changes that a host's content reflects; ``highest`` is the highest
     revision since its start.
     """
-    members = [_Numbered(number + 1) for number in range(hosts)]
+    members = [_Actor(number + 1) for number in range(hosts)]
     variables: dict[str, z3.SortRef] = {"head": z3.IntSort()}
     steps = {"commit_other": Step(lambda _: True, lambda state: {"head": state["head"] + 1})}
     for host in members:
@@ -243,7 +233,7 @@
     )
 
 
-def is_following(state: State, host: _Numbered) -> z3.BoolRef:
+def is_following(state: State, host: _Actor) -> z3.BoolRef:
     """Return whether a host holds exactly a committed revision, and never fell back."""
     revision = host.get(state, "revision")
     return z3.And(
@@ -254,7 +244,7 @@
     )
 
 
-def _create_spread_steps(host: _Numbered, guards: SpreadGuards) -> dict[str, Step]:
+def _create_spread_steps(host: _Actor, guards: SpreadGuards) -> dict[str, Step]:
     def is_sent(state: State) -> z3.BoolRef:
         return z3.And(state["frame"] >= 1, state["frame"] <= state["head"])
 
--- a/specifications/withdrawal.py
+++ b/specifications/withdrawal.py
@@ -10,6 +10,7 @@
 
 import z3
 
+from specifications.numbered import Numbered
 from specifications.search import State, Step, TransitionSystem
 
 ENVIRONMENT = ("restart_host",)
@@ -35,20 +36,9 @@
 
 
 @dataclass(frozen=True)
-class _Host:
+class _Host(Numbered):
     """Name the variables of one host."""
 
-    number: int
-
-    def name(self, variable: str) -> str:
-        return f"{variable}_{self.number}"
-
-    def get(self, state: State, variable: str) -> Any:
-        return state[self.name(variable)]
-
-    def set(self, **values: Any) -> dict[str, Any]:
-        return {self.name(variable): value for variable, value in values.items()}
-
     def accepts(self, state: State) -> z3.BoolRef:
         """Return whether the key works at this host."""
         return z3.And(self.get(state, "revision") == CREATED, self.get(state, "mark") == NO_MARK)
--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -19,7 +19,6 @@
     get_call,
 )
 from turmericproxy.callers.plain import PlainParts, PlainRelay
-from turmericproxy.callers.refusals import create_refusal_response
 from turmericproxy.callers.streams import ChatParts
 from turmericproxy.configuration.controller import ConfigurationController
 from turmericproxy.core import Refusal, RequestId, ResultCode, RunState, create_id, read_boottime
@@ -31,6 +30,7 @@
 from turmericproxy.routing import FairQueue, RetryBudget, Selector
 from turmericproxy.settings import HostSettings
 from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
+from turmericproxy.web.refusals import create_refusal_response
 
 DRAIN_POLL_SECONDS = 0.02
 DRAIN_RETRY_SECONDS = 1.0
--- a/turmericproxy/callers/chat.py
+++ b/turmericproxy/callers/chat.py
@@ -8,11 +8,11 @@
 from turmericproxy.callers.calls import ChatCall
 from turmericproxy.callers.exchange import Answer, Exchange
 from turmericproxy.callers.pieces import Piece, StreamEnd
-from turmericproxy.callers.refusals import describe_refusal
 from turmericproxy.callers.streams import ChatParts, ChatStream, Item
 from turmericproxy.core import Refusal, ResultCode, RunState, refuse
 from turmericproxy.routing import Usage
 from turmericproxy.web import HttpResponse, create_json_response
+from turmericproxy.web.refusals import describe_refusal
 
 STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
--- a/turmericproxy/operators/answers.py
+++ b/turmericproxy/operators/answers.py
@@ -1,18 +1,16 @@
 """Write resources, changes and refusals as answers to operators."""
 
-import math
 from collections.abc import Mapping
 from dataclasses import fields, is_dataclass
 from enum import Enum
-from functools import singledispatch
 from typing import Any
 
 from turmericproxy.configuration.changes import Accepted, InvalidResource, UnknownChange
 from turmericproxy.configuration.deltas import Delta
 from turmericproxy.configuration.resources import Kind, describe_resource
 from turmericproxy.configuration.snapshot import VersionedResource
-from turmericproxy.core.results import Refusal
 from turmericproxy.web import HttpResponse, create_json_response
+from turmericproxy.web.refusals import describe_details
 
 
 def create_etag(version: int) -> str:
@@ -54,12 +52,6 @@
     return value if isinstance(value, str | int | float | None) else str(value)
 
 
-@singledispatch
-def describe_details(refusal: Refusal) -> dict[str, Any]:
-    """Return what a refusal says beyond its code and reason."""
-    return {}
-
-
 @describe_details.register
 def _(refusal: InvalidResource) -> dict[str, Any]:
     return {"faults": [{"field": f.field, "reason": f.reason} for f in refusal.faults]}
@@ -70,21 +62,6 @@
     return {"change_id": refusal.change_id}
 
 
-def create_refusal_response(refusal: Refusal) -> HttpResponse:
-    """Return the answer that tells an operator of a refusal."""
-    error = {
-        "code": int(refusal.code),
-        "name": refusal.code.name.lower(),
-        "reason": refusal.reason,
-        "run": refusal.run.value,
-        **describe_details(refusal),
-    }
-    headers = {}
-    if refusal.retry_after is not None:
-        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after)))
-    return create_json_response(refusal.http_status, {"error": error}, headers)
-
-
 def create_accepted_response(accepted: Accepted, status: int = 200) -> HttpResponse:
     """Return the answer to a change that was committed."""
     body = {"revision": accepted.revision, "change_id": accepted.change_id}
--- a/turmericproxy/operators/api.py
+++ b/turmericproxy/operators/api.py
@@ -15,6 +15,7 @@
 from turmericproxy.operators import answers, requests
 from turmericproxy.settings.schema import HostSettings
 from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
+from turmericproxy.web.refusals import create_refusal_response
 
 OPERATOR_THREADS = 12
 WATCHERS = 8
@@ -56,7 +57,7 @@
                 code=int(answer.code),
                 reason=answer.reason,
             )
-            return answers.create_refusal_response(answer)
+            return create_refusal_response(answer)
         return answer
 
     def _answer(self, request: HttpRequest) -> Answer:
