Bound the prefix index so that a host stays under 64 MB

Cause: 200,000 entries of 117 B are 23 MB beside 55 MB of an idle host. Ruled out: a smaller entry, for now. A parameter of the keys that nothing read is gone; 35 tests of keys, configuration and settings pass. Conclusion: 40,000 entries, 4.7 MB; today's engines hold a few hundred blocks.

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -73,7 +73,7 @@
 def test_new_marks_are_passed_on_once() -> None:
     links = RecordedLinks(revision=0)
     state = ConfigurationState()
-    keys = KeyController(state, None, links, ConfigurationSettings())  # type: ignore[arg-type]
+    keys = KeyController(state, links, ConfigurationSettings())  # type: ignore[arg-type]
     marks = {"open": ["k1"], "covered": {"k2": 3}}
     for _ in range(2):
         links.handlers[MARKS_KIND](HostName("p"), marks)
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -77,7 +77,7 @@
         HostName(name), DomainName("d1"), Incarnation(create_id()), "127.0.0.1:0", LINKS
     )
     configuration = ConfigurationController(platform, links, settings)
-    keys = KeyController(configuration, platform, links, settings)
+    keys = KeyController(configuration, links, settings)
     return LocalHost(HostName(name), platform, links, configuration, keys)
 
 
--- a/turmericproxy/bench/slopes_configuration.py
+++ b/turmericproxy/bench/slopes_configuration.py
@@ -22,11 +22,9 @@
 from turmericproxy.keys import Identity, KeyController, compute_digest
 from turmericproxy.keys.marks import MarkRegister, MarkSet
 from turmericproxy.peers import PeerLinks
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import (
     ConfigurationSettings,
     PeerLinkSettings,
-    PlatformSettings,
 )
 
 REPEATS = 5
@@ -178,9 +176,8 @@
     links = PeerLinks(
         HostName("h"), DomainName("d"), Incarnation("i"), "127.0.0.1:0", PeerLinkSettings()
     )
-    platform = PlatformClient(PlatformSettings(address="127.0.0.1:1"), HostName("h"))
     settings = ConfigurationSettings()
-    return KeyController(state, platform, links, settings)  # type: ignore[arg-type]
+    return KeyController(state, links, settings)  # type: ignore[arg-type]
 
 
 class _FixedState(ConfigurationState):
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -45,7 +45,6 @@
         )
         self.keys = KeyController(
             self.configuration,
-            self.platform,
             self.links,
             settings.configuration,
             settings.links.silence,
--- a/turmericproxy/keys/controller.py
+++ b/turmericproxy/keys/controller.py
@@ -24,7 +24,6 @@
 from turmericproxy.keys.secrets import compute_digest, create_key_id, create_secret
 from turmericproxy.logs import Part, log_event
 from turmericproxy.peers.links import PeerLinks
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import ConfigurationSettings
 
 MARKS_KIND = "keys.marks"
@@ -72,7 +71,6 @@
     def __init__(
         self,
         configuration: ConfigurationController,
-        platform: PlatformClient,
         links: PeerLinks,
         settings: ConfigurationSettings,
         pause_limit: float = PAUSE_LIMIT_SECONDS,
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -96,7 +96,7 @@
     With ``kept_cache``, blocks are exported to the store of kept KV cache and imported from it.
     """
 
-    index_blocks: int = Field(default=200_000, ge=1000)
+    index_blocks: int = Field(default=40_000, ge=1000)
     load_poll: float = Field(default=0.2, gt=0)
     kept_cache: bool = True
     policy: Annotated[
