Name the rates' parts by the field's terms: lessor, lease, debit client

Cause: reading as a newcomer met coined names for the process that extends a lease, for the module of leases and for the sender of debits. Ruled out: witness, which only attests and grants nothing. Conclusion: no change of behaviour; the rows' field changes its name with the code.

--- a/specifications/lease_states.py
+++ b/specifications/lease_states.py
@@ -1,10 +1,10 @@
 """Name the state of a share under lease, and say when it is safe.
 
-The system has one share of host A, whose incarnations are 1 and 2, its guardian C, and host D,
+The system has one share of host A, whose incarnations are 1 and 2, its lessor C, and host D,
 which may go on with a host that C has marked; ``has_c`` stands for both heirs. Steps are named
 after the functions of ``turmericproxy.rates`` that take them. Reads, promises and writes take
 effect and are answered at any later time or never; a process that takes no step is paused; a cut is
-a message that is never answered. The guardian hears of incarnation 2 as it takes over; should that
+a message that is never answered. The lessor hears of incarnation 2 as it takes over; should that
 message be lost, the code relies on its pause limit, which the model leaves out.
 """
 
--- a/specifications/leases.py
+++ b/specifications/leases.py
@@ -62,7 +62,7 @@
     return {
         **_create_time_steps(),
         **_create_holder_steps(),
-        **_create_guardian_steps(),
+        **_create_lessor_steps(),
         **_create_second_marker_steps(),
     }
 
@@ -93,7 +93,7 @@
         "ask_promise": Step(
             lambda s: s["asked"] == IDLE, lambda s: {"asked": ASKED, "asked_sent": s["now"]}
         ),
-        "renew_by_guardian": Step(may_renew_by_guardian, _renew_by_guardian),
+        "renew_by_lessor": Step(may_renew_by_lessor, _renew_by_lessor),
         "reopen": Step(
             lambda s: z3.And(s["standing"] == LOST, s["incarnation"] == 1),
             lambda s: {
@@ -136,12 +136,12 @@
     }
 
 
-def may_renew_by_guardian(s: State) -> z3.BoolRef:
+def may_renew_by_lessor(s: State) -> z3.BoolRef:
     """Return whether a promise extends the lease of incarnation 1, which must still run."""
     return z3.And(s["asked"] == ANSWERED, s["asked_granted"], s["now"] < s["lease_1"])
 
 
-def _renew_by_guardian(s: State) -> dict[str, Any]:
+def _renew_by_lessor(s: State) -> dict[str, Any]:
     lease = _larger(s["lease_1"], s["asked_sent"] + LEASE)
     return {"asked": z3.IntVal(IDLE), "lease_1": lease}
 
@@ -159,7 +159,7 @@
     }
 
 
-def _create_guardian_steps() -> dict[str, Step]:
+def _create_lessor_steps() -> dict[str, Step]:
     return {
         "promise": Step(
             lambda s: s["asked"] == ASKED,
@@ -252,12 +252,12 @@
 
 
 def is_promised(s: State) -> z3.BoolRef:
-    """Return whether the guardian promises to leave the share to incarnation 1."""
+    """Return whether the lessor promises to leave the share to incarnation 1."""
     return z3.And(z3.Not(s["watched"]), s["guarded"] == 1)
 
 
 def may_regrant(s: State) -> z3.BoolRef:
-    """Return whether the guardian, after a read, sends the write that passes the share on."""
+    """Return whether the lessor, after a read, sends the write that passes the share on."""
     return z3.And(
         s["watched"],
         z3.Not(s["regrant_sent"]),
--- a/tests/rates/test_keepers.py
+++ b/tests/rates/test_keepers.py
@@ -108,14 +108,14 @@
         started = self.world.clock.now
         others = tuple(s for s in row.shares if s.host != process.host)
         self.world.faults.slowness = self.draw.choice([0.0, 0.02, 0.08])
-        parts = process.keepers.desk.collect(ACCOUNT, others, need, flight)
+        parts = process.keepers.debit_client.collect(ACCOUNT, others, need, flight)
         self.world.faults.slowness = 0.0
         amount = sum(part.amount for part in parts)
         if self.world.clock.now - started <= flight and self.draw.random() < 0.8:
             self.record(amount)
         else:
-            desk = process.keepers.desk
-            self.world.faults.late += [lambda: desk.give_back(ACCOUNT, parts, amount)] * 2
+            debit_client = process.keepers.debit_client
+            self.world.faults.late += [lambda: debit_client.give_back(ACCOUNT, parts, amount)] * 2
 
     def record(self, amount: int) -> None:
         self.admissions.append(Admission(self.world.clock.now, amount))
--- a/tests/rates/test_late_writes.py
+++ b/tests/rates/test_late_writes.py
@@ -4,7 +4,7 @@
 from turmericproxy.core import AccountName, HostName
 from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.holdings import NOTHING_TAKEN, Holdings
-from turmericproxy.rates.tenure import Lease
+from turmericproxy.rates.leases import Lease
 from turmericproxy.settings.schema import RateSettings
 
 ACCOUNT = AccountName("a")
@@ -57,11 +57,11 @@
     assert measure_rights(processes) <= RATE
 
 
-def test_a_guardian_that_is_chosen_by_a_late_write_does_not_take_a_share_in_use():
+def test_a_lessor_that_is_chosen_by_a_late_write_does_not_take_a_share_in_use():
     world = World(seed=0)
     holder, *others = processes = start_hosts(world, "a0", "a1", "a2")
     row = world.table.read_row("rates", "host/a0")
-    first = row.value["guardian"]["host"]
+    first = row.value["lessor"]["host"]
     second = next(p for p in others if p.host != first)
     mark_as_silent(world, first)
     world.faults.commit_fates.append("late")
@@ -73,7 +73,7 @@
     world.faults.unhealthy.add(HostName("a0"))
     run(world, processes, 20.0)
     row = world.table.read_row("rates", "host/a0")
-    assert row.value["guardian"]["host"] == second.host
+    assert row.value["lessor"]["host"] == second.host
 
 
 def test_two_hosts_that_find_the_same_host_lost_do_not_hinder_each_other():
--- a/tests/specifications/test_buckets.py
+++ b/tests/specifications/test_buckets.py
@@ -14,14 +14,14 @@
 )
 from tests.rates.fakes import Process, World
 from turmericproxy.core import AccountName, HostName
-from turmericproxy.rates import tenure
+from turmericproxy.rates import leases as rate_leases
 from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.table import RateTable
 from turmericproxy.settings.schema import RateSettings
 
 LEASES = leases.create_lease_system()
 DEBITS = buckets.create_debit_system()
-PROMISE_STEPS = ("wait", "ask_promise", "promise", "renew_by_guardian", "may_regrant", "regrant")
+PROMISE_STEPS = ("wait", "ask_promise", "promise", "renew_by_lessor", "may_regrant", "regrant")
 RATE = 1000.0
 
 
@@ -122,22 +122,22 @@
 
 
 class Replay:
-    """Take the steps of a counterexample on the keepers of host a0 and its guardian a1."""
+    """Take the steps of a counterexample on the keepers of host a0 and its lessor a1."""
 
     def __init__(self) -> None:
         self.world = World(seed=0)
         settings = RateSettings(regrant_after=float(lease_states.REGRANT_AFTER))
         self.settings = settings
         self.holder = Process(self.world, "a0", "a", settings)
-        self.guardian = Process(self.world, "a1", "a", settings)
+        self.lessor = Process(self.world, "a1", "a", settings)
         self.second: Process | None = None
         self.world.set_account("a", RATE, 4000)
         for _ in range(40):
             self.holder.step()
-            self.guardian.step()
+            self.lessor.step()
             self.world.clock.now += 0.1
         row = self.world.table.read_row("rates", "host/a0")
-        assert row and row.value["guardian"]["host"] == "a1"
+        assert row and row.value["lessor"]["host"] == "a1"
         self.world.faults.unhealthy.add(HostName("a0"))
         self.world.faults.silent.add(HostName("a0"))
         self.wait(lease_states.LEASE * 0.6)
@@ -154,29 +154,29 @@
             self.world.clock.now += 0.1
             for process in self.list_processes():
                 process.keepers.holdings.record_tick()
-            self.guardian.step("host")
+            self.lessor.step("host")
 
     def list_processes(self) -> list[Process]:
-        return [p for p in (self.holder, self.guardian, self.second) if p]
+        return [p for p in (self.holder, self.lessor, self.second) if p]
 
     def mark_lost(self) -> None:
         self.world.faults.commit_fates.append("late")
-        self.guardian.keepers.regrant.step()
+        self.lessor.keepers.regrant.step()
 
     def apply_mark(self) -> None:
         self.world.faults.late.pop()()
 
     def set_watch(self) -> None:
-        self.guardian.keepers.regrant.step()
+        self.lessor.keepers.regrant.step()
 
     def may_regrant(self) -> None:
         self.world.faults.commit_fates.append("late")
-        self.guardian.keepers.regrant.step()
+        self.lessor.keepers.regrant.step()
 
     def regrant(self) -> None:
         if self.world.faults.late:
             self.world.faults.late.pop()()
-        self.guardian.keepers.ledger.reload()
+        self.lessor.keepers.ledger.reload()
 
     def take_over(self) -> None:
         self.holder.is_paused = True
@@ -202,7 +202,7 @@
 
 
 def regrant_at_once(row, version, watch, marker, now, regrant_after):
-    return row.standing is tenure.Standing.LOST and version == watch.version
+    return row.standing is rate_leases.Standing.LOST and version == watch.version
 
 
 def test_replay_without_the_wait_before_a_regrant(monkeypatch):
@@ -210,7 +210,7 @@
     replay = Replay()
     replay.run(found)
     assert replay.measure_rights() == RATE
-    monkeypatch.setattr(tenure, "may_regrant", regrant_at_once)
+    monkeypatch.setattr(rate_leases, "may_regrant", regrant_at_once)
     replay = Replay()
     replay.run(found)
     assert replay.measure_rights() > RATE
--- a/turmericproxy/bench/slopes_rates.py
+++ b/turmericproxy/bench/slopes_rates.py
@@ -57,7 +57,7 @@
     fleet = _start_fleet((2,), 1)
     try:
         asker, holder = fleet.list_running()
-        desk = asker.controller.keepers.desk
+        debit_client = asker.controller.keepers.debit_client
         row = asker.controller.keepers.ledger.find_row(AccountName(ACCOUNT))
         assert row is not None
         shares = tuple(share for share in row.shares if share.host == holder.host)
@@ -65,7 +65,7 @@
         for count in DEBITS:
             begun, bytes_before = time.process_time(), _count_bytes(fleet)
             for _ in range(count):
-                desk.collect(AccountName(ACCOUNT), shares, MICRO, 1.0)
+                debit_client.collect(AccountName(ACCOUNT), shares, MICRO, 1.0)
             cpu.append((time.process_time() - begun) * 1e6)
             sent.append(float(_count_bytes(fleet) - bytes_before))
         yield fit_slope("debit CPU, both ends", "us", "debits", DEBITS, cpu)
--- a/turmericproxy/rates/admission.py
+++ b/turmericproxy/rates/admission.py
@@ -6,7 +6,7 @@
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.context import RateContext
-from turmericproxy.rates.debits import DebitDesk, GrantPart
+from turmericproxy.rates.debits import DebitClient, GrantPart
 from turmericproxy.rates.ledger import LedgerRow, Share
 
 ATTEMPTS = 3
@@ -26,10 +26,10 @@
 class Admission:
     """Collect the tokens of one request here and at the hosts that can be reached."""
 
-    def __init__(self, context: RateContext, desk: DebitDesk) -> None:
+    def __init__(self, context: RateContext, debit_client: DebitClient) -> None:
         self._context = context
         self._holdings = context.holdings
-        self._desk = desk
+        self._debit_client = debit_client
 
     def admit_locally(self, account: AccountName, tokens: int) -> Grant | None:
         """Deduct all tokens from the own bucket, or none."""
@@ -68,11 +68,11 @@
         parts: tuple[GrantPart, ...] = ()
         if local.amount:
             parts = (self._create_part(local.id, local.amount),)
-        parts += self._desk.collect(row.account, others, amount - local.amount, flight)
+        parts += self._debit_client.collect(row.account, others, amount - local.amount, flight)
         is_whole = sum(part.amount for part in parts) >= amount
         if is_whole and self._context.read_clock() - started <= flight:
             return parts
-        self._desk.give_back(row.account, parts, amount)
+        self._debit_client.give_back(row.account, parts, amount)
         return ()
 
     def _measure_available(
@@ -80,13 +80,13 @@
     ) -> int:
         """Return the tokens that seem to be there; ask anew before saying that they are too few."""
         own = self._holdings.measure(row.account).level
-        available = own + sum(self._desk.estimate_levels(row.account, others).values())
-        if available >= amount or not self._desk.refresh(
+        available = own + sum(self._debit_client.estimate_levels(row.account, others).values())
+        if available >= amount or not self._debit_client.refresh(
             row.account, others, FRESH_SECONDS, flight
         ):
             return available
         own = self._holdings.measure(row.account).level
-        return own + sum(self._desk.estimate_levels(row.account, others).values())
+        return own + sum(self._debit_client.estimate_levels(row.account, others).values())
 
     def _refuse(
         self, row: LedgerRow, others: tuple[Share, ...], amount: int, available: int
--- a/turmericproxy/rates/context.py
+++ b/turmericproxy/rates/context.py
@@ -8,9 +8,9 @@
 from turmericproxy.core import HostName, Incarnation
 from turmericproxy.peers import PeerState
 from turmericproxy.rates.holdings import Holdings
+from turmericproxy.rates.leases import LEASE_SHARE, Lessor
 from turmericproxy.rates.ledger import Member
 from turmericproxy.rates.table import Platform, RateTable
-from turmericproxy.rates.tenure import LEASE_SHARE, Guardian
 from turmericproxy.settings.schema import RateSettings
 
 
@@ -52,9 +52,9 @@
         return RateTable(self.platform)
 
     @property
-    def process(self) -> Guardian:
-        """Return this process as the guardian of others."""
-        return Guardian(self.member.host, self.incarnation)
+    def process(self) -> Lessor:
+        """Return this process as the lessor of others."""
+        return Lessor(self.member.host, self.incarnation)
 
     @property
     def lease(self) -> float:
--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -71,8 +71,8 @@
             platform, links, configuration.snapshot, settings, self._member, incarnation
         )
         self._holdings = keepers.holdings
-        self._desk = keepers.desk
-        self._admission = Admission(keepers.context, keepers.desk)
+        self._debit_client = keepers.debit_client
+        self._admission = Admission(keepers.context, keepers.debit_client)
         self._closing = threading.Event()
         self._wake = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -98,7 +98,7 @@
         """Stop spending and leave the levels of the buckets to the next incarnation."""
         self.stop_threads()
         self._keepers.host.close()
-        self._desk.close()
+        self._debit_client.close()
 
     def stop_threads(self) -> None:
         """Stop all upkeep without a last write, so that the lease runs out."""
@@ -136,14 +136,14 @@
         latest = create_limit(known.rate, known.burst, self._settings.debit_timeout).flight
         flight = min(min(row.limit.flight, latest) / MICRO, deadline - read_boottime())
         answer = self._admission.admit_by_debits(row, tokens, flight)
-        if isinstance(answer, Refusal) and self._desk.is_outdated(row):
+        if isinstance(answer, Refusal) and self._debit_client.is_outdated(row):
             self._keepers.ledger.mark_stale(account)
         return answer
 
     def give_back(self, grant: Grant, unused: int) -> None:
         """Give back tokens that a request did not use; a grant counts once."""
         if unused > 0:
-            self._desk.give_back(grant.account, grant.parts, unused * MICRO)
+            self._debit_client.give_back(grant.account, grant.parts, unused * MICRO)
 
     def list_buckets(self) -> tuple[BucketReport, ...]:
         """Return the buckets of this host in order of their accounts."""
--- a/turmericproxy/rates/debits.py
+++ b/turmericproxy/rates/debits.py
@@ -88,7 +88,7 @@
     return tuple(share.host for share in sorted(shares, key=rank))
 
 
-class DebitDesk:
+class DebitClient:
     """Answer the debits of other hosts and send those of this one."""
 
     def __init__(self, context: RateContext, workers: Executor) -> None:
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -9,10 +9,10 @@
 from turmericproxy.core import HostName, Incarnation, Refusal
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import AnswerLost, Committed
-from turmericproxy.rates import tenure
+from turmericproxy.rates import leases
 from turmericproxy.rates.context import Links, RateContext
+from turmericproxy.rates.leases import HostRow, Lease, Lessor, Standing, Watch
 from turmericproxy.rates.table import Versioned, get_host_version
-from turmericproxy.rates.tenure import Guardian, HostRow, Lease, Standing, Watch
 
 PROMISE_KIND = "rates.promise"
 RENEWALS_PER_LEASE = 5
@@ -56,7 +56,7 @@
     @property
     def renewal_interval(self) -> float:
         """Return the seconds between two renewals of the lease."""
-        return self._regrant_after * tenure.LEASE_SHARE / RENEWALS_PER_LEASE
+        return self._regrant_after * leases.LEASE_SHARE / RENEWALS_PER_LEASE
 
     def read_own(self) -> Versioned[HostRow] | None:
         """Return this host's row once it has been taken over, for use as a condition."""
@@ -71,9 +71,9 @@
         now = self._read_clock()
         if now < self._ready_at:
             return
-        if not self._renew_by_guardian(self._own):
+        if not self._renew_by_lessor(self._own):
             self._renew_by_platform()
-        self._choose_guardian()
+        self._choose_lessor()
 
     def _take_over(self) -> None:
         old = self._table.read_host(self._member.host)
@@ -84,9 +84,9 @@
             self._begin(old)
             return
         row = old.row if old else None
-        new = tenure.take_over(row, self._member, self._me.incarnation, self._regrant_after)
+        new = leases.take_over(row, self._member, self._me.incarnation, self._regrant_after)
         self.levels = dict(row.levels or {}) if row else {}
-        self._wait = tenure.measure_takeover_wait(row)
+        self._wait = leases.measure_takeover_wait(row)
         outcome = self._table.commit_host(new, old)
         if isinstance(outcome, Committed):
             self._begin(Versioned(new, get_host_version(outcome, new.host)))
@@ -94,31 +94,31 @@
     def _begin(self, own: Versioned[HostRow]) -> None:
         with self._lock:
             self._own = own
-        if own.row.guardian:
-            # From now on the guardian promises nothing to the earlier incarnation.
-            self._ask_promise(own.row.guardian, own.version)
+        if own.row.lessor:
+            # From now on the lessor promises nothing to the earlier incarnation.
+            self._ask_promise(own.row.lessor, own.version)
         self._ready_at = self._read_clock() + self._wait
         log_event(Part.RATES, "host row taken over", wait=self._wait, levels=len(self.levels))
 
-    def _renew_by_guardian(self, own: Versioned[HostRow]) -> bool:
+    def _renew_by_lessor(self, own: Versioned[HostRow]) -> bool:
         lease = self._holdings.read_lease()
         asked_at = self._read_clock()
-        if self._unsettled is not None or not tenure.is_held(lease, asked_at):
+        if self._unsettled is not None or not leases.is_held(lease, asked_at):
             return False
-        guardian = own.row.guardian
-        if guardian is None or not self._ask_promise(guardian, own.version):
+        lessor = own.row.lessor
+        if lessor is None or not self._ask_promise(lessor, own.version):
             return False
         self._holdings.renew_lease(
-            lambda old, now: tenure.renew_by_guardian(old, asked_at, now, self._regrant_after)
+            lambda old, now: leases.renew_by_lessor(old, asked_at, now, self._regrant_after)
         )
         return True
 
-    def _ask_promise(self, guardian: Guardian, version: int | None) -> bool:
+    def _ask_promise(self, lessor: Lessor, version: int | None) -> bool:
         body = {"host": self._me.host, "incarnation": self._me.incarnation, "version": version}
-        reply = self._links.call(guardian.host, PROMISE_KIND, body, self.renewal_interval)
+        reply = self._links.call(lessor.host, PROMISE_KIND, body, self.renewal_interval)
         if not isinstance(reply, dict):
             return False
-        return bool(reply["promised"]) and reply["incarnation"] == guardian.incarnation
+        return bool(reply["promised"]) and reply["incarnation"] == lessor.incarnation
 
     def _renew_by_platform(self) -> None:
         asked_at = self._read_clock()
@@ -142,7 +142,7 @@
         # What is left belongs to shares that have passed on, and must not come back with others.
         self.levels = {}
         self._holdings.renew_lease(
-            lambda old, now: tenure.renew_by_platform(
+            lambda old, now: leases.renew_by_platform(
                 old, read.row, self._me.incarnation, asked_at, self._regrant_after
             )
         )
@@ -150,9 +150,9 @@
     def _renew_alone(self, asked_at: float) -> None:
         """Extend a running lease while nobody else may take the shares over."""
         own = self._own
-        if own and own.row.guardian is None and self._unsettled is None:
+        if own and own.row.lessor is None and self._unsettled is None:
             self._holdings.renew_lease(
-                lambda old, now: tenure.renew_by_guardian(old, asked_at, now, self._regrant_after)
+                lambda old, now: leases.renew_by_lessor(old, asked_at, now, self._regrant_after)
             )
 
     def _reopen(self, read: Versioned[HostRow]) -> None:
@@ -160,7 +160,7 @@
         if read.row.standing is not Standing.OPEN:
             self._holdings.set_lease(Lease())
             log_event(Part.RATES, "host row was marked as lost", marked_by=read.row.marked_by)
-        self._write_own(tenure.reopen(read.row, self._me.incarnation), read)
+        self._write_own(leases.reopen(read.row, self._me.incarnation), read)
 
     def _write_own(self, new: HostRow, old: Versioned[HostRow]) -> None:
         self._unsettled = old.version
@@ -172,16 +172,16 @@
             with self._lock:
                 self._own = Versioned(new, get_host_version(outcome, new.host))
 
-    def _choose_guardian(self) -> None:
+    def _choose_lessor(self) -> None:
         own = self._own
         if own is None or self._unsettled is not None:
             return
         peers = [p for p in self._links.list_reachable() if p.domain == self._member.domain]
-        present = {Guardian(peer.host, peer.incarnation) for peer in peers}
-        if not present or own.row.guardian in present:
+        present = {Lessor(peer.host, peer.incarnation) for peer in peers}
+        if not present or own.row.lessor in present:
             return
-        chosen = min(present, key=lambda guardian: _rank(self._member.host, guardian.host))
-        new = replace(own.row, guardian=chosen)
+        chosen = min(present, key=lambda lessor: _rank(self._member.host, lessor.host))
+        new = replace(own.row, lessor=chosen)
         if self._holdings.is_open():
             self._write_own(new, own)
 
@@ -193,7 +193,7 @@
                 known = self._guarded[host] = GuardedHost(incarnation, body["version"])
             self._heard_at[host] = self._read_clock()
             is_current = known.incarnation == incarnation
-            promised = is_current and tenure.promise(self._watches.get(host))
+            promised = is_current and leases.promise(self._watches.get(host))
         return {"promised": promised, "incarnation": self._me.incarnation}
 
     def list_unheard(self, seconds: float) -> tuple[HostName, ...]:
@@ -203,7 +203,7 @@
             return tuple(host for host, at in self._heard_at.items() if at < oldest)
 
     def forget_unheard(self, host: HostName) -> None:
-        """Expect no more from a host that has another guardian or has passed its shares on."""
+        """Expect no more from a host that has another lessor or has passed its shares on."""
         with self._lock:
             self._heard_at.pop(host, None)
 
--- a/turmericproxy/rates/keepers.py
+++ b/turmericproxy/rates/keepers.py
@@ -7,14 +7,14 @@
 from turmericproxy.configuration import Snapshot
 from turmericproxy.core import Incarnation, read_boottime
 from turmericproxy.rates.context import Links, RateContext
-from turmericproxy.rates.debits import DebitDesk
+from turmericproxy.rates.debits import DebitClient
 from turmericproxy.rates.holdings import Holdings
 from turmericproxy.rates.host_keeper import HostKeeper
+from turmericproxy.rates.leases import LEASE_SHARE
 from turmericproxy.rates.ledger import Member
 from turmericproxy.rates.ledger_keeper import LedgerKeeper
 from turmericproxy.rates.regrant_keeper import RegrantKeeper
 from turmericproxy.rates.table import Platform
-from turmericproxy.rates.tenure import LEASE_SHARE
 from turmericproxy.settings.schema import RateSettings
 
 PAUSE_SHARE = 0.5
@@ -29,7 +29,7 @@
     host: HostKeeper
     ledger: LedgerKeeper
     regrant: RegrantKeeper
-    desk: DebitDesk
+    debit_client: DebitClient
 
     @property
     def holdings(self) -> Holdings:
@@ -64,5 +64,5 @@
         host,
         ledger,
         RegrantKeeper(context, host, ledger),
-        DebitDesk(context, workers or ThreadPoolExecutor(DEBIT_WORKERS, "debit")),
+        DebitClient(context, workers or ThreadPoolExecutor(DEBIT_WORKERS, "debit")),
     )
--- a/turmericproxy/rates/tenure.py
+++ b/turmericproxy/rates/leases.py
@@ -1,14 +1,14 @@
 """Decide until when a host may spend its shares, and when another may take them over.
 
 Each host has one row in the platform's table. It names the host's present incarnation and one
-other host of its failure domain, the guardian. The rules, in which ``G`` is the regrant time:
+other host of its failure domain, the lessor. The rules, in which ``G`` is the regrant time:
 
 - A host spends only while its lease runs. A read of its own row that shows it open under its own
   incarnation extends the lease to ``G / 2`` after the read was sent.
-- A lease that still runs is also extended by the guardian's promise not to take the shares over
+- A lease that still runs is also extended by the lessor's promise not to take the shares over
   for that long. So a host keeps its shares while the platform is away. A lease that has ended is
   extended only through the platform.
-- Nobody else may take the shares over. The guardian first marks the row as lost, then waits ``G``
+- Nobody else may take the shares over. The lessor first marks the row as lost, then waits ``G``
   during which it promises nothing, and then passes the shares on, provided that the row has not
   changed. A host that finds its row marked opens it again by a conditional write, reads the ledger
   anew and only then spends.
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True)
-class Guardian:
+class Lessor:
     """Name the one process that may take the shares of a host over."""
 
     host: HostName
@@ -59,7 +59,7 @@
     incarnation: Incarnation
     standing: Standing
     lease: float
-    guardian: Guardian | None = None
+    lessor: Lessor | None = None
     marked_by: HostName | None = None
     levels: Mapping[str, int] | None = None
 
@@ -93,7 +93,7 @@
     return Lease(max(lease.until, asked_at + regrant_after * LEASE_SHARE))
 
 
-def renew_by_guardian(lease: Lease, asked_at: float, now: float, regrant_after: float) -> Lease:
+def renew_by_lessor(lease: Lease, asked_at: float, now: float, regrant_after: float) -> Lease:
     """Extend a lease by a promise that was asked for at ``asked_at``, unless it has ended."""
     if not is_held(lease, now):
         return lease
@@ -101,7 +101,7 @@
 
 
 def promise(watch: Watch | None) -> bool:
-    """Return whether a guardian promises to leave the shares: not once it has marked the row."""
+    """Return whether a lessor promises to leave the shares: not once it has marked the row."""
     return watch is None
 
 
@@ -110,8 +110,8 @@
 ) -> HostRow:
     """Return the row that a new incarnation writes for itself."""
     lease = regrant_after * LEASE_SHARE
-    guardian = row.guardian if row else None
-    return HostRow(member.host, member.domain, new, Standing.OPEN, lease, guardian)
+    lessor = row.lessor if row else None
+    return HostRow(member.host, member.domain, new, Standing.OPEN, lease, lessor)
 
 
 def measure_takeover_wait(row: HostRow | None) -> float:
@@ -122,18 +122,18 @@
 
 
 def may_mark(
-    row: HostRow, marker: Guardian, is_withdrawn: bool, present: frozenset[HostName]
+    row: HostRow, marker: Lessor, is_withdrawn: bool, present: frozenset[HostName]
 ) -> bool:
     """Return whether a host may mark another's row as lost.
 
-    The guardian may. Others may if the host has closed, if the platform no longer lists it at all,
+    The lessor may. Others may if the host has closed, if the platform no longer lists it at all,
     or if it is marked and the marker is not among the hosts ``present``.
     """
     if row.standing is Standing.RETIRED:
         return False
     if row.standing is Standing.LOST:
         return row.marked_by not in present
-    return row.standing is Standing.CLOSED or is_withdrawn or row.guardian == marker
+    return row.standing is Standing.CLOSED or is_withdrawn or row.lessor == marker
 
 
 def mark_lost(row: HostRow, marker: HostName) -> HostRow:
@@ -148,7 +148,7 @@
 
 def retire(row: HostRow) -> HostRow:
     """Return the row of a lost host whose shares have all passed on."""
-    return replace(row, standing=Standing.RETIRED, guardian=None, levels=None)
+    return replace(row, standing=Standing.RETIRED, lessor=None, levels=None)
 
 
 def may_regrant(
@@ -170,10 +170,10 @@
 def decode_host_row(value: Mapping[str, object]) -> HostRow:
     """Return the row that a value of the platform's table holds."""
     fields = dict(value)
-    guardian = fields.pop("guardian")
+    lessor = fields.pop("lessor")
     standing = Standing(fields.pop("standing"))
     return HostRow(
         standing=standing,
-        guardian=Guardian(**guardian) if guardian else None,  # type: ignore[arg-type]
+        lessor=Lessor(**lessor) if lessor else None,  # type: ignore[arg-type]
         **fields,  # type: ignore[arg-type]
     )
--- a/turmericproxy/rates/ledger.py
+++ b/turmericproxy/rates/ledger.py
@@ -2,7 +2,7 @@
 
 A share binds as soon as the row is written: its holder may spend it, and nobody else. Only the
 holder lowers its own share, after it has stopped to spend the difference. What nobody holds may
-be added to a share. The share of a lost host passes to its successor, see ``tenure``.
+be added to a share. The share of a lost host passes to its successor, see ``leases``.
 """
 
 from collections.abc import Callable, Iterable, Mapping
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -11,6 +11,7 @@
 from turmericproxy.rates import ledger
 from turmericproxy.rates.context import RateContext
 from turmericproxy.rates.host_keeper import HostKeeper
+from turmericproxy.rates.leases import HostRow
 from turmericproxy.rates.ledger import LedgerRow, Limit, Member, Share
 from turmericproxy.rates.table import (
     ROW_CONDITION,
@@ -18,7 +19,6 @@
     Versioned,
     get_account_version,
 )
-from turmericproxy.rates.tenure import HostRow
 
 ROW_KIND = "rates.row"
 CHANGED_KIND = "rates.changed"
--- a/turmericproxy/rates/regrant_keeper.py
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -5,13 +5,13 @@
 from turmericproxy.core import DomainName, HostName, Refusal
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.platform import AnswerLost, Committed, HostList, HostState
-from turmericproxy.rates import tenure
+from turmericproxy.rates import leases
 from turmericproxy.rates.context import RateContext
 from turmericproxy.rates.host_keeper import HostKeeper
+from turmericproxy.rates.leases import HostRow, Standing, Watch
 from turmericproxy.rates.ledger import regrant
 from turmericproxy.rates.ledger_keeper import LedgerKeeper
 from turmericproxy.rates.table import Versioned, get_host_version
-from turmericproxy.rates.tenure import HostRow, Standing, Watch
 
 POLLS_APART = 3.0
 URGENT_POLLS_APART = 0.05
@@ -48,7 +48,7 @@
         self._polled_at = self._read_clock()
         reachable = {peer.host for peer in self._links.list_reachable()}
         for host in set(self._host_keeper.list_unheard(self._regrant_after)) & reachable:
-            # It runs and has chosen another guardian.
+            # It runs and has chosen another lessor.
             self._host_keeper.forget_unheard(host)
         lost = _find_lost(hosts, self._member.domain) - reachable
         withdrawn = self._find_withdrawn(hosts) - reachable
@@ -94,7 +94,7 @@
         elif watch and read.version != watch.version and read.row.standing is Standing.OPEN:
             # The host is back, and what this host sent can no longer take effect.
             self._forget(host)
-        elif (watch or is_lost) and tenure.may_mark(read.row, self._me, is_withdrawn, present):
+        elif (watch or is_lost) and leases.may_mark(read.row, self._me, is_withdrawn, present):
             self._mark(read)
         elif watch and read.row.standing is Standing.RETIRED:
             self._forget(host)
@@ -105,7 +105,7 @@
         self._watched.add(host)
         # No promise after this line, not even if the answer to the write is lost.
         self._host_keeper.set_watch(host, Watch(read.version, self._read_clock()))
-        marked = tenure.mark_lost(read.row, self._member.host)
+        marked = leases.mark_lost(read.row, self._member.host)
         outcome = self._table.commit_host(marked, read)
         if isinstance(outcome, Committed):
             version = get_host_version(outcome, host)
@@ -122,12 +122,12 @@
             self._host_keeper.set_watch(host, Watch(read.version, self._read_clock()))
             return
         now = self._read_clock()
-        if not tenure.may_regrant(
+        if not leases.may_regrant(
             read.row, read.version, watch, self._member.host, now, self._regrant_after
         ):
             return
         if self._regrant_shares(read):
-            self._table.commit_host(tenure.retire(read.row), read)
+            self._table.commit_host(leases.retire(read.row), read)
 
     def _regrant_shares(self, lost: Versioned[HostRow]) -> bool:
         """Return whether the lost host holds no share any more."""
--- a/turmericproxy/rates/table.py
+++ b/turmericproxy/rates/table.py
@@ -14,8 +14,8 @@
     Transaction,
     Write,
 )
+from turmericproxy.rates.leases import HostRow, decode_host_row, encode_host_row
 from turmericproxy.rates.ledger import LedgerRow, decode_row, encode_row
-from turmericproxy.rates.tenure import HostRow, decode_host_row, encode_host_row
 
 TABLE = "rates"
 ACCOUNT_PREFIX = "account/"
