Prove that hosts restarted in a herd serve within 2 s while the platform is down

Cause: only one host at a time had been started again. Conclusion: a herd is served from one host that is left.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -48,3 +48,11 @@
     And "s2" is killed
     Then "s2" serves its first request within 2 seconds of its start
     And no host went to a lower revision
+
+  Scenario: Hosts restart in a herd while the platform is down and one host is left
+    Given four linked hosts in two domains whose revisions are watched
+    And the host that is left, "s2", holds a bucket of the caller's client account
+    When the platform goes down
+    And hosts "n1, n2, s1" are killed at the same moment
+    Then hosts "n1, n2, s1" started at the same moment serve their first requests within 2 seconds
+    And no host went to a lower revision
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -1,6 +1,7 @@
 """Change the configuration of real hosts under faults."""
 
 import random
+import signal
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -21,6 +22,7 @@
 
 SEED = 20261203
 CALLER = "satnica"
+BUCKET_SECONDS = 30
 QUICK = {"shutdown": {"grace": 0.0}}
 ACCOUNT = {"rate": 100.0, "burst": 1000}
 PLAN = ClusterPlan(
@@ -175,6 +177,12 @@
     faults.cut_domain(context.cluster, domain)
 
 
+@given('the host that is left, "{host}", holds a bucket of the caller\'s client account')
+def await_bucket(context, host):
+    """Wait for it: with no bucket in reach nothing is admitted while the platform is down."""
+    measure_until(BUCKET_SECONDS, lambda: holds_bucket(context, host))
+
+
 def holds_bucket(context, host):
     buckets = context.cluster.operate(host, "GET", "/v1/status")["buckets"]
     return any(bucket["account"] == CALLER and bucket["level"] >= 1 for bucket in buckets)
@@ -308,9 +316,32 @@
 
 @then('"{host}" serves its first request within {seconds:d} seconds of its start')
 def check_first_request(context, host, seconds):
+    check_first_requests(context, host, seconds)
+
+
+@when('hosts "{hosts}" are killed at the same moment')
+def kill_herd(context, hosts):
+    for host in split_names(hosts):
+        context.revisions.forget(host)
+        context.cluster.get_process(host).send(signal.SIGKILL)
+    for host in split_names(hosts):
+        context.cluster.kill_host(host)
+
+
+@then(
+    'hosts "{hosts}" started at the same moment serve their first requests within '
+    "{seconds:d} seconds"
+)
+def check_first_requests(context, hosts, seconds):
     started = time.monotonic()
-    context.cluster.start_host(host, wait=False)
-    while call_route(context.cluster, host, "/r/hours/x", context.key).status != 200:
-        assert time.monotonic() - started < seconds, "no request was served in time"
+    waiting = split_names(hosts)
+    for host in waiting:
+        context.cluster.start_host(host, wait=False)
+    while waiting:
+        for host in tuple(waiting):
+            answer = call_route(context.cluster, host, "/r/hours/x", context.key)
+            if answer.status == 200:
+                waiting.remove(host)
+                print(f"{host} served after {time.monotonic() - started:.2f} s")
+        assert not waiting or time.monotonic() - started < seconds, answer
         time.sleep(0.02)
-    print(f"first request served {time.monotonic() - started:.2f} s after the start")
