Keep polling an engine whose report can't be read

Cause, found by reading: a report without a field ended the polling thread for good, and the engine was chosen on its last report from then on. Ruled out: a check of every field; the shared loop logs the fault and goes on, and a second loop class is gone. Run: the new test fails on the code before (20 s without a good report) and passes; 45 tests of routing pass. Conclusion: one loop class for periodic steps.

--- a/tests/routing/test_polling.py
+++ b/tests/routing/test_polling.py
@@ -1,7 +1,20 @@
+import time
+
 from turmericproxy.cache.index import create_key
-from turmericproxy.core import EngineName, Incarnation, read_boottime
+from turmericproxy.configuration import Engine, Kind, Snapshot, replace_resource
+from turmericproxy.core import (
+    DomainName,
+    EngineName,
+    HostName,
+    Incarnation,
+    Revision,
+    read_boottime,
+)
 from turmericproxy.routing.fleet import Fleet
-from turmericproxy.routing.polling import EventReader
+from turmericproxy.routing.plain import PlainSelector
+from turmericproxy.routing.polling import EventReader, Pollers
+from turmericproxy.settings.schema import RoutingSettings, UpstreamSettings
+from turmericproxy.web import HttpServer, create_json_response
 
 ENGINE = EngineName("engine-1")
 BLOCKS = [f"{n:02x}" * 16 for n in range(1, 5)]
@@ -51,3 +64,30 @@
     reader.apply(create_body((1, "stored", BLOCKS[2]), incarnation="second"))
     assert estimate(fleet, BLOCKS[2]) == [1.0]
     assert Incarnation("second") == reader.incarnation
+
+
+def test_an_engine_is_still_polled_after_a_report_that_can_not_be_read():
+    reports = [{"incarnation": "first"}, {"nonsense": 1}, []]
+
+    def handle(request):
+        if request.path == "/v1/load" and reports:
+            return create_json_response(200, reports.pop())
+        good = {"running": 3, "queued": 0, "queued_tokens": 0, "capacity_blocks": 1}
+        return create_json_response(200, {**good, "incarnation": "first", "versions": {"m": "1"}})
+
+    server = HttpServer("127.0.0.1:0", handle, threads=4)
+    server.start()
+    fleet = Fleet(1000)
+    engine = Engine(name=ENGINE, domain="d", address=f"127.0.0.1:{server.port}", models=("m",))
+    snapshot = replace_resource(Snapshot(), Kind.ENGINE, ENGINE, engine, Revision(1))
+    plain = PlainSelector(DomainName("d"), HostName("h"))
+    pollers = Pollers(fleet, plain, RoutingSettings(load_poll=0.02), UpstreamSettings())
+    pollers.follow(snapshot)
+    try:
+        deadline = time.monotonic() + 20
+        while fleet.list_versions(ENGINE, read_boottime()) != {"m": "1"}:
+            assert time.monotonic() < deadline, "the engine is no longer polled"
+            time.sleep(0.02)
+    finally:
+        pollers.close()
+        server.close()
--- a/turmericproxy/core/loops.py
+++ b/turmericproxy/core/loops.py
@@ -33,10 +33,14 @@
         """Run the next step now, or as soon as the present one has ended."""
         self._wake.set()
 
-    def close(self) -> None:
-        """End the loop after the present step."""
+    def stop(self) -> None:
+        """Let the present step be the last, without waiting for its end."""
         self._closed = True
         self._wake.set()
+
+    def close(self) -> None:
+        """End the loop, and wait until the present step has ended."""
+        self.stop()
         if self._thread.is_alive():
             self._thread.join(JOIN_SECONDS)
 
--- a/turmericproxy/routing/polling.py
+++ b/turmericproxy/routing/polling.py
@@ -3,11 +3,13 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from turmericproxy.cache.index import BlockKey, PrefixIndex, create_key
 from turmericproxy.configuration import Kind, Snapshot
 from turmericproxy.core import EngineName, Incarnation, UpstreamName, read_boottime
+from turmericproxy.core.loops import Loop
 from turmericproxy.logs import Part, log_event
 from turmericproxy.routing.engines import LoadReport
 from turmericproxy.routing.plain import PlainSelector
@@ -39,24 +41,12 @@
         """Return the whole prompts that own requests at an engine wait for."""
 
 
-class _Loop:
-    """Run a step again and again in a thread until closed."""
+@dataclass(frozen=True)
+class _Poll:
+    """Pair a loop with the address that it asks."""
 
-    def __init__(self, name: str, step: Callable[[], float], address: str) -> None:
-        self.address = address
-        self._step = step
-        self._closed = threading.Event()
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
-
-    def start(self) -> None:
-        self._thread.start()
-
-    def close(self) -> None:
-        self._closed.set()
-
-    def _run(self) -> None:
-        while not self._closed.is_set():
-            self._closed.wait(self._step())
+    address: str
+    loop: Loop
 
 
 class EventReader:
@@ -125,7 +115,7 @@
         self._pause = settings.load_poll
         self._connect_timeout = upstreams.connect_timeout
         self._lock = threading.Lock()
-        self._loops: dict[str, _Loop] = {}
+        self._polls: dict[str, _Poll] = {}
 
     def follow(self, snapshot: Snapshot) -> None:
         """Poll exactly the engines and services of the configuration."""
@@ -142,31 +132,32 @@
             step = self._bind(self._create_service_step, name, address)
             wanted[f"service {name}"] = (address, step)
         with self._lock:
-            self._replace_loops(wanted)
+            self._replace_polls(wanted)
 
     def close(self) -> None:
         """End all loops."""
         with self._lock:
-            for loop in self._loops.values():
-                loop.close()
-            self._loops = {}
+            for poll in self._polls.values():
+                poll.loop.stop()
+            self._polls = {}
 
     def _bind(
         self, create: Callable[[str, str], Callable[[], float]], name: str, address: str
     ) -> Callable[[], Callable[[], float]]:
         return lambda: create(name, address)
 
-    def _replace_loops(
+    def _replace_polls(
         self, wanted: dict[str, tuple[str, Callable[[], Callable[[], float]]]]
     ) -> None:
-        for name, loop in list(self._loops.items()):
-            if name not in wanted or wanted[name][0] != loop.address:
-                loop.close()
-                del self._loops[name]
+        for name, poll in list(self._polls.items()):
+            if name not in wanted or wanted[name][0] != poll.address:
+                poll.loop.stop()
+                del self._polls[name]
         for name, (address, create) in wanted.items():
-            if name not in self._loops:
-                self._loops[name] = _Loop(name, create(), address)
-                self._loops[name].start()
+            if name not in self._polls:
+                poll = _Poll(address, Loop(Part.ROUTING, name, create()))
+                self._polls[name] = poll
+                poll.loop.start()
 
     def _create_client(self, address: str) -> HttpClient:
         return HttpClient(
