Let upkeep outlive a fault in one step, in weights, membership and rates as well

Cause, found by reading: a report of weights that can't be read ended the weights' thread for good, for all engines; the threads of membership and rates would have ended by any fault in the same way. Ruled out: guards in each loop; the shared loop logs the fault and goes on. Conclusion: one loop for periodic steps in these parts. The senders of dispatch notes, exports and claims have loops of their own still.

--- a/tests/weights/test_controller.py
+++ b/tests/weights/test_controller.py
@@ -11,7 +11,7 @@
 from turmericproxy.core import HostName, Revision
 from turmericproxy.settings.schema import UpstreamSettings
 from turmericproxy.standins.engine import EngineOptions, EngineStandIn, create_engine
-from turmericproxy.web import HttpClient
+from turmericproxy.web import HttpClient, HttpServer, create_json_response
 from turmericproxy.weights import WeightController, controller
 
 
@@ -134,3 +134,22 @@
         for engine in engines
         for order in HttpClient(engine.address).call_json("GET", "/control")[1]["orders"]
     )
+
+
+def test_an_engine_whose_report_can_not_be_read_holds_no_other_back(
+    engines: list[EngineStandIn],
+) -> None:
+    broken = HttpServer("127.0.0.1:0", lambda _: create_json_response(200, []), threads=2)
+    broken.start()
+    snapshot = build_snapshot(engines, "2", 5)
+    engine = Engine(
+        name="broken", domain="north", address=f"127.0.0.1:{broken.port}", models=("verdict",)
+    )
+    snapshot = replace_resource(snapshot, Kind.ENGINE, "broken", engine, Revision(5))
+    newest = WeightController(Configuration(snapshot), UpstreamSettings(), HostName("a"))
+    newest.start()
+    try:
+        await_met(lambda: read_versions(engines) == ["2"] * 4, timeout=20.0)
+    finally:
+        newest.close()
+        broken.close()
--- a/turmericproxy/peers/membership.py
+++ b/turmericproxy/peers/membership.py
@@ -1,10 +1,11 @@
 """Keep links to the hosts that the settings and the platform name."""
 
-import threading
 from collections.abc import Iterable
 from typing import Protocol
 
 from turmericproxy.core import DomainName, HostName, Refusal
+from turmericproxy.core.loops import Loop
+from turmericproxy.logs import Part
 from turmericproxy.peers.states import PeerAddress
 from turmericproxy.peers.topology import Node, choose_neighbours
 from turmericproxy.platform import HostEntry, HostList, HostState
@@ -85,17 +86,16 @@
         self._configured = tuple(configured)
         self._chosen: frozenset[PeerAddress] = frozenset()
         self._hosts = 0
-        self._closed = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="membership", daemon=True)
+        self._loop = Loop(Part.PEERS, "membership", self._follow_platform)
 
     def start(self) -> None:
         """Set the links by the settings at once, then follow the platform."""
         self._set_links(())
-        self._thread.start()
+        self._loop.start()
 
     def close(self) -> None:
         """Stop following the platform."""
-        self._closed.set()
+        self._loop.stop()
 
     def step(self) -> None:
         """Read the list of hosts and change the links if it asks for others."""
@@ -112,7 +112,6 @@
             self._chosen = chosen
             self._links.set_peers(sorted(chosen, key=lambda peer: peer.host))
 
-    def _run(self) -> None:
-        while not self._closed.is_set():
-            self.step()
-            self._closed.wait(max(LEAST_POLL_SECONDS, self._hosts * POLL_SECONDS_PER_HOST))
+    def _follow_platform(self) -> float:
+        self.step()
+        return max(LEAST_POLL_SECONDS, self._hosts * POLL_SECONDS_PER_HOST)
--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -1,7 +1,6 @@
 """Admit requests within the rate and burst of their client account over all hosts."""
 
 import random
-import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,6 +16,8 @@
     read_boottime,
     refuse,
 )
+from turmericproxy.core.loops import Loop
+from turmericproxy.logs import Part
 from turmericproxy.rates.admission import Admission, Grant
 from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.context import Links
@@ -73,9 +74,12 @@
         self._holdings = keepers.holdings
         self._debit_client = keepers.debit_client
         self._admission = Admission(keepers.context, keepers.debit_client)
-        self._closing = threading.Event()
-        self._wake = threading.Event()
-        self._threads: list[threading.Thread] = []
+        self._ledger_loop = Loop(Part.RATES, "rates-ledger", self._step_ledger)
+        self._loops = (
+            Loop(Part.RATES, "rates-tick", self._record_tick),
+            Loop(Part.RATES, "rates-host", self._step_host),
+            self._ledger_loop,
+        )
 
     @property
     def keepers(self) -> Keepers:
@@ -84,15 +88,9 @@
 
     def start(self) -> None:
         """Start to take this host's part of the ledger over and to keep it."""
-        self._configuration.subscribe(lambda _snapshot: self._wake.set())
-        for name, run in (
-            ("rates-tick", self._run_ticks),
-            ("rates-host", self._run_host),
-            ("rates-ledger", self._run_ledger),
-        ):
-            thread = threading.Thread(target=run, name=name, daemon=True)
-            thread.start()
-            self._threads.append(thread)
+        self._configuration.subscribe(lambda _snapshot: self._ledger_loop.wake())
+        for loop in self._loops:
+            loop.start()
 
     def close(self) -> None:
         """Stop spending and leave the levels of the buckets to the next incarnation."""
@@ -102,10 +100,10 @@
 
     def stop_threads(self) -> None:
         """Stop all upkeep without a last write, so that the lease runs out."""
-        self._closing.set()
-        self._wake.set()
-        for thread in self._threads:
-            thread.join(timeout=self._settings.regrant_after)
+        for loop in self._loops:
+            loop.stop()
+        for loop in self._loops:
+            loop.close()
 
     def admit(self, account: AccountName, tokens: int, deadline: float) -> Grant | Refusal:
         """Deduct tokens for a request, here and at other hosts, or say when to come back.
@@ -153,25 +151,18 @@
             for name, b in sorted(self._holdings.list_all().items())
         )
 
-    def _run_ticks(self) -> None:
-        while not self._closing.wait(TICK_SECONDS):
-            self._holdings.record_tick()
-
-    def _run_host(self) -> None:
-        while not self._closing.is_set():
-            self._keepers.host.step()
-            self._closing.wait(
-                self._keepers.host.renewal_interval
-                if self._holdings.is_open()
-                else LEDGER_STEP_SECONDS / 2
-            )
-
-    def _run_ledger(self) -> None:
-        wait = LEDGER_STEP_SECONDS
-        while not self._closing.is_set():
-            self._wake.wait(wait)
-            self._wake.clear()
-            is_due = self._keepers.ledger.step()
-            wait = random.uniform(0, OVERTAKEN_SECONDS) if is_due else LEDGER_STEP_SECONDS
-            self._keepers.regrant.step()
-            self._holdings.forget_old_spends()
+    def _record_tick(self) -> float:
+        self._holdings.record_tick()
+        return TICK_SECONDS
+
+    def _step_host(self) -> float:
+        self._keepers.host.step()
+        if self._holdings.is_open():
+            return self._keepers.host.renewal_interval
+        return LEDGER_STEP_SECONDS / 2
+
+    def _step_ledger(self) -> float:
+        is_due = self._keepers.ledger.step()
+        self._keepers.regrant.step()
+        self._holdings.forget_old_spends()
+        return random.uniform(0, OVERTAKEN_SECONDS) if is_due else LEDGER_STEP_SECONDS
--- a/turmericproxy/weights/controller.py
+++ b/turmericproxy/weights/controller.py
@@ -1,6 +1,5 @@
 """Order engines to load weights until their reports show the wanted versions."""
 
-import threading
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -8,6 +7,7 @@
 
 from turmericproxy.configuration import Engine, Snapshot
 from turmericproxy.core import EngineName, HostName, ModelName, TickWatch, read_boottime
+from turmericproxy.core.loops import Loop
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.settings.schema import UpstreamSettings
 from turmericproxy.web import CallFailure, HttpClient
@@ -58,18 +58,16 @@
         self._awaited: tuple[_AwaitedOrder, ...] = ()
         self._served_since: dict[tuple[Place, str], float] = {}
         self._watch = TickWatch(PAUSE_LIMIT_SECONDS)
-        self._closed = threading.Event()
         self._pool = ThreadPoolExecutor(CALL_THREADS, thread_name_prefix="weights")
-        self._thread = threading.Thread(target=self._run, name="weights", daemon=True)
+        self._loop = Loop(Part.WEIGHTS, "weights", self._step)
 
     def start(self) -> None:
         """Start to reconcile."""
-        self._thread.start()
+        self._loop.start()
 
     def close(self) -> None:
         """Stop to reconcile; orders on their way are waited for."""
-        self._closed.set()
-        self._thread.join(timeout=CALL_SECONDS * 2)
+        self._loop.close()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def reconcile(self) -> bool:
@@ -91,10 +89,8 @@
         is_loading = any(report.loading for report in reports.values())
         return bool(orders or self._awaited or is_loading or settling)
 
-    def _run(self) -> None:
-        while not self._closed.is_set():
-            is_active = self.reconcile()
-            self._closed.wait(ACTIVE_POLL_SECONDS if is_active else IDLE_POLL_SECONDS)
+    def _step(self) -> float:
+        return ACTIVE_POLL_SECONDS if self.reconcile() else IDLE_POLL_SECONDS
 
     def _read_reports(self, snapshot: Snapshot) -> dict[EngineName, EngineReport]:
         engines = snapshot.list_engines()
@@ -109,7 +105,12 @@
         answer = self._get_client(engine).call_json("GET", "/v1/load")
         if isinstance(answer, CallFailure) or answer[0] != 200:
             return None
-        return EngineReport(dict(answer[1]["versions"]), frozenset(answer[1].get("loading", ())))
+        try:
+            body = answer[1]
+            return EngineReport(dict(body["versions"]), frozenset(body.get("loading", ())))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            log_event(Part.WEIGHTS, "report can't be read", engine=engine.name, reason=repr(error))
+            return None
 
     def _list_settling(self, reports: Mapping[EngineName, EngineReport]) -> frozenset[Place]:
         """Return where a version has been served for less than hosts need to learn of it."""
