Let the engine of the crash test come back on its address; keep the log of the unit tests

An engine that was bound to port 0 lacks the option to bind an address in use, so it could not bind its port again while a connection of the first life lingered: a crash took 10.8 s and the engine stayed away. The scenario runner opened /dev/stdout as a report file, which cut off what the unit tests had printed when the output was a file. Ruled out: the machine's load; alone on the machine the engine stays away as well. Conclusion: a fault of the test's address; clusters use fixed ports and were not affected.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -40,8 +40,9 @@
 
 def run_behave(report: Path) -> Outcome:
     """Run the scenarios of the feature files."""
-    command = [sys.executable, "-m", "behave", "--format=progress", "--format=json"]
-    command += ["--outfile=/dev/stdout", f"--outfile={report}", "features"]
+    # The first format goes to the report, the second to the standard output.
+    command = [sys.executable, "-m", "behave", "--format=json", f"--outfile={report}"]
+    command += ["--format=progress", "features"]
     exit_code = subprocess.run(command, cwd=ROOT, check=False).returncode
     if not report.exists():
         return Outcome(0, frozenset({"behave: no report"}), exit_code)
--- a/tests/standins/engine/test_surface.py
+++ b/tests/standins/engine/test_surface.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from turmericproxy.bench.processes import pick_addresses
 from turmericproxy.standins.engine import (
     EngineOptions,
     EngineStandIn,
@@ -22,7 +23,11 @@
 
 @pytest.fixture
 def engine() -> Iterator[EngineStandIn]:
-    stand_in = create_engine(EngineOptions(event_lag=0.0, load_lag=0.0, load_time=0.05))
+    # An engine that was bound to port 0 can't bind its port again while connections to it linger.
+    address = pick_addresses(1)[0]
+    stand_in = create_engine(
+        EngineOptions(address=address, event_lag=0.0, load_lag=0.0, load_time=0.05)
+    )
     stand_in.start()
     yield stand_in
     stand_in.close()
