--- a/turmericproxy/core/results.py
+++ b/turmericproxy/core/results.py
@@ -1,6 +1,6 @@
 """Number every result that a caller or an operator can get."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum, IntEnum
 
 
@@ -114,10 +114,6 @@
         """Return the HTTP status that goes with the code."""
         return HTTP_STATUS[self.code]
 
-    def with_retry_after(self, seconds: float) -> "Refusal":
-        """Return the same refusal with advice on when to come back."""
-        return replace(self, retry_after=seconds)
-
 
 def refuse(
     code: ResultCode,
--- a/turmericproxy/routing/budget.py
+++ b/turmericproxy/routing/budget.py
@@ -31,8 +31,3 @@
                 return False
             self._left -= 1.0
             return True
-
-    def measure_left(self) -> float:
-        """Return the retries that are left."""
-        with self._lock:
-            return self._left
