--- a/specifications/configuration.py
+++ b/specifications/configuration.py
@@ -1,7 +1,7 @@
 """Specify how changes are committed, and how they spread between hosts.
 
 Steps are named after the functions of ``turmericproxy.configuration`` and
-``turmericproxy.platform`` that they stand for, followed by the number of the attempt or host;
+``turmericproxy.tables`` that they stand for, followed by the number of the attempt or host;
 those of ``ENVIRONMENT`` belong to the platform and the machines.
 """
 
--- a/tests/bookings/test_batch.py
+++ b/tests/bookings/test_batch.py
@@ -25,9 +25,10 @@
 )
 from turmericproxy.bookings.claims import ClaimWrite
 from turmericproxy.core import HostName, Refusal
-from turmericproxy.platform import AnswerLost, Committed, PlatformClient
 from turmericproxy.settings.schema import PlatformSettings
 from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.tables import AnswerLost, Committed
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.web import HttpClient
 
 
--- a/tests/bookings/test_controller.py
+++ b/tests/bookings/test_controller.py
@@ -11,9 +11,9 @@
 from turmericproxy.bookings.outcomes import MOST_ROW_BODY_BYTES
 from turmericproxy.bookings.retention import Sweeper
 from turmericproxy.core import AccountName, HostName, Incarnation, Refusal, ResultCode, RunState
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import BookingSettings, PlatformSettings
 from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.web import HttpClient
 
 ACCOUNT = AccountName("schools")
--- a/tests/rates/test_bucket.py
+++ b/tests/core/test_bucket.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from turmericproxy.rates.bucket import (
+from turmericproxy.core.bucket import (
     MICRO,
     Bucket,
     Spent,
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -10,13 +10,13 @@
 from turmericproxy.core import DomainName, HostName, Incarnation, create_id
 from turmericproxy.keys import KeyController
 from turmericproxy.peers import PeerAddress, PeerLinks
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import (
     ConfigurationSettings,
     PeerLinkSettings,
     PlatformSettings,
 )
 from turmericproxy.standins.platform import PlatformStandIn
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.web import HttpClient
 
 LINKS = PeerLinkSettings(heartbeat=0.1, silence=1.0)
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -5,7 +5,7 @@
 from turmericproxy.core import DomainName, HostName, ResultCode, refuse
 from turmericproxy.peers import PeerAddress
 from turmericproxy.peers.membership import MembershipController, choose_peers
-from turmericproxy.platform import HostEntry, HostList, HostState
+from turmericproxy.tables import HostEntry, HostList, HostState
 
 ME, DOMAIN = HostName("h0"), DomainName("d0")
 
--- a/tests/rates/fakes.py
+++ b/tests/rates/fakes.py
@@ -17,7 +17,11 @@
     refuse,
 )
 from turmericproxy.peers import PeerState
-from turmericproxy.platform import (
+from turmericproxy.rates.keepers import Keepers, create_keepers
+from turmericproxy.rates.ledger import Member
+from turmericproxy.settings.schema import RateSettings
+from turmericproxy.standins.platform_tables import TableState
+from turmericproxy.tables import (
     AnswerLost,
     Committed,
     Conflict,
@@ -27,10 +31,6 @@
     Row,
     Transaction,
 )
-from turmericproxy.rates.keepers import Keepers, create_keepers
-from turmericproxy.rates.ledger import Member
-from turmericproxy.settings.schema import RateSettings
-from turmericproxy.standins.platform_tables import TableState
 
 AWAY = refuse(ResultCode.PLATFORM_UNAVAILABLE, "away")
 NO_LINK = refuse(ResultCode.UPSTREAM_FAILED, "no link")
--- a/tests/rates/test_keepers.py
+++ b/tests/rates/test_keepers.py
@@ -6,7 +6,7 @@
 
 from tests.rates.fakes import Process, World
 from turmericproxy.core import AccountName, HostName
-from turmericproxy.rates.bucket import MICRO
+from turmericproxy.core.bucket import MICRO
 from turmericproxy.rates.ledger import create_limit
 from turmericproxy.settings.schema import RateSettings
 
--- a/tests/rates/test_late_writes.py
+++ b/tests/rates/test_late_writes.py
@@ -2,7 +2,7 @@
 
 from tests.rates.fakes import Clock, Process, World
 from turmericproxy.core import AccountName, HostName
-from turmericproxy.rates.bucket import MICRO
+from turmericproxy.core.bucket import MICRO
 from turmericproxy.rates.holdings import NOTHING_TAKEN, Holdings
 from turmericproxy.rates.leases import Lease
 from turmericproxy.settings.schema import RateSettings
--- a/tests/specifications/test_buckets.py
+++ b/tests/specifications/test_buckets.py
@@ -14,8 +14,8 @@
 )
 from tests.rates.fakes import Process, World
 from turmericproxy.core import AccountName, HostName
+from turmericproxy.core.bucket import MICRO
 from turmericproxy.rates import leases as rate_leases
-from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.table import RateTable
 from turmericproxy.settings.schema import RateSettings
 
--- a/tests/specifications/test_configuration.py
+++ b/tests/specifications/test_configuration.py
@@ -36,7 +36,7 @@
     drop_oldest,
     encode_marks,
 )
-from turmericproxy.platform import AnswerLost, Committed, Conflict, Row, Transaction
+from turmericproxy.tables import AnswerLost, Committed, Conflict, Row, Transaction
 
 DEPTH = 9
 PACKAGES = Path(__file__).parents[2] / "turmericproxy"
@@ -74,7 +74,7 @@
 def test_steps_are_named_after_functions(name: str) -> None:
     functions = {
         node.name.lstrip("_")
-        for package in ("configuration", "keys", "platform")
+        for package in ("configuration", "keys", "tables")
         for path in (PACKAGES / package).glob("*.py")
         for node in ast.walk(ast.parse(path.read_text()))
         if isinstance(node, ast.FunctionDef)
--- a/tests/platform/test_client.py
+++ b/tests/tables/test_client.py
@@ -10,20 +10,20 @@
 import pytest
 
 from turmericproxy.core import HostName, Refusal, ResultCode
-from turmericproxy.platform import (
+from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.tables import (
     AnswerLost,
     Committed,
     Condition,
     Conflict,
     HostState,
-    PlatformClient,
     Row,
     Transaction,
     Write,
 )
-from turmericproxy.platform.breaker import LONGEST_INTERVAL_SECONDS, Breaker
-from turmericproxy.settings.schema import PlatformSettings
-from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.tables.breaker import LONGEST_INTERVAL_SECONDS, Breaker
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.web import (
     HttpClient,
     HttpRequest,
--- a/turmericproxy/bench/rate_fleet.py
+++ b/turmericproxy/bench/rate_fleet.py
@@ -6,10 +6,10 @@
 from turmericproxy.configuration import Account, Kind, Snapshot, replace_resource
 from turmericproxy.core import DomainName, HostName, Incarnation, Revision, create_id
 from turmericproxy.peers import PeerAddress, PeerLinks
-from turmericproxy.platform import PlatformClient
 from turmericproxy.rates import RateController
 from turmericproxy.settings.schema import PeerLinkSettings, PlatformSettings, RateSettings
 from turmericproxy.standins.platform import PlatformStandIn, create_platform
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.web import HttpClient, HttpRequest, HttpResponse, HttpServer
 
 LOOPBACK = "127.0.0.1:0"
--- a/turmericproxy/bench/rate_policies.py
+++ b/turmericproxy/bench/rate_policies.py
@@ -8,11 +8,11 @@
 
 from turmericproxy.bench.rate_fleet import RateFleet
 from turmericproxy.core import AccountName, HostName, Refusal, read_boottime
-from turmericproxy.platform import Committed, Condition, Row, Transaction, Write
-from turmericproxy.rates import bucket as buckets
-from turmericproxy.rates.bucket import MICRO, Bucket
+from turmericproxy.core import bucket as buckets
+from turmericproxy.core.bucket import MICRO, Bucket
 from turmericproxy.rates.ledger import divide
 from turmericproxy.settings.schema import RateSettings
+from turmericproxy.tables import Committed, Condition, Row, Transaction, Write
 
 ACCOUNT = AccountName("measured")
 HOSTS_PER_DOMAIN = (3, 3, 2)
--- a/turmericproxy/bench/slopes_bookings.py
+++ b/turmericproxy/bench/slopes_bookings.py
@@ -18,8 +18,8 @@
 from turmericproxy.bookings.batch import create_transaction
 from turmericproxy.bookings.claims import ClaimRecord, ClaimWrite, create_row_key
 from turmericproxy.core import AccountName, AttemptId, HostName, Incarnation, create_id
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.web import CallFailure, HttpClient
 
 BOOKING_COUNTS = (250, 500, 1_000, 2_000)
--- a/turmericproxy/bench/slopes_rates.py
+++ b/turmericproxy/bench/slopes_rates.py
@@ -11,7 +11,7 @@
 from turmericproxy.bench.rate_fleet import FleetHost, RateFleet
 from turmericproxy.bench.slopes import Slope, fit_slope, print_slopes
 from turmericproxy.core import AccountName, DomainName, HostName, read_boottime
-from turmericproxy.rates.bucket import MICRO
+from turmericproxy.core.bucket import MICRO
 from turmericproxy.rates.holdings import Holdings
 from turmericproxy.rates.ledger import (
     Member,
--- a/turmericproxy/bookings/batch.py
+++ b/turmericproxy/bookings/batch.py
@@ -10,15 +10,15 @@
 from turmericproxy.bookings.claims import ClaimWrite
 from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.logs import Part, log_event
-from turmericproxy.platform import (
+from turmericproxy.tables import (
     AnswerLost,
     Committed,
     Condition,
     Conflict,
-    PlatformClient,
     Transaction,
     Write,
 )
+from turmericproxy.tables.client import PlatformClient
 
 TABLE = "bookings"
 MOST_ROWS = 100
--- a/turmericproxy/bookings/controller.py
+++ b/turmericproxy/bookings/controller.py
@@ -40,8 +40,9 @@
     refuse,
 )
 from turmericproxy.logs import Part, log_event
-from turmericproxy.platform import AnswerLost, PlatformClient
 from turmericproxy.settings.schema import BookingSettings
+from turmericproxy.tables import AnswerLost
+from turmericproxy.tables.client import PlatformClient
 
 RETRY_PAUSE_SECONDS = 0.05
 FINISH_WAIT_SECONDS = 0.25
--- a/turmericproxy/bookings/outcomes.py
+++ b/turmericproxy/bookings/outcomes.py
@@ -4,7 +4,7 @@
 
 from turmericproxy.bookings.claims import ClaimRecord, StoredOutcome
 from turmericproxy.core import Refusal, ResultCode, RunState, refuse
-from turmericproxy.platform import PlatformClient
+from turmericproxy.tables.client import PlatformClient
 
 MOST_ROW_BODY_BYTES = 32 * 1024
 RETRY_SECONDS = 1.0
--- a/turmericproxy/bookings/retention.py
+++ b/turmericproxy/bookings/retention.py
@@ -10,7 +10,8 @@
 from turmericproxy.bookings.claims import ROW_KEY_BYTES, read_record
 from turmericproxy.core import Refusal
 from turmericproxy.logs import Part, log_event
-from turmericproxy.platform import Committed, Condition, PlatformClient, Row, Transaction, Write
+from turmericproxy.tables import Committed, Condition, Row, Transaction, Write
+from turmericproxy.tables.client import PlatformClient
 
 PAGE_ROWS = 1000
 PAGE_INTERVAL_SECONDS = 30.0
--- a/turmericproxy/bookings/settlement.py
+++ b/turmericproxy/bookings/settlement.py
@@ -18,7 +18,8 @@
 from turmericproxy.bookings.outcomes import store_body
 from turmericproxy.core import Refusal
 from turmericproxy.logs import Part, log_event
-from turmericproxy.platform import PlatformClient, Row
+from turmericproxy.tables import Row
+from turmericproxy.tables.client import PlatformClient
 
 WORKERS = 4
 WRITE_TIMEOUT_SECONDS = 3.0
--- a/turmericproxy/cli/serve.py
+++ b/turmericproxy/cli/serve.py
@@ -17,7 +17,7 @@
 ) -> None:
     """Run one host until SIGTERM or SIGINT; every running request is finished first."""
     # The parts of a host are imported here so that the other commands start fast.
-    from turmericproxy.host import HostDaemon
+    from turmericproxy.host.daemon import HostDaemon
 
     loaded = load_settings(settings)
     if not isinstance(loaded, HostSettings):
--- a/turmericproxy/configuration/changes.py
+++ b/turmericproxy/configuration/changes.py
@@ -20,7 +20,8 @@
 from turmericproxy.core.clock import read_boottime
 from turmericproxy.core.ids import Revision
 from turmericproxy.core.results import Refusal, ResultCode, RunState, refuse
-from turmericproxy.platform import Committed, Conflict, PlatformClient, Transaction
+from turmericproxy.tables import Committed, Conflict, Transaction
+from turmericproxy.tables.client import PlatformClient
 
 MUST_NOT_EXIST = Revision(0)
 SETTLE_PAUSE_SECONDS = 0.1
--- a/turmericproxy/configuration/controller.py
+++ b/turmericproxy/configuration/controller.py
@@ -31,8 +31,8 @@
 from turmericproxy.core.results import Refusal, ResultCode, refuse
 from turmericproxy.logs import Part, log_event
 from turmericproxy.peers.links import PeerLinks
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import ConfigurationSettings
+from turmericproxy.tables.client import PlatformClient
 
 CHANGE_TIMEOUT_SECONDS = 6.0
 PATIENCE_SECONDS = 1.0
--- a/turmericproxy/configuration/follower.py
+++ b/turmericproxy/configuration/follower.py
@@ -25,8 +25,8 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.peers.links import PeerLinks
 from turmericproxy.peers.states import PeerState
-from turmericproxy.platform import PlatformClient
 from turmericproxy.settings.schema import ConfigurationSettings
+from turmericproxy.tables.client import PlatformClient
 
 FETCH_TIMEOUT_SECONDS = 2.0
 PEER_CHECK_SECONDS = 0.2
--- a/turmericproxy/configuration/store.py
+++ b/turmericproxy/configuration/store.py
@@ -10,7 +10,8 @@
 from turmericproxy.configuration.snapshot import Snapshot, VersionedResource
 from turmericproxy.core.ids import Revision
 from turmericproxy.core.results import Refusal, ResultCode, refuse
-from turmericproxy.platform import Condition, PlatformClient, Row, Transaction, Write
+from turmericproxy.tables import Condition, Row, Transaction, Write
+from turmericproxy.tables.client import PlatformClient
 
 TABLE = "configuration"
 HEAD_KEY = "head"
--- a/turmericproxy/rates/bucket.py
+++ b/turmericproxy/core/bucket.py
@@ -72,6 +72,16 @@
     return taken
 
 
+def charge(bucket: Bucket, amount: int, now: int) -> Bucket:
+    """Take what was spent elsewhere; the level may fall below zero.
+
+    >>> charge(Bucket(rate=1, depth=5, level=3, updated=0), 4, 0).level
+    -1
+    """
+    filled = refill(bucket, now)
+    return replace(filled, level=filled.level - amount)
+
+
 def give_back(bucket: Bucket, spent: Spent, unused: int, now: int) -> Bucket:
     """Put the unused part of a spend back, as if the spend had been smaller from the start.
 
--- /dev/null
+++ b/turmericproxy/edge/__init__.py
@@ -0,0 +1,19 @@
+"""Speak HTTP/1.1 on one event loop, towards clients and towards upstreams."""
+
+from turmericproxy.edge.limits import EdgeLimits
+from turmericproxy.edge.messages import AnswerHead, ClientRequest, Headers
+from turmericproxy.edge.server import EdgeServer
+from turmericproxy.edge.upstream import UpstreamCall, call_upstream, fetch
+from turmericproxy.edge.writer import AnswerWriter
+
+__all__ = [
+    "AnswerHead",
+    "AnswerWriter",
+    "ClientRequest",
+    "EdgeLimits",
+    "EdgeServer",
+    "Headers",
+    "UpstreamCall",
+    "call_upstream",
+    "fetch",
+]
--- /dev/null
+++ b/turmericproxy/edge/server.py
@@ -0,0 +1,75 @@
+"""Accept client connections on the event loop."""
+
+import asyncio
+from collections.abc import Callable
+from weakref import WeakSet
+
+from turmericproxy.edge.connection import ClientConnection, Handler
+from turmericproxy.edge.limits import EdgeLimits
+from turmericproxy.edge.messages import ClientRequest
+from turmericproxy.edge.writer import AnswerWriter
+
+# Connections that wait to be accepted; a full queue makes clients wait for a resent packet.
+BACKLOG = 1024
+
+
+class EdgeServer:
+    """Serve a handler behind one listening address."""
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        get_limits: Callable[[], EdgeLimits] = EdgeLimits,
+        single_fields: tuple[str, ...] = (),
+    ) -> None:
+        self._ip, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._handler = handler
+        self._get_limits = get_limits
+        self._single_fields = single_fields
+        self._connections: WeakSet[ClientConnection] = WeakSet()
+        self._server: asyncio.Server | None = None
+        self._is_draining = False
+        self.active = 0
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server is bound to."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def start(self) -> None:
+        """Bind the address and accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._create_connection, self._ip, self._port, backlog=BACKLOG
+        )
+
+    def drain(self) -> None:
+        """Close each connection after its next answer; new connections are still served."""
+        self._is_draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request."""
+        for connection in list(self._connections):
+            connection.close_idle()
+
+    def close(self) -> None:
+        """Stop accepting connections; running requests go on."""
+        if self._server:
+            self._server.close()
+
+    def _create_connection(self) -> ClientConnection:
+        connection = ClientConnection(
+            self._run, self._get_limits, lambda: self._is_draining, self._single_fields
+        )
+        self._connections.add(connection)
+        return connection
+
+    async def _run(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        self.active += 1
+        try:
+            await self._handler(request, writer)
+        finally:
+            self.active -= 1
--- /dev/null
+++ b/turmericproxy/edge/upstream.py
@@ -0,0 +1,202 @@
+"""Send one request on a connection of its own, and read the answer piece by piece."""
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import Self
+
+import httptools
+
+from turmericproxy.edge.messages import AnswerHead, Headers
+
+# An answer that is not taken stops being read at this size.
+BUFFERED_BYTES = 256 * 1024
+# Milliseconds without an acknowledgement after which a connection is given up.
+USER_TIMEOUT_MS = 3000
+FIRST_FINAL_STATUS = 200
+
+
+class EndKind(Enum):
+    """Tell how an answer ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class NotConnected:
+    """Say that no connection was made, so that nothing was sent."""
+
+    reason: str
+
+
+class _AnswerReader(asyncio.Protocol):
+    """Parse one answer; bytes after its end belong to no request and are dropped."""
+
+    def __init__(self, *, has_body: bool) -> None:
+        self._has_body = has_body
+        self._parser = httptools.HttpResponseParser(self)
+        self._fields: list[tuple[str, str]] = []
+        self._parts: deque[bytes] = deque()
+        self._buffered = 0
+        self._is_framed = False
+        self._changed: asyncio.Future[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self.head: AnswerHead | None = None
+        self.end: EndKind | None = None
+        self.reason = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self.end:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._finish(EndKind.BROKEN, str(error) or "unreadable answer")
+        self._notify()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and self.head and not self._is_framed:
+            self._finish(EndKind.COMPLETE, "")
+        else:
+            self._finish(EndKind.BROKEN, repr(exc) if exc else "connection closed")
+        self._notify()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.head is None:
+            self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if self.end or status < FIRST_FINAL_STATUS:
+            return
+        headers = Headers(self._fields)
+        self._is_framed = bool(headers.get("content-length") or headers.get("transfer-encoding"))
+        self.head = AnswerHead(status, headers)
+        if not self._has_body:
+            self._finish(EndKind.COMPLETE, "")
+
+    def on_body(self, body: bytes) -> None:
+        if self.end is None:
+            self._parts.append(body)
+            self._buffered += len(body)
+            if self._buffered > BUFFERED_BYTES and self._transport:
+                self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        if self.head is None:
+            self._fields = []  # an interim answer
+        else:
+            self._finish(EndKind.COMPLETE, "")
+
+    async def wait(self) -> None:
+        """Wait until something has come."""
+        if self._changed is None or self._changed.done():
+            self._changed = asyncio.get_running_loop().create_future()
+        await self._changed
+
+    def take(self) -> bytes:
+        """Return the parts of the body that have come."""
+        if not self._parts:
+            return b""
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._buffered = 0
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+        return data
+
+    def _finish(self, end: EndKind, reason: str) -> None:
+        if self.end is None:
+            self.end = end
+            self.reason = reason
+
+    def _notify(self) -> None:
+        if self._changed and not self._changed.done():
+            self._changed.set_result(None)
+
+
+class UpstreamCall:
+    """Own the connection of one request; closing it tells the upstream to stop."""
+
+    def __init__(self, transport: asyncio.Transport, reader: _AnswerReader) -> None:
+        self._transport = transport
+        self._reader = reader
+
+    async def read_head(self) -> AnswerHead | None:
+        """Return the head of the answer, or ``None`` if the connection broke before it."""
+        while self._reader.head is None and self._reader.end is None:
+            await self._reader.wait()
+        return self._reader.head
+
+    async def read_part(self) -> bytes | EndKind:
+        """Return the next bytes of the body, or how the answer ended."""
+        while True:
+            data = self._reader.take()
+            if data:
+                return data
+            if self._reader.end:
+                return self._reader.end
+            await self._reader.wait()
+
+    @property
+    def reason(self) -> str:
+        """Return why the answer broke off."""
+        return self._reader.reason
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+
+async def call_upstream(
+    address: str, data: bytes, *, connect_timeout: float, has_body: bool = True
+) -> UpstreamCall | NotConnected:
+    """Connect and send a request; ``connect_timeout`` is in seconds."""
+    ip, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        transport, reader = await asyncio.wait_for(
+            loop.create_connection(lambda: _AnswerReader(has_body=has_body), ip, int(port)),
+            connect_timeout,
+        )
+    except (OSError, ValueError) as error:
+        return NotConnected(repr(error))
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    transport.write(data)
+    return UpstreamCall(transport, reader)
+
+
+async def fetch(
+    address: str, data: bytes, *, connect_timeout: float, timeout: float
+) -> tuple[AnswerHead, bytes] | str:
+    """Return a whole short answer, or the reason why there is none; times are in seconds."""
+    called = await call_upstream(address, data, connect_timeout=connect_timeout)
+    if isinstance(called, NotConnected):
+        return called.reason
+    with called:
+        try:
+            async with asyncio.timeout(timeout):
+                head = await called.read_head()
+                body = bytearray()
+                while isinstance(part := await called.read_part(), bytes):
+                    body += part
+        except TimeoutError:
+            return "no answer in time"
+        if head is None or part is not EndKind.COMPLETE:
+            return called.reason or "answer broke off"
+        return head, bytes(body)
--- /dev/null
+++ b/turmericproxy/fleet/__init__.py
@@ -0,0 +1,7 @@
+"""Tell the other hosts of this host's work, and learn of theirs, on one event loop."""
+
+from turmericproxy.fleet.links import FleetLinks
+from turmericproxy.fleet.messages import Batch, Hello, PlacedPrompt
+from turmericproxy.fleet.quotas import QuotaController
+
+__all__ = ["Batch", "FleetLinks", "Hello", "PlacedPrompt", "QuotaController"]
--- /dev/null
+++ b/turmericproxy/fleet/links.py
@@ -0,0 +1,233 @@
+"""Keep a stream to every other host, and tell who can be heard."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from turmericproxy.core import HostName, read_boottime
+from turmericproxy.fleet.messages import (
+    LARGEST_MESSAGE_BYTES,
+    LENGTH_BYTES,
+    Batch,
+    Hello,
+    Unreadable,
+    pack_batch,
+    pack_hello,
+    unpack,
+)
+from turmericproxy.logs import Part, log_event
+
+# Seconds between two batches; a batch with no news is sent as a heartbeat.
+BATCH_SECONDS = 0.04
+HEARTBEAT_SECONDS = 0.4
+# Seconds of silence after which a peer is out of touch: three heartbeats and a round trip.
+SILENCE_SECONDS = 1.3
+# Seconds after which a peer that stays out of touch is no longer counted as running.
+FORGET_SECONDS = 30.0
+CONNECT_SECONDS = 0.6
+# Seconds between two attempts to reach a peer, doubled up to the longest.
+SHORTEST_REDIAL = 0.2
+LONGEST_REDIAL = 2.0
+# Milliseconds without an acknowledgement after which a stream is given up.
+USER_TIMEOUT_MS = 1300
+# Unsent bytes at which a stream is given up; its peer does not read.
+LARGEST_BACKLOG = 512 * 1024
+
+
+@dataclass
+class Peer:
+    """Hold the link to another host; times are of CLOCK_BOOTTIME."""
+
+    hello: Hello
+    known_at: float
+    heard_at: float | None = None
+    is_leaving: bool = False
+    writer: asyncio.StreamWriter | None = None
+    task: asyncio.Task[None] | None = field(default=None, repr=False)
+
+    def is_heard(self, now: float) -> bool:
+        """Return whether the peer has been heard of late."""
+        return self.heard_at is not None and now - self.heard_at < SILENCE_SECONDS
+
+    def is_running(self, now: float) -> bool:
+        """Return whether the peer may take requests, heard or not."""
+        if self.is_leaving:
+            return False
+        return now - (self.heard_at or self.known_at) < FORGET_SECONDS
+
+
+class FleetLinks:
+    """Send batches to all peers; ``create_batch`` makes one with all state for a new stream.
+
+    ``receive`` takes each batch, ``lose`` is called once for each peer that falls silent.
+    """
+
+    def __init__(
+        self,
+        own: Hello,
+        create_batch: Callable[[bool], Batch | None],
+        receive: Callable[[Hello, Batch], None],
+        lose: Callable[[HostName], None],
+        read_clock: Callable[[], float] = read_boottime,
+    ) -> None:
+        self._own = own
+        self._create_batch = create_batch
+        self._receive = receive
+        self._lose = lose
+        self._read_clock = read_clock
+        self._peers: dict[HostName, Peer] = {}
+        self._lost: set[HostName] = set()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_closing = False
+
+    async def start(self) -> None:
+        """Listen, and begin to send."""
+        ip, _, port = self._own.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, ip, int(port))
+        self._spawn(self._send_batches())
+
+    async def close(self) -> None:
+        """Tell peers that this host leaves, and close all streams."""
+        self._is_closing = True
+        self._send(pack_batch(Batch(is_leaving=True)))
+        for task in self._tasks:
+            task.cancel()
+        for peer in self._peers.values():
+            if peer.writer:
+                peer.writer.close()
+        if self._server:
+            self._server.close()
+
+    def add_peer(self, hello: Hello) -> None:
+        """Dial a host that was told of; its address may have changed."""
+        if hello.host == self._own.host or self._is_closing:
+            return
+        known = self._peers.get(hello.host)
+        if known and known.hello.address == hello.address:
+            return
+        if known and known.task:
+            known.task.cancel()
+        peer = Peer(hello, self._read_clock())
+        self._peers[hello.host] = peer
+        peer.task = self._spawn(self._keep_link(peer))
+
+    def list_heard(self) -> list[HostName]:
+        """Return the peers that have been heard of late."""
+        now = self._read_clock()
+        return [name for name, peer in self._peers.items() if peer.is_heard(now)]
+
+    def count_hosts(self) -> int:
+        """Return how many hosts may take requests, this one included."""
+        now = self._read_clock()
+        return 1 + sum(peer.is_running(now) for peer in self._peers.values())
+
+    def measure_share(self) -> float:
+        """Return the part of all running hosts that this host is in touch with, itself included."""
+        now = self._read_clock()
+        heard = sum(p.is_heard(now) and p.is_running(now) for p in self._peers.values())
+        return (1 + heard) / self.count_hosts()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _send_batches(self) -> None:
+        sent_at = 0.0
+        while True:
+            await asyncio.sleep(BATCH_SECONDS)
+            self._drop_silent()
+            batch = self._create_batch(False)
+            now = self._read_clock()
+            if batch is None and now - sent_at < HEARTBEAT_SECONDS:
+                continue
+            self._send(pack_batch(batch or Batch()))
+            sent_at = now
+
+    def _send(self, data: bytes) -> None:
+        for peer in self._peers.values():
+            writer = peer.writer
+            if writer is None or writer.is_closing():
+                continue
+            if writer.transport.get_write_buffer_size() > LARGEST_BACKLOG:
+                writer.transport.abort()
+                continue
+            writer.write(data)
+
+    def _drop_silent(self) -> None:
+        now = self._read_clock()
+        for name, peer in self._peers.items():
+            if peer.heard_at is not None and not peer.is_heard(now) and name not in self._lost:
+                self._lost.add(name)
+                log_event(Part.PEERS, "host out of touch", peer=name)
+                self._lose(name)
+
+    async def _keep_link(self, peer: Peer) -> None:
+        ip, _, port = peer.hello.address.rpartition(":")
+        pause = SHORTEST_REDIAL
+        while not self._is_closing:
+            try:
+                opening = asyncio.open_connection(ip, int(port))
+                reader, writer = await asyncio.wait_for(opening, CONNECT_SECONDS)
+            except (OSError, ValueError):
+                await asyncio.sleep(pause)
+                pause = min(LONGEST_REDIAL, 2 * pause)
+                continue
+            pause = SHORTEST_REDIAL
+            _set_user_timeout(writer)
+            writer.write(pack_hello(self._own) + pack_batch(self._create_batch(True) or Batch()))
+            peer.writer = writer
+            try:
+                await reader.read()
+            except OSError as error:
+                log_event(Part.PEERS, "link broke", peer=peer.hello.host, reason=repr(error))
+            finally:
+                peer.writer = None
+                writer.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        _set_user_timeout(writer)
+        hello: Hello | None = None
+        try:
+            while True:
+                message = await _read_message(reader)
+                if isinstance(message, Hello):
+                    hello = message
+                    self.add_peer(hello)
+                elif hello:
+                    self._take_batch(hello, message)
+        except asyncio.IncompleteReadError:
+            pass
+        except (OSError, Unreadable) as error:
+            peer = hello.host if hello else None
+            log_event(Part.PEERS, "stream from host ended", peer=peer, reason=repr(error))
+        finally:
+            writer.close()
+
+    def _take_batch(self, hello: Hello, batch: Batch) -> None:
+        peer = self._peers.get(hello.host)
+        if peer is None or peer.hello.address != hello.address:
+            return
+        if hello.host in self._lost or peer.heard_at is None:
+            log_event(Part.PEERS, "host in touch", peer=hello.host, incarnation=hello.incarnation)
+            self._lost.discard(hello.host)
+        peer.hello = hello
+        peer.heard_at = self._read_clock()
+        peer.is_leaving = batch.is_leaving
+        self._receive(hello, batch)
+
+
+async def _read_message(reader: asyncio.StreamReader) -> Hello | Batch:
+    size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+    if size > LARGEST_MESSAGE_BYTES:
+        raise Unreadable(f"a message of {size} bytes")
+    return unpack(await reader.readexactly(size))
+
+
+def _set_user_timeout(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/turmericproxy/host/announcing.py
@@ -0,0 +1,89 @@
+"""Collect what peers are to be told of, and take in what they tell."""
+
+import asyncio
+
+from turmericproxy.core import HostName, ModelName
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.fleet.messages import Batch, Hello, PlacedPrompt
+from turmericproxy.fleet.quotas import QuotaController
+from turmericproxy.placement.book import UpstreamBook
+from turmericproxy.placement.prefixes import PartKey
+from turmericproxy.traffic.dispatching import Dispatcher
+
+# Tokens that a part is taken for when a peer tells only that it is kept.
+KEPT_PART_TOKENS = 2000
+
+
+class FleetNews:
+    """Make batches for peers and apply theirs."""
+
+    def __init__(self, book: UpstreamBook, dispatcher: Dispatcher, quotas: QuotaController) -> None:
+        self._book = book
+        self._dispatcher = dispatcher
+        self._quotas = quotas
+        self._changing: list[tuple[InstanceId, float]] = []
+        self._versions: list[tuple[InstanceId, ModelName, int]] = []
+
+    def announce_change(self, instance: InstanceId, seconds: float) -> None:
+        """Tell that an engine loads weights for some seconds."""
+        self._changing.append((instance, seconds))
+
+    def announce_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
+        """Tell that an engine has loaded a version."""
+        self._versions.append((instance, model, version))
+
+    def create_batch(self, is_first: bool) -> Batch | None:
+        """Return the news since the last batch, or all state for a new stream."""
+        if is_first:
+            return Batch(
+                work=self._book.list_own_work(),
+                spent=self._quotas.list_spent(),
+                levels=self._quotas.list_levels(),
+                versions=self._book.list_versions(),
+            )
+        work, spent = self._book.take_changed_work(), self._quotas.take_changed()
+        placed, kept = self._dispatcher.take_news()
+        changing, self._changing = self._changing, []
+        versions, self._versions = self._versions, []
+        if not any((work, spent, placed, kept, changing, versions)):
+            return None
+        return Batch(
+            work=work,
+            placed=tuple(
+                PlacedPrompt(
+                    instance,
+                    keys[0].space,
+                    tuple((part.part_id, part.tokens) for part in prompt.shared_parts),
+                )
+                for instance, keys, prompt in placed
+            ),
+            kept=tuple((key.space, key.part_id) for key in kept),
+            spent=spent,
+            versions=tuple(versions),
+            changing=tuple(changing),
+        )
+
+    def receive(self, hello: Hello, batch: Batch) -> None:
+        """Take in a batch of a peer."""
+        for instance, model, version in batch.versions:
+            self._book.learn_version(instance, model, version)
+        self._book.set_peer_work(hello.host, batch.work)
+        for prompt in batch.placed:
+            state = self._book.find(prompt.instance)
+            if state:
+                state.prefixes.add((PartKey(prompt.space, p), tokens) for p, tokens in prompt.parts)
+        self._dispatcher.kept.add(
+            (PartKey(space, part), KEPT_PART_TOKENS) for space, part in batch.kept
+        )
+        now = asyncio.get_running_loop().time()
+        for instance, seconds in batch.changing:
+            self._book.mark_changing(instance, now + seconds)
+        if batch.levels:
+            self._quotas.inherit_levels(batch.levels)
+        if batch.spent:
+            self._quotas.record_peer(hello.host, hello.incarnation, batch.spent)
+
+    def lose(self, host: HostName) -> None:
+        """Drop what a peer told that can't be heard any more."""
+        self._book.forget_peer(host)
+        self._quotas.forget_peer(host)
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -13,10 +13,10 @@
 from turmericproxy.operators import create_operator_server
 from turmericproxy.peers import PeerAddress, PeerLinks
 from turmericproxy.peers.membership import MembershipController
-from turmericproxy.platform import PlatformClient
 from turmericproxy.rates import RateController
 from turmericproxy.routing import FairQueue, Selector
 from turmericproxy.settings import HostSettings
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.weights import WeightController
 
 RUNNING_CHATS_SHARE = 0.6
--- /dev/null
+++ b/turmericproxy/host/site_daemon.py
@@ -0,0 +1,195 @@
+"""Run a host that takes its configuration and upstreams from tables of a store."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from turmericproxy.core import Incarnation, create_id, read_boottime
+from turmericproxy.core.budget import RetryBudget
+from turmericproxy.core.ids import ServiceName
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
+from turmericproxy.fleet import FleetLinks, Hello, QuotaController
+from turmericproxy.host.announcing import FleetNews
+from turmericproxy.host.directory import HostDirectory
+from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.host.watching import SiteWatch
+from turmericproxy.logs import Part, log_event
+from turmericproxy.metrics import Metrics
+from turmericproxy.placement.book import UpstreamBook
+from turmericproxy.placement.entries import UpstreamEntry
+from turmericproxy.rollout.controller import RolloutController
+from turmericproxy.rollout.holder import LeaseHolder
+from turmericproxy.rollout.ports import EngineControl
+from turmericproxy.rollout.wanted import WantedVersions
+from turmericproxy.store.ports import TableStore
+from turmericproxy.tables.messages import Row
+from turmericproxy.traffic.dispatching import Dispatcher
+from turmericproxy.traffic.exchange import ExchangeParts
+from turmericproxy.traffic.ports import MessageCodec
+from turmericproxy.traffic.router import Router
+
+# Share of the retry bounds that is used; hosts count on their own, and windows slide.
+RETRY_SHARE_USED = 0.75
+RETRY_RESERVE_USED = 0.6
+# Hosts that are counted at least, so that one that knows no peers takes no more than its part.
+LEAST_HOSTS = 6
+# Seconds between two updates of shares and limits.
+UPKEEP_SECONDS = 0.1
+# Seconds after SIGTERM in which new connections still come: two missed checks and their delay.
+LEAVING_SECONDS = 2.5
+# Share of the grace in which running requests may end.
+GRACE_USED = 0.94
+DRAIN_STEP_SECONDS = 0.05
+
+
+@dataclass(frozen=True)
+class SiteAdapter:
+    """Hold what translates between the host and the outside."""
+
+    codec: MessageCodec
+    store: TableStore
+    control: EngineControl
+    configuration_table: str
+    upstream_table: str
+    ready_path: str
+    single_fields: tuple[str, ...]
+    read_configuration_row: Callable[[Row], object]
+    read_upstream_row: Callable[[Row], UpstreamEntry | None]
+
+
+class SiteHost:
+    """Own every part of one host on an event loop."""
+
+    def __init__(self, settings: SiteHostSettings, adapter: SiteAdapter) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        loop = asyncio.get_running_loop()
+        self._metrics = Metrics()
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._is_draining = False
+        own = Hello(settings.host, settings.links, settings.domain, Incarnation(create_id()))
+        self._book = UpstreamBook()
+        self._wanted = WantedVersions()
+        self._quotas = QuotaController(read_boottime, is_first_start=settings.is_first_start)
+        self._dispatcher = Dispatcher(
+            self._book, self._wanted, settings.domain, settings.version_seconds, loop.time
+        )
+        self._news = FleetNews(self._book, self._dispatcher, self._quotas)
+        self._links = FleetLinks(own, self._news.create_batch, self._news.receive, self._news.lose)
+        self._directory = HostDirectory(adapter.store, own, self._links)
+        self._rollout = self._create_rollout()
+        self._watch = SiteWatch(
+            adapter, self._book, self._wanted, self._quotas, self._dispatcher, self._rollout.wake
+        )
+        parts = ExchangeParts(adapter.codec, self._dispatcher, self._get_budget)
+        self._router = Router(parts, self._quotas, lambda: self._watch.site, self._metrics)
+        self._callers = EdgeServer(
+            settings.callers, self._router.handle, self._get_limits, adapter.single_fields
+        )
+        self._readiness = EdgeServer(settings.readiness, self._tell_ready)
+        self._metrics_server = EdgeServer(settings.metrics, self._tell_metrics)
+        self._stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        await self.start()
+        upkeep = loop.create_task(self._keep_up())
+        await self._stopped.wait()
+        await self._drain()
+        upkeep.cancel()
+        await self.close()
+
+    async def start(self) -> None:
+        """Start every part."""
+        await self._links.start()
+        self._watch.start()
+        self._directory.start()
+        self._rollout.start()
+        await self._callers.start()
+        await self._metrics_server.start()
+        await self._readiness.start()
+        log_event(
+            Part.HOST,
+            "started",
+            domain=self._settings.domain,
+            callers=self._settings.callers,
+            is_first_start=self._settings.is_first_start,
+        )
+
+    async def close(self) -> None:
+        """Close every part."""
+        await self._rollout.close()
+        await self._directory.close()
+        await self._watch.close()
+        self._callers.close()
+        self._readiness.close()
+        self._metrics_server.close()
+        await self._links.close()
+        log_event(Part.HOST, "stopped", unfinished=self._callers.active)
+
+    def _create_rollout(self) -> RolloutController:
+        settings, adapter = self._settings, self._adapter
+        # The machine is the holder: a host that restarts there is the same one.
+        holder = LeaseHolder(adapter.store, settings.links, settings.order_guard, read_boottime)
+        return RolloutController(
+            self._book,
+            self._wanted,
+            adapter.control,
+            holder,
+            settings.host,
+            self._links.list_heard,
+            self._news,
+        )
+
+    def _get_limits(self) -> EdgeLimits:
+        site = self._watch.site
+        return site.limits if site else EdgeLimits()
+
+    def _get_budget(self, service: ServiceName) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            hosts = max(LEAST_HOSTS, self._links.count_hosts())
+            budget = RetryBudget(
+                share=RETRY_SHARE_USED * self._settings.retry_share,
+                reserve=RETRY_RESERVE_USED * self._settings.retry_reserve / hosts,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    async def _tell_ready(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        if request.path != self._adapter.ready_path:
+            writer.send(404, ())
+            return
+        is_ready = self._watch.is_known and not self._is_draining
+        writer.send(200 if is_ready else 503, ())
+
+    async def _tell_metrics(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        text = self._metrics.write_text().encode()
+        writer.send(200, [("Content-Type", "text/plain; version=0.0.4")], text)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_SECONDS)
+            self._quotas.follow_share(self._links.measure_share())
+
+    def _note_reload(self) -> None:
+        log_event(Part.HOST, "settings changed", note="they are read at the next start")
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        log_event(Part.HOST, "draining", active=self._callers.active)
+        self._is_draining = True
+        self._callers.drain()
+        await asyncio.sleep(LEAVING_SECONDS)
+        self._callers.close()
+        self._callers.close_idle()
+        last = started + GRACE_USED * self._settings.grace
+        while self._callers.active and loop.time() < last:
+            await asyncio.sleep(DRAIN_STEP_SECONDS)
+            self._callers.close_idle()
--- a/turmericproxy/logs/lines.py
+++ b/turmericproxy/logs/lines.py
@@ -6,6 +6,10 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from turmericproxy.logs.pipe import PipeHandler
+
+LINE_FORMAT = "%(asctime)s %(levelname)s %(message)s"
+
 _LOGGER = logging.getLogger("turmericproxy")
 
 
@@ -30,14 +34,21 @@
 def configure_logs(level: str, host: str) -> None:
     """Send JSON lines of at least ``level`` to standard error."""
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        JsonFormatter("%(asctime)s %(levelname)s %(message)s", static_fields={"host": host})
-    )
+    handler.setFormatter(JsonFormatter(LINE_FORMAT, static_fields={"host": host}))
     _LOGGER.handlers[:] = [handler]
     _LOGGER.setLevel(level.upper())
     _LOGGER.propagate = False
 
 
+def configure_site_logs(host: str = "") -> None:
+    """Send JSON lines to standard output without waiting for its reader."""
+    handler = PipeHandler(sys.stdout.fileno())
+    handler.setFormatter(JsonFormatter(LINE_FORMAT, static_fields={"host": host}))
+    _LOGGER.handlers[:] = [handler]
+    _LOGGER.setLevel(logging.INFO)
+    _LOGGER.propagate = False
+
+
 def log_event(part: Part, message: str, *, level: int = logging.INFO, **fields: object) -> None:
     """Log a short sentence of a part, with its figures as fields."""
     _LOGGER.log(level, f"{part.value}: {message}", extra=fields)
--- a/turmericproxy/peers/membership.py
+++ b/turmericproxy/peers/membership.py
@@ -8,7 +8,7 @@
 from turmericproxy.logs import Part
 from turmericproxy.peers.states import PeerAddress
 from turmericproxy.peers.topology import Node, choose_neighbours
-from turmericproxy.platform import HostEntry, HostList, HostState
+from turmericproxy.tables import HostEntry, HostList, HostState
 
 LEAST_POLL_SECONDS = 2.0
 POLL_SECONDS_PER_HOST = 0.1
--- /dev/null
+++ b/turmericproxy/placement/__init__.py
@@ -0,0 +1,20 @@
+"""Choose an upstream for each request from what the host knows of all of them."""
+
+from turmericproxy.placement.book import UpstreamBook
+from turmericproxy.placement.engines import EngineView, PromptNeed, choose_engine, score_engine
+from turmericproxy.placement.entries import EntryState, UpstreamEntry
+from turmericproxy.placement.plain import PlainView, choose_plain
+from turmericproxy.placement.prefixes import PrefixMemory
+
+__all__ = [
+    "EngineView",
+    "EntryState",
+    "PlainView",
+    "PrefixMemory",
+    "PromptNeed",
+    "UpstreamBook",
+    "UpstreamEntry",
+    "choose_engine",
+    "choose_plain",
+    "score_engine",
+]
--- /dev/null
+++ b/turmericproxy/placement/book.py
@@ -0,0 +1,243 @@
+"""Keep what a host knows of each upstream."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from turmericproxy.core import HostName, ModelName
+from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.logs import Part, log_event
+from turmericproxy.placement.engines import DEFAULT_TOKENS_PER_SECOND
+from turmericproxy.placement.entries import EntryState, UpstreamEntry
+from turmericproxy.placement.health import Ending, Health, record_ending
+from turmericproxy.placement.plain import DEFAULT_CALL_SECONDS
+from turmericproxy.placement.prefixes import PrefixMemory
+
+# Share of an engine's memory that is expected to keep parts that no running request uses.
+CACHE_SHARE = 0.6
+# Weight of the newest call in the smoothed time of calls and pace of prefill.
+SMOOTHING = 0.1
+# Bounds of the learnt pace of prefill, as factors of the default.
+SLOWEST_PACE = 0.1
+FASTEST_PACE = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Hold the work that one host has at an upstream."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+    held_tokens: int = 0
+
+
+@dataclass
+class UpstreamState:
+    """Gather what a host knows of one upstream; times are of the event loop."""
+
+    entry: UpstreamEntry
+    prefixes: PrefixMemory
+    health: Health = Health()
+    own: Work = Work()
+    peers: dict[HostName, Work] = field(default_factory=dict)
+    versions: dict[ModelName, int] = field(default_factory=dict)
+    changing_until: float = 0.0
+    call_seconds: float = DEFAULT_CALL_SECONDS
+    tokens_per_second: float = DEFAULT_TOKENS_PER_SECOND
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the upstream takes new requests."""
+        return self.entry.state is EntryState.READY
+
+    @property
+    def requests(self) -> int:
+        """Return the requests of all hosts."""
+        return self.own.requests + sum(work.requests for work in self.peers.values())
+
+    @property
+    def unread_tokens(self) -> int:
+        """Return the prompt tokens of all hosts that have not brought a first token."""
+        return self.own.unread_tokens + sum(work.unread_tokens for work in self.peers.values())
+
+    @property
+    def held_tokens(self) -> int:
+        """Return the memory that requests of all hosts take, in tokens."""
+        return self.own.held_tokens + sum(work.held_tokens for work in self.peers.values())
+
+
+class UpstreamBook:
+    """Follow the registrations of upstreams, and record what requests saw of them."""
+
+    def __init__(self) -> None:
+        self._states: dict[InstanceId, UpstreamState] = {}
+        self._by_service: dict[ServiceName, list[UpstreamState]] = {}
+        self._changed: set[InstanceId] = set()
+        self._capacities: dict[ServiceName, int] = {}
+        self.is_known = False
+
+    def replace(self, entries: Iterable[UpstreamEntry]) -> None:
+        """Take in all registrations as of now; upstreams that are missing are gone."""
+        wanted = {entry.instance: entry for entry in entries}
+        for instance in set(self._states) - set(wanted):
+            self.remove(instance)
+        for entry in wanted.values():
+            self.update(entry)
+        self.is_known = True
+
+    def update(self, entry: UpstreamEntry) -> None:
+        """Take in one registration."""
+        state = self._states.get(entry.instance)
+        if state is None or state.entry.started_at != entry.started_at:
+            self._add(entry, state)
+            return
+        if entry.state is not state.entry.state or entry.address != state.entry.address:
+            log_event(
+                Part.ROUTING,
+                "upstream changed",
+                upstream=entry.instance,
+                state=entry.state.value,
+                address=entry.address,
+            )
+        state.entry = entry
+        for model, version in entry.versions.items():
+            self.learn_version(entry.instance, model, version)
+        self._index()
+
+    def remove(self, instance: InstanceId) -> None:
+        """Forget an upstream that is gone."""
+        if self._states.pop(instance, None):
+            log_event(Part.ROUTING, "upstream gone", upstream=instance)
+            self._index()
+
+    def find(self, instance: InstanceId) -> UpstreamState | None:
+        """Return what is known of an upstream."""
+        return self._states.get(instance)
+
+    def list_states(self) -> list[UpstreamState]:
+        """Return all upstreams."""
+        return list(self._states.values())
+
+    def list_ready(self, service: ServiceName) -> list[UpstreamState]:
+        """Return the upstreams of a service that take new requests."""
+        return self._by_service.get(service, [])
+
+    def learn_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
+        """Take in a version of an engine's weights; new weights leave its cache empty."""
+        state = self._states.get(instance)
+        if state is None or version <= state.versions.get(model, 0):
+            return
+        state.versions[model] = version
+        state.changing_until = 0.0
+        state.prefixes.clear()
+        log_event(Part.WEIGHTS, "engine has weights", engine=instance, model=model, version=version)
+
+    def doubt_version(self, instance: InstanceId, model: ModelName) -> None:
+        """Fall back to the registered version, after an engine denied the expected one."""
+        state = self._states.get(instance)
+        if state:
+            state.versions[model] = state.entry.versions.get(model, 0)
+
+    def mark_changing(self, instance: InstanceId, until: float) -> None:
+        """Expect that an engine loads weights until a time."""
+        state = self._states.get(instance)
+        if state:
+            state.changing_until = until
+
+    def add_work(self, instance: InstanceId, change: Work) -> None:
+        """Add to this host's work at an upstream, or take from it."""
+        state = self._states.get(instance)
+        if state:
+            own = state.own
+            state.own = Work(
+                max(0, own.requests + change.requests),
+                max(0, own.unread_tokens + change.unread_tokens),
+                max(0, own.held_tokens + change.held_tokens),
+            )
+            self._changed.add(instance)
+
+    def set_peer_work(self, host: HostName, works: Mapping[InstanceId, Work]) -> None:
+        """Take in what a peer has at some upstreams."""
+        for instance, work in works.items():
+            state = self._states.get(instance)
+            if state:
+                state.peers[host] = work
+
+    def forget_peer(self, host: HostName) -> None:
+        """Drop the work of a peer that can't be heard any more."""
+        for state in self._states.values():
+            state.peers.pop(host, None)
+
+    def take_changed_work(self) -> dict[InstanceId, Work]:
+        """Return this host's work where it has changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return {i: state.own for i in changed if (state := self._states.get(i))}
+
+    def list_own_work(self) -> dict[InstanceId, Work]:
+        """Return all of this host's work."""
+        return {i: state.own for i, state in self._states.items() if state.own.requests}
+
+    def list_versions(self) -> tuple[tuple[InstanceId, ModelName, int], ...]:
+        """Return the versions that engines are known to have."""
+        return tuple(
+            (instance, model, version)
+            for instance, state in self._states.items()
+            for model, version in state.versions.items()
+        )
+
+    def record_ending(
+        self, instance: InstanceId, ending: Ending, now: float, seconds: float | None = None
+    ) -> None:
+        """Record how a request ended, and how long a plain call took in seconds."""
+        state = self._states.get(instance)
+        if state is None:
+            return
+        before = state.health
+        state.health = record_ending(before, ending, now)
+        if seconds is not None:
+            state.call_seconds += SMOOTHING * (seconds - state.call_seconds)
+        if state.health.is_paused(now) and not before.is_paused(now):
+            log_event(
+                Part.ROUTING,
+                "upstream paused",
+                upstream=instance,
+                cause=ending.value,
+                seconds=round(state.health.paused_until - now, 2),
+            )
+
+    def learn_pace(self, instance: InstanceId, tokens: int, seconds: float) -> None:
+        """Take in how long an engine took for the unread tokens before it."""
+        state = self._states.get(instance)
+        if state and seconds > 0:
+            pace = tokens / seconds / DEFAULT_TOKENS_PER_SECOND
+            pace = min(FASTEST_PACE, max(SLOWEST_PACE, pace)) * DEFAULT_TOKENS_PER_SECOND
+            state.tokens_per_second += SMOOTHING * (pace - state.tokens_per_second)
+
+    def _add(self, entry: UpstreamEntry, before: UpstreamState | None) -> None:
+        log_event(
+            Part.ROUTING,
+            "upstream found" if before is None else "upstream restarted",
+            upstream=entry.instance,
+            service=entry.service,
+            address=entry.address,
+            versions=dict(entry.versions),
+        )
+        memory = PrefixMemory(self._capacities.get(entry.service, 0))
+        state = UpstreamState(entry, memory, versions=dict(entry.versions))
+        if before:
+            state.own, state.peers = before.own, before.peers
+        self._states[entry.instance] = state
+        self._index()
+
+    def set_capacity(self, service: ServiceName, tokens: int) -> None:
+        """Bound what the engines of a service are expected to keep."""
+        self._capacities[service] = int(CACHE_SHARE * tokens)
+        for state in self._states.values():
+            if state.entry.service == service:
+                state.prefixes.set_capacity(self._capacities[service])
+
+    def _index(self) -> None:
+        by_service: dict[ServiceName, list[UpstreamState]] = {}
+        for state in self._states.values():
+            if state.is_ready:
+                by_service.setdefault(state.entry.service, []).append(state)
+        self._by_service = by_service
--- /dev/null
+++ b/turmericproxy/placement/selection.py
@@ -0,0 +1,194 @@
+"""Turn what the host knows into views of engines and plain upstreams for one request."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from turmericproxy.core import ModelName
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.placement.book import UpstreamState
+from turmericproxy.placement.engines import (
+    FAR_TRANSFER,
+    EngineCandidate,
+    EngineView,
+    FetchSource,
+    PromptNeed,
+    choose_engine,
+    score_engine,
+)
+from turmericproxy.placement.plain import PlainView
+from turmericproxy.placement.prefixes import PartKey, PrefixMemory
+from turmericproxy.traffic.requests import Prompt
+from turmericproxy.traffic.site import EngineTraits, KeptStore
+
+# Seconds after a version was named at which requests on older weights begin to lose credit.
+OLD_WEIGHTS_SECONDS = 1.5
+# Expected loss of a request on older weights after that time, as seconds of waiting.
+OLD_WEIGHTS_PENALTY = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class EngineScene:
+    """Hold what all engines share in a choice; times are of the event loop.
+
+    ``wall`` separates the cache of an isolated account; ``wanted_version`` was named
+    ``wanted_age`` seconds ago, and from ``oldest_age`` on older weights are no longer used.
+    """
+
+    traits: EngineTraits
+    model: ModelName
+    domain: str
+    wall: str
+    kept_store: KeptStore | None
+    kept: PrefixMemory
+    wanted_version: int
+    wanted_age: float
+    oldest_age: float
+    now: float
+
+
+def name_space(wall: str, model: ModelName, version: int) -> str:
+    """Return the cache space of a wall and a version of a model's weights.
+
+    >>> name_space("", "m", 3)
+    '/m/3'
+    """
+    return f"{wall}/{model}/{version}"
+
+
+def list_keys(space: str, prompt: Prompt) -> tuple[PartKey, ...]:
+    """Return the keys of the parts that a prompt may share."""
+    return tuple(PartKey(space, part.part_id) for part in prompt.shared_parts)
+
+
+def select_engine(
+    states: Sequence[UpstreamState],
+    prompt: Prompt,
+    scene: EngineScene,
+    excluded: frozenset[InstanceId],
+) -> EngineCandidate | None:
+    """Return the engine with the soonest first token, or ``None`` if none may take the request."""
+    usable = [s for s in states if s.entry.instance not in excluded and _may_serve(s, scene)]
+    if not usable:
+        return None
+    # A paused engine is tried when nothing else is left.
+    awake = [state for state in usable if not state.health.is_paused(scene.now)] or usable
+    need = PromptNeed(
+        prompt_tokens=prompt.prompt_tokens,
+        output_tokens=prompt.output_tokens,
+        shared=prompt.shared_parts,
+        home_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
+    )
+    held = {state.entry.instance: _count_cached(state, prompt, scene) for state in usable}
+    candidates = [
+        score_engine(_view_engine(state, usable, held, prompt, scene), need) for state in awake
+    ]
+    return choose_engine(candidates, need)
+
+
+def view_plain(state: UpstreamState, domain: str, now: float) -> PlainView:
+    """Return a plain upstream as it looks now."""
+    return PlainView(
+        instance=state.entry.instance,
+        address=state.entry.address,
+        is_near=state.entry.domain == domain,
+        requests=state.requests,
+        slots=state.entry.slots,
+        call_seconds=state.call_seconds,
+        failure_share=state.health.measure_failures(now),
+    )
+
+
+def _may_serve(state: UpstreamState, scene: EngineScene) -> bool:
+    if scene.wanted_age < scene.oldest_age:
+        return True
+    return state.versions.get(scene.model, 0) >= scene.wanted_version
+
+
+def _count_cached(state: UpstreamState, prompt: Prompt, scene: EngineScene) -> int:
+    version = state.versions.get(scene.model, 0)
+    count = 0
+    for key in list_keys(name_space(scene.wall, scene.model, version), prompt):
+        if not state.prefixes.holds(key):
+            break
+        count += 1
+    return count
+
+
+def _view_engine(
+    state: UpstreamState,
+    states: Sequence[UpstreamState],
+    held: dict[InstanceId, int],
+    prompt: Prompt,
+    scene: EngineScene,
+) -> EngineView:
+    entry = state.entry
+    version = state.versions.get(scene.model, 0)
+    changing = max(0.0, state.changing_until - scene.now)
+    if version < scene.wanted_version and scene.wanted_age > OLD_WEIGHTS_SECONDS:
+        changing += OLD_WEIGHTS_PENALTY
+    return EngineView(
+        instance=entry.instance,
+        address=entry.address,
+        is_near=entry.domain == scene.domain,
+        version=version,
+        requests=state.requests,
+        unread_tokens=state.unread_tokens,
+        held_tokens=state.held_tokens,
+        capacity_tokens=scene.traits.capacity_tokens,
+        cached_parts=held[entry.instance],
+        tokens_per_second=state.tokens_per_second,
+        failure_share=state.health.measure_failures(scene.now),
+        changing_seconds=changing,
+        source=_find_source(state, states, held, prompt, scene),
+    )
+
+
+def _find_source(
+    state: UpstreamState,
+    states: Sequence[UpstreamState],
+    held: dict[InstanceId, int],
+    prompt: Prompt,
+    scene: EngineScene,
+) -> FetchSource | None:
+    version = state.versions.get(scene.model, 0)
+    own = held[state.entry.instance]
+    best: FetchSource | None = None
+    for other in states:
+        is_equal = other.versions.get(scene.model, 0) == version
+        is_sound = not other.health.is_paused(scene.now) and scene.now >= other.changing_until
+        if other is state or not is_equal or not is_sound or held[other.entry.instance] <= own:
+            continue
+        source = FetchSource(
+            other.entry.address,
+            held[other.entry.instance],
+            _price_token(scene.traits.link_bytes_per_second, scene.traits, other, state),
+        )
+        best = min(best or source, source, key=lambda s: (-s.held_parts, s.seconds_per_token))
+    if best or scene.kept_store is None:
+        return best
+    return _find_kept(state, own, prompt, scene)
+
+
+def _find_kept(
+    state: UpstreamState, own: int, prompt: Prompt, scene: EngineScene
+) -> FetchSource | None:
+    store = scene.kept_store
+    version = state.versions.get(scene.model, 0)
+    count = 0
+    for key in list_keys(name_space(scene.wall, scene.model, version), prompt):
+        if not scene.kept.holds(key):
+            break
+        count += 1
+    if store is None or count <= own:
+        return None
+    seconds = scene.traits.bytes_per_token / store.link_bytes_per_second
+    if store.domain != state.entry.domain:
+        seconds *= FAR_TRANSFER
+    return FetchSource(store.address, count, seconds)
+
+
+def _price_token(
+    link: float, traits: EngineTraits, source: UpstreamState, target: UpstreamState
+) -> float:
+    seconds = traits.bytes_per_token / link
+    return seconds if source.entry.domain == target.entry.domain else FAR_TRANSFER * seconds
--- /dev/null
+++ b/turmericproxy/platform/names.py
@@ -0,0 +1,64 @@
+"""Name the header fields and calls of the platform's wire."""
+
+REQUEST_ID = "X-Attempt-Id"
+DEADLINE_MS = "X-Request-Deadline"
+ACCOUNT = "X-Tenant"
+MODEL = "X-Model"
+TOKEN_COUNTS = "X-Token-Count"
+PROMPT_PARTS = "X-Prompt-Prefix"
+EXPECTED_INSTANCE = "X-Expect-Instance"
+EXPECTED_VERSION = "X-Expect-Version"
+PRIORITY = "X-Request-Priority"
+CACHE_SPACE = "X-Cache-Salt"
+FETCH_FROM = "X-Kv-Fetch"
+SAVE_TO = "X-Kv-Save"
+RESUME_AFTER = "Last-Event-Id"
+SIGNATURE = "X-Response-Signature"
+NOT_RUN = "X-Not-Executed"
+INSTANCE = "X-Instance-Id"
+LOAD = "X-Server-Load"
+VERSIONS = "X-Weight-Versions"
+
+# Fields that only the system may set towards servers; what a client sends in them is dropped.
+RESERVED = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE_MS,
+        ACCOUNT,
+        EXPECTED_INSTANCE,
+        EXPECTED_VERSION,
+        PRIORITY,
+        CACHE_SPACE,
+        FETCH_FROM,
+        SAVE_TO,
+        RESUME_AFTER,
+        "Authorization",
+        "X-Hold",
+        "X-Pin-Ms",
+        "X-Kv-Backup",
+        "Kv-From",
+        "Content-Length",
+        "Expect",
+    )
+)
+# Fields of which a client may send one at most.
+SINGLE = (
+    REQUEST_ID.lower(),
+    DEADLINE_MS.lower(),
+    MODEL.lower(),
+    TOKEN_COUNTS.lower(),
+    PROMPT_PARTS.lower(),
+    RESUME_AFTER.lower(),
+)
+
+READY_PATH = "/api/ready"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+COMMIT_PATH = "/api/rows-tx"
+READ_PATH = "/api/rows-get"
+FEED_PATH = "/api/rows-feed"
+
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+WEIGHTS_KEY_PREFIX = "version/"
+UPSTREAM_TABLE = "servers"
--- /dev/null
+++ b/turmericproxy/platform/program.py
@@ -0,0 +1,63 @@
+"""Run one host on the platform."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from turmericproxy.core import ResultCode
+from turmericproxy.host.site_daemon import SiteAdapter, SiteHost
+from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.logs import Part, configure_site_logs, log_event
+from turmericproxy.platform import names
+from turmericproxy.platform.codec import PlatformCodec
+from turmericproxy.platform.engines import PlatformEngines
+from turmericproxy.platform.registrations import read_upstream_row
+from turmericproxy.platform.settings import SETTINGS_VARIABLE, SettingsFault, read_settings
+from turmericproxy.platform.site import read_configuration_row
+from turmericproxy.platform.store import PlatformStore
+
+EXIT_INVALID = 2
+
+
+def create_adapter(store_address: str) -> SiteAdapter:
+    """Return everything that translates for a host on the platform."""
+    return SiteAdapter(
+        codec=PlatformCodec(),
+        store=PlatformStore(store_address),
+        control=PlatformEngines(),
+        configuration_table=names.CONFIGURATION_TABLE,
+        upstream_table=names.UPSTREAM_TABLE,
+        ready_path=names.READY_PATH,
+        single_fields=names.SINGLE,
+        read_configuration_row=read_configuration_row,
+        read_upstream_row=read_upstream_row,
+    )
+
+
+def main() -> int:
+    """Run a host until SIGTERM; return the exit code."""
+    configure_site_logs()
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    settings = read_settings(Path(path)) if path else SettingsFault(SETTINGS_VARIABLE, "is not set")
+    if isinstance(settings, SettingsFault):
+        log_event(
+            Part.HOST,
+            "settings are wrong",
+            code=int(ResultCode.SETTINGS_INVALID),
+            setting=settings.name,
+            reason=settings.reason,
+        )
+        return EXIT_INVALID
+    configure_site_logs(settings.host)
+    asyncio.run(_run_host(settings))
+    return 0
+
+
+async def _run_host(settings: SiteHostSettings) -> None:
+    # The parts of a host belong to a running event loop.
+    await SiteHost(settings, create_adapter(settings.store)).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/turmericproxy/platform/registrations.py
@@ -0,0 +1,68 @@
+"""Decode the registrations of servers from rows."""
+
+import json
+from typing import Any
+
+from turmericproxy.core import ModelName
+from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.logs import Part, log_event
+from turmericproxy.placement.entries import EntryState, UpstreamEntry
+from turmericproxy.rollout.ports import EngineReport
+from turmericproxy.tables.messages import Row
+
+
+def read_upstream_row(row: Row) -> UpstreamEntry | None:
+    """Return the registration in a row; rows of other writers or torn ones name no upstream."""
+    try:
+        content = json.loads(row.value)
+        return UpstreamEntry(
+            instance=InstanceId(row.key),
+            service=ServiceName(_read_text(content, "service")),
+            address=_read_address(content),
+            domain=_read_text(content, "zone"),
+            slots=_read_count(content, "slots"),
+            state=EntryState(content["state"]),
+            started_at=_read_count(content, "born") if "born" in content else 0,
+            versions=_read_versions(content.get("models", [])),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        log_event(Part.ROUTING, "registration can't be used", key=row.key, reason=repr(error))
+        return None
+
+
+def read_report(body: bytes) -> EngineReport:
+    """Return an engine's report; faults raise ``ValueError``, ``KeyError`` or ``TypeError``."""
+    content = json.loads(body)
+    return EngineReport(
+        versions=_read_versions(content["models"]),
+        is_busy=bool(content["busy"]),
+        # The wire calls it a sequence; it counts the orders accepted since the start.
+        accepted_orders=_read_count(content, "sequence"),
+        started_at=_read_count(content, "born") if "born" in content else 0,
+    )
+
+
+def _read_versions(models: list[dict[str, Any]]) -> dict[ModelName, int]:
+    return {ModelName(_read_text(m, "name")): _read_count(m, "version") for m in models}
+
+
+def _read_text(content: dict[str, Any], name: str) -> str:
+    value = content[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is no text")
+    return value
+
+
+def _read_count(content: dict[str, Any], name: str) -> int:
+    value = content[name]
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{name} is no whole number")
+    return value
+
+
+def _read_address(content: dict[str, Any]) -> str:
+    address = _read_text(content, "address")
+    ip, _, port = address.rpartition(":")
+    if not ip or not port.isdigit():
+        raise ValueError("address is not IP:PORT")
+    return address
--- /dev/null
+++ b/turmericproxy/platform/settings.py
@@ -0,0 +1,100 @@
+"""Read the platform's settings file into the settings of a site host."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from turmericproxy.core import HostName
+from turmericproxy.host.site_settings import SiteHostSettings
+
+SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """Name a setting that is wrong or missing."""
+
+    name: str
+    reason: str
+
+
+def read_settings(path: Path) -> SiteHostSettings | SettingsFault:
+    """Return the settings in a file of ``name=value`` lines, or its first fault."""
+    try:
+        values = _read_values(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return SettingsFault(str(path), str(error))
+    return decode_settings(values)
+
+
+def decode_settings(values: Mapping[str, str]) -> SiteHostSettings | SettingsFault:
+    """Return the settings in the platform's fields; fields that are not known are ignored."""
+    reader = _Reader(values)
+    try:
+        ports = reader.read_list("port_range")
+        ip = reader.read_text("ip")
+        return SiteHostSettings(
+            host=HostName(reader.read_text("node")),
+            domain=reader.read_text("zone"),
+            callers=reader.read_address("listen.front"),
+            readiness=reader.read_address("listen.ready"),
+            links=f"{ip}:{int(ports[0])}",
+            metrics=f"{ip}:{int(ports[-1])}",
+            store=reader.read_address("platform.address"),
+            is_first_start=reader.read_text("bootstrap") == "true",
+            order_guard=reader.read_number("bounds.lease_ms") / 1000,
+            version_seconds=reader.read_number("bounds.version_ms") / 1000,
+            retry_share=reader.read_number("bounds.retry_budget_ratio"),
+            retry_reserve=reader.read_number("bounds.retry_budget_extra"),
+            grace=reader.read_number("bounds.grace_s"),
+        )
+    except _Wrong as wrong:
+        return wrong.fault
+    except ValueError as error:
+        return SettingsFault("port_range", str(error))
+
+
+class _Wrong(Exception):
+    """Carry the fault of one setting."""
+
+    def __init__(self, name: str, reason: str) -> None:
+        super().__init__(name, reason)
+        self.fault = SettingsFault(name, reason)
+
+
+class _Reader:
+    """Read values of settings by name."""
+
+    def __init__(self, values: Mapping[str, str]) -> None:
+        self._values = values
+
+    def read_text(self, name: str) -> str:
+        value = self._values.get(name, "")
+        if not value:
+            raise _Wrong(name, "is missing")
+        return value
+
+    def read_list(self, name: str) -> list[str]:
+        return self.read_text(name).split(",")
+
+    def read_number(self, name: str) -> float:
+        try:
+            return float(self.read_text(name))
+        except ValueError:
+            raise _Wrong(name, "is no number") from None
+
+    def read_address(self, name: str) -> str:
+        value = self.read_text(name)
+        ip, _, port = value.rpartition(":")
+        if not ip or not port.isdigit():
+            raise _Wrong(name, f"{value!r} is not IP:PORT")
+        return value
+
+
+def _read_values(text: str) -> dict[str, str]:
+    values = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            values[name.strip()] = value.strip()
+    return values
--- a/turmericproxy/rates/admission.py
+++ b/turmericproxy/rates/admission.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from turmericproxy.core import AccountName, HostName, Refusal, ResultCode, refuse
+from turmericproxy.core.bucket import MICRO
 from turmericproxy.logs import Part, log_decision
-from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.context import RateContext
 from turmericproxy.rates.debits import DebitClient, GrantPart
 from turmericproxy.rates.ledger import LedgerRow, Share
--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -16,10 +16,10 @@
     read_boottime,
     refuse,
 )
+from turmericproxy.core.bucket import MICRO
 from turmericproxy.core.loops import Loop
 from turmericproxy.logs import Part
 from turmericproxy.rates.admission import Admission, Grant
-from turmericproxy.rates.bucket import MICRO
 from turmericproxy.rates.context import Links
 from turmericproxy.rates.keepers import Keepers, create_keepers
 from turmericproxy.rates.ledger import Member, create_limit
--- a/turmericproxy/rates/holdings.py
+++ b/turmericproxy/rates/holdings.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from turmericproxy.core import AccountName, create_id, read_boottime
-from turmericproxy.rates import bucket as buckets
-from turmericproxy.rates.bucket import MICRO, Bucket, Spent
+from turmericproxy.core import bucket as buckets
+from turmericproxy.core.bucket import MICRO, Bucket, Spent
 from turmericproxy.rates.leases import Lease, is_held
 
 SPENDS_REMEMBERED_SECONDS = 900.0
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -8,11 +8,11 @@
 
 from turmericproxy.core import HostName, Incarnation, Refusal
 from turmericproxy.logs import Part, log_event
-from turmericproxy.platform import AnswerLost, Committed
 from turmericproxy.rates import leases
 from turmericproxy.rates.context import Links, RateContext
 from turmericproxy.rates.leases import HostRow, Lease, Lessor, Standing, Watch
 from turmericproxy.rates.table import Versioned, get_host_version
+from turmericproxy.tables import AnswerLost, Committed
 
 PROMISE_KIND = "rates.promise"
 RENEWALS_PER_LEASE = 5
--- a/turmericproxy/rates/ledger.py
+++ b/turmericproxy/rates/ledger.py
@@ -9,7 +9,7 @@
 from dataclasses import asdict, dataclass, replace
 
 from turmericproxy.core import AccountName, DomainName, HostName
-from turmericproxy.rates.bucket import MICRO
+from turmericproxy.core.bucket import MICRO
 
 HOLDERS_PER_DOMAIN = 3
 FLIGHT_SHARE = 0.1
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -7,7 +7,6 @@
 from turmericproxy.configuration import Kind
 from turmericproxy.core import AccountName, HostName, Refusal
 from turmericproxy.logs import Part, log_decision
-from turmericproxy.platform import AnswerLost, Committed, Conflict, HostState
 from turmericproxy.rates import ledger
 from turmericproxy.rates.context import RateContext
 from turmericproxy.rates.host_keeper import HostKeeper
@@ -19,6 +18,7 @@
     Versioned,
     get_account_version,
 )
+from turmericproxy.tables import AnswerLost, Committed, Conflict, HostState
 
 ROW_KIND = "rates.row"
 CHANGED_KIND = "rates.changed"
--- a/turmericproxy/rates/regrant_keeper.py
+++ b/turmericproxy/rates/regrant_keeper.py
@@ -4,7 +4,6 @@
 
 from turmericproxy.core import DomainName, HostName, Refusal
 from turmericproxy.logs import Part, log_decision, log_event
-from turmericproxy.platform import AnswerLost, Committed, HostList, HostState
 from turmericproxy.rates import leases
 from turmericproxy.rates.context import RateContext
 from turmericproxy.rates.host_keeper import HostKeeper
@@ -12,6 +11,7 @@
 from turmericproxy.rates.ledger import regrant
 from turmericproxy.rates.ledger_keeper import LedgerKeeper
 from turmericproxy.rates.table import Versioned, get_host_version
+from turmericproxy.tables import AnswerLost, Committed, HostList, HostState
 
 POLLS_APART = 3.0
 URGENT_POLLS_APART = 0.05
--- a/turmericproxy/rates/table.py
+++ b/turmericproxy/rates/table.py
@@ -4,7 +4,9 @@
 from typing import Generic, Protocol, TypeVar
 
 from turmericproxy.core import AccountName, HostName, Refusal
-from turmericproxy.platform import (
+from turmericproxy.rates.leases import HostRow, decode_host_row, encode_host_row
+from turmericproxy.rates.ledger import LedgerRow, decode_row, encode_row
+from turmericproxy.tables import (
     AnswerLost,
     Committed,
     Condition,
@@ -14,8 +16,6 @@
     Transaction,
     Write,
 )
-from turmericproxy.rates.leases import HostRow, decode_host_row, encode_host_row
-from turmericproxy.rates.ledger import LedgerRow, decode_row, encode_row
 
 TABLE = "rates"
 ACCOUNT_PREFIX = "account/"
--- /dev/null
+++ b/turmericproxy/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Bring engines to the weights that the operator has named."""
--- /dev/null
+++ b/turmericproxy/rollout/controller.py
@@ -0,0 +1,231 @@
+"""Bring engines to named weights: one host at a time gives the orders, the others stand by."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+from zlib import crc32
+
+from turmericproxy.core import HostName, ModelName
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.logs import Part, log_event
+from turmericproxy.placement.book import UpstreamBook, UpstreamState
+from turmericproxy.rollout.holder import LeaseHolder
+from turmericproxy.rollout.plan import EngineStanding, choose_loads
+from turmericproxy.rollout.ports import EngineControl, EngineReport, OrderAnswer, WeightsOrder
+from turmericproxy.rollout.wanted import WantedVersions
+
+# Seconds between two looks at engines that lag.
+STEP_SECONDS = 0.1
+# Seconds for which each host in the order of standbys lets the one before it act.
+STANDBY_SECONDS = 0.5
+# Seconds that a load is expected to take at most before an engine's report is asked for again.
+LOAD_SECONDS = 0.4
+# Seconds between two questions to an engine that loads.
+REPORT_SECONDS = 0.15
+# Seconds for which others expect an engine to load after an order.
+ANNOUNCED_SECONDS = 0.6
+# Seconds after which an engine that neither answers nor changes is left for later.
+LONGEST_LOAD = 3.0
+
+
+class Announcer(Protocol):
+    """Tell peers of changing engines."""
+
+    def announce_change(self, instance: InstanceId, seconds: float) -> None:
+        """Tell that an engine loads weights for some seconds."""
+
+    def announce_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
+        """Tell that an engine has loaded a version."""
+
+
+@dataclass
+class _Load:
+    """Hold a load that was ordered; times are of the event loop."""
+
+    model: ModelName
+    version: int
+    ordered_at: float
+    task: asyncio.Task[None] | None = None
+
+
+class RolloutController:
+    """Watch for engines that lag, and order loads while this host holds the lease."""
+
+    def __init__(
+        self,
+        book: UpstreamBook,
+        wanted: WantedVersions,
+        control: EngineControl,
+        holder: LeaseHolder,
+        host: HostName,
+        list_heard: Callable[[], list[HostName]],
+        announcer: Announcer,
+    ) -> None:
+        self._book = book
+        self._wanted = wanted
+        self._control = control
+        self._holder = holder
+        self._host = host
+        self._list_heard = list_heard
+        self._announcer = announcer
+        self._loads: dict[InstanceId, _Load] = {}
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._lagging_since: float | None = None
+        self._named: tuple[ModelName, int] | None = None
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop giving orders."""
+        for task in [self._task, *(load.task for load in self._loads.values())]:
+            if task:
+                task.cancel()
+
+    def wake(self) -> None:
+        """Look again now; a version was named or an engine came."""
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                pause = await self._step()
+            except Exception as error:  # the loop must outlive a fault in one step
+                log_event(Part.WEIGHTS, "step failed", reason=repr(error))
+                pause = STANDBY_SECONDS
+            self._wake.clear()
+            if pause is None:
+                await self._wake.wait()
+            else:
+                await asyncio.sleep(pause)
+
+    async def _step(self) -> float | None:
+        """Do what can be done now; return the seconds to wait, ``None`` until woken."""
+        now = asyncio.get_running_loop().time()
+        lagging = self._find_lagging()
+        if lagging is None:
+            self._lagging_since = None
+            return None
+        if self._lagging_since is None or self._named != lagging:
+            self._lagging_since, self._named = now, lagging
+        if not self._holder.is_held() and now < self._lagging_since + self._measure_standby():
+            return STEP_SECONDS
+        if self._is_peer_at_work(now):
+            return STEP_SECONDS
+        if self._holder.needs_extension():
+            pause = await self._holder.take()
+            if pause and not self._holder.is_held():
+                return min(pause, STANDBY_SECONDS)
+        self._order_loads(*lagging)
+        return STEP_SECONDS
+
+    def _find_lagging(self) -> tuple[ModelName, int] | None:
+        for model, version in self._wanted.list_models():
+            if any(s.versions.get(model, 0) < version for s in self._list_engines(model)):
+                return model, version
+        return None
+
+    def _list_engines(self, model: ModelName) -> list[UpstreamState]:
+        return [
+            state
+            for state in self._book.list_states()
+            if model in state.entry.versions and state.is_ready
+        ]
+
+    def _measure_standby(self) -> float:
+        """Return the seconds for which hosts earlier in the order go first."""
+        # Another order for each model, so that a host that can't act doesn't delay all of them.
+        hosts = sorted([self._host, *self._list_heard()], key=lambda h: crc32(h.encode()))
+        if self._holder.fence:
+            return 0.0
+        return STANDBY_SECONDS * hosts.index(self._host)
+
+    def _is_peer_at_work(self, now: float) -> bool:
+        return not self._holder.is_held() and any(
+            state.changing_until > now and state.entry.instance not in self._loads
+            for state in self._book.list_states()
+        )
+
+    def _order_loads(self, model: ModelName, version: int) -> None:
+        now = asyncio.get_running_loop().time()
+        standings = [
+            EngineStanding(
+                instance=state.entry.instance,
+                version=state.versions.get(model, 0),
+                requests=state.requests,
+                is_loading=state.entry.instance in self._loads,
+                is_reachable=not state.health.is_paused(now),
+            )
+            for state in self._list_engines(model)
+        ]
+        for instance in choose_loads(standings, version):
+            load = _Load(model, version, now)
+            self._loads[instance] = load
+            load.task = asyncio.get_running_loop().create_task(self._load(instance, load))
+
+    async def _load(self, instance: InstanceId, load: _Load) -> None:
+        try:
+            while asyncio.get_running_loop().time() < load.ordered_at + LONGEST_LOAD:
+                state = self._book.find(instance)
+                if state is None or not self._holder.is_held():
+                    return
+                if await self._order_once(state, load):
+                    return
+                await asyncio.sleep(REPORT_SECONDS)
+            log_event(Part.WEIGHTS, "load not finished", engine=instance, version=load.version)
+        finally:
+            self._loads.pop(instance, None)
+            self._wake.set()
+
+    async def _order_once(self, state: UpstreamState, load: _Load) -> bool:
+        """Look at an engine and order the load if need be; return whether it is done."""
+        instance, address = state.entry.instance, state.entry.address
+        report = await self._control.read_report(address)
+        if isinstance(report, str):
+            log_event(Part.WEIGHTS, "no report", engine=instance, reason=report)
+            return False
+        if report.versions.get(load.model, 0) >= load.version:
+            self._finish(instance, load.model, report.versions[load.model])
+            return True
+        if report.is_busy or not self._holder.is_held():
+            return False
+        answer = await self._order(state, report, load)
+        if answer is OrderAnswer.HOLDS_ALREADY:
+            self._finish(instance, load.model, load.version)
+            return True
+        if answer is OrderAnswer.ACCEPTED:
+            self._book.mark_changing(
+                instance, asyncio.get_running_loop().time() + ANNOUNCED_SECONDS
+            )
+            self._announcer.announce_change(instance, ANNOUNCED_SECONDS)
+            await asyncio.sleep(LOAD_SECONDS)
+        return answer is OrderAnswer.REJECTED
+
+    async def _order(self, state: UpstreamState, report: EngineReport, load: _Load) -> OrderAnswer:
+        order = WeightsOrder(
+            instance=state.entry.instance,
+            model=load.model,
+            version=load.version,
+            holder=self._host,
+            fence=self._holder.fence,
+            accepted_orders=report.accepted_orders,
+        )
+        answer = await self._control.order_weights(state.entry.address, order)
+        log_event(
+            Part.WEIGHTS,
+            "load ordered",
+            engine=order.instance,
+            version=order.version,
+            before=report.versions.get(load.model),
+            fence=order.fence,
+            accepted_orders=order.accepted_orders,
+            answer=answer.value,
+        )
+        return answer
+
+    def _finish(self, instance: InstanceId, model: ModelName, version: int) -> None:
+        self._book.learn_version(instance, model, version)
+        self._announcer.announce_version(instance, model, version)
--- a/turmericproxy/routing/__init__.py
+++ b/turmericproxy/routing/__init__.py
@@ -1,6 +1,6 @@
 """Choose engines and plain services for requests."""
 
-from turmericproxy.routing.budget import RetryBudget
+from turmericproxy.core.budget import RetryBudget
 from turmericproxy.routing.queue import FairQueue, Ticket
 from turmericproxy.routing.requests import (
     Choice,
--- /dev/null
+++ b/turmericproxy/store/__init__.py
@@ -0,0 +1,13 @@
+"""Follow tables of the store on the event loop, and ride out its outages."""
+
+from turmericproxy.store.following import TableFollower
+from turmericproxy.store.ports import ChangedRow, Changes, HistoryGone, TableState, TableStore
+
+__all__ = [
+    "ChangedRow",
+    "Changes",
+    "HistoryGone",
+    "TableFollower",
+    "TableState",
+    "TableStore",
+]
--- a/turmericproxy/platform/client.py
+++ b/turmericproxy/tables/client.py
@@ -9,8 +9,9 @@
 from urllib3.exceptions import HTTPError
 
 from turmericproxy.core import DomainName, HostName, Refusal, ResultCode, refuse
-from turmericproxy.platform.breaker import Breaker
-from turmericproxy.platform.messages import (
+from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.tables.breaker import Breaker
+from turmericproxy.tables.messages import (
     AnswerLost,
     Committed,
     Conflict,
@@ -20,7 +21,6 @@
     Row,
     Transaction,
 )
-from turmericproxy.settings.schema import PlatformSettings
 from turmericproxy.web import CallFailure, FailureStage, HttpClient
 
 CONNECTIONS = 16
