Leave lost engines out of rollouts, and follow restarted ones while cut off

Now: a lost engine gives its turn away, registrations end a load, a denied version is asked for at the engine, an engine whose address another has gets nothing more, and while the store is away its successor is adopted. Prompts may always fetch from the kept store: a miss costs a millisecond.

--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -20,6 +20,7 @@
 from turmericproxy.placement.entries import UpstreamEntry
 from turmericproxy.rollout.controller import RolloutController
 from turmericproxy.rollout.holder import LeaseHolder
+from turmericproxy.rollout.inquiring import EngineInquirer
 from turmericproxy.rollout.ports import EngineControl
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.store.ports import TableStore
@@ -82,7 +83,10 @@
         self._watch = SiteWatch(
             adapter, self._book, self._wanted, self._quotas, self._dispatcher, self._rollout.wake
         )
-        parts = ExchangeParts(adapter.codec, self._dispatcher, self._get_budget)
+        self._inquirer = EngineInquirer(
+            self._book, self._wanted, adapter.control, lambda: self._watch.is_away
+        )
+        parts = ExchangeParts(adapter.codec, self._dispatcher, self._inquirer, self._get_budget)
         self._router = Router(parts, self._quotas, lambda: self._watch.site, self._metrics)
         self._callers = EdgeServer(
             settings.callers, self._router.handle, self._get_limits, adapter.single_fields
@@ -110,6 +114,7 @@
         self._watch.start()
         self._directory.start()
         self._rollout.start()
+        self._inquirer.start()
         await self._callers.start()
         await self._metrics_server.start()
         await self._readiness.start()
@@ -124,6 +129,7 @@
     async def close(self) -> None:
         """Close every part."""
         await self._rollout.close()
+        await self._inquirer.close()
         await self._directory.close()
         await self._watch.close()
         self._callers.close()
--- a/turmericproxy/host/watching.py
+++ b/turmericproxy/host/watching.py
@@ -67,6 +67,11 @@
         """Return whether requests can be served."""
         return self.site is not None and self._book.is_known
 
+    @property
+    def is_away(self) -> bool:
+        """Return whether the store can't be reached."""
+        return self._configuration.is_away or self._upstreams.is_away
+
     def start(self) -> None:
         """Begin to follow both tables."""
         self._configuration.start()
--- a/turmericproxy/placement/book.py
+++ b/turmericproxy/placement/book.py
@@ -41,13 +41,14 @@
     peers: dict[HostName, Work] = field(default_factory=dict)
     versions: dict[ModelName, int] = field(default_factory=dict)
     changing_until: float = 0.0
+    is_superseded: bool = False
     call_seconds: float = DEFAULT_CALL_SECONDS
     tokens_per_second: float = DEFAULT_TOKENS_PER_SECOND
 
     @property
     def is_ready(self) -> bool:
         """Return whether the upstream takes new requests."""
-        return self.entry.state is EntryState.READY
+        return self.entry.state is EntryState.READY and not self.is_superseded
 
     @property
     def requests(self) -> int:
@@ -99,6 +100,7 @@
                 address=entry.address,
             )
         state.entry = entry
+        state.is_superseded = False
         for model, version in entry.versions.items():
             self.learn_version(entry.instance, model, version)
         self._index()
@@ -109,6 +111,14 @@
             log_event(Part.ROUTING, "upstream gone", upstream=instance)
             self._index()
 
+    def supersede(self, instance: InstanceId) -> None:
+        """Send nothing more to an upstream whose address another one has, until it registers."""
+        state = self._states.get(instance)
+        if state and not state.is_superseded:
+            state.is_superseded = True
+            log_event(Part.ROUTING, "upstream superseded", upstream=instance)
+            self._index()
+
     def find(self, instance: InstanceId) -> UpstreamState | None:
         """Return what is known of an upstream."""
         return self._states.get(instance)
@@ -121,6 +131,13 @@
         """Return the upstreams of a service that take new requests."""
         return self._by_service.get(service, [])
 
+    def count_services(self, models: Iterable[ModelName]) -> int:
+        """Return how many services have engines of any of some models."""
+        wanted = set(models)
+        return len(
+            {s.entry.service for s in self._states.values() if wanted & set(s.entry.versions)}
+        )
+
     def learn_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
         """Take in a version of an engine's weights; new weights leave its cache empty."""
         state = self._states.get(instance)
@@ -131,11 +148,12 @@
         state.prefixes.clear()
         log_event(Part.WEIGHTS, "engine has weights", engine=instance, model=model, version=version)
 
-    def doubt_version(self, instance: InstanceId, model: ModelName) -> None:
-        """Fall back to the registered version, after an engine denied the expected one."""
+    def correct_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
+        """Take in a version that an engine itself reports, also if it is an older one."""
         state = self._states.get(instance)
-        if state:
-            state.versions[model] = state.entry.versions.get(model, 0)
+        if state and version != state.versions.get(model, 0):
+            state.versions[model] = 0
+            self.learn_version(instance, model, version)
 
     def mark_changing(self, instance: InstanceId, until: float) -> None:
         """Expect that an engine loads weights until a time."""
--- a/turmericproxy/platform/engines.py
+++ b/turmericproxy/platform/engines.py
@@ -9,7 +9,7 @@
 
 CONNECT_SECONDS = 0.25
 # Seconds for a report or an order to be answered; neither needs a slot.
-ANSWER_SECONDS = 0.6
+ANSWER_SECONDS = 0.35
 # Runs go on under new weights: finishing them first would keep the engine from new requests.
 SWITCH_MODE = "retain"
 
--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -1,6 +1,7 @@
 """Bring engines to named weights: one host at a time gives the orders, the others stand by."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -18,14 +19,20 @@
 # Seconds between two looks at engines that lag.
 STEP_SECONDS = 0.1
 # Seconds for which each host in the order of standbys lets the one before it act.
-STANDBY_SECONDS = 0.5
-# Seconds that a load is expected to take at most before an engine's report is asked for again.
-LOAD_SECONDS = 0.4
-# Seconds between two questions to an engine that loads.
-REPORT_SECONDS = 0.15
+STANDBY_SECONDS = 0.25
+# Seconds in which an engine usually loads and registers its new version; after that its report
+# is asked for.
+LOAD_SECONDS = 0.6
+# Seconds between two looks at an engine that loads.
+LOOK_SECONDS = 0.02
+# Seconds between two orders to an engine that did not answer or was busy.
+REPEAT_SECONDS = 0.15
+# Seconds for which an engine that could not be reached, or is no longer the one at its address,
+# is left for later.
+SKIP_SECONDS = 0.5
 # Seconds for which others expect an engine to load after an order.
 ANNOUNCED_SECONDS = 0.6
-# Seconds after which an engine that neither answers nor changes is left for later.
+# Seconds after which an engine that neither answers nor changes gives its turn to others.
 LONGEST_LOAD = 3.0
 
 
@@ -70,6 +77,7 @@
         self._list_heard = list_heard
         self._announcer = announcer
         self._loads: dict[InstanceId, _Load] = {}
+        self._skipped_until: dict[InstanceId, float] = {}
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._lagging_since: float | None = None
@@ -96,11 +104,9 @@
             except Exception as error:  # the loop must outlive a fault in one step
                 log_event(Part.WEIGHTS, "step failed", reason=repr(error))
                 pause = STANDBY_SECONDS
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), pause)
             self._wake.clear()
-            if pause is None:
-                await self._wake.wait()
-            else:
-                await asyncio.sleep(pause)
 
     async def _step(self) -> float | None:
         """Do what can be done now; return the seconds to wait, ``None`` until woken."""
@@ -157,7 +163,7 @@
                 version=state.versions.get(model, 0),
                 requests=state.requests,
                 is_loading=state.entry.instance in self._loads,
-                is_reachable=not state.health.is_paused(now),
+                is_reachable=now >= self._skipped_until.get(state.entry.instance, 0.0),
             )
             for state in self._list_engines(model)
         ]
@@ -174,7 +180,7 @@
                     return
                 if await self._order_once(state, load):
                     return
-                await asyncio.sleep(REPORT_SECONDS)
+                await asyncio.sleep(REPEAT_SECONDS)
             log_event(Part.WEIGHTS, "load not finished", engine=instance, version=load.version)
         finally:
             self._loads.pop(instance, None)
@@ -186,10 +192,13 @@
         report = await self._control.read_report(address)
         if isinstance(report, str):
             log_event(Part.WEIGHTS, "no report", engine=instance, reason=report)
-            return False
+            return self._skip(instance)
         if report.versions.get(load.model, 0) >= load.version:
             self._finish(instance, load.model, report.versions[load.model])
             return True
+        if report.started_at != state.entry.started_at:
+            log_event(Part.WEIGHTS, "another engine has the address", engine=instance)
+            return self._skip(instance)
         if report.is_busy or not self._holder.is_held():
             return False
         answer = await self._order(state, report, load)
@@ -201,8 +210,23 @@
                 instance, asyncio.get_running_loop().time() + ANNOUNCED_SECONDS
             )
             self._announcer.announce_change(instance, ANNOUNCED_SECONDS)
-            await asyncio.sleep(LOAD_SECONDS)
-        return answer is OrderAnswer.REJECTED
+            return await self._wait_for_version(state, load)
+        return answer is OrderAnswer.REJECTED and self._skip(instance)
+
+    async def _wait_for_version(self, state: UpstreamState, load: _Load) -> bool:
+        """Wait until an engine registers the version; return whether it has."""
+        loop = asyncio.get_running_loop()
+        last = loop.time() + LOAD_SECONDS
+        while loop.time() < last:
+            await asyncio.sleep(LOOK_SECONDS)
+            if state.versions.get(load.model, 0) >= load.version:
+                return True
+        return False
+
+    def _skip(self, instance: InstanceId) -> bool:
+        """Leave an engine for later, and let others have its turn."""
+        self._skipped_until[instance] = asyncio.get_running_loop().time() + SKIP_SECONDS
+        return True
 
     async def _order(self, state: UpstreamState, report: EngineReport, load: _Load) -> OrderAnswer:
         order = WeightsOrder(
--- /dev/null
+++ b/turmericproxy/rollout/inquiring.py
@@ -0,0 +1,102 @@
+"""Learn versions of weights from engines, where neither the store nor a peer tells them."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.logs import Part, log_event
+from turmericproxy.placement.book import UpstreamBook
+from turmericproxy.rollout.ports import EngineControl
+from turmericproxy.rollout.wanted import WantedVersions
+
+# Seconds between two rounds of questions while the store is away.
+ROUND_SECONDS = 1.0
+
+
+class EngineInquirer:
+    """Ask engines for their versions: when one denies a version, and while the store is away.
+
+    A version that an engine has was named, so it is wanted of the others too.
+    """
+
+    def __init__(
+        self,
+        book: UpstreamBook,
+        wanted: WantedVersions,
+        control: EngineControl,
+        is_store_away: Callable[[], bool],
+    ) -> None:
+        self._book = book
+        self._wanted = wanted
+        self._control = control
+        self._is_store_away = is_store_away
+        self._running: dict[InstanceId, asyncio.Task[None]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to watch for outages of the store."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop asking."""
+        for task in [self._task, *self._running.values()]:
+            if task:
+                task.cancel()
+
+    async def inquire(self, instance: InstanceId) -> None:
+        """Learn an engine's versions from itself; questions at the same time are asked once."""
+        task = self._running.get(instance)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._ask(instance))
+            self._running[instance] = task
+            task.add_done_callback(lambda _: self._running.pop(instance, None))
+        await asyncio.shield(task)
+
+    async def adopt(self, instance: InstanceId, successor: InstanceId) -> None:
+        """Drop an upstream whose address another one has; take that one in its place if it may.
+
+        Only while the store can't tell, and only an engine of the same models, which no other
+        service has.
+        """
+        state = self._book.find(instance)
+        self._book.supersede(instance)
+        if state is None or self._book.find(successor) or not self._is_store_away():
+            return
+        report = await self._control.read_report(state.entry.address)
+        if isinstance(report, str) or not report.versions:
+            return
+        if set(report.versions) != set(state.entry.versions):
+            return
+        if self._book.count_services(report.versions) != 1:
+            return
+        self._book.update(
+            replace(
+                state.entry,
+                instance=successor,
+                started_at=report.started_at,
+                versions=report.versions,
+            )
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(ROUND_SECONDS)
+            if self._is_store_away():
+                engines = [s for s in self._book.list_states() if s.entry.versions]
+                await asyncio.gather(*(self._ask(s.entry.instance) for s in engines))
+
+    async def _ask(self, instance: InstanceId) -> None:
+        state = self._book.find(instance)
+        if state is None:
+            return
+        report = await self._control.read_report(state.entry.address)
+        if isinstance(report, str):
+            log_event(Part.WEIGHTS, "no report", engine=instance, reason=report)
+            return
+        if report.started_at != state.entry.started_at:
+            return
+        now = asyncio.get_running_loop().time()
+        for model, version in report.versions.items():
+            self._book.correct_version(instance, model, version)
+            self._wanted.learn(model, version, now)
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -138,8 +138,6 @@
             return
         if reading.version is not None:
             self._book.learn_version(placement.instance, prompt.model, reading.version)
-        elif attempt.outcome is Outcome.WRONG_INSTANCE and reading.instance == placement.instance:
-            self._book.doubt_version(placement.instance, prompt.model)
 
     def _place_plain(
         self,
@@ -200,7 +198,8 @@
             priority=passage.priority,
             version=view.version or None,
             cache_space=space if view.version else f"{space}/{passage.inquiry.request_id}",
-            fetch_from=chosen.fetch_from,
+            # A miss at the store costs a millisecond, and the cache may hold less than predicted.
+            fetch_from=chosen.fetch_from or (store.address if store and keys else None),
             save_to=store.address if store and keys and not is_kept and view.version else None,
             resume_after=resume_after,
         )
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -14,7 +14,7 @@
 from turmericproxy.traffic.dispatching import Dispatcher, Placement
 from turmericproxy.traffic.events import EventCutter
 from turmericproxy.traffic.passage import Passage
-from turmericproxy.traffic.ports import MessageCodec
+from turmericproxy.traffic.ports import MessageCodec, VersionInquirer
 from turmericproxy.traffic.requests import Reading, Verdict
 from turmericproxy.traffic.sending import open_call, read_answer, read_head
 
@@ -34,6 +34,7 @@
 
     codec: MessageCodec
     dispatcher: Dispatcher
+    inquirer: VersionInquirer
     get_budget: Callable[[ServiceName], RetryBudget]
 
 
@@ -52,6 +53,7 @@
         self._parts = parts
         self._clock = asyncio.get_running_loop().time
         self._excluded: frozenset[InstanceId] = frozenset()
+        self._inquired: frozenset[InstanceId] = frozenset()
         self._last_id: str | None = passage.inquiry.last_event_id
         self._had_event = False
 
@@ -77,9 +79,9 @@
             if step is Step.RETRY and not is_free and not budget.take():
                 step = Step.ANSWER if attempt.outcome is Outcome.ANSWERED else Step.GIVE_UP
             self._log_attempt(placement, attempt, step)
+            await self._learn_instance(placement, attempt)
             if step is not Step.RETRY:
                 return self._conclude(attempt, step)
-            self._exclude(placement, attempt)
 
     async def _attempt(self, placement: Placement) -> Attempt:
         dispatcher = self._parts.dispatcher
@@ -164,14 +166,18 @@
     def _may_run_again(self) -> bool:
         return self._passage.history.runs + 1 < self._passage.route.max_attempts
 
-    def _exclude(self, placement: Placement, attempt: Attempt) -> None:
+    async def _learn_instance(self, placement: Placement, attempt: Attempt) -> None:
         reading = attempt.reading
-        is_other_version = (
-            attempt.outcome is Outcome.WRONG_INSTANCE
-            and reading is not None
-            and reading.instance == placement.instance
-        )
-        if not is_other_version:
+        if attempt.outcome is not Outcome.WRONG_INSTANCE or reading is None:
+            self._excluded |= {placement.instance}
+        elif reading.instance != placement.instance:
+            self._excluded |= {placement.instance}
+            if reading.instance:
+                await self._parts.inquirer.adopt(placement.instance, InstanceId(reading.instance))
+        elif placement.instance not in self._inquired:
+            self._inquired |= {placement.instance}
+            await self._parts.inquirer.inquire(placement.instance)
+        else:
             self._excluded |= {placement.instance}
 
     def _judge_refusal(self, refusal: Refusal) -> Refusal:
--- a/turmericproxy/traffic/ports.py
+++ b/turmericproxy/traffic/ports.py
@@ -3,10 +3,21 @@
 from typing import Protocol
 
 from turmericproxy.core import Refusal
+from turmericproxy.core.ids import InstanceId
 from turmericproxy.edge import AnswerHead, ClientRequest
 from turmericproxy.traffic.requests import Dispatch, Inquiry, Reading
 
 
+class VersionInquirer(Protocol):
+    """Ask an engine which weights it has."""
+
+    async def inquire(self, instance: InstanceId) -> None:
+        """Learn an engine's versions from itself."""
+
+    async def adopt(self, instance: InstanceId, successor: InstanceId) -> None:
+        """Learn of an engine that has taken another one's address."""
+
+
 class MessageCodec(Protocol):
     """Translate messages between the wire and the request path."""
 
