--- /dev/null
+++ b/tests/edge/support.py
@@ -0,0 +1,46 @@
+"""Talk to an edge server byte by byte."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
+
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@dataclass
+class Seen:
+    """Collect the requests that a handler got."""
+
+    requests: list[ClientRequest] = field(default_factory=list)
+
+    async def answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        self.requests.append(request)
+        writer.send(200, (), request.method.encode() + b" " + request.target.encode("latin-1"))
+
+
+async def start_server(
+    handler: Callable[[ClientRequest, AnswerWriter], Awaitable[None]],
+    limits: EdgeLimits | None = None,
+    single_fields: tuple[str, ...] = (),
+) -> EdgeServer:
+    server = EdgeServer("127.0.0.1:0", handler, lambda: limits or EdgeLimits(), single_fields)
+    await server.start()
+    return server
+
+
+async def exchange(port: int, data: bytes, timeout: float = 3.0) -> bytes:
+    """Send bytes and return all that comes back until the server closes or falls silent."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    received = bytearray()
+    try:
+        async with asyncio.timeout(timeout):
+            while part := await reader.read(65536):
+                received += part
+    except (TimeoutError, ConnectionResetError):
+        pass
+    finally:
+        writer.close()
+    return bytes(received)
--- /dev/null
+++ b/tests/edge/test_connection.py
@@ -0,0 +1,262 @@
+"""Check that the front reads strictly, waits for nobody, and stops with its clients."""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.edge.support import GET, Seen, exchange, start_server
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits
+
+HOST = b"Host: a\r\n"
+# A request that must never be taken out of the body of another one.
+SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+
+AMBIGUOUS = {
+    "length and chunks": b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 5\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + SMUGGLED,
+    "chunks and length": b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n"
+    b"Content-Length: 5\r\n\r\n0\r\n\r\n" + SMUGGLED,
+    "two lengths": b"POST / HTTP/1.1\r\n"
+    + HOST
+    + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "signed length": b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: +1\r\n\r\na",
+    "other coding": b"POST / HTTP/1.1\r\n"
+    + HOST
+    + b"Transfer-Encoding: xchunked\r\n\r\n"
+    + SMUGGLED,
+    "chunk without carriage return": b"POST / HTTP/1.1\r\n"
+    + HOST
+    + b"Transfer-Encoding: chunked\r\n\r\n3\nabc\n0\n\n",
+    "two keys": b"GET / HTTP/1.1\r\n"
+    + HOST
+    + b"Authorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n",
+    "two hosts": b"GET / HTTP/1.1\r\n" + HOST + HOST + b"\r\n",
+    "no host": b"GET / HTTP/1.1\r\n\r\n",
+    "folded field": b"GET / HTTP/1.1\r\n" + HOST + b"X-A: a\r\n b\r\n\r\n",
+    "space before colon": b"GET / HTTP/1.1\r\n" + HOST + b"X-A : a\r\n\r\n",
+    "bare line feeds": b"GET / HTTP/1.1\nHost: a\n\n",
+    "control character": b"GET / HTTP/1.1\r\n" + HOST + b"X-A: a\x00b\r\n\r\n",
+    "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "whole address": b"GET http://b/ HTTP/1.1\r\n" + HOST + b"\r\n",
+    "other version": b"GET / HTTP/3.7\r\n" + HOST + b"\r\n",
+    "two single fields": b"GET / HTTP/1.1\r\n" + HOST + b"X-Id: 1\r\nx-id: 1\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", AMBIGUOUS)
+def test_ambiguous_request_gets_400_and_a_closed_connection(name: str) -> None:
+    seen = Seen()
+
+    async def run() -> bytes:
+        server = await start_server(seen.answer, single_fields=("x-id",))
+        return await exchange(server.port, AMBIGUOUS[name], timeout=5.0)
+
+    started = time.monotonic()
+    received = asyncio.run(run())
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1") == 1
+    assert time.monotonic() - started < 4.0
+    assert seen.requests == []
+
+
+def test_ambiguity_after_a_sound_request_leaves_its_answer_whole() -> None:
+    seen = Seen()
+
+    async def run() -> bytes:
+        server = await start_server(seen.answer)
+        return await exchange(server.port, GET + AMBIGUOUS["two lengths"])
+
+    received = asyncio.run(run())
+    assert len(seen.requests) == 1
+    assert received.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize("size", [20_000, 300_000])
+def test_large_head_is_refused(size: int) -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer)
+        head = b"GET / HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * size + b"\r\n\r\n"
+        return await exchange(server.port, head)
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 431 ")
+
+
+def test_endless_head_is_refused_before_its_end() -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer)
+        return await exchange(server.port, b"GET / HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 600_000)
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 431 ")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"Content-Length: 2000\r\n\r\n" + b"a" * 2000,
+        b"Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + b"a" * 2000 + b"\r\n0\r\n\r\n",
+    ],
+)
+def test_large_body_is_refused(body: bytes) -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer, EdgeLimits(body_bytes=1000))
+        return await exchange(server.port, b"POST / HTTP/1.1\r\nHost: a\r\n" + body)
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 413 ")
+
+
+def test_target_and_fields_are_passed_on_as_sent() -> None:
+    seen = Seen()
+
+    async def run() -> None:
+        server = await start_server(seen.answer)
+        head = b"GET /a%2fb/../%C3%A9?x=%2F&y HTTP/1.1\r\nHost: a\r\nX_One: 1\r\nX-One: 2\r\n\r\n"
+        await exchange(server.port, head, timeout=0.3)
+
+    asyncio.run(run())
+    request = seen.requests[0]
+    assert request.target == "/a%2fb/../%C3%A9?x=%2F&y"
+    assert list(request.headers)[1:] == [("X_One", "1"), ("X-One", "2")]
+
+
+def test_chunked_body_is_read_and_trailers_are_dropped() -> None:
+    seen = Seen()
+
+    async def run() -> None:
+        server = await start_server(seen.answer)
+        body = b"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nX-Late: 1\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await exchange(server.port, head + body, timeout=0.3)
+
+    asyncio.run(run())
+    assert seen.requests[0].body == b"abcde"
+    assert seen.requests[0].headers.get("X-Late") is None
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer)
+        many = b"".join(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % n for n in range(20))
+        return await exchange(server.port, many, timeout=0.5)
+
+    received = asyncio.run(run())
+    bodies = [part.partition(b"HTTP")[0] for part in received.split(b"GET /")[1:]]
+    assert bodies == [b"%d" % n for n in range(20)]
+
+
+@pytest.mark.parametrize("count", [200, 1000])
+def test_half_sent_heads_keep_nobody_waiting(count: int) -> None:
+    async def run() -> float:
+        server = await start_server(Seen().answer)
+        halves = []
+        for _ in range(count):
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX-")
+            halves.append(writer)
+        started = time.monotonic()
+        for _ in range(20):
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(GET)
+            await reader.readuntil(b"GET /")
+            writer.close()
+        seconds = (time.monotonic() - started) / 20
+        for writer in halves:
+            writer.close()
+        return seconds
+
+    # A hundredth of the shortest latency objective would be a millisecond on an idle machine; a
+    # blocked reader costs seconds.
+    assert asyncio.run(run()) < 0.1
+
+
+def test_half_sent_head_is_refused_after_its_time() -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer, EdgeLimits(head_seconds=0.1))
+        return await exchange(server.port, b"GET / HTTP/1.1\r\nHost: a\r\nX-")
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 408 ")
+
+
+def test_half_sent_second_head_is_refused_after_its_time() -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer, EdgeLimits(head_seconds=0.1))
+        return await exchange(server.port, GET + b"GET / HTTP/1.1\r\nHost: a\r\nX-")
+
+    received = asyncio.run(run())
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"HTTP/1.1 408 " in received
+
+
+def test_idle_connection_is_closed_after_its_time() -> None:
+    async def run() -> float:
+        server = await start_server(Seen().answer, EdgeLimits(idle_seconds=0.2))
+        started = time.monotonic()
+        await exchange(server.port, GET)
+        return time.monotonic() - started
+
+    assert 0.15 < asyncio.run(run()) < 2.0
+
+
+def test_handler_is_cancelled_when_its_client_leaves() -> None:
+    events: list[str] = []
+
+    async def wait(request: ClientRequest, writer: AnswerWriter) -> None:
+        try:
+            await asyncio.sleep(10)
+        except asyncio.CancelledError:
+            events.append("cancelled")
+            raise
+
+    async def run() -> None:
+        server = await start_server(wait)
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert server.active == 0
+
+    asyncio.run(run())
+    assert events == ["cancelled"]
+
+
+def test_draining_server_closes_after_the_answer() -> None:
+    async def run() -> bytes:
+        server = await start_server(Seen().answer)
+        server.drain()
+        return await exchange(server.port, GET)
+
+    received = asyncio.run(run())
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"Connection: close" in received
+
+
+def test_aborted_answer_does_not_look_complete() -> None:
+    async def break_off(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.start(200, (), None)
+        writer.write(b"part")
+        await asyncio.sleep(0.05)
+        writer.abort()
+
+    async def run() -> bytes:
+        server = await start_server(break_off)
+        return await exchange(server.port, GET)
+
+    received = asyncio.run(run())
+    assert b"part" in received
+    assert b"0\r\n\r\n" not in received
+
+
+def test_old_clients_get_a_body_that_ends_with_the_connection() -> None:
+    async def stream(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.start(200, (), None)
+        writer.write(b"all")
+        writer.finish()
+
+    async def run() -> bytes:
+        server = await start_server(stream)
+        return await exchange(server.port, b"GET / HTTP/1.0\r\n\r\n")
+
+    received = asyncio.run(run())
+    assert received.endswith(b"\r\n\r\nall")
+    assert b"chunked" not in received
--- /dev/null
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -0,0 +1,185 @@
+"""Stand in for a server of the users' platform: a model engine or a plain service."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeServer
+
+EVENT_SECONDS = 0.005
+
+
+@dataclass
+class Faults:
+    """Say how the next requests go wrong; each number counts requests.
+
+    ``break_after`` is how many events a broken stream brings.
+    """
+
+    refuse: int = 0
+    fail: int = 0
+    crash: int = 0
+    silent: int = 0
+    break_stream: int = 0
+    break_after: int = 2
+    foreign: int = 0
+    unanswered_orders: int = 0
+
+
+@dataclass
+class SeenRequest:
+    """Hold a request as the server got it, and whether it ran to its end."""
+
+    request: ClientRequest
+    has_run: bool = False
+    is_complete: bool = False
+
+    def get(self, name: str) -> str | None:
+        """Return a header field."""
+        return self.request.headers.get(name)
+
+
+@dataclass
+class WireServer:
+    """Answer requests, reports and orders; ``events`` is the length of a stream."""
+
+    instance: str
+    service: str
+    model: str | None = None
+    version: int = 1
+    events: int = 5
+    domain: str = "a"
+    load_seconds: float = 0.02
+    faults: Faults = field(default_factory=Faults)
+    seen: list[SeenRequest] = field(default_factory=list)
+    orders: list[dict[str, object]] = field(default_factory=list)
+    born: int = 1000
+
+    def __post_init__(self) -> None:
+        self._server = EdgeServer("127.0.0.1:0", self._answer)
+        self._accepted = 0
+        self._is_busy = False
+
+    @property
+    def address(self) -> str:
+        """Return the address that the stand-in listens on."""
+        return f"127.0.0.1:{self._server.port}"
+
+    async def start(self) -> None:
+        """Start to listen."""
+        await self._server.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    def describe(self, state: str = "ready") -> dict[str, object]:
+        """Return the registration of the server."""
+        described: dict[str, object] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.domain,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": self.born,
+        }
+        if self.model:
+            described["models"] = [{"name": self.model, "version": self.version, "adapters": []}]
+        return described
+
+    async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        if request.path == "/api/report":
+            self._report(writer)
+        elif request.path == "/api/order":
+            await self._order(request, writer)
+        else:
+            await self._run(request, writer)
+
+    def _report(self, writer: AnswerWriter) -> None:
+        content = {
+            "stage": "both",
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "busy": self._is_busy,
+            "sequence": self._accepted,
+            "born": self.born,
+        }
+        writer.send(200, (), json.dumps(content).encode())
+
+    async def _order(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        order = json.loads(request.body)
+        if request.headers.get("X-Expect-Instance") != self.instance:
+            writer.send(421, [("X-Instance-Id", self.instance)])
+            return
+        if self.faults.unanswered_orders:
+            self.faults.unanswered_orders -= 1
+            writer.abort()
+            return
+        if self._is_busy or order["expected"] != self._accepted:
+            writer.send(409, ())
+            return
+        self.orders.append(order)
+        self._accepted += 1
+        self._is_busy = True
+        writer.send(202, ())
+        await asyncio.sleep(self.load_seconds)
+        self.version = order["version"]
+        self._is_busy = False
+
+    async def _run(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        seen = SeenRequest(request)
+        self.seen.append(seen)
+        expected_version = seen.get("X-Expect-Version")
+        is_other_version = expected_version not in (None, str(self.version))
+        if seen.get("X-Expect-Instance") not in (None, self.instance) or is_other_version:
+            writer.send(421, [("X-Instance-Id", self.instance)])
+            return
+        if self._take("refuse"):
+            writer.send(503, [("X-Not-Executed", "1")])
+            return
+        seen.has_run = True
+        if self._take("silent"):
+            await asyncio.sleep(60)
+        if self._take("crash"):
+            writer.abort()
+            return
+        fields = self._list_fields(seen)
+        if self._take("fail"):
+            writer.send(500, fields, b"failed")
+        elif self.model:
+            await self._stream(seen, writer, fields)
+        else:
+            writer.send(200, fields, b"done:" + request.body)
+            seen.is_complete = True
+
+    async def _stream(
+        self, seen: SeenRequest, writer: AnswerWriter, fields: list[tuple[str, str]]
+    ) -> None:
+        first = int(seen.get("Last-Event-Id") or 0) + 1
+        last = first + self.faults.break_after if self._take("break_stream") else None
+        writer.start(200, [*fields, ("Content-Type", "text/event-stream")], None)
+        for number in range(first, self.events + 1):
+            if number == last:
+                writer.write(b"id: %d\ndata: ha" % number)
+                await asyncio.sleep(EVENT_SECONDS)
+                writer.abort()
+                return
+            writer.write(b"id: %d\ndata: t%d\n\n" % (number, number))
+            await asyncio.sleep(EVENT_SECONDS)
+        writer.finish()
+        seen.is_complete = True
+
+    def _list_fields(self, seen: SeenRequest) -> list[tuple[str, str]]:
+        request_id = "other" if self._take("foreign") else seen.get("X-Attempt-Id") or ""
+        fields = [("X-Attempt-Id", request_id), ("X-Response-Signature", f"s.{self.instance}")]
+        if self.model:
+            fields.append(("X-Weight-Versions", str(self.version)))
+        return fields
+
+    def _take(self, name: str) -> bool:
+        left: int = getattr(self.faults, name)
+        if left:
+            setattr(self.faults, name, left - 1)
+        return bool(left)
--- /dev/null
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -0,0 +1,172 @@
+"""Stand in for the store of the users' platform: tables of rows over HTTP."""
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeServer
+
+PAGE_ROWS = 500
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """Hold one row or the trace of a deleted one."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+    is_deleted: bool = False
+
+
+class WireStore:
+    """Keep rows in memory and tell of their changes; faults are set from outside.
+
+    ``refusal`` is a status that every call gets, ``lost_answers`` counts commits that are done
+    but not answered.
+    """
+
+    def __init__(self, address: str = "127.0.0.1:0") -> None:
+        self._server = EdgeServer(address, self._answer)
+        self._rows: dict[tuple[str, str], StoredRow] = {}
+        self._version = 0
+        self._changed = asyncio.Event()
+        self.oldest = 0
+        self.refusal: int | None = None
+        self.lost_answers = 0
+        self.calls: list[str] = []
+
+    @property
+    def address(self) -> str:
+        """Return the address that the stand-in listens on."""
+        return f"127.0.0.1:{self._server.port}"
+
+    async def start(self) -> None:
+        """Start to listen."""
+        await self._server.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Write a row as the operator or a server does; bytes are written as they are."""
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._version += 1
+        self._rows[(table, key)] = StoredRow(table, key, content, self._version)
+        self._notify()
+
+    def delete(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self._version += 1
+        self._rows[(table, key)] = StoredRow(table, key, b"", self._version, is_deleted=True)
+        self._notify()
+
+    def forget_history(self) -> None:
+        """Answer every feed with 410 until the table has been read anew."""
+        self.oldest = self._version + 1
+        self._version += 1
+        self._notify()
+
+    def find(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row."""
+        row = self._rows.get((table, key))
+        return None if row is None or row.is_deleted else row.value
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        self.calls.append(request.path)
+        if self.refusal:
+            writer.send(self.refusal, ())
+            return
+        query = {
+            name: values[0] for name, values in parse_qs(request.target.partition("?")[2]).items()
+        }
+        if request.path == "/api/rows-get":
+            self._send_rows(query, writer)
+        elif request.path == "/api/rows-feed":
+            await self._send_feed(query, writer)
+        elif request.path == "/api/rows-tx":
+            self._commit(json.loads(request.body), writer)
+        else:
+            writer.send(404, ())
+
+    def _send_rows(self, query: dict[str, str], writer: AnswerWriter) -> None:
+        start = query.get("start_key", "")
+        rows = sorted(
+            (
+                row
+                for row in self._rows.values()
+                if row.table == query["table"] and not row.is_deleted and row.key >= start
+            ),
+            key=lambda row: row.key,
+        )
+        content = {
+            "rows": [_describe(row) for row in rows[:PAGE_ROWS]],
+            "has_more": len(rows) > PAGE_ROWS,
+        }
+        self._send(writer, 200, content)
+
+    async def _send_feed(self, query: dict[str, str], writer: AnswerWriter) -> None:
+        after = int(query["after"])
+        wait = int(query.get("wait_ms", 0)) / 1000
+        last = asyncio.get_running_loop().time() + wait
+        while True:
+            if after < self.oldest:
+                writer.send(410, ())
+                return
+            rows = [
+                row
+                for row in self._rows.values()
+                if row.table == query["table"] and row.version > after
+            ]
+            left = last - asyncio.get_running_loop().time()
+            if rows or left <= 0:
+                rows.sort(key=lambda row: row.version)
+                self._send(writer, 200, {"rows": [_describe(row) for row in rows]})
+                return
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _commit(self, content: dict[str, Any], writer: AnswerWriter) -> None:
+        for expected in content["expected"]:
+            row = self._rows.get((expected["table"], expected["key"]))
+            version = 0 if row is None or row.is_deleted else row.version
+            if version != expected["row_version"]:
+                self._send(writer, 412, {"rows": []})
+                return
+        for write in content["writes"]:
+            self.put(write["table"], write["key"], base64.b64decode(write["value"]))
+        for removed in content["remove"]:
+            self.delete(removed["table"], removed["key"])
+        if self.lost_answers:
+            self.lost_answers -= 1
+            writer.abort()
+            return
+        self._send(writer, 200, {})
+
+    def _send(self, writer: AnswerWriter, status: int, content: dict[str, Any]) -> None:
+        now = int(asyncio.get_running_loop().time() * 1000)
+        whole = {**content, "row_version": self._version, "now_ms": now}
+        writer.send(status, [("Content-Type", "application/json")], json.dumps(whole).encode())
+
+
+def _describe(row: StoredRow) -> dict[str, object]:
+    described: dict[str, object] = {
+        "table": row.table,
+        "part": "",
+        "key": row.key,
+        "row_version": row.version,
+    }
+    if row.is_deleted:
+        return {**described, "deleted": True}
+    return {**described, "value": base64.b64encode(row.value).decode()}
