Follow cache events, skip domains that are cut off, and avoid reading prompt parts again

Now a time-out together with the silence of a domain's hosts counts as a cut, a paused upstream is tried with one request, cache events of engines and kept store are followed on kept connections, and a part is a source once it has been read.

--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -16,6 +16,8 @@
 # Milliseconds without an acknowledgement after which a connection is given up.
 USER_TIMEOUT_MS = 3000
 FIRST_FINAL_STATUS = 200
+# Reason of a connection that was neither accepted nor refused.
+TIMED_OUT = "connection timed out"
 
 
 class EndKind(Enum):
@@ -41,7 +43,7 @@
         self._fields: list[tuple[str, str]] = []
         self._parts: deque[bytes] = deque()
         self._buffered = 0
-        self._is_framed = False
+        self.is_framed = False
         self._changed: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
         self.head: AnswerHead | None = None
@@ -62,7 +64,7 @@
         self._notify()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if exc is None and self.head and not self._is_framed:
+        if exc is None and self.head and not self.is_framed:
             self._finish(EndKind.COMPLETE, "")
         else:
             self._finish(EndKind.BROKEN, repr(exc) if exc else "connection closed")
@@ -77,7 +79,7 @@
         if self.end or status < FIRST_FINAL_STATUS:
             return
         headers = Headers(self._fields)
-        self._is_framed = bool(headers.get("content-length") or headers.get("transfer-encoding"))
+        self.is_framed = bool(headers.get("content-length") or headers.get("transfer-encoding"))
         self.head = AnswerHead(status, headers)
         if not self._has_body:
             self._finish(EndKind.COMPLETE, "")
@@ -125,6 +127,15 @@
 class UpstreamCall:
     """Own the connection of one request; closing it tells the upstream to stop."""
 
+    @classmethod
+    def start(cls, transport: asyncio.Transport, data: bytes, *, has_body: bool = True) -> Self:
+        """Send a request on a connection that has no other one."""
+        reader = _AnswerReader(has_body=has_body)
+        transport.set_protocol(reader)
+        reader.connection_made(transport)
+        transport.write(data)
+        return cls(transport, reader)
+
     def __init__(self, transport: asyncio.Transport, reader: _AnswerReader) -> None:
         self._transport = transport
         self._reader = reader
@@ -145,6 +156,15 @@
                 return self._reader.end
             await self._reader.wait()
 
+    def release(self) -> asyncio.Transport | None:
+        """Return the connection if it may take another request."""
+        head = self._reader.head
+        is_usable = self._reader.end is EndKind.COMPLETE and not self._transport.is_closing()
+        if head is None or not is_usable:
+            return None
+        is_kept = (head.headers.get("connection") or "").lower() != "close"
+        return self._transport if is_kept and self._reader.is_framed else None
+
     @property
     def reason(self) -> str:
         """Return why the answer broke off."""
@@ -165,20 +185,28 @@
     address: str, data: bytes, *, connect_timeout: float, has_body: bool = True
 ) -> UpstreamCall | NotConnected:
     """Connect and send a request; ``connect_timeout`` is in seconds."""
+    transport = await open_connection(address, connect_timeout)
+    if isinstance(transport, NotConnected):
+        return transport
+    return UpstreamCall.start(transport, data, has_body=has_body)
+
+
+async def open_connection(address: str, connect_timeout: float) -> asyncio.Transport | NotConnected:
+    """Return a new connection; ``connect_timeout`` is in seconds."""
     ip, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        transport, reader = await asyncio.wait_for(
-            loop.create_connection(lambda: _AnswerReader(has_body=has_body), ip, int(port)),
-            connect_timeout,
+        transport, _ = await asyncio.wait_for(
+            loop.create_connection(asyncio.Protocol, ip, int(port)), connect_timeout
         )
+    except TimeoutError:
+        return NotConnected(TIMED_OUT)
     except (OSError, ValueError) as error:
         return NotConnected(repr(error))
     sock = transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    transport.write(data)
-    return UpstreamCall(transport, reader)
+    return transport
 
 
 async def fetch(
@@ -189,14 +217,53 @@
     if isinstance(called, NotConnected):
         return called.reason
     with called:
+        return await _read_whole(called, timeout)
+
+
+class KeptConnection:
+    """Send short requests to one address, one after the other, on one connection.
+
+    For questions that may be repeated only: a connection that has gone silent costs one of them.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._transport: asyncio.Transport | None = None
+
+    async def fetch(
+        self, data: bytes, *, connect_timeout: float, timeout: float
+    ) -> tuple[AnswerHead, bytes] | str:
+        """Return a whole short answer, or the reason why there is none; times are in seconds."""
+        transport, self._transport = self._transport, None
+        if transport is None or transport.is_closing():
+            opened = await open_connection(self._address, connect_timeout)
+            if isinstance(opened, NotConnected):
+                return opened.reason
+            transport = opened
+        call = UpstreamCall.start(transport, data)
         try:
-            async with asyncio.timeout(timeout):
-                head = await called.read_head()
-                body = bytearray()
-                while isinstance(part := await called.read_part(), bytes):
-                    body += part
-        except TimeoutError:
-            return "no answer in time"
-        if head is None or part is not EndKind.COMPLETE:
-            return called.reason or "answer broke off"
-        return head, bytes(body)
+            answer = await _read_whole(call, timeout)
+            self._transport = call.release()
+            return answer
+        finally:
+            if self._transport is None:
+                call.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport:
+            self._transport.abort()
+
+
+async def _read_whole(call: UpstreamCall, timeout: float) -> tuple[AnswerHead, bytes] | str:
+    try:
+        async with asyncio.timeout(timeout):
+            head = await call.read_head()
+            body = bytearray()
+            while isinstance(part := await call.read_part(), bytes):
+                body += part
+    except TimeoutError:
+        return "no answer in time"
+    if head is None or part is not EndKind.COMPLETE:
+        return call.reason or "answer broke off"
+    return head, bytes(body)
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -118,6 +118,16 @@
         now = self._read_clock()
         return [name for name, peer in self._peers.items() if peer.is_heard(now)]
 
+    def measure_silence(self, domain: str) -> float | None:
+        """Return the seconds since any host of a failure domain was heard."""
+        now = self._read_clock()
+        heard = [
+            now - peer.heard_at
+            for peer in self._peers.values()
+            if peer.hello.domain == domain and peer.heard_at is not None and not peer.is_leaving
+        ]
+        return min(heard, default=None)
+
     def count_hosts(self) -> int:
         """Return how many hosts may take requests, this one included."""
         now = self._read_clock()
--- a/turmericproxy/fleet/messages.py
+++ b/turmericproxy/fleet/messages.py
@@ -31,11 +31,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacedPrompt:
-    """Say that an engine was sent prompt parts within a cache space."""
+    """Say that an engine was sent prompt parts, which it will have read after some seconds."""
 
     instance: InstanceId
     space: str
     parts: tuple[tuple[str, int], ...]
+    seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +69,7 @@
         [
             "batch",
             {instance: astuple(work) for instance, work in batch.work.items()},
-            [[p.instance, p.space, p.parts] for p in batch.placed],
+            [[p.instance, p.space, p.parts, p.seconds] for p in batch.placed],
             batch.kept,
             dict(batch.spent),
             dict(batch.levels),
@@ -110,8 +111,8 @@
     return Batch(
         work={InstanceId(i): Work(*map(int, w)) for i, w in work.items()},
         placed=tuple(
-            PlacedPrompt(InstanceId(i), str(s), tuple((str(p), int(t)) for p, t in parts))
-            for i, s, parts in placed
+            PlacedPrompt(InstanceId(i), str(s), tuple((str(p), int(t)) for p, t in parts), float(d))
+            for i, s, parts, d in placed
         ),
         kept=tuple((str(space), str(part)) for space, part in kept),
         spent={AccountName(name): int(total) for name, total in spent.items()},
--- a/turmericproxy/host/announcing.py
+++ b/turmericproxy/host/announcing.py
@@ -54,8 +54,9 @@
                     instance,
                     keys[0].space,
                     tuple((part.part_id, part.tokens) for part in prompt.shared_parts),
+                    seconds,
                 )
-                for instance, keys, prompt in placed
+                for instance, keys, prompt, seconds in placed
             ),
             kept=tuple((key.space, key.part_id) for key in kept),
             spent=spent,
@@ -68,14 +69,15 @@
         for instance, model, version in batch.versions:
             self._book.learn_version(instance, model, version)
         self._book.set_peer_work(hello.host, batch.work)
+        now = asyncio.get_running_loop().time()
         for prompt in batch.placed:
             state = self._book.find(prompt.instance)
             if state:
-                state.prefixes.add((PartKey(prompt.space, p), tokens) for p, tokens in prompt.parts)
+                parts = [(PartKey(prompt.space, part), tokens) for part, tokens in prompt.parts]
+                state.prefixes.add(parts, now + prompt.seconds)
         self._dispatcher.kept.add(
             (PartKey(space, part), KEPT_PART_TOKENS) for space, part in batch.kept
         )
-        now = asyncio.get_running_loop().time()
         for instance, seconds in batch.changing:
             self._book.mark_changing(instance, now + seconds)
         if batch.levels:
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -11,12 +11,15 @@
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
 from turmericproxy.host.announcing import FleetNews
+from turmericproxy.host.cache_following import CacheFollowing
 from turmericproxy.host.directory import HostDirectory
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.host.watching import SiteWatch
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.book import UpstreamBook
+from turmericproxy.placement.cache_watch import CacheEvents
+from turmericproxy.placement.domains import DomainWatch
 from turmericproxy.placement.entries import UpstreamEntry
 from turmericproxy.rollout.controller import RolloutController
 from turmericproxy.rollout.holder import LeaseHolder
@@ -51,6 +54,7 @@
     codec: MessageCodec
     store: TableStore
     control: EngineControl
+    create_cache_events: Callable[[str], CacheEvents]
     configuration_table: str
     upstream_table: str
     ready_path: str
@@ -73,9 +77,19 @@
         self._book = UpstreamBook()
         self._wanted = WantedVersions()
         self._quotas = QuotaController(read_boottime, is_first_start=settings.is_first_start)
+        self._domains = DomainWatch(settings.domain, self._measure_silence, loop.time)
         self._dispatcher = Dispatcher(
-            self._book, self._wanted, settings.domain, settings.version_seconds, loop.time
+            self._book,
+            self._wanted,
+            self._domains,
+            settings.domain,
+            settings.version_seconds,
+            loop.time,
         )
+        self._caches = CacheFollowing(
+            adapter.create_cache_events, self._book, self._dispatcher.kept
+        )
+        self._dispatcher.follow_kept_store(self._caches.is_kept_store_reachable)
         self._news = FleetNews(self._book, self._dispatcher, self._quotas)
         self._links = FleetLinks(own, self._news.create_batch, self._news.receive, self._news.lose)
         self._directory = HostDirectory(adapter.store, own, self._links)
@@ -130,6 +144,7 @@
         """Close every part."""
         await self._rollout.close()
         await self._inquirer.close()
+        self._caches.close()
         await self._directory.close()
         await self._watch.close()
         self._callers.close()
@@ -152,6 +167,9 @@
             self._news,
         )
 
+    def _measure_silence(self, domain: str) -> float | None:
+        return self._links.measure_silence(domain)
+
     def _get_limits(self) -> EdgeLimits:
         site = self._watch.site
         return site.limits if site else EdgeLimits()
@@ -182,6 +200,8 @@
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
             self._quotas.follow_share(self._links.measure_share())
+            if self._watch.site:
+                self._caches.follow(self._watch.site.kept_store)
 
     def _note_reload(self) -> None:
         log_event(Part.HOST, "settings changed", note="they are read at the next start")
--- a/turmericproxy/placement/book.py
+++ b/turmericproxy/placement/book.py
@@ -12,8 +12,8 @@
 from turmericproxy.placement.plain import DEFAULT_CALL_SECONDS
 from turmericproxy.placement.prefixes import PrefixMemory
 
-# Share of an engine's memory that is expected to keep parts that no running request uses.
-CACHE_SHARE = 0.6
+# Share of an engine's memory that may hold cached parts; events tell what has left it.
+CACHE_SHARE = 0.85
 # Weight of the newest call in the smoothed time of calls and pace of prefill.
 SMOOTHING = 0.1
 # Bounds of the learnt pace of prefill, as factors of the default.
@@ -50,6 +50,11 @@
         """Return whether the upstream takes new requests."""
         return self.entry.state is EntryState.READY and not self.is_superseded
 
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the upstream gets no request now; after a pause it is tried with one."""
+        is_on_trial = self.health.pause > 0 and self.own.requests > 0
+        return is_on_trial or self.health.is_paused(now)
+
     @property
     def requests(self) -> int:
         """Return the requests of all hosts."""
--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -59,6 +59,7 @@
 
     instance: InstanceId
     address: str
+    domain: str
     is_near: bool
     version: int
     requests: int
@@ -95,8 +96,11 @@
     return sum(part.tokens for part in parts)
 
 
-def score_engine(view: EngineView, need: PromptNeed) -> EngineCandidate:
-    """Return an engine as a candidate, with a fetch where that is sooner than prefill."""
+def score_engine(view: EngineView, need: PromptNeed, known_parts: int = 0) -> EngineCandidate:
+    """Return an engine as a candidate, with a fetch if another place holds more of the prompt.
+
+    ``known_parts`` are held by some engine; to read them again takes time from other requests.
+    """
     own = count_tokens(need.shared[: view.cached_parts])
     unread = max(1, need.prompt_tokens - own)
     read_seconds = unread / view.tokens_per_second
@@ -104,16 +108,18 @@
     source = view.source
     if source and source.held_parts > view.cached_parts:
         moved = count_tokens(need.shared[view.cached_parts : source.held_parts])
-        seconds = FETCH_SECONDS + moved * source.seconds_per_token
-        seconds += max(1, unread - moved) / view.tokens_per_second
-        if seconds < read_seconds:
-            read_seconds, fetch_from, unread = seconds, source.address, max(1, unread - moved)
+        unread = max(1, unread - moved)
+        read_seconds = unread / view.tokens_per_second
+        read_seconds += FETCH_SECONDS + moved * source.seconds_per_token
+        fetch_from = source.address
+    present = max(view.cached_parts, source.held_parts if source else 0)
+    repeated = count_tokens(need.shared[present:known_parts])
     return EngineCandidate(
         view=view,
         queue_seconds=view.unread_tokens / view.tokens_per_second,
         read_seconds=read_seconds,
         memory_seconds=_wait_for_memory(view, need, own),
-        other_seconds=_sum_other_terms(view, need),
+        other_seconds=_sum_other_terms(view, need) + repeated / view.tokens_per_second,
         unread_tokens=unread,
         fetch_from=fetch_from,
     )
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -1,6 +1,6 @@
 """Turn what the host knows into views of engines and plain upstreams for one request."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from turmericproxy.core import ModelName
@@ -30,7 +30,7 @@
 class EngineScene:
     """Hold what all engines share in a choice; times are of the event loop.
 
-    ``wall`` separates the cache of an isolated account; ``wanted_version`` was named
+    ``is_cut`` tells failure domains that can't be reached. ``wall`` separates the cache of an isolated account; ``wanted_version`` was named
     ``wanted_age`` seconds ago, and from ``oldest_age`` on older weights are no longer used.
     """
 
@@ -40,6 +40,7 @@
     wall: str
     kept_store: KeptStore | None
     kept: PrefixMemory
+    is_cut: Callable[[str], bool]
     wanted_version: int
     wanted_age: float
     oldest_age: float
@@ -70,8 +71,7 @@
     usable = [s for s in states if s.entry.instance not in excluded and _may_serve(s, scene)]
     if not usable:
         return None
-    # A paused engine is tried when nothing else is left.
-    awake = [state for state in usable if not state.health.is_paused(scene.now)] or usable
+    awake = list_awake(usable, scene.is_cut, scene.now)
     need = PromptNeed(
         prompt_tokens=prompt.prompt_tokens,
         output_tokens=prompt.output_tokens,
@@ -79,12 +79,23 @@
         home_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
     )
     held = {state.entry.instance: _count_cached(state, prompt, scene) for state in usable}
+    offered = {state.entry.instance: _count_offered(state, prompt, scene) for state in usable}
+    known = max(held.values())
     candidates = [
-        score_engine(_view_engine(state, usable, held, prompt, scene), need) for state in awake
+        score_engine(_view_engine(state, usable, held, offered, prompt, scene), need, known)
+        for state in awake
     ]
     return choose_engine(candidates, need)
 
 
+def list_awake(
+    states: Sequence[UpstreamState], is_cut: Callable[[str], bool], now: float
+) -> Sequence[UpstreamState]:
+    """Return the upstreams that are likely to answer, or all of them if none is."""
+    reachable = [state for state in states if not is_cut(state.entry.domain)]
+    return [state for state in reachable if not state.is_avoided(now)] or reachable or states
+
+
 def view_plain(state: UpstreamState, domain: str, now: float) -> PlainView:
     """Return a plain upstream as it looks now."""
     return PlainView(
@@ -114,10 +125,21 @@
     return count
 
 
+def _count_offered(state: UpstreamState, prompt: Prompt, scene: EngineScene) -> int:
+    version = state.versions.get(scene.model, 0)
+    count = 0
+    for key in list_keys(name_space(scene.wall, scene.model, version), prompt):
+        if not state.prefixes.offers(key, scene.now):
+            break
+        count += 1
+    return count
+
+
 def _view_engine(
     state: UpstreamState,
     states: Sequence[UpstreamState],
     held: dict[InstanceId, int],
+    offered: dict[InstanceId, int],
     prompt: Prompt,
     scene: EngineScene,
 ) -> EngineView:
@@ -129,6 +151,7 @@
     return EngineView(
         instance=entry.instance,
         address=entry.address,
+        domain=entry.domain,
         is_near=entry.domain == scene.domain,
         version=version,
         requests=state.requests,
@@ -139,28 +162,29 @@
         tokens_per_second=state.tokens_per_second,
         failure_share=state.health.measure_failures(scene.now),
         changing_seconds=changing,
-        source=_find_source(state, states, held, prompt, scene),
+        source=_find_source(state, states, held[entry.instance], offered, prompt, scene),
     )
 
 
 def _find_source(
     state: UpstreamState,
     states: Sequence[UpstreamState],
-    held: dict[InstanceId, int],
+    own: int,
+    offered: dict[InstanceId, int],
     prompt: Prompt,
     scene: EngineScene,
 ) -> FetchSource | None:
     version = state.versions.get(scene.model, 0)
-    own = held[state.entry.instance]
     best: FetchSource | None = None
     for other in states:
         is_equal = other.versions.get(scene.model, 0) == version
         is_sound = not other.health.is_paused(scene.now) and scene.now >= other.changing_until
-        if other is state or not is_equal or not is_sound or held[other.entry.instance] <= own:
+        is_sound = is_sound and _can_fetch(other.entry.domain, state, scene)
+        if other is state or not is_equal or not is_sound or offered[other.entry.instance] <= own:
             continue
         source = FetchSource(
             other.entry.address,
-            held[other.entry.instance],
+            offered[other.entry.instance],
             _price_token(scene.traits.link_bytes_per_second, scene.traits, other, state),
         )
         best = min(best or source, source, key=lambda s: (-s.held_parts, s.seconds_per_token))
@@ -179,7 +203,7 @@
         if not scene.kept.holds(key):
             break
         count += 1
-    if store is None or count <= own:
+    if store is None or count <= own or not _can_fetch(store.domain, state, scene):
         return None
     seconds = scene.traits.bytes_per_token / store.link_bytes_per_second
     if store.domain != state.entry.domain:
@@ -187,6 +211,11 @@
     return FetchSource(store.address, count, seconds)
 
 
+def _can_fetch(domain: str, target: UpstreamState, scene: EngineScene) -> bool:
+    # A source that can't be reached costs the engine some hundred milliseconds.
+    return domain == target.entry.domain or not scene.is_cut(domain)
+
+
 def _price_token(
     link: float, traits: EngineTraits, source: UpstreamState, target: UpstreamState
 ) -> float:
--- a/turmericproxy/platform/program.py
+++ b/turmericproxy/platform/program.py
@@ -10,6 +10,7 @@
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.logs import Part, configure_site_logs, log_event
 from turmericproxy.platform import names
+from turmericproxy.platform.cache_events import PlatformCacheEvents
 from turmericproxy.platform.codec import PlatformCodec
 from turmericproxy.platform.engines import PlatformEngines
 from turmericproxy.platform.registrations import read_upstream_row
@@ -26,6 +27,7 @@
         codec=PlatformCodec(),
         store=PlatformStore(store_address),
         control=PlatformEngines(),
+        create_cache_events=PlatformCacheEvents,
         configuration_table=names.CONFIGURATION_TABLE,
         upstream_table=names.UPSTREAM_TABLE,
         ready_path=names.READY_PATH,
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -6,13 +6,16 @@
 
 from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.edge.upstream import TIMED_OUT
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.book import UpstreamBook, UpstreamState, Work
+from turmericproxy.placement.domains import DomainWatch
 from turmericproxy.placement.engines import EngineCandidate
 from turmericproxy.placement.plain import choose_plain, estimate_seconds
 from turmericproxy.placement.prefixes import PartKey, PrefixMemory
 from turmericproxy.placement.selection import (
     EngineScene,
+    list_awake,
     list_keys,
     name_space,
     select_engine,
@@ -46,7 +49,7 @@
     queued_tokens: float = 0.0
 
 
-PlacedKeys = tuple[InstanceId, tuple[PartKey, ...], Prompt]
+PlacedKeys = tuple[InstanceId, tuple[PartKey, ...], Prompt, float]
 
 
 class Dispatcher:
@@ -56,6 +59,7 @@
         self,
         book: UpstreamBook,
         wanted: WantedVersions,
+        domains: DomainWatch,
         domain: str,
         version_seconds: float,
         read_clock: Callable[[], float],
@@ -63,6 +67,8 @@
         self._book = book
         self._wanted = wanted
         self._domain = domain
+        self._domains = domains
+        self._is_store_reachable: Callable[[], bool] = lambda: True
         self._oldest_age = OLD_WEIGHTS_SHARE * version_seconds
         self._read_clock = read_clock
         self._random = random.Random()
@@ -92,13 +98,19 @@
             return refuse(ResultCode.DEADLINE_UNREACHABLE, reason, retry_after=self._spread_retry())
         return placed
 
+    def follow_kept_store(self, is_reachable: Callable[[], bool]) -> None:
+        """Use the kept store only while it can be reached."""
+        self._is_store_reachable = is_reachable
+
     def record_start(self, placement: Placement) -> None:
         """Count an attempt that is about to be sent."""
         self._book.add_work(placement.instance, placement.work)
         state = self._book.find(placement.instance)
         if state and placement.prompt and placement.keys:
-            _remember(state.prefixes, placement.keys, placement.prompt)
-            self._placed.append((placement.instance, placement.keys, placement.prompt))
+            seconds = placement.expected_seconds
+            ready_at = self._read_clock() + seconds
+            _remember(state.prefixes, placement.keys, placement.prompt, ready_at)
+            self._placed.append((placement.instance, placement.keys, placement.prompt, seconds))
 
     def record_first_event(self, placement: Placement, seconds: float) -> None:
         """Record that the first event came, ``seconds`` after the attempt was sent."""
@@ -107,7 +119,7 @@
         queued = placement.queued_tokens + work.unread_tokens
         self._book.learn_pace(placement.instance, int(queued), seconds)
         if placement.dispatch.save_to and placement.prompt:
-            _remember(self.kept, placement.keys, placement.prompt)
+            _remember(self.kept, placement.keys, placement.prompt, 0.0)
             self._saved += placement.keys
 
     def record_end(
@@ -119,6 +131,7 @@
         self._book.add_work(placement.instance, Work(-1, unread, -work.held_tokens))
         if attempt is None:
             return
+        self._record_reach(placement, attempt)
         is_plain_answer = attempt.outcome is Outcome.ANSWERED and placement.prompt is None
         now = self._read_clock()
         self._book.record_ending(
@@ -132,6 +145,15 @@
         saved, self._saved = self._saved, []
         return placed, saved
 
+    def _record_reach(self, placement: Placement, attempt: Attempt) -> None:
+        state = self._book.find(placement.instance)
+        if state is None:
+            return
+        if attempt.outcome is Outcome.NOT_SENT and attempt.reason == TIMED_OUT:
+            self._domains.record_timeout(state.entry.domain)
+        elif attempt.reading is not None:
+            self._domains.record_answer(state.entry.domain)
+
     def _learn_answer(self, placement: Placement, attempt: Attempt) -> None:
         reading, prompt = attempt.reading, placement.prompt
         if reading is None or prompt is None:
@@ -148,7 +170,7 @@
     ) -> Placement | None:
         now = self._read_clock()
         usable = [state for state in states if state.entry.instance not in excluded]
-        awake = [state for state in usable if not state.health.is_paused(now)] or usable
+        awake = list_awake(usable, self._domains.is_cut, now)
         if not awake:
             return None
         views = [view_plain(state, self._domain, now) for state in awake]
@@ -189,7 +211,9 @@
         space = name_space(scene.wall, prompt.model, view.version)
         keys = list_keys(space, prompt)
         _log_engine(passage, chosen, scene, len(states))
-        store = passage.site.kept_store
+        store = scene.kept_store
+        if store and view.domain != store.domain and self._domains.is_cut(store.domain):
+            store = None
         is_kept = all(self.kept.holds(key) for key in keys)
         dispatch = Dispatch(
             instance=view.instance,
@@ -224,8 +248,9 @@
             model=prompt.model,
             domain=self._domain,
             wall=account.name if account and account.is_isolated else "",
-            kept_store=passage.site.kept_store,
+            kept_store=passage.site.kept_store if self._is_store_reachable() else None,
             kept=self.kept,
+            is_cut=self._domains.is_cut,
             wanted_version=version,
             wanted_age=age,
             oldest_age=self._oldest_age,
@@ -236,8 +261,11 @@
         return round(self._random.uniform(SHORTEST_RETRY, LONGEST_RETRY), 2)
 
 
-def _remember(memory: PrefixMemory, keys: tuple[PartKey, ...], prompt: Prompt) -> None:
-    memory.add((key, part.tokens) for key, part in zip(keys, prompt.shared_parts, strict=True))
+def _remember(
+    memory: PrefixMemory, keys: tuple[PartKey, ...], prompt: Prompt, ready_at: float
+) -> None:
+    parts = [(key, part.tokens) for key, part in zip(keys, prompt.shared_parts, strict=True)]
+    memory.add(parts, ready_at)
 
 
 def _log_engine(
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -23,9 +23,9 @@
 SILENCE_FACTOR = 8.0
 SHORTEST_SILENCE = 0.15
 # Seconds beyond the expected ones after which a stream that may be resumed goes elsewhere.
-FIRST_EVENT_PATIENCE = 1.0
+FIRST_EVENT_PATIENCE = 0.7
 # A stream that may be resumed is taken elsewhere after this many of its longest pauses.
-PAUSE_FACTOR = 3.0
+PAUSE_FACTOR = 2.0
 
 
 @dataclass(frozen=True)
--- a/turmericproxy/traffic/sending.py
+++ b/turmericproxy/traffic/sending.py
@@ -8,8 +8,9 @@
 from turmericproxy.traffic.ports import MessageCodec
 from turmericproxy.traffic.requests import Reading, Verdict
 
-# Seconds to make a connection: a round trip between failure domains and one resent packet.
-CONNECT_SECONDS = 0.25
+# Seconds to make a connection: many round trips between failure domains; a resent packet would
+# come later than another upstream answers.
+CONNECT_SECONDS = 0.15
 # Largest plain answer that is held whole, in bytes.
 LARGEST_ANSWER_BYTES = 8 * 1024 * 1024
 
