--- /dev/null
+++ b/tests/fleet/test_links.py
@@ -0,0 +1,88 @@
+"""Check that hosts hear each other, and notice who has gone silent or leaves."""
+
+import asyncio
+import socket
+
+from turmericproxy.core import HostName, Incarnation
+from turmericproxy.fleet import Batch, FleetLinks, Hello
+
+
+def pick_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Node:
+    def __init__(self, name: str) -> None:
+        self.hello = Hello(HostName(name), f"127.0.0.1:{pick_port()}", "a", Incarnation(name))
+        self.heard: list[Batch] = []
+        self.lost: list[HostName] = []
+        self.news: list[Batch] = []
+        self.links = FleetLinks(self.hello, self.create, self.receive, self.lost.append)
+
+    def create(self, is_first: bool) -> Batch | None:
+        if is_first:
+            return Batch(kept=(("first", self.hello.host),))
+        return self.news.pop() if self.news else None
+
+    def receive(self, hello: Hello, batch: Batch) -> None:
+        self.heard.append(batch)
+
+
+def test_one_address_is_enough_for_both_sides() -> None:
+    async def run() -> None:
+        one, two = Node("one"), Node("two")
+        await one.links.start()
+        await two.links.start()
+        two.links.add_peer(one.hello)
+        await asyncio.sleep(0.5)
+        assert one.links.list_heard() == [HostName("two")]
+        assert two.links.list_heard() == [HostName("one")]
+        assert one.heard[0].kept == (("first", "two"),)
+        two.news.append(Batch(kept=(("s", "p"),)))
+        await asyncio.sleep(0.2)
+        assert one.heard[-1].kept == (("s", "p"),) or Batch(kept=(("s", "p"),)) in one.heard
+        assert one.links.measure_share() == 1.0
+        await two.links.close()
+        await asyncio.sleep(0.2)
+        assert one.links.count_hosts() == 1
+        await one.links.close()
+
+    asyncio.run(run())
+
+
+def test_silent_host_is_lost_and_its_share_with_it() -> None:
+    async def run() -> None:
+        one, two = Node("one"), Node("two")
+        await one.links.start()
+        await two.links.start()
+        one.links.add_peer(two.hello)
+        await asyncio.sleep(0.5)
+        for task in list(two.links._tasks):
+            task.cancel()
+        await asyncio.sleep(1.8)
+        assert one.lost == [HostName("two")]
+        assert one.links.measure_share() == 0.5
+        assert (one.links.measure_silence("a") or 0.0) > 1.0
+        await one.links.close()
+        await two.links.close()
+
+    asyncio.run(run())
+
+
+def test_unknown_bytes_end_a_stream_and_nothing_else() -> None:
+    async def run() -> None:
+        one, two = Node("one"), Node("two")
+        await one.links.start()
+        port = int(one.hello.address.rpartition(":")[2])
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await two.links.start()
+        two.links.add_peer(one.hello)
+        await asyncio.sleep(0.4)
+        assert one.links.list_heard() == [HostName("two")]
+        await one.links.close()
+        await two.links.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/fleet/test_quotas.py
@@ -0,0 +1,111 @@
+"""Check that an account keeps to its rate and burst over all hosts."""
+
+from turmericproxy.core import AccountName, HostName, Incarnation, Refusal, Revision
+from turmericproxy.edge import EdgeLimits
+from turmericproxy.fleet import QuotaController
+from turmericproxy.traffic.site import Account, Site
+
+RATE, BURST, COST = 1_000.0, 1_000.0, 50
+ACCOUNT = Account(AccountName("a"), ("k",), None, True, 200, False, RATE, BURST)
+
+
+def create_site(account: Account = ACCOUNT) -> Site:
+    return Site(Revision(1), (), {}, (account,), EdgeLimits(), None)
+
+
+class Fleet:
+    """Run quota controllers that tell each other of their spending."""
+
+    def __init__(self, hosts: int, *, is_first_start: bool = True) -> None:
+        self.now = 100.0
+        self.hosts = [
+            QuotaController(lambda: self.now, is_first_start=is_first_start) for _ in range(hosts)
+        ]
+        for host in self.hosts:
+            host.follow_site(create_site())
+        self.tell()
+
+    def tell(self, groups: list[list[int]] | None = None) -> None:
+        for group in groups or [list(range(len(self.hosts)))]:
+            for sender in group:
+                for receiver in group:
+                    if receiver != sender:
+                        self.hosts[receiver].record_peer(
+                            HostName(str(sender)),
+                            Incarnation("i"),
+                            self.hosts[sender].list_spent() or {ACCOUNT.name: 0},
+                        )
+
+    def press(self, seconds: float, groups: list[list[int]] | None = None) -> int:
+        """Ask for far more than the rate at every host; return the tokens admitted."""
+        admitted = 0
+        for _ in range(int(seconds / 0.05)):
+            self.now += 0.05
+            for host in self.hosts:
+                for _ in range(2):
+                    if host.admit(ACCOUNT, COST) is None:
+                        admitted += COST
+            self.tell(groups)
+        return admitted
+
+
+def test_hot_tenant_gets_its_rate_and_burst_over_all_hosts() -> None:
+    admitted = Fleet(8).press(10.0)
+    bound = RATE * 10 + BURST
+    assert admitted <= bound * 1.1
+    assert admitted >= bound * 0.85
+
+
+def test_cut_fleet_keeps_to_the_rate_in_all_parts_together() -> None:
+    fleet = Fleet(8)
+    fleet.press(1.0)
+    groups = [[0, 1], [2, 3, 4, 5, 6, 7]]
+    for index, host in enumerate(fleet.hosts):
+        host.follow_share(0.25 if index < 2 else 0.75)
+        for other in range(8):
+            if (other < 2) is not (index < 2):
+                host.forget_peer(HostName(str(other)))
+    admitted = fleet.press(10.0, groups)
+    assert RATE * 10 * 0.8 <= admitted <= (RATE * 10 + BURST) * 1.1
+
+
+def test_fleet_that_restarts_brings_no_second_burst() -> None:
+    assert Fleet(8, is_first_start=False).press(2.0) <= RATE * 2 * 1.1 + COST * 8
+
+
+def test_host_that_starts_alone_takes_over_the_levels() -> None:
+    fleet = Fleet(2)
+    started = QuotaController(lambda: fleet.now, is_first_start=False)
+    started.follow_site(create_site())
+    assert isinstance(started.admit(ACCOUNT, COST), Refusal)
+    started.inherit_levels(fleet.hosts[0].list_levels())
+    assert started.admit(ACCOUNT, COST) is None
+
+
+def test_refusal_tells_when_to_come_back() -> None:
+    fleet = Fleet(1)
+    host = fleet.hosts[0]
+    assert host.admit(ACCOUNT, 1_000) is None
+    refusal = host.admit(ACCOUNT, 500)
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after is not None
+    fleet.now += refusal.retry_after + 0.001
+    assert host.admit(ACCOUNT, 500) is None
+
+
+def test_request_larger_than_the_burst_waits_for_a_full_bucket() -> None:
+    fleet = Fleet(1)
+    assert fleet.hosts[0].admit(ACCOUNT, 3_000) is None
+    fleet.now += 2.5
+    assert fleet.hosts[0].admit(ACCOUNT, 600) is not None
+
+
+def test_what_has_not_run_is_given_back() -> None:
+    host = Fleet(1).hosts[0]
+    assert host.admit(ACCOUNT, 1_000) is None
+    host.give_back(ACCOUNT, 1_000)
+    assert host.admit(ACCOUNT, 1_000) is None
+    host.give_back(ACCOUNT, 1_000)
+    host.give_back(ACCOUNT, 1_000)
+    assert host.admit(ACCOUNT, 1_000) is None
+    assert host.admit(ACCOUNT, 1_000) is not None
--- /dev/null
+++ b/tests/host/support.py
@@ -0,0 +1,162 @@
+"""Run a whole host before stand-ins of the platform's store and servers."""
+
+import asyncio
+import copy
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tests.platform.support import CONFIGURATION
+from turmericproxy.core import HostName
+from turmericproxy.host.site_daemon import SiteHost
+from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.platform.program import create_adapter
+from turmericproxy.standins.platform_wire_server import WireServer
+from turmericproxy.standins.platform_wire_store import WireStore
+
+
+def pick_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold what a client got; ``is_whole`` tells whether the answer ended as complete."""
+
+    status: int
+    fields: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Stage:
+    """Own a store, servers and hosts."""
+
+    store: WireStore = field(default_factory=WireStore)
+    servers: dict[str, WireServer] = field(default_factory=dict)
+    hosts: list[SiteHost] = field(default_factory=list)
+    settings: list[SiteHostSettings] = field(default_factory=list)
+
+    async def add_server(self, name: str, service: str, model: str | None = None) -> WireServer:
+        server = WireServer(name, service, model)
+        await server.start()
+        self.servers[name] = server
+        self.store.put("servers", name, server.describe())
+        return server
+
+    async def add_host(self, name: str, domain: str = "a", store: str | None = None) -> SiteHost:
+        settings = SiteHostSettings(
+            host=HostName(name),
+            domain=domain,
+            callers=pick_address(),
+            readiness=pick_address(),
+            links=pick_address(),
+            metrics=pick_address(),
+            store=store or self.store.address,
+            is_first_start=True,
+            order_guard=1.0,
+            version_seconds=6.0,
+            retry_share=0.2,
+            retry_reserve=56.0,
+            grace=3.0,
+        )
+        host = SiteHost(settings, create_adapter(settings.store))
+        await host.start()
+        self.hosts.append(host)
+        self.settings.append(settings)
+        return host
+
+    def configure(self, **changes: object) -> None:
+        content = {**copy.deepcopy(CONFIGURATION), **changes}
+        content["services"] = [s for s in content["services"] if "kv_store_addr" not in s]
+        for route in content["routes"]:
+            if route["name"] == "r-stream":
+                route["backends"] = [{"service": "huvo11a", "weight": 1}]
+        self.store.put("op", "config", content)
+
+    async def ask(
+        self,
+        target: str,
+        *fields: str,
+        host: str = "app.example",
+        key: str | None = "key-1",
+        body: bytes = b"",
+        method: str = "POST",
+        request_id: str = "r1",
+        index: int = 0,
+        wait_ms: int = 2000,
+    ) -> Answer:
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", f"X-Attempt-Id: {request_id}"]
+        lines += [f"X-Request-Deadline: {wait_ms}", f"Content-Length: {len(body)}", *fields]
+        lines += [f"Authorization: Bearer {key}"] if key else []
+        data = "\r\n".join([*lines, "Connection: close", "", ""]).encode() + body
+        ip, _, port = self.settings[index].callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(data)
+        try:
+            received = await asyncio.wait_for(reader.read(-1), 15)
+        except ConnectionResetError:
+            received = b""
+        writer.close()
+        return read_answer(received)
+
+    async def ask_stream(self, target: str = "/lepu270/2f", **more: object) -> Answer:
+        return await self.ask(
+            target,
+            "X-Model: m",
+            "X-Token-Count: 60,5",
+            "X-Prompt-Prefix: aa:20,bb:20,cc:20",
+            host="jepu9.example",
+            **more,  # type: ignore[arg-type]
+        )
+
+    async def close(self) -> None:
+        for host in self.hosts:
+            await host.close()
+        for server in self.servers.values():
+            server.close()
+        self.store.close()
+
+
+def read_answer(received: bytes) -> Answer:
+    if not received:
+        return Answer(0, {}, b"", is_whole=False)
+    head, _, rest = received.partition(b"\r\n\r\n")
+    line, *lines = head.decode().split("\r\n")
+    fields = {name.lower(): value for name, value in (f.split(": ", 1) for f in lines)}
+    status = int(line.split()[1])
+    if fields.get("transfer-encoding") != "chunked":
+        return Answer(status, fields, rest, len(rest) == int(fields["content-length"]))
+    body = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if size == b"0":
+            return Answer(status, fields, body, is_whole=True)
+        body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+    return Answer(status, fields, body, is_whole=False)
+
+
+def play(scene: Callable[[Stage], Awaitable[None]], *, hosts: int = 1) -> None:
+    """Run a scene before a host with two engines and two plain upstreams."""
+
+    async def run() -> None:
+        stage = Stage()
+        await stage.store.start()
+        stage.configure()
+        for name in ("e1", "e2"):
+            await stage.add_server(name, "huvo11a", "m")
+        for name in ("p1", "p2"):
+            await stage.add_server(name, "kafi81c")
+        for n in range(hosts):
+            await stage.add_host(f"h{n}")
+        await asyncio.sleep(0.2)
+        try:
+            await scene(stage)
+        finally:
+            await stage.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/logs/test_explaining.py
@@ -0,0 +1,65 @@
+"""Check that a request's fate and cause are told from recorded log lines."""
+
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from turmericproxy.cli.app import app
+from turmericproxy.logs.explaining import Fate, explain_request, read_lines
+
+# Lines as hosts wrote them on days of the platform's bench, shortened to what matters.
+RECORDED = """\
+   7.599 edge-a-3 {"asctime": "2026-02-16 12:21:31,599", "levelname": "INFO", "message": \
+"routing: engine chosen", "host": "edge-a-3", "decision": true, "request_id": "7be8f9af", \
+"engine": "i-4191", "version": 2, "expected": 0.03}
+   7.605 edge-a-3 {"asctime": "2026-02-16 12:21:31,605", "levelname": "INFO", "message": \
+"callers: attempt ended", "host": "edge-a-3", "decision": true, "request_id": "7be8f9af", \
+"upstream": "i-4191", "outcome": "wrong_instance", "status": 421, "reason": "answer of i-77", \
+"tries": 1, "runs": 0, "step": "give_up"}
+   7.606 edge-a-3 {"asctime": "2026-02-16 12:21:31,606", "levelname": "INFO", "message": \
+"callers: refused", "host": "edge-a-3", "decision": true, "request_id": "7be8f9af", "code": 302, \
+"reason": "answer of i-77", "run": "not_run", "retry_after": 0.5, "stream_started": false}
+{"asctime": "2026-02-16 12:21:33,001", "message": "callers: refused", "host": "edge-b-1", \
+"request_id": "5da99f54", "code": 402, "reason": "no answer within the time limit of r-x", \
+"run": "unknown", "retry_after": null, "stream_started": false}
+{"asctime": "2026-02-16 12:21:32,700", "message": "callers: attempt ended", "host": "edge-b-2", \
+"request_id": "23661ec6", "upstream": "i-97ba", "outcome": "broken", "status": 200, "reason": \
+"connection closed", "tries": 1, "runs": 1, "step": "give_up"}
+{"asctime": "2026-02-16 12:21:32,701", "message": "callers: refused", "host": "edge-b-2", \
+"request_id": "23661ec6", "code": 403, "reason": "connection closed", "run": "unknown", \
+"retry_after": null, "stream_started": true}
+{"asctime": "2026-02-16 12:21:33,100", "message": "callers: attempt ended", "host": "edge-b-2", \
+"request_id": "0abc", "upstream": "i-5", "outcome": "answered", "status": 200, "reason": "", \
+"tries": 1, "runs": 1, "step": "answer"}
+{"asctime": "2026-02-16 12:21:33,200", "message": "routing: engine chosen", "host": "edge-b-2", \
+"request_id": "left"}
+{"asctime": "torn", "request_id": "0abc
+""".splitlines()
+
+
+@pytest.mark.parametrize(
+    ("request_id", "fate", "words"),
+    [
+        ("7be8f9af", Fate.REFUSED, "result 302 (overloaded): answer of i-77; attempt 1 at i-4191"),
+        ("5da99f54", Fate.UNCLEAR, "result 402 (upstream_timeout): no answer within"),
+        ("23661ec6", Fate.BROKEN_OFF, "attempt 1 at i-97ba: broken, connection closed"),
+        ("0abc", Fate.ANSWERED, "status 200 of i-5"),
+        ("left", Fate.UNKNOWN, "the client left"),
+    ],
+)
+def test_fate_and_cause_are_told(request_id: str, fate: Fate, words: str) -> None:
+    explanation = explain_request(read_lines(RECORDED, request_id))
+    assert explanation.fate is fate
+    assert words in explanation.cause
+
+
+def test_command_prints_the_decisions_in_order(tmp_path: Path) -> None:
+    path = tmp_path / "host.log"
+    path.write_text("\n".join(RECORDED))
+    result = CliRunner().invoke(app, ["explain", "7be8f9af", str(path)])
+    assert result.exit_code == 0
+    chosen, ended, refused = (result.output.index(w) for w in ("chosen", "ended", "refused"))
+    assert chosen < ended < refused
+    assert CliRunner().invoke(app, ["explain", "none", str(path)]).exit_code != 0
+    assert CliRunner().invoke(app, ["explain", "none", str(tmp_path / "missing")]).exit_code != 0
--- /dev/null
+++ b/tests/placement/support.py
@@ -0,0 +1,58 @@
+"""Build engines and prompts for tests of the choice."""
+
+from dataclasses import replace
+
+from turmericproxy.core import ModelName
+from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.placement import EntryState, PrefixMemory, UpstreamBook, UpstreamEntry
+from turmericproxy.placement.selection import EngineScene
+from turmericproxy.traffic.requests import Prompt, PromptPart
+from turmericproxy.traffic.site import EngineTraits, KeptStore
+
+MODEL = ModelName("m")
+SERVICE = ServiceName("llm")
+TRAITS = EngineTraits(64, 90_000, 163_840, 2.75e11, (MODEL,))
+PROMPT = Prompt(
+    MODEL, 9_000, 9, (PromptPart("r", 2_500), PromptPart("c", 3_800), PromptPart("own", 2_700))
+)
+
+
+def create_entry(name: str, *, domain: str = "a", version: int = 1, born: int = 1) -> UpstreamEntry:
+    return UpstreamEntry(
+        InstanceId(name),
+        SERVICE,
+        f"10.0.0.1:{len(name)}",
+        domain,
+        64,
+        EntryState.READY,
+        born,
+        {MODEL: version},
+    )
+
+
+def create_book(*entries: UpstreamEntry) -> UpstreamBook:
+    book = UpstreamBook()
+    for entry in entries:
+        book.update(entry)
+    book.set_capacity(SERVICE, TRAITS.capacity_tokens)
+    return book
+
+
+def create_scene(**changes: object) -> EngineScene:
+    scene = EngineScene(
+        traits=TRAITS,
+        model=MODEL,
+        domain="a",
+        wall="",
+        kept_store=None,
+        kept=PrefixMemory(800_000),
+        is_cut=lambda domain: False,
+        wanted_version=1,
+        wanted_age=100.0,
+        oldest_age=4.5,
+        now=10.0,
+    )
+    return replace(scene, **changes)  # type: ignore[arg-type]
+
+
+STORE = KeptStore("172.0.0.1:1", "b", 2.6e10, 800_000)
--- /dev/null
+++ b/tests/placement/test_book.py
@@ -0,0 +1,61 @@
+"""Check what the book keeps of upstreams."""
+
+from dataclasses import replace
+
+from tests.placement.support import MODEL, SERVICE, create_book, create_entry
+from turmericproxy.core import HostName
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.placement import EntryState
+from turmericproxy.placement.book import Work
+from turmericproxy.placement.prefixes import PartKey
+
+ONE = InstanceId("one")
+KEY = PartKey("s", "p")
+
+
+def test_draining_upstream_gets_no_new_requests_and_keeps_its_work() -> None:
+    book = create_book(create_entry("one"))
+    book.add_work(ONE, Work(1, 10, 10))
+    book.update(replace(create_entry("one"), state=EntryState.DRAINING))
+    assert book.list_ready(SERVICE) == []
+    assert book.list_own_work() == {ONE: Work(1, 10, 10)}
+
+
+def test_engine_that_restarts_under_its_id_has_an_empty_cache() -> None:
+    book = create_book(create_entry("one"))
+    book.find(ONE).prefixes.add([(KEY, 5)])  # type: ignore[union-attr]
+    book.update(create_entry("one"))
+    assert book.find(ONE).prefixes.holds(KEY)  # type: ignore[union-attr]
+    book.update(create_entry("one", born=2))
+    assert not book.find(ONE).prefixes.holds(KEY)  # type: ignore[union-attr]
+
+
+def test_new_weights_empty_the_cache_and_late_news_change_nothing() -> None:
+    book = create_book(create_entry("one"))
+    book.find(ONE).prefixes.add([(KEY, 5)])  # type: ignore[union-attr]
+    book.learn_version(ONE, MODEL, 2)
+    assert not book.find(ONE).prefixes.holds(KEY)  # type: ignore[union-attr]
+    book.update(create_entry("one", version=1))
+    assert book.find(ONE).versions[MODEL] == 2  # type: ignore[union-attr]
+
+
+def test_version_that_an_engine_denies_is_corrected() -> None:
+    book = create_book(create_entry("one", version=3))
+    book.correct_version(ONE, MODEL, 2)
+    assert book.find(ONE).versions[MODEL] == 2  # type: ignore[union-attr]
+
+
+def test_work_of_lost_peers_is_forgotten() -> None:
+    book = create_book(create_entry("one"))
+    book.set_peer_work(HostName("h"), {ONE: Work(3, 30, 300)})
+    assert book.find(ONE).requests == 3  # type: ignore[union-attr]
+    book.forget_peer(HostName("h"))
+    assert book.find(ONE).requests == 0  # type: ignore[union-attr]
+
+
+def test_superseded_upstream_is_left_until_it_registers() -> None:
+    book = create_book(create_entry("one"))
+    book.supersede(ONE)
+    assert book.list_ready(SERVICE) == []
+    book.update(create_entry("one"))
+    assert len(book.list_ready(SERVICE)) == 1
--- /dev/null
+++ b/tests/platform/test_rows.py
@@ -0,0 +1,102 @@
+"""Check that rows of the operator and of servers are decoded, and bad ones left out."""
+
+import json
+from typing import Any
+
+import pytest
+
+from tests.platform.support import CONFIGURATION, REGISTRATION
+from turmericproxy.placement import EntryState
+from turmericproxy.platform.registrations import read_upstream_row
+from turmericproxy.platform.site import NamedWeights, read_configuration_row
+from turmericproxy.tables.messages import Row
+from turmericproxy.traffic.site import Repeatability, Site, choose_service
+
+
+def create_row(key: str, value: object) -> Row:
+    return Row(key, value if isinstance(value, bytes) else json.dumps(value).encode(), 1)
+
+
+def read_site(**changes: Any) -> Site:
+    site = read_configuration_row(create_row("config", {**CONFIGURATION, **changes}))
+    assert isinstance(site, Site)
+    return site
+
+
+def test_longest_prefix_of_the_host_selects_the_route() -> None:
+    site = read_site()
+    assert site.find_route("jepu9.example", "/lepu270/2f").name == "r-stream"  # type: ignore[union-attr]
+    assert site.find_route("jepu9.example", "/lepu270/deep/x").name == "r-deep"  # type: ignore[union-attr]
+    assert site.find_route("jepu9.example", "/lepu27") is None
+    assert site.find_route("other.example", "/lepu270/2f") is None
+
+
+def test_routes_are_decoded() -> None:
+    stream = read_site().find_route("jepu9.example", "/lepu270/")
+    assert stream is not None
+    assert stream.is_stream
+    assert not stream.is_repeatable
+    assert (stream.timeout, stream.target_latency, stream.longest_pause) == (4.0, 0.6, 0.4)
+    plain = read_site().find_route("app.example", "/book/")
+    assert plain is not None
+    assert plain.repeatability is Repeatability.NON_IDEMPOTENT
+
+
+def test_shares_divide_requests() -> None:
+    stream = read_site().find_route("jepu9.example", "/lepu270/")
+    assert stream is not None
+    chosen = [choose_service(stream, n / 1000) for n in range(1000)]
+    assert chosen.count("huvo11a") == 900  # type: ignore[arg-type]
+
+
+def test_accounts_services_and_limits_are_decoded() -> None:
+    site = read_site()
+    account = site.find_account("key-1")
+    assert account is not None
+    assert (account.rate, account.plain_cost, account.is_counted_in_tokens) == (78787, 200, True)
+    engine = site.services["huvo11a"].engine  # type: ignore[index]
+    assert engine is not None
+    assert engine.link_bytes_per_second == 2.75e11
+    assert site.kept_store is not None
+    assert site.kept_store.address == "172.20.0.2:8604"
+    assert site.limits.head_seconds == 3.0
+
+
+def test_named_weights_are_decoded() -> None:
+    row = create_row("version/m", {"model": "m", "version": 2})
+    assert read_configuration_row(row) == NamedWeights("m", 2)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"{}", b'{"version": 1}', b"null"])
+def test_torn_configuration_is_left_out(value: bytes) -> None:
+    assert read_configuration_row(create_row("config", value)) is None
+
+
+def test_registration_is_decoded() -> None:
+    entry = read_upstream_row(create_row("i-1", REGISTRATION))
+    assert entry is not None
+    assert entry.state is EntryState.READY
+    assert entry.versions == {"m": 2}
+    assert entry.started_at == 5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"state": None},
+        {"service": 7},
+        {"address": "nowhere"},
+        {"slots": "8"},
+        {"models": [{"name": "m"}]},
+        {"zone": None},
+    ],
+)
+def test_forged_registration_names_no_upstream(change: dict[str, object]) -> None:
+    assert read_upstream_row(create_row("i-1", {**REGISTRATION, **change})) is None
+
+
+@pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
+def test_torn_registration_names_no_upstream(name: str) -> None:
+    torn = {n: value for n, value in REGISTRATION.items() if n != name}
+    assert read_upstream_row(create_row("i-1", torn)) is None
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+"""Check that settings are read, and that each fault is named."""
+
+from pathlib import Path
+
+import pytest
+
+from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.platform.settings import SettingsFault, decode_settings, read_settings
+
+VALUES = {
+    "node": "edge-a-1",
+    "zone": "a",
+    "ip": "10.1.0.24",
+    "listen.front": "10.1.0.24:8606",
+    "listen.ready": "10.1.0.24:8605",
+    "port_range": "7600,7615",
+    "bootstrap": "true",
+    "platform.address": "10.200.1.7:8601",
+    "bounds.lease_ms": "3000",
+    "bounds.version_ms": "6000",
+    "bounds.retry_budget_ratio": "0.2",
+    "bounds.retry_budget_extra": "56",
+    "bounds.grace_s": "8",
+    "a.new.field": "1",
+}
+
+
+def test_settings_are_decoded_into_seconds_and_addresses() -> None:
+    settings = decode_settings(VALUES)
+    assert isinstance(settings, SiteHostSettings)
+    assert settings.links == "10.1.0.24:7600"
+    assert settings.order_guard == 3.0
+    assert settings.is_first_start
+
+
+@pytest.mark.parametrize("name", sorted(set(VALUES) - {"a.new.field"}))
+def test_missing_setting_is_named(name: str) -> None:
+    fault = decode_settings({n: v for n, v in VALUES.items() if n != name})
+    assert isinstance(fault, SettingsFault)
+    assert fault.name == name
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("listen.front", "8606"),
+        ("bounds.lease_ms", "soon"),
+        ("port_range", "a,b"),
+        ("bounds.grace_s", "0"),
+    ],
+)
+def test_wrong_setting_is_a_fault(name: str, value: str) -> None:
+    assert isinstance(decode_settings({**VALUES, name: value}), SettingsFault)
+
+
+def test_file_that_cannot_be_read_is_a_fault(tmp_path: Path) -> None:
+    fault = read_settings(tmp_path / "missing.conf")
+    assert isinstance(fault, SettingsFault)
+    path = tmp_path / "boot.conf"
+    path.write_text("".join(f"{name}={value}\n" for name, value in VALUES.items()))
+    assert isinstance(read_settings(path), SiteHostSettings)
--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -89,6 +89,7 @@
             self.handle,
             threads=settings.limits.threads,
             timeout=max(1, round(settings.limits.header_timeout)),
+            body_bytes=settings.limits.body_bytes,
         )
         self._is_draining = False
         self._is_refusing = False
--- a/turmericproxy/cli/app.py
+++ b/turmericproxy/cli/app.py
@@ -3,6 +3,7 @@
 import typer
 
 from turmericproxy.cli.bench import run_bench
+from turmericproxy.cli.explain import explain
 from turmericproxy.cli.keys import keys_app
 from turmericproxy.cli.resources import (
     apply_resources,
@@ -23,6 +24,7 @@
 app.command("status")(show_status)
 app.add_typer(keys_app, name="keys")
 app.command("serve")(serve_host)
+app.command("explain")(explain)
 app.command("bench")(run_bench)
 app.add_typer(stand_in_app, name="stand-in")
 
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -21,6 +21,15 @@
 SINGLE_FIELDS = ("host", "authorization", "content-type")
 
 
+# Returns fields and body of the refusal of a request that can't be read, by its status.
+RefusalWriter = Callable[[int], tuple[list[tuple[str, str]], bytes]]
+
+
+def write_plain_refusal(status: int) -> tuple[list[tuple[str, str]], bytes]:
+    """Return a refusal without fields or body."""
+    return [], b""
+
+
 class ClientConnection(asyncio.Protocol):
     """Answer the requests of one connection, one after the other.
 
@@ -33,11 +42,13 @@
         get_limits: Callable[[], EdgeLimits],
         is_draining: Callable[[], bool],
         single_fields: tuple[str, ...] = (),
+        describe_refusal: RefusalWriter = write_plain_refusal,
     ) -> None:
         self._handler = handler
         self._get_limits = get_limits
         self._is_draining = is_draining
         self._single_fields = SINGLE_FIELDS + single_fields
+        self._describe_refusal = describe_refusal
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[ClientRequest] = deque()
@@ -166,6 +177,11 @@
         if self._task is None and not self._is_reading and self._transport:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport:
+            self._transport.abort()
+
     def _start_message(self) -> None:
         self._target = b""
         self._fields: list[tuple[str, str]] = []
@@ -208,7 +224,9 @@
             return
         if not writer.is_finished:
             transport.abort()
-        elif not writer.keep_alive:
+        elif not writer.keep_alive or (self._is_draining() and not self._waiting):
+            # A draining host takes no further request from a connection, also after an answer
+            # that began before.
             self._linger()
         else:
             limits = self._get_limits()
@@ -229,7 +247,7 @@
         self._waiting.clear()
         if self._task is None:
             writer = AnswerWriter(self._transport, keep_alive=False, is_http_10=False)
-            writer.send(status, ())
+            writer.send(status, *self._describe_refusal(status))
             self._linger()
 
     def _refuse_slow_head(self) -> None:
--- a/turmericproxy/edge/server.py
+++ b/turmericproxy/edge/server.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable
 from weakref import WeakSet
 
-from turmericproxy.edge.connection import ClientConnection, Handler
+from turmericproxy.edge.connection import (
+    ClientConnection,
+    Handler,
+    RefusalWriter,
+    write_plain_refusal,
+)
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import ClientRequest
 from turmericproxy.edge.writer import AnswerWriter
@@ -22,12 +27,14 @@
         handler: Handler,
         get_limits: Callable[[], EdgeLimits] = EdgeLimits,
         single_fields: tuple[str, ...] = (),
+        describe_refusal: RefusalWriter = write_plain_refusal,
     ) -> None:
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._handler = handler
         self._get_limits = get_limits
         self._single_fields = single_fields
+        self._describe_refusal = describe_refusal
         self._connections: WeakSet[ClientConnection] = WeakSet()
         self._server: asyncio.Server | None = None
         self._is_draining = False
@@ -55,6 +62,11 @@
         for connection in list(self._connections):
             connection.close_idle()
 
+    def abort(self) -> None:
+        """Close all connections at once."""
+        for connection in list(self._connections):
+            connection.abort()
+
     def close(self) -> None:
         """Stop accepting connections; running requests go on."""
         if self._server:
@@ -62,7 +74,11 @@
 
     def _create_connection(self) -> ClientConnection:
         connection = ClientConnection(
-            self._run, self._get_limits, lambda: self._is_draining, self._single_fields
+            self._run,
+            self._get_limits,
+            lambda: self._is_draining,
+            self._single_fields,
+            self._describe_refusal,
         )
         self._connections.add(connection)
         return connection
--- a/turmericproxy/edge/writer.py
+++ b/turmericproxy/edge/writer.py
@@ -1,6 +1,7 @@
 """Write one answer to a client."""
 
 import asyncio
+import socket
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -27,6 +28,17 @@
         """Return whether the head has been written."""
         return self.status is not None
 
+    @property
+    def connection(self) -> socket.socket:
+        """Return the socket of the client."""
+        sock: socket.socket = self._transport.get_extra_info("socket")
+        return sock
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the client reads slower than is written."""
+        return not self._can_write.is_set()
+
     def send(self, status: int, fields: Iterable[tuple[str, str]], body: bytes = b"") -> None:
         """Write a whole answer."""
         self.start(status, fields, len(body))
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -12,6 +12,7 @@
     Batch,
     Hello,
     Unreadable,
+    merge_batches,
     pack_batch,
     pack_hello,
     unpack,
@@ -20,6 +21,8 @@
 
 # Seconds between two batches; a batch with no news is sent as a heartbeat.
 BATCH_SECONDS = 0.04
+# Batches that are merged into one for hosts of other failure domains, where links are thin.
+MERGED_BATCHES = 3
 HEARTBEAT_SECONDS = 0.4
 # Seconds of silence after which a peer is out of touch: three heartbeats and a round trip.
 SILENCE_SECONDS = 1.3
@@ -80,6 +83,7 @@
         self._lost: set[HostName] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._incoming: set[asyncio.StreamWriter] = set()
         self._is_closing = False
 
     async def start(self) -> None:
@@ -91,12 +95,15 @@
     async def close(self) -> None:
         """Tell peers that this host leaves, and close all streams."""
         self._is_closing = True
-        self._send(pack_batch(Batch(is_leaving=True)))
+        for is_near in (True, False):
+            self._send(pack_batch(Batch(is_leaving=True)), is_near=is_near)
         for task in self._tasks:
             task.cancel()
         for peer in self._peers.values():
             if peer.writer:
                 peer.writer.close()
+        for writer in self._incoming:
+            writer.close()
         if self._server:
             self._server.close()
 
@@ -146,22 +153,24 @@
         return task
 
     async def _send_batches(self) -> None:
-        sent_at = 0.0
+        near, far = _Outbox(1), _Outbox(MERGED_BATCHES)
         while True:
             await asyncio.sleep(BATCH_SECONDS)
             self._drop_silent()
             batch = self._create_batch(False)
             now = self._read_clock()
-            if batch is None and now - sent_at < HEARTBEAT_SECONDS:
-                continue
-            self._send(pack_batch(batch or Batch()))
-            sent_at = now
+            self._send(near.take(batch, now), is_near=True)
+            self._send(far.take(batch, now), is_near=False)
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes | None, *, is_near: bool) -> None:
+        if data is None:
+            return
         for peer in self._peers.values():
             writer = peer.writer
             if writer is None or writer.is_closing():
                 continue
+            if (peer.hello.domain == self._own.domain) is not is_near:
+                continue
             if writer.transport.get_write_buffer_size() > LARGEST_BACKLOG:
                 writer.transport.abort()
                 continue
@@ -200,6 +209,7 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         _set_user_timeout(writer)
+        self._incoming.add(writer)
         hello: Hello | None = None
         try:
             while True:
@@ -215,6 +225,7 @@
             peer = hello.host if hello else None
             log_event(Part.PEERS, "stream from host ended", peer=peer, reason=repr(error))
         finally:
+            self._incoming.discard(writer)
             writer.close()
 
     def _take_batch(self, hello: Hello, batch: Batch) -> None:
@@ -230,6 +241,28 @@
         self._receive(hello, batch)
 
 
+class _Outbox:
+    """Merge some batches in a row into one, and make heartbeats where there is nothing to tell."""
+
+    def __init__(self, merged: int) -> None:
+        self._merged = merged
+        self._count = 0
+        self._batch: Batch | None = None
+        self._sent_at = 0.0
+
+    def take(self, batch: Batch | None, now: float) -> bytes | None:
+        """Add a batch, and return the message that is due."""
+        if batch is not None:
+            self._batch = merge_batches(self._batch, batch) if self._batch else batch
+        self._count += 1
+        is_due = self._count >= self._merged and self._batch is not None
+        if not is_due and now - self._sent_at < HEARTBEAT_SECONDS:
+            return None
+        data = pack_batch(self._batch or Batch())
+        self._batch, self._count, self._sent_at = None, 0, now
+        return data
+
+
 async def _read_message(reader: asyncio.StreamReader) -> Hello | Batch:
     size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
     if size > LARGEST_MESSAGE_BYTES:
--- a/turmericproxy/fleet/messages.py
+++ b/turmericproxy/fleet/messages.py
@@ -45,7 +45,7 @@
 
     ``spent`` holds tokens since the sender's start, by account. ``changing`` holds the seconds
     that engines still need for new weights. ``is_leaving`` tells that the sender takes no more
-    requests.
+    requests; hosts beside the kept store tell whether it answers.
     """
 
     work: Mapping[InstanceId, Work] = field(default_factory=dict)
@@ -56,6 +56,25 @@
     versions: tuple[tuple[InstanceId, ModelName, int], ...] = ()
     changing: tuple[tuple[InstanceId, float], ...] = ()
     is_leaving: bool = False
+    is_kept_store_reachable: bool | None = None
+
+
+def merge_batches(first: Batch, second: Batch) -> Batch:
+    """Return one batch that tells what two in a row tell."""
+    is_reachable = second.is_kept_store_reachable
+    return Batch(
+        work={**first.work, **second.work},
+        placed=first.placed + second.placed,
+        kept=first.kept + second.kept,
+        spent={**first.spent, **second.spent},
+        levels={**first.levels, **second.levels},
+        versions=first.versions + second.versions,
+        changing=first.changing + second.changing,
+        is_leaving=second.is_leaving,
+        is_kept_store_reachable=(
+            first.is_kept_store_reachable if is_reachable is None else is_reachable
+        ),
+    )
 
 
 def pack_hello(hello: Hello) -> bytes:
@@ -76,6 +95,7 @@
             batch.versions,
             batch.changing,
             batch.is_leaving,
+            batch.is_kept_store_reachable,
         ]
     )
 
@@ -107,6 +127,7 @@
     versions: Any,
     changing: Any,
     is_leaving: Any,
+    is_reachable: Any,
 ) -> Batch:
     return Batch(
         work={InstanceId(i): Work(*map(int, w)) for i, w in work.items()},
@@ -120,4 +141,5 @@
         versions=tuple((InstanceId(i), ModelName(m), int(v)) for i, m, v in versions),
         changing=tuple((InstanceId(i), float(s)) for i, s in changing),
         is_leaving=bool(is_leaving),
+        is_kept_store_reachable=None if is_reachable is None else bool(is_reachable),
     )
--- a/turmericproxy/host/announcing.py
+++ b/turmericproxy/host/announcing.py
@@ -6,6 +6,7 @@
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.fleet.messages import Batch, Hello, PlacedPrompt
 from turmericproxy.fleet.quotas import QuotaController
+from turmericproxy.host.cache_following import CacheFollowing
 from turmericproxy.placement.book import UpstreamBook
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.traffic.dispatching import Dispatcher
@@ -17,10 +18,18 @@
 class FleetNews:
     """Make batches for peers and apply theirs."""
 
-    def __init__(self, book: UpstreamBook, dispatcher: Dispatcher, quotas: QuotaController) -> None:
+    def __init__(
+        self,
+        book: UpstreamBook,
+        dispatcher: Dispatcher,
+        quotas: QuotaController,
+        caches: CacheFollowing,
+    ) -> None:
         self._book = book
         self._dispatcher = dispatcher
         self._quotas = quotas
+        self._caches = caches
+        self._told_finding: bool | None = None
         self._changing: list[tuple[InstanceId, float]] = []
         self._versions: list[tuple[InstanceId, ModelName, int]] = []
 
@@ -40,12 +49,16 @@
                 spent=self._quotas.list_spent(),
                 levels=self._quotas.list_levels(),
                 versions=self._book.list_versions(),
+                is_kept_store_reachable=self._caches.get_own_finding(),
             )
         work, spent = self._book.take_changed_work(), self._quotas.take_changed()
         placed, kept = self._dispatcher.take_news()
         changing, self._changing = self._changing, []
         versions, self._versions = self._versions, []
-        if not any((work, spent, placed, kept, changing, versions)):
+        finding = self._caches.get_own_finding()
+        is_news = finding is not self._told_finding
+        self._told_finding = finding
+        if not any((work, spent, placed, kept, changing, versions, is_news)):
             return None
         return Batch(
             work=work,
@@ -62,6 +75,7 @@
             spent=spent,
             versions=tuple(versions),
             changing=tuple(changing),
+            is_kept_store_reachable=finding if is_news else None,
         )
 
     def receive(self, hello: Hello, batch: Batch) -> None:
@@ -80,6 +94,8 @@
         )
         for instance, seconds in batch.changing:
             self._book.mark_changing(instance, now + seconds)
+        if batch.is_kept_store_reachable is not None:
+            self._caches.take_finding(batch.is_kept_store_reachable)
         if batch.levels:
             self._quotas.inherit_levels(batch.levels)
         if batch.spent:
--- a/turmericproxy/host/cache_following.py
+++ b/turmericproxy/host/cache_following.py
@@ -1,4 +1,7 @@
-"""Keep a cache watch for each engine and for the kept store."""
+"""Keep a cache watch for each engine of the own failure domain, and for a kept store there.
+
+Links between domains are thin; hosts there tell by their batches what they place and save.
+"""
 
 from collections.abc import Callable
 
@@ -17,23 +20,34 @@
         create_events: Callable[[str], CacheEvents],
         book: UpstreamBook,
         kept: PrefixMemory,
+        domain: str,
     ) -> None:
         self._create_events = create_events
         self._book = book
         self._kept = kept
+        self._domain = domain
+        self._told_reachable = True
         self._watches: dict[InstanceId, CacheWatch] = {}
         self._store_watch: CacheWatch | None = None
 
     def is_kept_store_reachable(self) -> bool:
-        """Return whether the kept store answered the last question."""
-        return self._store_watch is not None and self._store_watch.is_reachable
+        """Return whether the kept store answered the last question, own or told by a peer."""
+        return self._store_watch.is_reachable if self._store_watch else self._told_reachable
+
+    def get_own_finding(self) -> bool | None:
+        """Return whether the kept store answers this host, ``None`` if it doesn't ask."""
+        return self._store_watch.is_reachable if self._store_watch else None
+
+    def take_finding(self, is_reachable: bool) -> None:
+        """Take in whether the kept store answers the hosts beside it."""
+        self._told_reachable = is_reachable
 
     def follow(self, store: KeptStore | None) -> None:
         """Watch the engines that are known now, and the kept store."""
         engines = {
             state.entry.instance: state.entry.address
             for state in self._book.list_states()
-            if state.entry.versions
+            if state.entry.versions and state.entry.domain == self._domain
         }
         for instance in set(self._watches) - set(engines):
             self._watches.pop(instance).close()
@@ -59,13 +73,12 @@
         return watch
 
     def _follow_store(self, store: KeptStore | None) -> None:
-        address = store.address if store else None
+        address = store.address if store and store.domain == self._domain else None
         known = self._store_watch.address if self._store_watch else None
         if address == known:
             return
         if self._store_watch:
             self._store_watch.close()
-            self._kept.clear()
         self._store_watch = None
         if address:
             events = self._create_events(address)
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -87,10 +87,10 @@
             loop.time,
         )
         self._caches = CacheFollowing(
-            adapter.create_cache_events, self._book, self._dispatcher.kept
+            adapter.create_cache_events, self._book, self._dispatcher.kept, settings.domain
         )
         self._dispatcher.follow_kept_store(self._caches.is_kept_store_reachable)
-        self._news = FleetNews(self._book, self._dispatcher, self._quotas)
+        self._news = FleetNews(self._book, self._dispatcher, self._quotas, self._caches)
         self._links = FleetLinks(own, self._news.create_batch, self._news.receive, self._news.lose)
         self._directory = HostDirectory(adapter.store, own, self._links)
         self._rollout = self._create_rollout()
--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -20,6 +20,9 @@
 FAILURE_SECONDS = 1.0
 # A hop to another failure domain and back, in seconds.
 FAR_SECONDS = 0.002
+# What a byte of a body costs on a link between failure domains, in seconds at an engine's pace;
+# such links are thin, and shared by all that the sites send.
+FAR_SECONDS_PER_BYTE = 0.5e-6
 # Advantage of a prompt's home engine over equals, in seconds, so that hosts agree.
 HOME_SECONDS = 0.008
 # Share of the memory that running requests may take before new ones have to wait.
@@ -47,6 +50,7 @@
     output_tokens: int
     shared: tuple[PromptPart, ...]
     home_key: str
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,8 +129,15 @@
     )
 
 
-def choose_engine(candidates: Sequence[EngineCandidate], need: PromptNeed) -> EngineCandidate:
-    """Return the candidate with the soonest first token; near ties go to the prompt's home."""
+def choose_engine(
+    candidates: Sequence[EngineCandidate], need: PromptNeed, known_parts: int = 0
+) -> EngineCandidate:
+    """Return the candidate with the soonest first token.
+
+    Near ties go to the prompt's home, as long as no engine holds any of its parts.
+    """
+    if known_parts:
+        return min(candidates, key=lambda c: c.expected_seconds)
     home = max(candidates, key=lambda c: _weigh(need.home_key, c.view.instance))
     return min(
         candidates,
@@ -151,4 +162,6 @@
     seconds = STEP_SECONDS + view.requests * STEP_SECONDS_PER_REQUEST * max(1, need.output_tokens)
     seconds += view.failure_share * FAILURE_SECONDS
     seconds += view.changing_seconds
-    return seconds if view.is_near else seconds + FAR_SECONDS
+    if view.is_near:
+        return seconds
+    return seconds + FAR_SECONDS + need.body_bytes * FAR_SECONDS_PER_BYTE
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -30,8 +30,9 @@
 class EngineScene:
     """Hold what all engines share in a choice; times are of the event loop.
 
-    ``is_cut`` tells failure domains that can't be reached. ``wall`` separates the cache of an isolated account; ``wanted_version`` was named
-    ``wanted_age`` seconds ago, and from ``oldest_age`` on older weights are no longer used.
+    ``is_cut`` tells failure domains that can't be reached. ``wall`` separates the cache of an
+    isolated account; ``wanted_version`` was named ``wanted_age`` seconds ago, and from
+    ``oldest_age`` on older weights are no longer used.
     """
 
     traits: EngineTraits
@@ -45,6 +46,7 @@
     wanted_age: float
     oldest_age: float
     now: float
+    body_bytes: int = 0
 
 
 def name_space(wall: str, model: ModelName, version: int) -> str:
@@ -77,6 +79,7 @@
         output_tokens=prompt.output_tokens,
         shared=prompt.shared_parts,
         home_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
+        body_bytes=scene.body_bytes,
     )
     held = {state.entry.instance: _count_cached(state, prompt, scene) for state in usable}
     offered = {state.entry.instance: _count_offered(state, prompt, scene) for state in usable}
@@ -85,7 +88,7 @@
         score_engine(_view_engine(state, usable, held, offered, prompt, scene), need, known)
         for state in awake
     ]
-    return choose_engine(candidates, need)
+    return choose_engine(candidates, need, known)
 
 
 def list_awake(
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -124,7 +124,10 @@
         self._accepted += 1
         self._is_busy = True
         writer.send(202, ())
-        await asyncio.sleep(self.load_seconds)
+        # The load goes on after the one who ordered it has left.
+        asyncio.get_running_loop().call_later(self.load_seconds, self._finish_load, order)
+
+    def _finish_load(self, order: dict[str, int]) -> None:
         self.version = order["version"]
         self._is_busy = False
 
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -255,6 +255,7 @@
             wanted_age=age,
             oldest_age=self._oldest_age,
             now=now,
+            body_bytes=len(passage.inquiry.raw.body),
         )
 
     def _spread_retry(self) -> float:
@@ -271,7 +272,8 @@
 def _log_engine(
     passage: Passage, chosen: EngineCandidate, scene: EngineScene, candidates: int
 ) -> None:
-    view = chosen.view
+    view, prompt = chosen.view, passage.inquiry.prompt
+    assert prompt is not None
     log_decision(
         Part.ROUTING,
         "engine chosen",
@@ -283,7 +285,9 @@
         queue=round(chosen.queue_seconds, 4),
         read=round(chosen.read_seconds, 4),
         memory=round(chosen.memory_seconds, 4),
+        shared=[f"{p.part_id}:{p.tokens}" for p in prompt.shared_parts],
         cached_parts=view.cached_parts,
+        source_parts=view.source.held_parts if view.source else 0,
         fetch_from=chosen.fetch_from,
         candidates=candidates,
     )
--- a/turmericproxy/web/__init__.py
+++ b/turmericproxy/web/__init__.py
@@ -1,4 +1,4 @@
-"""Serve and call HTTP through cheroot and urllib3."""
+"""Serve HTTP for handlers that block, and call it through urllib3."""
 
 from turmericproxy.web.client import CallFailure, FailureStage, HttpClient
 from turmericproxy.web.server import HttpRequest, HttpResponse, HttpServer, create_json_response
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -1,16 +1,29 @@
-"""Serve HTTP requests with cheroot through one handler function."""
+"""Serve HTTP requests through one handler function that runs on threads."""
 
+import asyncio
+import io
 import json
-import select
+import logging
 import socket
 import threading
-from collections.abc import Callable, Iterable, Iterator, Mapping
+import time
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
-from http import HTTPStatus
 from typing import Any
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, unquote
 
-from cheroot import wsgi
+from turmericproxy.core import ResultCode, RunState
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
+from turmericproxy.logs import Part, log_event
+
+# Bodies beyond this are refused before a handler sees them, in bytes.
+LARGEST_BODY_BYTES = 32 * 1024 * 1024
+# Seconds between two looks at a client that reads slowly.
+PAUSE_SECONDS = 0.005
+CLOSE_SECONDS = 5.0
+# Fields that the transport writes itself.
+_OWN_FIELDS = frozenset({"connection", "content-length", "transfer-encoding"})
 
 
 @dataclass(frozen=True)
@@ -26,6 +39,7 @@
     content_length: int | None
     body_stream: Any
     connection: socket.socket
+    tell_gone: Callable[[], bool] = lambda: False
 
     def read_body(self, limit: int) -> bytes | None:
         """Return the body, or ``None`` if it is longer than ``limit`` bytes."""
@@ -36,15 +50,7 @@
 
     def is_client_gone(self) -> bool:
         """Return whether the client has closed the connection."""
-        try:
-            poll = select.poll()
-            poll.register(self.connection, select.POLLIN)
-            # A socket with a timeout would wait in recv, so recv is asked only when it is ready.
-            if not poll.poll(0):
-                return False
-            return self.connection.recv(1, socket.MSG_PEEK) == b""
-        except (OSError, ValueError):
-            return True
+        return self.tell_gone()
 
 
 @dataclass(frozen=True)
@@ -67,62 +73,32 @@
     return HttpResponse(status, body, {"Content-Type": "application/json", **(headers or {})})
 
 
-class _Gateway(wsgi.Gateway_10):
-    """Pass the connection's socket on to the application."""
-
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        environ: dict[str, Any] = super().get_environ()
-        environ["turmericproxy.socket"] = self.req.conn.socket
-        return environ
-
-
-def _create_request(environ: dict[str, Any]) -> HttpRequest:
-    headers = {
-        name[5:].replace("_", "-").lower(): value
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        headers["content-type"] = environ["CONTENT_TYPE"]
-    length = environ.get("CONTENT_LENGTH")
-    query_string = environ.get("QUERY_STRING", "")
-    return HttpRequest(
-        method=environ["REQUEST_METHOD"],
-        path=environ["PATH_INFO"],
-        target=environ.get("REQUEST_URI", environ["PATH_INFO"]),
-        query=dict(parse_qsl(query_string, keep_blank_values=True)),
-        query_string=query_string,
-        headers=headers,
-        content_length=int(length) if length else None,
-        body_stream=environ["wsgi.input"],
-        connection=environ["turmericproxy.socket"],
-    )
-
-
 class HttpServer:
     """Run a handler on a pool of threads behind one listening address.
 
-    ``timeout`` is the longest silence of a client while a request is read or kept alive, in
-    seconds.
+    Requests are read on an event loop of its own, so that slow clients take no thread. ``timeout``
+    is the longest time for a head, and for the silence of a kept connection, in seconds.
     """
 
     def __init__(
-        self, address: str, handler: Handler, *, threads: int = 32, timeout: int = 30
+        self,
+        address: str,
+        handler: Handler,
+        *,
+        threads: int = 32,
+        timeout: int = 30,
+        body_bytes: int = LARGEST_BODY_BYTES,
     ) -> None:
-        host, _, port = address.rpartition(":")
         self._handler = handler
-        self._server = wsgi.Server(
-            (host, int(port)),
-            self._run_application,
-            numthreads=threads,
-            max=threads,
-            timeout=timeout,
-            request_queue_size=512,
-            accepted_queue_size=4096,
-            shutdown_timeout=1,
+        limits = EdgeLimits(
+            body_bytes=body_bytes, head_seconds=float(timeout), idle_seconds=float(timeout)
+        )
+        self._server = EdgeServer(
+            address, self._answer, lambda: limits, describe_refusal=_describe_refusal
         )
-        self._server.gateway = _Gateway
-        self._thread: threading.Thread | None = None
+        self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, name="http", daemon=True)
         self._active = 0
         self._lock = threading.Lock()
 
@@ -134,65 +110,135 @@
     @property
     def port(self) -> int:
         """Return the port that the server is bound to."""
-        return int(self._server.bind_addr[1])
+        return self._server.port
 
     def start(self) -> None:
-        """Bind the address and serve in a thread of its own."""
-        self._server.prepare()
-        self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
+        """Bind the address and serve; an address that is taken raises ``OSError``."""
         self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._server.start(), self._loop).result()
 
     def close(self) -> None:
-        """Stop listening and end the threads."""
-        self._server.stop()
-        if self._thread:
-            self._thread.join(timeout=5)
-
-    def _run_application(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
+        """Stop listening and close all connections."""
+        if self._thread.is_alive():
+            asyncio.run_coroutine_threadsafe(self._close(), self._loop).result()
+            self._loop.call_soon_threadsafe(self._loop.stop)
+            self._thread.join(timeout=CLOSE_SECONDS)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    async def _close(self) -> None:
+        self._server.close()
+        self._server.abort()
+
+    async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        client = _Client(writer, self._loop)
         self._count_active(1)
+        job = self._loop.run_in_executor(self._pool, self._run_handler, request, client)
+        try:
+            # A client that leaves ends this task; the thread notices and ends by itself.
+            await asyncio.shield(job)
+        finally:
+            client.is_gone = True
+
+    def _run_handler(self, request: ClientRequest, client: "_Client") -> None:
         try:
-            response = self._handler(_create_request(environ))
-        except BaseException:
+            response = self._handler(_create_request(request, client))
+            _send_response(response, client)
+        except ClientGone:
+            pass
+        except Exception as error:  # the connection must end, whatever the handler does
+            log_event(Part.CALLERS, "handler failed", level=logging.ERROR, reason=repr(error))
+            client.call(client.writer.abort)
+        finally:
             self._count_active(-1)
-            raise
-        headers = dict(response.headers)
-        body = response.body
-        if isinstance(body, bytes):
-            headers["Content-Length"] = str(len(body))
-            body = (body,)
-        status = f"{response.status} {_get_phrase(response.status)}"
-        start_response(status, list(headers.items()))
-        return _SentBody(body, lambda: self._count_active(-1))
 
     def _count_active(self, change: int) -> None:
         with self._lock:
             self._active += change
 
 
-class _SentBody:
-    """Run an action when the server has sent the last part of a body or given it up."""
+class ClientGone(Exception):
+    """Say that nobody reads an answer any more."""
 
-    def __init__(self, parts: Iterable[bytes], action: Callable[[], None]) -> None:
-        self._parts = parts
-        self._action = action
 
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._parts)
+class _Client:
+    """Write to a client from a thread."""
 
-    def close(self) -> None:
-        """Close the parts; the server calls this once."""
-        try:
-            close_parts = getattr(self._parts, "close", None)
-            if close_parts:
-                close_parts()
-        finally:
-            self._action()
+    def __init__(self, writer: AnswerWriter, loop: asyncio.AbstractEventLoop) -> None:
+        self.writer = writer
+        self.is_gone = False
+        self._loop = loop
+
+    def call(self, action: Callable[..., None], *arguments: object) -> None:
+        """Do something on the event loop, unless the client has left."""
+        if self.is_gone:
+            raise ClientGone
+        self._loop.call_soon_threadsafe(self._call_there, action, arguments)
+
+    def wait(self) -> None:
+        """Wait while the client reads slower than is written."""
+        while self.writer.is_paused and not self.is_gone:
+            time.sleep(PAUSE_SECONDS)
+
+    def _call_there(self, action: Callable[..., None], arguments: tuple[object, ...]) -> None:
+        if not self.is_gone:
+            action(*arguments)
 
 
-def _get_phrase(status: int) -> str:
+def _create_request(request: ClientRequest, client: _Client) -> HttpRequest:
+    path, _, query_string = request.target.partition("?")
+    headers: dict[str, str] = {}
+    for name, value in request.headers:
+        key = name.lower()
+        headers[key] = f"{headers[key]},{value}" if key in headers else value
+    return HttpRequest(
+        method=request.method,
+        path=unquote(path),
+        target=request.target,
+        query=dict(parse_qsl(query_string, keep_blank_values=True)),
+        query_string=query_string,
+        headers=headers,
+        content_length=len(request.body) if "content-length" in headers else None,
+        body_stream=io.BytesIO(request.body),
+        connection=client.writer.connection,
+        tell_gone=lambda: client.is_gone,
+    )
+
+
+def _send_response(response: HttpResponse, client: _Client) -> None:
+    writer = client.writer
+    fields = [(n, v) for n, v in response.headers.items() if n.lower() not in _OWN_FIELDS]
+    if response.headers.get("Connection", "").lower() == "close":
+        writer.keep_alive = False
+    if isinstance(response.body, bytes):
+        client.call(writer.send, response.status, fields, response.body)
+        return
+    parts = response.body
     try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return "Unknown"
+        client.call(writer.start, response.status, fields, None)
+        for part in parts:
+            client.call(writer.write, part)
+            client.wait()
+        client.call(writer.finish)
+    finally:
+        close_parts = getattr(parts, "close", None)
+        if close_parts:
+            close_parts()
+
+
+_REFUSAL_CODES = {
+    408: ResultCode.REQUEST_TIMEOUT,
+    413: ResultCode.BODY_TOO_LARGE,
+}
+
+
+def _describe_refusal(status: int) -> tuple[list[tuple[str, str]], bytes]:
+    """Return the numbered error for a request that could not be read."""
+    code = _REFUSAL_CODES.get(status, ResultCode.BAD_REQUEST)
+    error = {
+        "code": int(code),
+        "name": code.name.lower(),
+        "reason": "the request can't be read, or is over a limit",
+        "run": RunState.NOT_RUN.value,
+    }
+    body = json.dumps({"error": error}, separators=(",", ":")).encode()
+    return [("Content-Type", "application/json")], body
