Divide the retry reserve by the hosts that run; keep the own interface's contract

Cause: a service's retry reserve was divided by the hosts known at the first request, so a larger fleet could spend a multiple of it; it now follows the number of hosts.

--- a/turmericproxy/core/budget.py
+++ b/turmericproxy/core/budget.py
@@ -19,6 +19,12 @@
         self._left = reserve
         self._lock = threading.Lock()
 
+    def set_reserve(self, reserve: float) -> None:
+        """Change the reserve; what is left above it is lost."""
+        with self._lock:
+            self._reserve = reserve
+            self._left = min(self._left, reserve)
+
     def record_request(self) -> None:
         """Earn the share of one first attempt, up to the reserve."""
         with self._lock:
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -177,14 +177,15 @@
     def _get_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            hosts = max(LEAST_HOSTS, self._links.count_hosts())
-            budget = RetryBudget(
-                share=RETRY_SHARE_USED * self._settings.retry_share,
-                reserve=RETRY_RESERVE_USED * self._settings.retry_reserve / hosts,
-            )
+            share = RETRY_SHARE_USED * self._settings.retry_share
+            budget = RetryBudget(share=share, reserve=self._measure_reserve())
             self._budgets[service] = budget
         return budget
 
+    def _measure_reserve(self) -> float:
+        hosts = max(LEAST_HOSTS, self._links.count_hosts())
+        return RETRY_RESERVE_USED * self._settings.retry_reserve / hosts
+
     async def _tell_ready(self, request: ClientRequest, writer: AnswerWriter) -> None:
         if request.path != self._adapter.ready_path:
             writer.send(404, ())
@@ -200,6 +201,8 @@
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
             self._quotas.follow_share(self._links.measure_share())
+            for budget in self._budgets.values():
+                budget.set_reserve(self._measure_reserve())
             if self._watch.site:
                 self._caches.follow(self._watch.site.kept_store)
 
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -1,7 +1,6 @@
 """Serve the HTTP surface of an engine stand-in and crash it on request."""
 
 import json
-import socket
 import threading
 import time
 import weakref
@@ -19,7 +18,7 @@
 from turmericproxy.standins.engine.records import ServedLog, ServedRecord
 from turmericproxy.standins.exchange import BODY_LIMIT, cut_connection, read_json
 from turmericproxy.web import HttpClient, HttpRequest, HttpResponse, HttpServer
-from turmericproxy.web.server import create_json_response
+from turmericproxy.web.server import Connection, create_json_response
 
 BIND_ATTEMPTS = 200
 BIND_PAUSE = 0.05
@@ -34,7 +33,7 @@
         self.faults = create_faults(options)
         self.served = ServedLog()
         self._answers: weakref.WeakSet[Answer] = weakref.WeakSet()
-        self._connections: weakref.WeakSet[socket.socket] = weakref.WeakSet()
+        self._connections: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._lock = threading.Lock()
         self._store = HttpClient(options.platform) if options.platform else None
         self._routes: dict[tuple[str, str], Callable[[HttpRequest], HttpResponse]] = {
--- a/turmericproxy/standins/exchange.py
+++ b/turmericproxy/standins/exchange.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from turmericproxy.web import HttpRequest
+from turmericproxy.web.server import Connection
 
 BODY_LIMIT = 16 * 1024 * 1024
 
@@ -16,7 +17,7 @@
     return value
 
 
-def cut_connection(connection: socket.socket) -> None:
+def cut_connection(connection: Connection) -> None:
     """Shut a connection down in both directions."""
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_RDWR)
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -4,6 +4,7 @@
 import io
 import json
 import logging
+import re
 import socket
 import threading
 import time
@@ -22,10 +23,27 @@
 # Seconds between two looks at a client that reads slowly.
 PAUSE_SECONDS = 0.005
 CLOSE_SECONDS = 5.0
+_ESCAPED_SLASH = re.compile("%2f", re.IGNORECASE)
 # Fields that the transport writes itself.
 _OWN_FIELDS = frozenset({"connection", "content-length", "transfer-encoding"})
 
 
+class Connection:
+    """Name the connection of a client, and cut it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+
+    def getpeername(self) -> tuple[str, int]:
+        """Return IP and port of the client."""
+        peer: tuple[str, int] = self._socket.getpeername()
+        return peer
+
+    def shutdown(self, how: int) -> None:
+        """Shut the connection down as ``socket.shutdown`` does."""
+        self._socket.shutdown(how)
+
+
 @dataclass(frozen=True)
 class HttpRequest:
     """Hold one request; header names are in lower case, and ``target`` is as it was sent."""
@@ -38,7 +56,7 @@
     headers: Mapping[str, str]
     content_length: int | None
     body_stream: Any
-    connection: socket.socket
+    connection: Connection
     tell_gone: Callable[[], bool] = lambda: False
 
     def read_body(self, limit: int) -> bytes | None:
@@ -192,18 +210,23 @@
         headers[key] = f"{headers[key]},{value}" if key in headers else value
     return HttpRequest(
         method=request.method,
-        path=unquote(path),
+        path=_decode_path(path),
         target=request.target,
         query=dict(parse_qsl(query_string, keep_blank_values=True)),
         query_string=query_string,
         headers=headers,
         content_length=len(request.body) if "content-length" in headers else None,
         body_stream=io.BytesIO(request.body),
-        connection=client.writer.connection,
+        connection=Connection(client.writer.connection),
         tell_gone=lambda: client.is_gone,
     )
 
 
+def _decode_path(path: str) -> str:
+    # The bytes of the path as Latin-1; an escaped slash stays escaped, as it divides nothing.
+    return "%2F".join(unquote(part, encoding="latin-1") for part in _ESCAPED_SLASH.split(path))
+
+
 def _send_response(response: HttpResponse, client: _Client) -> None:
     writer = client.writer
     fields = [(n, v) for n, v in response.headers.items() if n.lower() not in _OWN_FIELDS]
