--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -12,7 +12,7 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.placement.book import UpstreamBook, UpstreamState
 from turmericproxy.rollout.holder import LeaseHolder
-from turmericproxy.rollout.plan import LOADS_AT_ONCE, EngineStanding, choose_loads
+from turmericproxy.rollout.plan import EngineStanding, choose_loads
 from turmericproxy.rollout.ports import EngineControl, EngineReport, OrderAnswer, WeightsOrder
 from turmericproxy.rollout.wanted import WantedVersions
 
@@ -30,11 +30,8 @@
 # Seconds for which an engine that could not be reached, or is no longer the one at its address,
 # is left for later.
 SKIP_SECONDS = 0.5
-# Seconds for which hosts expect an engine to load after an order.
+# Seconds for which others expect an engine to load after an order.
 ANNOUNCED_SECONDS = 0.6
-# Longest time in which an engine's running requests may end before it gets the order, in
-# seconds; most answers take less, and older weights lose no credit for five times as long.
-EMPTYING_SECONDS = 0.2
 # Seconds after which an engine that neither answers nor changes gives its turn to others.
 LONGEST_LOAD = 3.0
 
@@ -51,10 +48,11 @@
 
 @dataclass
 class _Load:
-    """Hold a load that is on its way."""
+    """Hold a load that was ordered; times are of the event loop."""
 
     model: ModelName
     version: int
+    ordered_at: float
     task: asyncio.Task[None] | None = None
 
 
@@ -80,7 +78,6 @@
         self._announcer = announcer
         self._loads: dict[InstanceId, _Load] = {}
         self._skipped_until: dict[InstanceId, float] = {}
-        self._loading = asyncio.Semaphore(LOADS_AT_ONCE)
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._lagging_since: float | None = None
@@ -171,47 +168,24 @@
             for state in self._list_engines(model)
         ]
         for instance in choose_loads(standings, version):
-            load = _Load(model, version)
+            load = _Load(model, version, now)
             self._loads[instance] = load
             load.task = asyncio.get_running_loop().create_task(self._load(instance, load))
 
     async def _load(self, instance: InstanceId, load: _Load) -> None:
         try:
-            await self._empty(instance)
-            async with self._loading:
-                await self._order_until_loaded(instance, load)
+            while asyncio.get_running_loop().time() < load.ordered_at + LONGEST_LOAD:
+                state = self._book.find(instance)
+                if state is None or not self._holder.is_held():
+                    return
+                if await self._order_once(state, load):
+                    return
+                await asyncio.sleep(REPEAT_SECONDS)
+            log_event(Part.WEIGHTS, "load not finished", engine=instance, version=load.version)
         finally:
             self._loads.pop(instance, None)
             self._wake.set()
 
-    async def _empty(self, instance: InstanceId) -> None:
-        """Let an engine's running requests end, while new ones go elsewhere."""
-        loop = asyncio.get_running_loop()
-        last = loop.time() + EMPTYING_SECONDS
-        self._announce(instance, EMPTYING_SECONDS + ANNOUNCED_SECONDS)
-        while loop.time() < last:
-            await asyncio.sleep(LOOK_SECONDS)
-            state = self._book.find(instance)
-            if state is None or not state.requests:
-                return
-
-    async def _order_until_loaded(self, instance: InstanceId, load: _Load) -> None:
-        loop = asyncio.get_running_loop()
-        last = loop.time() + LONGEST_LOAD
-        while loop.time() < last:
-            state = self._book.find(instance)
-            if state is None or not self._holder.is_held():
-                return
-            load.version = max(load.version, self._wanted.find(load.model, loop.time())[0])
-            if await self._order_once(state, load):
-                return
-            await asyncio.sleep(REPEAT_SECONDS)
-        log_event(Part.WEIGHTS, "load not finished", engine=instance, version=load.version)
-
-    def _announce(self, instance: InstanceId, seconds: float) -> None:
-        self._book.mark_changing(instance, asyncio.get_running_loop().time() + seconds)
-        self._announcer.announce_change(instance, seconds)
-
     async def _order_once(self, state: UpstreamState, load: _Load) -> bool:
         """Look at an engine and order the load if need be; return whether it is done."""
         instance, address = state.entry.instance, state.entry.address
@@ -232,7 +206,10 @@
             self._finish(instance, load.model, load.version)
             return True
         if answer is OrderAnswer.ACCEPTED:
-            self._announce(instance, ANNOUNCED_SECONDS)
+            self._book.mark_changing(
+                instance, asyncio.get_running_loop().time() + ANNOUNCED_SECONDS
+            )
+            self._announcer.announce_change(instance, ANNOUNCED_SECONDS)
             return await self._wait_for_version(state, load)
         return answer is OrderAnswer.REJECTED and self._skip(instance)
 
