--- a/turmericproxy/placement/health.py
+++ b/turmericproxy/placement/health.py
@@ -5,6 +5,10 @@
 
 # Weight of the newest request in the share of failures.
 SMOOTHING = 0.2
+# Weight of a request without an answer: some calls take longer than their callers wait.
+SILENCE_SMOOTHING = 0.1
+# Requests without an answer in a row after which an upstream gets a pause.
+SILENCES_BEFORE_PAUSE = 2
 # Share of failures that is forgiven each second without a request.
 RECOVERY_PER_SECOND = 0.1
 # Seconds without requests after an upstream could not be reached; doubled up to the longest.
@@ -30,6 +34,7 @@
     judged_at: float = 0.0
     paused_until: float = 0.0
     pause: float = 0.0
+    silences: int = 0
 
     def measure_failures(self, now: float) -> float:
         """Return the share of failures, less what time has forgiven."""
@@ -47,11 +52,13 @@
     >>> sick.is_paused(1.4), sick.is_paused(1.6)
     (True, False)
     """
-    is_failure = ending is not Ending.ANSWERED
+    is_silent = ending is Ending.SILENT
     share = health.measure_failures(now)
-    share += SMOOTHING * (float(is_failure) - share)
-    judged = replace(health, failure_share=share, judged_at=now)
-    if ending in (Ending.UNREACHABLE, Ending.SILENT):
+    smoothing = SILENCE_SMOOTHING if is_silent else SMOOTHING
+    share += smoothing * (float(ending is not Ending.ANSWERED) - share)
+    silences = health.silences + 1 if is_silent else 0
+    judged = replace(health, failure_share=share, judged_at=now, silences=silences)
+    if ending is Ending.UNREACHABLE or silences >= SILENCES_BEFORE_PAUSE:
         pause = min(LONGEST_PAUSE, max(SHORTEST_PAUSE, 2 * health.pause))
         return replace(judged, paused_until=now + pause, pause=pause)
     if ending is Ending.ANSWERED:
