--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -15,7 +15,7 @@
 from turmericproxy.host.directory import HostDirectory
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.host.watching import SiteWatch
-from turmericproxy.logs import Part, log_event
+from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.book import UpstreamBook
 from turmericproxy.placement.cache_watch import CacheEvents
@@ -103,7 +103,11 @@
         parts = ExchangeParts(adapter.codec, self._dispatcher, self._inquirer, self._get_budget)
         self._router = Router(parts, self._quotas, lambda: self._watch.site, self._metrics)
         self._callers = EdgeServer(
-            settings.callers, self._router.handle, self._get_limits, adapter.single_fields
+            settings.callers,
+            self._router.handle,
+            self._get_limits,
+            adapter.single_fields,
+            self._note_unreadable,
         )
         self._readiness = EdgeServer(settings.readiness, self._tell_ready)
         self._metrics_server = EdgeServer(settings.metrics, self._tell_metrics)
@@ -170,6 +174,11 @@
     def _measure_silence(self, domain: str) -> float | None:
         return self._links.measure_silence(domain)
 
+    def _note_unreadable(self, status: int) -> tuple[list[tuple[str, str]], bytes]:
+        self._metrics.count("unreadable_requests", status=str(status))
+        log_decision(Part.CALLERS, "request can't be read", status=status)
+        return [], b""
+
     def _get_limits(self) -> EdgeLimits:
         site = self._watch.site
         return site.limits if site else EdgeLimits()
--- a/turmericproxy/placement/book.py
+++ b/turmericproxy/placement/book.py
@@ -12,8 +12,8 @@
 from turmericproxy.placement.plain import DEFAULT_CALL_SECONDS
 from turmericproxy.placement.prefixes import PrefixMemory
 
-# Share of an engine's memory that may hold cached parts; events tell what has left it.
-CACHE_SHARE = 0.85
+# Share of an engine's memory that is left to cached parts beside running requests at a usual load.
+CACHE_SHARE = 0.5
 # Weight of the newest call in the smoothed time of calls and pace of prefill.
 SMOOTHING = 0.1
 # Bounds of the learnt pace of prefill, as factors of the default.
--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -20,9 +20,6 @@
 FAILURE_SECONDS = 1.0
 # A hop to another failure domain and back, in seconds.
 FAR_SECONDS = 0.002
-# What a byte of a body costs on a link between failure domains, in seconds at an engine's pace;
-# such links are thin, and shared by all that the sites send.
-FAR_SECONDS_PER_BYTE = 0.5e-6
 # Advantage of a prompt's home engine over equals, in seconds, so that hosts agree.
 HOME_SECONDS = 0.008
 # Share of the memory that running requests may take before new ones have to wait.
@@ -50,7 +47,6 @@
     output_tokens: int
     shared: tuple[PromptPart, ...]
     home_key: str
-    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +158,4 @@
     seconds = STEP_SECONDS + view.requests * STEP_SECONDS_PER_REQUEST * max(1, need.output_tokens)
     seconds += view.failure_share * FAILURE_SECONDS
     seconds += view.changing_seconds
-    if view.is_near:
-        return seconds
-    return seconds + FAR_SECONDS + need.body_bytes * FAR_SECONDS_PER_BYTE
+    return seconds if view.is_near else seconds + FAR_SECONDS
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -46,7 +46,6 @@
     wanted_age: float
     oldest_age: float
     now: float
-    body_bytes: int = 0
 
 
 def name_space(wall: str, model: ModelName, version: int) -> str:
@@ -79,7 +78,6 @@
         output_tokens=prompt.output_tokens,
         shared=prompt.shared_parts,
         home_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
-        body_bytes=scene.body_bytes,
     )
     held = {state.entry.instance: _count_cached(state, prompt, scene) for state in usable}
     offered = {state.entry.instance: _count_offered(state, prompt, scene) for state in usable}
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -255,7 +255,6 @@
             wanted_age=age,
             oldest_age=self._oldest_age,
             now=now,
-            body_bytes=len(passage.inquiry.raw.body),
         )
 
     def _spread_retry(self) -> float:
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -14,9 +14,9 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
-from turmericproxy.core import ResultCode, RunState
+from turmericproxy.core import ResultCode, RunState, create_id
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
-from turmericproxy.logs import Part, log_event
+from turmericproxy.logs import Part, log_decision, log_event
 
 # Bodies beyond this are refused before a handler sees them, in bytes.
 LARGEST_BODY_BYTES = 32 * 1024 * 1024
@@ -255,7 +255,8 @@
 
 
 def _describe_refusal(status: int) -> tuple[list[tuple[str, str]], bytes]:
-    """Return the numbered error for a request that could not be read."""
+    """Return the numbered error for a request that could not be read, and log it."""
+    request_id = create_id()
     code = _REFUSAL_CODES.get(status, ResultCode.BAD_REQUEST)
     error = {
         "code": int(code),
@@ -263,5 +264,6 @@
         "reason": "the request can't be read, or is over a limit",
         "run": RunState.NOT_RUN.value,
     }
+    log_decision(Part.CALLERS, "request can't be read", request_id=request_id, code=int(code))
     body = json.dumps({"error": error}, separators=(",", ":")).encode()
-    return [("Content-Type", "application/json")], body
+    return [("Content-Type", "application/json"), ("X-Request-Id", request_id)], body
