--- a/tests/traffic/test_attempts.py
+++ b/tests/traffic/test_attempts.py
@@ -13,8 +13,8 @@
 )
 from turmericproxy.traffic.requests import Reading, Verdict
 
-OK = Reading(Verdict.SUCCESS, AnswerHead(200, Headers()), is_signed=True)
-FAILED = Reading(Verdict.FAILURE, AnswerHead(500, Headers()), is_signed=True)
+OK = Reading(Verdict.SUCCESS, AnswerHead(200, Headers()))
+FAILED = Reading(Verdict.FAILURE, AnswerHead(500, Headers()))
 
 
 def decide(attempt: Attempt, *, repeatable: bool, runs: int = 2, tries: int = 1) -> Step:
--- a/turmericproxy/callers/secrets.py
+++ b/turmericproxy/callers/secrets.py
@@ -7,26 +7,13 @@
 
 from turmericproxy.callers.calls import Call, ChatCall, PlainCall
 from turmericproxy.core import Refusal, ResultCode, refuse
+from turmericproxy.edge.messages import HOP_BY_HOP
 from turmericproxy.web import HttpRequest
 
 BEARER = "bearer "
 JSON_ESCAPE = re.compile(r"\\u([0-9a-fA-F]{4})")
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+# Fields that concern one connection, or that the client towards the upstream writes itself.
+CONNECTION_HEADERS = HOP_BY_HOP | {"content-length", "expect", "host"}
 CREDENTIAL_HEADERS = frozenset({"authorization", "cookie", "x-api-key", "api-key"})
 
 
@@ -40,7 +27,7 @@
 
 def select_headers(headers: Iterable[tuple[str, str]], key: str | None) -> dict[str, str]:
     """Return the headers that an upstream may see."""
-    hidden = HOP_BY_HOP | CREDENTIAL_HEADERS
+    hidden = CONNECTION_HEADERS | CREDENTIAL_HEADERS
     return {
         name: value
         for name, value in headers
--- a/turmericproxy/placement/book.py
+++ b/turmericproxy/placement/book.py
@@ -81,15 +81,6 @@
         self._capacities: dict[ServiceName, int] = {}
         self.is_known = False
 
-    def replace(self, entries: Iterable[UpstreamEntry]) -> None:
-        """Take in all registrations as of now; upstreams that are missing are gone."""
-        wanted = {entry.instance: entry for entry in entries}
-        for instance in set(self._states) - set(wanted):
-            self.remove(instance)
-        for entry in wanted.values():
-            self.update(entry)
-        self.is_known = True
-
     def update(self, entry: UpstreamEntry) -> None:
         """Take in one registration."""
         state = self._states.get(entry.instance)
--- a/turmericproxy/platform/codec.py
+++ b/turmericproxy/platform/codec.py
@@ -60,14 +60,10 @@
     def read_answer(self, inquiry: Inquiry, dispatch: Dispatch, head: AnswerHead) -> Reading:
         """Return what a server's answer means."""
         headers = head.headers
-        running, waiting = _read_load(headers.get(names.LOAD))
         return Reading(
             verdict=_judge(inquiry, head),
             head=head,
-            is_signed=headers.get(names.SIGNATURE) is not None,
             instance=headers.get(names.INSTANCE),
-            running=running,
-            waiting=waiting,
             version=_read_version(headers.get(names.VERSIONS)),
         )
 
@@ -170,13 +166,5 @@
     return Prompt(ModelName(model), prompt_tokens, output_tokens, parts)
 
 
-def _read_load(text: str | None) -> tuple[int | None, int | None]:
-    try:
-        running, waiting, _ = (int(part) for part in (text or "").split(","))
-    except ValueError:
-        return None, None
-    return running, waiting
-
-
 def _read_version(text: str | None) -> int | None:
     return int(text) if text and text.strip().isdigit() else None
--- a/turmericproxy/platform/names.py
+++ b/turmericproxy/platform/names.py
@@ -16,7 +16,6 @@
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
 INSTANCE = "X-Instance-Id"
-LOAD = "X-Server-Load"
 VERSIONS = "X-Weight-Versions"
 
 # Fields that only the system may set towards servers; what a client sends in them is dropped.
--- a/turmericproxy/traffic/requests.py
+++ b/turmericproxy/traffic/requests.py
@@ -78,14 +78,10 @@
 class Reading:
     """Hold what the head of an answer says, in the terms of this project.
 
-    ``instance`` is the upstream that answered, ``running`` and ``waiting`` are its load, and
-    ``version`` is that of its weights.
+    ``instance`` is the upstream that answered, ``version`` is that of its weights.
     """
 
     verdict: Verdict
     head: AnswerHead
-    is_signed: bool
     instance: str | None = None
-    running: int | None = None
-    waiting: int | None = None
     version: int | None = None
