--- /dev/null
+++ b/tests/core/test_budget.py
@@ -0,0 +1,19 @@
+"""Check that a retry budget follows the number of hosts."""
+
+from turmericproxy.core.budget import RetryBudget
+
+
+def test_smaller_reserve_takes_what_is_above_it() -> None:
+    budget = RetryBudget(share=0.0, reserve=5.0)
+    budget.set_reserve(2.0)
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+
+
+def test_larger_reserve_is_earned_and_not_given() -> None:
+    budget = RetryBudget(share=1.0, reserve=1.0)
+    assert budget.take()
+    budget.set_reserve(3.0)
+    assert not budget.take()
+    for _ in range(5):
+        budget.record_request()
+    assert [budget.take() for _ in range(4)] == [True, True, True, False]
--- a/tests/edge/test_connection.py
+++ b/tests/edge/test_connection.py
@@ -247,6 +247,24 @@
     assert b"0\r\n\r\n" not in received
 
 
+def test_aborted_answer_without_framing_is_reset() -> None:
+    async def break_off(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.start(200, (), None)
+        writer.write(b"part")
+        await asyncio.sleep(0.05)
+        writer.abort()
+
+    async def run() -> None:
+        server = await start_server(break_off)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.0\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(100):
+                pass
+
+    asyncio.run(run())
+
+
 def test_old_clients_get_a_body_that_ends_with_the_connection() -> None:
     async def stream(request: ClientRequest, writer: AnswerWriter) -> None:
         writer.start(200, (), None)
--- /dev/null
+++ b/tests/edge/test_draining.py
@@ -0,0 +1,50 @@
+"""Check that a draining host takes no further request from a connection."""
+
+import asyncio
+
+from tests.edge.support import GET, start_server
+from turmericproxy.edge import AnswerWriter, ClientRequest
+
+
+def test_connection_closes_after_the_answer_that_began_before_the_drain() -> None:
+    requests = 0
+
+    async def stream(request: ClientRequest, writer: AnswerWriter) -> None:
+        nonlocal requests
+        requests += 1
+        writer.start(200, (), None)
+        for _ in range(5):
+            writer.write(b"event")
+            await asyncio.sleep(0.02)
+        writer.finish()
+
+    async def run() -> bytes:
+        server = await start_server(stream)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await reader.readuntil(b"event")
+        server.drain()
+        rest = await asyncio.wait_for(reader.read(-1), 3.0)
+        writer.write(GET)
+        await asyncio.sleep(0.1)
+        return rest
+
+    # The answer is whole, then the connection ends; a request that comes later is not taken.
+    assert asyncio.run(run()).endswith(b"0\r\n\r\n")
+    assert requests == 1
+
+
+def test_idle_connections_are_closed_on_demand() -> None:
+    async def run() -> bytes:
+        async def answer(request: ClientRequest, writer: AnswerWriter) -> None:
+            writer.send(200, ())
+
+        server = await start_server(answer)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        server.drain()
+        server.close_idle()
+        return await asyncio.wait_for(reader.read(-1), 1.0)
+
+    assert asyncio.run(run()) == b""
--- /dev/null
+++ b/tests/edge/test_upstream.py
@@ -0,0 +1,137 @@
+"""Check what is concluded from an upstream's bytes and silences."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from turmericproxy.edge import KeptConnection, call_upstream, fetch
+from turmericproxy.edge.upstream import TIMED_OUT, EndKind, NotConnected
+
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def start_peer(talk: Talk) -> tuple[asyncio.Server, str]:
+    server = await asyncio.start_server(talk, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+async def read_all(answer: bytes, *, reset: bool = False) -> tuple[int | None, bytes, EndKind]:
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if reset:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.close()
+
+    _, address = await start_peer(talk)
+    called = await call_upstream(address, REQUEST, connect_timeout=1.0)
+    assert not isinstance(called, NotConnected)
+    with called as call:
+        head = await call.read_head()
+        body = b""
+        while isinstance(part := await call.read_part(), bytes):
+            body += part
+        return head.status if head else None, body, part
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", (200, b"ok", EndKind.COMPLETE)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", (200, b"ok", EndKind.BROKEN)),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            (200, b"ok", EndKind.COMPLETE),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            (200, b"ok", EndKind.BROKEN),
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nuntil the end", (200, b"until the end", EndKind.COMPLETE)),
+        (b"no answer at all\r\n\r\n", (None, b"", EndKind.BROKEN)),
+        (b"", (None, b"", EndKind.BROKEN)),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            (200, b"ok", EndKind.COMPLETE),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+            b"Content-Length: 5\r\n\r\nextra",
+            (200, b"ok", EndKind.COMPLETE),
+        ),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokjunk", (200, b"ok", EndKind.COMPLETE)),
+    ],
+)
+def test_end_of_an_answer_is_told(
+    answer: bytes, expected: tuple[int | None, bytes, EndKind]
+) -> None:
+    assert asyncio.run(read_all(answer)) == expected
+
+
+def test_answer_without_length_that_is_reset_is_not_complete() -> None:
+    status, _, end = asyncio.run(read_all(b"HTTP/1.1 200 OK\r\n\r\npart", reset=True))
+    assert (status, end) == (200, EndKind.BROKEN)
+
+
+def test_refused_and_silent_addresses_are_told_apart() -> None:
+    async def run() -> tuple[str, str]:
+        server, address = await start_peer(lambda reader, writer: asyncio.sleep(0))
+        server.close()
+        await server.wait_closed()
+        refused = await call_upstream(address, REQUEST, connect_timeout=0.5)
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+            # A listener whose queue is full drops the opening packets of all others.
+            full_address = f"127.0.0.1:{full.getsockname()[1]}"
+            held = [
+                await call_upstream(full_address, REQUEST, connect_timeout=0.2) for _ in range(3)
+            ]
+            silent = held[-1]
+        assert isinstance(refused, NotConnected)
+        assert isinstance(silent, NotConnected)
+        return refused.reason, silent.reason
+
+    refused, silent = asyncio.run(run())
+    assert "Refused" in refused
+    assert silent == TIMED_OUT
+
+
+def test_kept_connection_serves_many_questions_and_heals() -> None:
+    connections = 0
+
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal connections
+        connections += 1
+        for _ in range(3):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+
+    async def run() -> list[object]:
+        _, address = await start_peer(talk)
+        kept = KeptConnection(address)
+        answers = []
+        for _ in range(6):
+            answer = await kept.fetch(REQUEST, connect_timeout=0.5, timeout=0.5)
+            answers.append(answer if isinstance(answer, str) else answer[1])
+            await asyncio.sleep(0.02)
+        kept.close()
+        return answers
+
+    answers = asyncio.run(run())
+    assert answers == [b"ok"] * 6
+    assert connections == 2
+
+
+def test_silent_answer_ends_in_time() -> None:
+    async def run() -> object:
+        _, address = await start_peer(lambda reader, writer: asyncio.sleep(5))
+        return await fetch(address, REQUEST, connect_timeout=0.5, timeout=0.1)
+
+    assert asyncio.run(run()) == "no answer in time"
--- /dev/null
+++ b/tests/fleet/test_merging.py
@@ -0,0 +1,29 @@
+"""Check that merged batches tell what the single ones tell."""
+
+from turmericproxy.core import AccountName
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.fleet.messages import Batch, merge_batches
+from turmericproxy.placement.book import Work
+
+ONE, TWO = InstanceId("one"), InstanceId("two")
+A = AccountName("a")
+
+
+def test_newest_totals_win_and_lists_are_joined() -> None:
+    first = Batch(work={ONE: Work(1), TWO: Work(2)}, spent={A: 5}, kept=(("s", "p"),))
+    second = Batch(work={ONE: Work(0)}, spent={A: 9}, kept=(("s", "q"),), is_leaving=True)
+    merged = merge_batches(first, second)
+    assert merged.work == {ONE: Work(0), TWO: Work(2)}
+    assert merged.spent == {A: 9}
+    assert merged.kept == (("s", "p"), ("s", "q"))
+    assert merged.is_leaving
+
+
+def test_finding_on_the_kept_store_stays_until_a_newer_one() -> None:
+    lost, quiet, back = (
+        Batch(is_kept_store_reachable=False),
+        Batch(),
+        Batch(is_kept_store_reachable=True),
+    )
+    assert merge_batches(lost, quiet).is_kept_store_reachable is False
+    assert merge_batches(lost, back).is_kept_store_reachable is True
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -8,7 +8,8 @@
 from tests.platform.support import CONFIGURATION, REGISTRATION
 from turmericproxy.placement import EntryState
 from turmericproxy.platform.registrations import read_upstream_row
-from turmericproxy.platform.site import NamedWeights, read_configuration_row
+from turmericproxy.platform.site import read_configuration_row
+from turmericproxy.rollout.wanted import NamedWeights
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.site import Repeatability, Site, choose_service
 
--- a/turmericproxy/edge/writer.py
+++ b/turmericproxy/edge/writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -88,7 +89,13 @@
         self.is_finished = True
 
     def abort(self) -> None:
-        """Close the connection without an end of the answer."""
+        """Close the connection without an end of the answer.
+
+        A body that ends with its connection needs a reset, or it would look complete.
+        """
+        if self.is_started and not self._is_chunked and self._left is None:
+            linger = struct.pack("ii", 1, 0)
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.keep_alive = False
         self.is_finished = True
         self._transport.abort()
--- /dev/null
+++ b/turmericproxy/host/adapter.py
@@ -0,0 +1,32 @@
+"""Gather what translates between a host and the outside."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from turmericproxy.placement.cache_watch import CacheEvents
+from turmericproxy.placement.entries import UpstreamEntry
+from turmericproxy.rollout.ports import EngineControl
+from turmericproxy.rollout.wanted import NamedWeights
+from turmericproxy.store.ports import TableStore
+from turmericproxy.tables.messages import Row
+from turmericproxy.traffic.ports import MessageCodec
+from turmericproxy.traffic.site import Site
+
+
+@dataclass(frozen=True)
+class SiteAdapter:
+    """Hold the ports of a host, and how rows of the two tables that it follows are read.
+
+    The readers return ``None`` for a row that can't be used, and have logged why.
+    """
+
+    codec: MessageCodec
+    store: TableStore
+    control: EngineControl
+    create_cache_events: Callable[[str], CacheEvents]
+    configuration_table: str
+    upstream_table: str
+    ready_path: str
+    single_fields: tuple[str, ...]
+    read_configuration_row: Callable[[Row], Site | NamedWeights | None]
+    read_upstream_row: Callable[[Row], UpstreamEntry | None]
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
-from dataclasses import dataclass
 
 from turmericproxy.core import Incarnation, create_id, read_boottime
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import ServiceName
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
+from turmericproxy.host.adapter import SiteAdapter
 from turmericproxy.host.announcing import FleetNews
 from turmericproxy.host.cache_following import CacheFollowing
 from turmericproxy.host.directory import HostDirectory
@@ -18,19 +17,13 @@
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.book import UpstreamBook
-from turmericproxy.placement.cache_watch import CacheEvents
 from turmericproxy.placement.domains import DomainWatch
-from turmericproxy.placement.entries import UpstreamEntry
 from turmericproxy.rollout.controller import RolloutController
 from turmericproxy.rollout.holder import LeaseHolder
 from turmericproxy.rollout.inquiring import EngineInquirer
-from turmericproxy.rollout.ports import EngineControl
 from turmericproxy.rollout.wanted import WantedVersions
-from turmericproxy.store.ports import TableStore
-from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.exchange import ExchangeParts
-from turmericproxy.traffic.ports import MessageCodec
 from turmericproxy.traffic.router import Router
 
 # Share of the retry bounds that is used; hosts count on their own, and windows slide.
@@ -47,22 +40,6 @@
 DRAIN_STEP_SECONDS = 0.05
 
 
-@dataclass(frozen=True)
-class SiteAdapter:
-    """Hold what translates between the host and the outside."""
-
-    codec: MessageCodec
-    store: TableStore
-    control: EngineControl
-    create_cache_events: Callable[[str], CacheEvents]
-    configuration_table: str
-    upstream_table: str
-    ready_path: str
-    single_fields: tuple[str, ...]
-    read_configuration_row: Callable[[Row], object]
-    read_upstream_row: Callable[[Row], UpstreamEntry | None]
-
-
 class SiteHost:
     """Own every part of one host on an event loop."""
 
--- a/turmericproxy/host/watching.py
+++ b/turmericproxy/host/watching.py
@@ -1,25 +1,20 @@
 """Follow the configuration and the upstreams in the store's tables."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
-from turmericproxy.core import ModelName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.fleet.quotas import QuotaController
+from turmericproxy.host.adapter import SiteAdapter
 from turmericproxy.logs import Part, log_event
 from turmericproxy.placement.book import UpstreamBook
 from turmericproxy.placement.lapses import LapseKeeper
-from turmericproxy.rollout.wanted import LONG_AGO, WantedVersions
+from turmericproxy.rollout.wanted import LONG_AGO, NamedWeights, WantedVersions
 from turmericproxy.store import ChangedRow, TableFollower, TableState
+from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.site import Site
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from turmericproxy.host.site_daemon import SiteAdapter
-    from turmericproxy.tables.messages import Row
-
 # Seconds for which a call waits for changes of the configuration.
 CONFIGURATION_WAIT = 8.0
 # Shorter than the silence after which registrations lapse, so that an outage that makes them
@@ -32,12 +27,12 @@
 
     def __init__(
         self,
-        adapter: "SiteAdapter",
+        adapter: SiteAdapter,
         book: UpstreamBook,
         wanted: WantedVersions,
         quotas: QuotaController,
         dispatcher: Dispatcher,
-        wake_rollout: "Callable[[], None]",
+        wake_rollout: Callable[[], None],
     ) -> None:
         self._adapter = adapter
         self._book = book
@@ -87,12 +82,12 @@
         for row in state.rows:
             self._take_configuration_row(row, is_new=not is_first)
 
-    def _take_configuration_row(self, row: "Row", *, is_new: bool) -> None:
+    def _take_configuration_row(self, row: Row, *, is_new: bool) -> None:
         decoded = self._adapter.read_configuration_row(row)
         if isinstance(decoded, Site):
             self._take_site(decoded)
         elif decoded is not None:
-            self._take_weights(decoded.model, decoded.version, is_new=is_new)  # type: ignore[attr-defined]
+            self._take_weights(decoded, is_new=is_new)
 
     def _take_site(self, site: Site) -> None:
         if self.site and site.revision < self.site.revision:
@@ -112,10 +107,10 @@
             accounts=len(site.accounts),
         )
 
-    def _take_weights(self, model: ModelName, version: int, *, is_new: bool) -> None:
+    def _take_weights(self, named: NamedWeights, *, is_new: bool) -> None:
         now = asyncio.get_running_loop().time()
-        if self._wanted.learn(model, version, now if is_new else now - LONG_AGO):
-            log_event(Part.WEIGHTS, "version named", model=model, version=version)
+        if self._wanted.learn(named.model, named.version, now if is_new else now - LONG_AGO):
+            log_event(Part.WEIGHTS, "version named", model=named.model, version=named.version)
             self._wake_rollout()
 
     def _take_upstreams(self, state: TableState) -> None:
--- a/turmericproxy/platform/program.py
+++ b/turmericproxy/platform/program.py
@@ -5,8 +5,10 @@
 import sys
 from pathlib import Path
 
+from turmericproxy.cli.exits import ExitCode
 from turmericproxy.core import ResultCode
-from turmericproxy.host.site_daemon import SiteAdapter, SiteHost
+from turmericproxy.host.adapter import SiteAdapter
+from turmericproxy.host.site_daemon import SiteHost
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.logs import Part, configure_site_logs, log_event
 from turmericproxy.platform import names
@@ -18,8 +20,6 @@
 from turmericproxy.platform.site import read_configuration_row
 from turmericproxy.platform.store import PlatformStore
 
-EXIT_INVALID = 2
-
 
 def create_adapter(store_address: str) -> SiteAdapter:
     """Return everything that translates for a host on the platform."""
@@ -50,7 +50,7 @@
             setting=settings.name,
             reason=settings.reason,
         )
-        return EXIT_INVALID
+        return ExitCode.INVALID
     configure_site_logs(settings.host)
     asyncio.run(_run_host(settings))
     return 0
--- a/turmericproxy/platform/site.py
+++ b/turmericproxy/platform/site.py
@@ -1,7 +1,6 @@
 """Decode the operator's configuration and weights from rows."""
 
 import json
-from dataclasses import dataclass
 from typing import Any
 
 from turmericproxy.core import AccountName, ModelName, Revision, RouteName
@@ -9,6 +8,7 @@
 from turmericproxy.edge import EdgeLimits
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import names
+from turmericproxy.rollout.wanted import NamedWeights
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.site import (
     Account,
@@ -26,14 +26,6 @@
 TOKEN_UNIT = "token_accounting"
 
 
-@dataclass(frozen=True, slots=True)
-class NamedWeights:
-    """Hold the version of a model's weights that the operator wants."""
-
-    model: ModelName
-    version: int
-
-
 def read_configuration_row(row: Row) -> Site | NamedWeights | None:
     """Return what a row of the operator's table says; ``None`` if it can't be read."""
     try:
--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -143,10 +143,12 @@
 
     def _measure_standby(self) -> float:
         """Return the seconds for which hosts earlier in the order go first."""
-        # Another order for each model, so that a host that can't act doesn't delay all of them.
-        hosts = sorted([self._host, *self._list_heard()], key=lambda h: crc32(h.encode()))
         if self._holder.fence:
             return 0.0
+        # Another order for each model, so that a host that can't act doesn't delay all of them.
+        model = self._named[0] if self._named else ""
+        hosts = [self._host, *self._list_heard()]
+        hosts.sort(key=lambda host: crc32(f"{model}/{host}".encode()))
         return STANDBY_SECONDS * hosts.index(self._host)
 
     def _is_peer_at_work(self, now: float) -> bool:
--- a/turmericproxy/rollout/wanted.py
+++ b/turmericproxy/rollout/wanted.py
@@ -8,6 +8,14 @@
 LONG_AGO = 1e6
 
 
+@dataclass(frozen=True, slots=True)
+class NamedWeights:
+    """Hold the version of a model's weights that an operator has named."""
+
+    model: ModelName
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class WantedVersion:
     """Hold a version of a model's weights and when the host learnt of it."""
--- a/turmericproxy/traffic/router.py
+++ b/turmericproxy/traffic/router.py
@@ -42,11 +42,11 @@
             refusal = await self._serve(inquiry, writer)
             if refusal:
                 self._refuse(inquiry, refusal, writer)
-        except Exception as error:  # the connection must get an answer whatever went wrong
+        except Exception as error:  # the client gets an answer whatever fails here
+            reason = repr(error)
             self._refuse(
-                inquiry, refuse(ResultCode.INTERNAL_ERROR, repr(error), RunState.UNKNOWN), writer
+                inquiry, refuse(ResultCode.INTERNAL_ERROR, reason, RunState.UNKNOWN), writer
             )
-            raise
 
     async def _serve(self, inquiry: Inquiry, writer: AnswerWriter) -> Refusal | None:
         passage = find_route(self._get_site(), inquiry, writer)
