Divide buckets by a cut, and use a part of the users' tolerance for quotas

Cause: while hosts were out of touch each side refilled its part of a rate, but held the whole burst, so a hot account could spend it twice; both sides now hold their part of what is left (test: a hot account in a cut, two bursts before). And limits were kept tighter than the users count them: of an account whose limit was lowered far, prompts larger than its burst waited for a full bucket. Three tenths of the overshoot and a quarter of the slack are added to the burst; the rest covers what hosts admit before they hear of each other.

--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -2,7 +2,7 @@
 
 from turmericproxy.core import AccountName, HostName, Incarnation, Refusal, Revision
 from turmericproxy.edge import EdgeLimits
-from turmericproxy.fleet import QuotaController
+from turmericproxy.fleet import QuotaController, QuotaTolerance
 from turmericproxy.traffic.site import Account, Site
 
 RATE, BURST, COST = 1_000.0, 1_000.0, 50
@@ -109,3 +109,25 @@
     host.give_back(ACCOUNT, 1_000)
     assert host.admit(ACCOUNT, 1_000) is None
     assert host.admit(ACCOUNT, 1_000) is not None
+
+
+def test_cut_divides_what_is_left_of_the_burst() -> None:
+    """One account is hot while a failure domain is cut off."""
+    fleet = Fleet(8)
+    groups = [[0, 1], [2, 3, 4, 5, 6, 7]]
+    for index, host in enumerate(fleet.hosts):
+        host.follow_share(0.25 if index < 2 else 0.75)
+    # Full buckets on both sides together hold one burst.
+    assert fleet.press(0.05, groups) <= BURST + RATE * 0.05 + COST
+
+
+def test_tolerance_lets_a_large_request_of_a_small_account_in() -> None:
+    """A limit is lowered far below what the account sends."""
+    tolerance = QuotaTolerance(window=8.0, overshoot=0.1, slack=40_000.0)
+    host = QuotaController(lambda: 100.0, is_first_start=True, tolerance=tolerance)
+    host.follow_site(create_site())
+    admitted = 0
+    while host.admit(ACCOUNT, 3_000) is None:
+        admitted += 3_000
+    bound = (RATE * 8 + BURST) * 1.1 + 40_000
+    assert 9_000 <= admitted <= 0.5 * bound
--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -8,6 +8,7 @@
 
 from tests.platform.support import CONFIGURATION
 from turmericproxy.core import HostName
+from turmericproxy.fleet.quotas import NO_TOLERANCE
 from turmericproxy.host.site_daemon import SiteHost
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.platform.program import create_adapter
@@ -62,6 +63,7 @@
             retry_share=0.2,
             retry_reserve=56.0,
             grace=3.0,
+            quota_tolerance=NO_TOLERANCE,
         )
         host = SiteHost(settings, create_adapter(settings.store))
         await host.start()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -21,6 +21,9 @@
     "bounds.retry_budget_ratio": "0.2",
     "bounds.retry_budget_extra": "56",
     "bounds.grace_s": "8",
+    "bounds.quota_window_s": "8",
+    "bounds.quota_overshoot": "0.1",
+    "bounds.quota_slack": "110000",
     "a.new.field": "1",
 }
 
--- a/turmericproxy/fleet/__init__.py
+++ b/turmericproxy/fleet/__init__.py
@@ -2,6 +2,6 @@
 
 from turmericproxy.fleet.links import FleetLinks
 from turmericproxy.fleet.messages import Batch, Hello, PlacedPrompt
-from turmericproxy.fleet.quotas import QuotaController
+from turmericproxy.fleet.quotas import QuotaController, QuotaTolerance
 
-__all__ = ["Batch", "FleetLinks", "Hello", "PlacedPrompt", "QuotaController"]
+__all__ = ["Batch", "FleetLinks", "Hello", "PlacedPrompt", "QuotaController", "QuotaTolerance"]
--- a/turmericproxy/fleet/quotas.py
+++ b/turmericproxy/fleet/quotas.py
@@ -1,7 +1,8 @@
 """Keep each client account to its rate and burst over all hosts.
 
 Every host keeps a bucket for the whole fleet: it takes off its own spending at once and that of
-others when their batches come. While hosts are out of touch, each side refills only its part.
+others when their batches come. While hosts are out of touch, each side holds and refills only its
+part.
 """
 
 from collections.abc import Callable, Mapping
@@ -12,6 +13,10 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.traffic.site import Account, Site
 
+# Parts of the users' tolerance that admission uses; the rest covers what hosts admit before they
+# hear of each other, and before a cut is noticed.
+OVERSHOOT_USED = 0.3
+SLACK_USED = 0.25
 # Longest advice on when to come back, in seconds.
 LONGEST_WAIT = 5.0
 
@@ -24,6 +29,27 @@
     totals: dict[AccountName, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaTolerance:
+    """Hold by how much an account may exceed its rate and burst in a window.
+
+    ``window`` is in seconds, ``overshoot`` a share of what the account may send in it, and
+    ``slack`` is in tokens.
+    """
+
+    window: float
+    overshoot: float
+    slack: float
+
+    def measure(self, rate: float, burst: float) -> float:
+        """Return the tokens that admission may add to the burst."""
+        allowed = rate * self.window + burst
+        return OVERSHOOT_USED * self.overshoot * allowed + SLACK_USED * self.slack
+
+
+NO_TOLERANCE = QuotaTolerance(0.0, 0.0, 0.0)
+
+
 class QuotaController:
     """Admit requests by fleet-wide buckets; ``read_clock`` returns seconds, suspends included.
 
@@ -31,8 +57,15 @@
     with empty buckets, unless the whole fleet starts for the first time.
     """
 
-    def __init__(self, read_clock: Callable[[], float], *, is_first_start: bool) -> None:
+    def __init__(
+        self,
+        read_clock: Callable[[], float],
+        *,
+        is_first_start: bool,
+        tolerance: QuotaTolerance = NO_TOLERANCE,
+    ) -> None:
         self._read_clock = read_clock
+        self._tolerance = tolerance
         self._starts_full = is_first_start
         self._buckets: dict[AccountName, Bucket] = {}
         self._accounts: dict[AccountName, Account] = {}
@@ -59,15 +92,19 @@
                 self._buckets[name] = resize(bucket, rate, depth, now)
 
     def follow_share(self, share: float) -> None:
-        """Refill a part of each rate only, while other hosts are out of touch."""
+        """Hold and refill a part of each bucket only, while other hosts are out of touch."""
         if share == self._share:
             return
         log_event(Part.RATES, "share of the rates changed", share=round(share, 3))
+        kept = min(1.0, share / self._share)
         self._share = share
         now = self._read_micros()
         for name, bucket in self._buckets.items():
             rate, depth = self._measure(self._accounts[name])
-            self._buckets[name] = resize(bucket, rate, depth, now)
+            filled = refill(bucket, now)
+            # The other side goes on with its part of what is left.
+            level = int(filled.level * kept) if filled.level > 0 else filled.level
+            self._buckets[name] = resize(replace(filled, level=level), rate, depth, now)
 
     def admit(self, account: Account, cost: int) -> Refusal | None:
         """Take the cost of a request in tokens, or say when to come back."""
@@ -142,8 +179,8 @@
         return {name: refill(bucket, now).level for name, bucket in self._buckets.items()}
 
     def _measure(self, account: Account) -> tuple[int, int]:
-        rate = int(account.rate * self._share * MICRO)
-        return rate, int(account.burst * MICRO)
+        depth = account.burst + self._tolerance.measure(account.rate, account.burst)
+        return int(account.rate * self._share * MICRO), int(depth * self._share * MICRO)
 
     def _count(self, name: AccountName, cost: int) -> None:
         self._spent[name] = self._spent.get(name, 0) + cost
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -53,7 +53,11 @@
         own = Hello(settings.host, settings.links, settings.domain, Incarnation(create_id()))
         self._book = UpstreamBook()
         self._wanted = WantedVersions()
-        self._quotas = QuotaController(read_boottime, is_first_start=settings.is_first_start)
+        self._quotas = QuotaController(
+            read_boottime,
+            is_first_start=settings.is_first_start,
+            tolerance=settings.quota_tolerance,
+        )
         self._domains = DomainWatch(settings.domain, self._measure_silence, loop.time)
         self._dispatcher = Dispatcher(
             self._book,
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from turmericproxy.core import HostName
+from turmericproxy.fleet.quotas import QuotaTolerance
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +13,8 @@
     ``order_guard`` is the time between the orders of two holders to one engine and
     ``version_seconds`` the time in which all engines take named weights. ``retry_share`` and
     ``retry_reserve`` bound repeats over all hosts: a share of the requests and a number besides.
-    ``grace`` is the time between SIGTERM and the end.
+    ``grace`` is the time between SIGTERM and the end, ``quota_tolerance`` the users' allowance for
+    counting over all hosts.
     """
 
     host: HostName
@@ -28,6 +30,7 @@
     retry_share: float
     retry_reserve: float
     grace: float
+    quota_tolerance: QuotaTolerance
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from turmericproxy.core import HostName
+from turmericproxy.fleet.quotas import QuotaTolerance
 from turmericproxy.host.site_settings import SiteHostSettings
 
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
@@ -47,6 +48,11 @@
             retry_share=reader.read_number("bounds.retry_budget_ratio"),
             retry_reserve=reader.read_number("bounds.retry_budget_extra"),
             grace=reader.read_number("bounds.grace_s"),
+            quota_tolerance=QuotaTolerance(
+                window=reader.read_number("bounds.quota_window_s"),
+                overshoot=reader.read_number("bounds.quota_overshoot"),
+                slack=reader.read_number("bounds.quota_slack"),
+            ),
         )
     except _Wrong as wrong:
         return wrong.fault
