Hand parts of an answer to the event loop together

Cause: threads of the own interface queued one call on the event loop for each part of a stream. Under 57 fast chats the loop's queue grew without bound, every write gave the interpreter up to 57 threads, and one turn of the loop took up to 24 s. Ruled out: the pool of threads (15 of 96 were free), the fair queue, the engines; a dump of all stacks shows the loop inside one turn, writing. Change: a client has one entry in the loop's queue, which writes all parts at hand; a thread is at most 16 parts ahead. A server answers before what it does on having answered: when_sent. The test in tests/web fails on the code before.

--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
 
 from turmericproxy.web import CallFailure, FailureStage, HttpClient, HttpServer
 from turmericproxy.web.server import HttpRequest, HttpResponse, create_json_response
@@ -84,3 +85,51 @@
         released.set()
         client.close()
         server.close()
+
+
+def test_many_fast_streams_leave_room_for_a_plain_call() -> None:
+    # Threads that hand over pieces faster than the event loop writes them, at a burst of chats.
+    streams, pieces = 60, 2000
+
+    def produce() -> Iterator[bytes]:
+        sender, receiver = socket.socketpair()
+        with sender, receiver:
+            for _ in range(pieces):
+                # Gives up the interpreter, as reading from an engine does.
+                sender.sendall(b"x")
+                receiver.recv(1)
+                yield b"data: piece\n\n"
+
+    def handle(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, produce() if request.path == "/stream" else b"plain")
+
+    server = HttpServer("127.0.0.1:0", handle, threads=streams + 4)
+    server.start()
+    client = HttpClient(f"127.0.0.1:{server.port}", read_timeout=30.0)
+    connections = [
+        socket.create_connection(("127.0.0.1", server.port), 30.0) for _ in range(streams)
+    ]
+    try:
+        for connection in connections:
+            connection.sendall(b"GET /stream HTTP/1.1\r\nHost: test\r\n\r\n")
+        started = time.monotonic()
+        answer = client.open("GET", "/plain", fresh=True)
+        assert not isinstance(answer, CallFailure) and answer.read() == b"plain"
+        assert time.monotonic() - started < 1.0
+        assert server.active > 0, "the streams ended before the plain call was answered"
+    finally:
+        for connection in connections:
+            connection.close()
+        client.close()
+        server.close()
+
+
+def test_a_server_that_closes_once_its_answer_is_sent_still_delivers_it() -> None:
+    def handle(_request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, b"x" * 100, when_sent=threading.Thread(target=server.close).start)
+
+    server = HttpServer("127.0.0.1:0", handle, threads=2)
+    server.start()
+    answer = HttpClient(f"127.0.0.1:{server.port}").open("GET", "/", fresh=True)
+    assert not isinstance(answer, CallFailure)
+    assert answer.read() == b"x" * 100
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -22,6 +22,8 @@
 LARGEST_BODY_BYTES = 32 * 1024 * 1024
 # Seconds between two looks at a client that reads slowly.
 PAUSE_SECONDS = 0.005
+# Parts of a body that a thread may be ahead of the event loop; what waits is held in memory.
+PARTS_AHEAD = 16
 CLOSE_SECONDS = 5.0
 _ESCAPED_SLASH = re.compile("%2f", re.IGNORECASE)
 # Fields that the transport writes itself.
@@ -73,13 +75,18 @@
 
 @dataclass(frozen=True)
 class HttpResponse:
-    """Hold one answer; an iterable body is sent in chunks as it comes."""
+    """Hold one answer; an iterable body is sent in chunks as it comes.
+
+    ``when_sent`` is called on the event loop once all has been written to the connection.
+    """
 
     status: int
     body: bytes | Iterable[bytes] = b""
     headers: Mapping[str, str] = field(default_factory=dict)
+    when_sent: Callable[[], None] = lambda: None
 
 
+Field = tuple[str, str]
 Handler = Callable[[HttpRequest], HttpResponse]
 
 
@@ -155,7 +162,7 @@
             # A client that leaves ends this task; the thread notices and ends by itself.
             await asyncio.shield(job)
         finally:
-            client.is_gone = True
+            client.leave()
 
     def _run_handler(self, request: ClientRequest, client: "_Client") -> None:
         try:
@@ -179,12 +186,18 @@
 
 
 class _Client:
-    """Write to a client from a thread."""
+    """Write to a client from a thread.
+
+    Parts are written together once the event loop gets to them, so that each client has at most
+    one entry in the loop's queue: threads produce parts faster than one loop writes them singly.
+    """
 
     def __init__(self, writer: AnswerWriter, loop: asyncio.AbstractEventLoop) -> None:
         self.writer = writer
         self.is_gone = False
         self._loop = loop
+        self._changed = threading.Condition()
+        self._parts: list[bytes] = []
 
     def call(self, action: Callable[..., None], *arguments: object) -> None:
         """Do something on the event loop, unless the client has left."""
@@ -192,15 +205,33 @@
             raise ClientGone
         self._loop.call_soon_threadsafe(self._call_there, action, arguments)
 
-    def wait(self) -> None:
-        """Wait while the client reads slower than is written."""
+    def write(self, part: bytes) -> None:
+        """Hand over a part of the body, and wait while too much waits to be written."""
+        with self._changed:
+            self._parts.append(part)
+            if len(self._parts) == 1:
+                self.call(self._write_parts)
+            while len(self._parts) >= PARTS_AHEAD and not self.is_gone:
+                self._changed.wait()
         while self.writer.is_paused and not self.is_gone:
             time.sleep(PAUSE_SECONDS)
 
+    def leave(self) -> None:
+        """Say that nobody reads any more."""
+        with self._changed:
+            self.is_gone = True
+            self._changed.notify_all()
+
     def _call_there(self, action: Callable[..., None], arguments: tuple[object, ...]) -> None:
         if not self.is_gone:
             action(*arguments)
 
+    def _write_parts(self) -> None:
+        with self._changed:
+            parts, self._parts = self._parts, []
+            self._changed.notify_all()
+        self.writer.write(b"".join(parts))
+
 
 def _create_request(request: ClientRequest, client: _Client) -> HttpRequest:
     path, _, query_string = request.target.partition("?")
@@ -233,21 +264,32 @@
     if response.headers.get("Connection", "").lower() == "close":
         writer.keep_alive = False
     if isinstance(response.body, bytes):
-        client.call(writer.send, response.status, fields, response.body)
+        client.call(_send_whole, writer, response, fields)
         return
     parts = response.body
     try:
         client.call(writer.start, response.status, fields, None)
         for part in parts:
-            client.call(writer.write, part)
-            client.wait()
-        client.call(writer.finish)
+            client.write(part)
+        client.call(_finish, writer, response)
     finally:
         close_parts = getattr(parts, "close", None)
         if close_parts:
             close_parts()
 
 
+def _send_whole(writer: AnswerWriter, response: HttpResponse, fields: list[Field]) -> None:
+    assert isinstance(response.body, bytes)
+    writer.send(response.status, fields, response.body)
+    # In the same turn of the event loop, as a client that has its answer may leave before the next.
+    response.when_sent()
+
+
+def _finish(writer: AnswerWriter, response: HttpResponse) -> None:
+    writer.finish()
+    response.when_sent()
+
+
 _REFUSAL_CODES = {
     408: ResultCode.REQUEST_TIMEOUT,
     413: ResultCode.BODY_TOO_LARGE,
