Give hosts that have only just started their part of a first split

Cause: the first split of a client account was made from the platform's list of hosts, which is late; a peer that had just started was not in it (log: 'split created', holders 1, 88 ms after the link to that peer had opened). A holder also looked at a new split only at its next step, up to 0.5 s later. Ruled out: the transport, load reports, the lease (open at both hosts). Change: reachable peers count as live; a host that is told of a split it has never seen looks at once.

--- a/turmericproxy/rates/controller.py
+++ b/turmericproxy/rates/controller.py
@@ -89,6 +89,7 @@
     def start(self) -> None:
         """Start to take this host's part of the ledger over and to keep it."""
         self._configuration.subscribe(lambda _snapshot: self._ledger_loop.wake())
+        self._keepers.ledger.look_soon = self._ledger_loop.wake
         for loop in self._loops:
             loop.start()
 
--- a/turmericproxy/rates/ledger_keeper.py
+++ b/turmericproxy/rates/ledger_keeper.py
@@ -1,6 +1,7 @@
 """Keep the splits of the client accounts in line with the configuration."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -35,7 +36,10 @@
 
 
 class LedgerKeeper:
-    """Create, read and adjust the rows of the client accounts, and size the buckets by them."""
+    """Create, read and adjust the rows of the client accounts, and size the buckets by them.
+
+    ``look_soon`` asks for a step without waiting for the next one that is due.
+    """
 
     def __init__(self, context: RateContext, host_keeper: HostKeeper) -> None:
         self._platform = context.platform
@@ -57,6 +61,7 @@
         self._last_seen: dict[HostName, float] = {}
         self._is_overtaken = False
         self._started_at = self._read_clock()
+        self.look_soon: Callable[[], None] = lambda: None
         context.links.register(ROW_KIND, self._handle_row)
         context.links.register(CHANGED_KIND, self._handle_changed)
 
@@ -173,7 +178,9 @@
         if isinstance(hosts, Refusal):
             return
         live = {Member(e.host, e.domain) for e in hosts.hosts if e.state is HostState.LIVE}
-        holders = ledger.choose_holders(live | {self._member})
+        # The platform's list is late: a peer that answers may not be in it yet.
+        reachable = {Member(peer.host, peer.domain) for peer in self._links.list_reachable()}
+        holders = ledger.choose_holders(live | reachable | {self._member})
         row = ledger.create_split(account, limit, revision, holders)
         if self.write(row, None):
             log_decision(Part.RATES, "split created", account=account, holders=len(holders))
@@ -279,4 +286,9 @@
         return {"row": ledger.encode_row(known.row), "version": known.version}
 
     def _handle_changed(self, _sender: HostName, body: Any) -> None:
-        self.mark_stale(AccountName(body["account"]))
+        account = AccountName(body["account"])
+        is_new = self.find_row(account) is None
+        self.mark_stale(account)
+        if is_new:
+            # A part of the new split may wait here to be claimed; until then nothing can be spent.
+            self.look_soon()
