Let a chat whose attempt failed wait for a slot that is free in time

Where no engine at all was there it did wait. Ruled out: the retry budget, keys, the engines' versions (log of the request). Change: the decision is a function of the refusal, and waits if the slot comes within the wait. The test failed first. A first choice is refused at once, as before: nothing was sent for it yet, and the caller can go to another host.

--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -63,6 +63,20 @@
     return hashlib.blake2b(account.encode(), digest_size=SALT_BYTES).hexdigest()
 
 
+def is_final(refusal: Refusal, has_begun: bool, seconds_left: float) -> bool:
+    """Return whether it would not help a chat to wait for an engine.
+
+    ``has_begun`` says whether the caller has got pieces; ``seconds_left`` is the longest wait.
+    """
+    if refusal.code in KEY_CODES:
+        return True
+    if has_begun or refusal.code is ResultCode.NO_UPSTREAM:
+        return False
+    if refusal.code is ResultCode.OVERLOADED and refusal.retry_after is not None:
+        return refusal.retry_after > seconds_left
+    return True
+
+
 class ChatStream:
     """Return the pieces of one answer in order, over as many attempts as bring pieces.
 
@@ -127,17 +141,12 @@
             choice = self._choose_engine()
             if isinstance(choice, Choice):
                 return choice
-            if self._is_final(choice) or read_boottime() >= give_up_at:
+            seconds_left = give_up_at - read_boottime()
+            if seconds_left <= 0 or is_final(choice, self._next_index > 0, seconds_left):
                 return self._refuse_broken(f"{failure.reason}; {choice.reason}")
             self._excluded = frozenset()
             time.sleep(CHOICE_PAUSE_SECONDS)
 
-    def _is_final(self, refusal: Refusal) -> bool:
-        """Return whether waiting for an engine to return would not help."""
-        if refusal.code in KEY_CODES:
-            return True
-        return not self._next_index and refusal.code is not ResultCode.NO_UPSTREAM
-
     def _limit_wait(self, now: float) -> float:
         if self._next_index:
             return now + CONTINUE_SECONDS
