Let an engine stand-in answer before it crashes, and crash it while it streams

Cause: two races of the scaffolding, both seen in streams.feature beside load. The engine stand-in started its crash before the order to crash was answered, and the crash cut that connection too (3 of 20 runs: RemoteDisconnected at /control). And the step counted streams after it had found some: the one stream found may be a crossed one that the host has cancelled since (1 of 24: the check 'at least 1 stream was running' failed with 0, and an engine crashed for nothing). Change: the crash starts once the answer is written; an engine without a stream is not crashed, and the step looks again until it has hit one. The check itself is as it was.

--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -54,11 +54,16 @@
 @when("every engine that streams crashes in turn for {seconds:g} seconds")
 def crash_engines(context, seconds):
     context.hit = 0
-    for name in await_streaming(context):
-        before = context.cluster.read_truth(name)["incarnation"]
-        context.hit += len(list_streaming(context.cluster, name))
-        context.cluster.set_faults(name, crash=seconds)
-        context.cluster.await_restart(name, before)
+    while not context.hit:
+        for name in await_streaming(context):
+            hit = list_streaming(context.cluster, name)
+            if not hit:
+                # Its only stream was a crossed one, which the host has cancelled since.
+                continue
+            context.hit += len(hit)
+            before = context.cluster.read_truth(name)["incarnation"]
+            context.cluster.set_faults(name, crash=seconds)
+            context.cluster.await_restart(name, before)
 
 
 @when("every engine breaks its next stream after {pieces:d} pieces")
--- a/turmericproxy/standins/engine/surface.py
+++ b/turmericproxy/standins/engine/surface.py
@@ -5,6 +5,7 @@
 import time
 import weakref
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from turmericproxy.cache.blocks import chain_blocks, count_tokens, render_prompt
@@ -188,14 +189,16 @@
         if changes.get("silent"):
             with self._lock:
                 answers = list(self._answers)
-            for answer in answers:
-                answer.is_silent = True
+            for silenced in answers:
+                silenced.is_silent = True
         if changes.get("evict"):
             self._core.clear_cache()
-        if changes.get("crash") is not None:
-            down = float(changes["crash"])
-            threading.Thread(target=self.crash, args=(down,), name="crash").start()
-        return create_json_response(200, {"applied": sorted(changes)})
+        answer = create_json_response(200, {"applied": sorted(changes)})
+        if changes.get("crash") is None:
+            return answer
+        crash = threading.Thread(target=self.crash, args=(float(changes["crash"]),), name="crash")
+        # The crash cuts every connection, so whoever ordered it gets the answer first.
+        return replace(answer, when_sent=crash.start)
 
     def _describe_truth(self, request: HttpRequest) -> HttpResponse:
         core = self._core
