Count loads of engines exactly in the test of changed versions

Cause: the test sampled four engines over HTTP, a call each, to see how many load at once. The four samples were also not of one moment, so a third load could have been missed. Ruled out: the controller; both versions had arrived, two orders at a time. Change: each engine's set of loads counts them from start to end, so the bound of two holds for every moment and not for samples only.

--- a/tests/weights/test_controller.py
+++ b/tests/weights/test_controller.py
@@ -1,5 +1,6 @@
 """Check against stand-in engines that orders bring about the wanted weights."""
 
+import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
@@ -29,6 +30,37 @@
         return self.age
 
 
+class LoadCount:
+    """Count the engines that load at the same time, and keep the most."""
+
+    def __init__(self) -> None:
+        self.most = 0
+        self._now = 0
+        self._lock = threading.Lock()
+
+    def add(self, change: int) -> None:
+        with self._lock:
+            self._now += change
+            self.most = max(self.most, self._now)
+
+
+class CountedLoads(dict[str, str]):
+    """Hold what an engine loads, and count each load from its start to its end."""
+
+    def __init__(self, count: LoadCount) -> None:
+        super().__init__()
+        self._count = count
+
+    def __setitem__(self, model: str, version: str) -> None:
+        if model not in self:
+            self._count.add(1)
+        super().__setitem__(model, version)
+
+    def __delitem__(self, model: str) -> None:
+        super().__delitem__(model)
+        self._count.add(-1)
+
+
 @pytest.fixture(autouse=True)
 def settle_soon(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(controller, "SETTLE_SECONDS", 0.2)
@@ -88,16 +120,14 @@
     first, second = (
         WeightController(configuration, UpstreamSettings(), HostName(name)) for name in "ab"
     )
+    count = LoadCount()
+    for engine in engines:
+        engine._core.weights.loading = CountedLoads(count)
     first.start()
     second.start()
     try:
-        most = 0
-        deadline = time.monotonic() + 8
-        while read_versions(engines) != ["2"] * 4 and time.monotonic() < deadline:
-            loads = [HttpClient(e.address).call_json("GET", "/v1/load")[1] for e in engines]
-            most = max(most, sum(bool(load["loading"]) for load in loads))
-        assert read_versions(engines) == ["2"] * 4
-        assert 1 <= most <= 2
+        await_met(lambda: read_versions(engines) == ["2"] * 4)
+        assert 1 <= count.most <= 2
     finally:
         first.close()
         second.close()
