Let one host of a large failure domain follow the store for all of them

Weighed: longer waits between calls (stale by the wait, and flapping servers return within 1.4 s); a role of its own (no machine for it). Each table has a reader, chosen by hash among the hosts of the domain that are heard; it passes on what it reads, and each host goes on from its own version when the reader is lost, silent, or has itself lost the store.

--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -12,9 +12,12 @@
     Unreadable,
     pack_batch,
     pack_hello,
+    pack_reader_news,
     unpack,
 )
 from turmericproxy.placement.book import Work
+from turmericproxy.store import ChangedRow, Changes, ReaderNews
+from turmericproxy.tables.messages import Row
 
 ONE = InstanceId("one")
 BATCH = Batch(
@@ -35,6 +38,14 @@
     assert unpack(pack_batch(BATCH)[LENGTH_BYTES:]) == BATCH
 
 
+@pytest.mark.parametrize(
+    "changes", [None, Changes((ChangedRow(Row("k", b"\xff", 4), is_deleted=True),), 5)]
+)
+def test_news_of_a_reader_come_back_as_they_were(changes: Changes | None) -> None:
+    news = ReaderNews("t", 3, changes)
+    assert unpack(pack_reader_news(news)[LENGTH_BYTES:]) == news
+
+
 @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x91\xa5hello", b"\x92\xa5batch\x01", b"\x01"])
 def test_other_bytes_are_unreadable(data: bytes) -> None:
     with pytest.raises(Unreadable):
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -15,9 +15,11 @@
     merge_batches,
     pack_batch,
     pack_hello,
+    pack_reader_news,
     unpack,
 )
 from turmericproxy.logs import Part, log_event
+from turmericproxy.store import ReaderNews
 
 # Seconds between two batches; a batch with no news is sent as a heartbeat.
 BATCH_SECONDS = 0.04
@@ -63,7 +65,8 @@
 class FleetLinks:
     """Send batches to all peers; ``create_batch`` makes one with all state for a new stream.
 
-    ``receive`` takes each batch, ``lose`` is called once for each peer that falls silent.
+    ``receive`` takes each batch, ``take_news`` what a reader of the store tells, and ``lose`` is
+    called once for each peer that falls silent.
     """
 
     def __init__(
@@ -72,12 +75,14 @@
         create_batch: Callable[[bool], Batch | None],
         receive: Callable[[Hello, Batch], None],
         lose: Callable[[HostName], None],
+        take_news: Callable[[HostName, ReaderNews], None] = lambda _host, _news: None,
         read_clock: Callable[[], float] = read_boottime,
     ) -> None:
         self._own = own
         self._create_batch = create_batch
         self._receive = receive
         self._lose = lose
+        self._take_news = take_news
         self._read_clock = read_clock
         self._peers: dict[HostName, Peer] = {}
         self._lost: set[HostName] = set()
@@ -125,6 +130,19 @@
         now = self._read_clock()
         return [name for name, peer in self._peers.items() if peer.is_heard(now)]
 
+    def list_near(self) -> list[HostName]:
+        """Return the heard peers of this failure domain that don't leave."""
+        now = self._read_clock()
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.hello.domain == self._own.domain and peer.is_heard(now) and not peer.is_leaving
+        ]
+
+    def tell_near(self, news: ReaderNews) -> None:
+        """Pass on to the peers of this failure domain what this host read in the store."""
+        self._send(pack_reader_news(news), is_near=True)
+
     def measure_silence(self, domain: str) -> float | None:
         """Return the seconds since any host of a failure domain was heard."""
         now = self._read_clock()
@@ -217,7 +235,9 @@
                 if isinstance(message, Hello):
                     hello = message
                     self.add_peer(hello)
-                elif hello:
+                elif hello and isinstance(message, ReaderNews):
+                    self._take_news(hello.host, message)
+                elif hello and isinstance(message, Batch):
                     self._take_batch(hello, message)
         except asyncio.IncompleteReadError:
             pass
@@ -263,7 +283,7 @@
         return data
 
 
-async def _read_message(reader: asyncio.StreamReader) -> Hello | Batch:
+async def _read_message(reader: asyncio.StreamReader) -> Hello | Batch | ReaderNews:
     size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
     if size > LARGEST_MESSAGE_BYTES:
         raise Unreadable(f"a message of {size} bytes")
--- a/turmericproxy/fleet/messages.py
+++ b/turmericproxy/fleet/messages.py
@@ -9,6 +9,8 @@
 from turmericproxy.core import AccountName, HostName, Incarnation, ModelName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.placement.book import Work
+from turmericproxy.store import ChangedRow, Changes, ReaderNews
+from turmericproxy.tables.messages import Row
 
 LENGTH_BYTES = 4
 # A longer message is not one of ours.
@@ -100,7 +102,16 @@
     )
 
 
-def unpack(data: bytes) -> Hello | Batch:
+def pack_reader_news(news: ReaderNews) -> bytes:
+    """Return the framed bytes of what the reader of a failure domain learned."""
+    changes = None
+    if news.changes is not None:
+        rows = [[*astuple(changed.row), changed.is_deleted] for changed in news.changes.rows]
+        changes = [rows, news.changes.version]
+    return _frame(["reader_news", news.table, news.after, changes])
+
+
+def unpack(data: bytes) -> Hello | Batch | ReaderNews:
     """Return the message in a frame, or raise ``Unreadable``."""
     try:
         kind, *fields = msgpack.unpackb(data)
@@ -108,6 +119,8 @@
             return Hello(*map(str, fields))  # type: ignore[arg-type]
         if kind == "batch":
             return _read_batch(*fields)
+        if kind == "reader_news":
+            return _read_reader_news(*fields)
     except (ValueError, TypeError, KeyError, AttributeError, msgpack.UnpackException) as error:
         raise Unreadable(str(error)) from error
     raise Unreadable(f"no message is called {kind!r}")
@@ -118,6 +131,17 @@
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
+def _read_reader_news(table: Any, after: Any, changes: Any) -> ReaderNews:
+    if changes is None:
+        return ReaderNews(str(table), int(after), None)
+    rows, version = changes
+    changed = tuple(
+        ChangedRow(Row(str(key), bytes(value), int(at)), bool(is_deleted))
+        for key, value, at, is_deleted in rows
+    )
+    return ReaderNews(str(table), int(after), Changes(changed, int(version)))
+
+
 def _read_batch(
     work: Any,
     placed: Any,
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from turmericproxy.core import Incarnation, create_id, read_boottime
+from turmericproxy.core import HostName, Incarnation, create_id, read_boottime
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import ServiceName
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
@@ -22,6 +22,7 @@
 from turmericproxy.rollout.holder import LeaseHolder
 from turmericproxy.rollout.inquiring import EngineInquirer
 from turmericproxy.rollout.wanted import WantedVersions
+from turmericproxy.store import ReaderNews, RelayedStore
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.exchange import ExchangeParts
 from turmericproxy.traffic.router import Router
@@ -72,11 +73,26 @@
         )
         self._dispatcher.follow_kept_store(self._caches.is_kept_store_reachable)
         self._news = FleetNews(self._book, self._dispatcher, self._quotas, self._caches)
-        self._links = FleetLinks(own, self._news.create_batch, self._news.receive, self._news.lose)
+        self._links = FleetLinks(
+            own,
+            self._news.create_batch,
+            self._news.receive,
+            self._news.lose,
+            self._take_reader_news,
+        )
+        self._followed = RelayedStore(
+            adapter.store, settings.host, self._links.list_near, self._links.tell_near
+        )
         self._directory = HostDirectory(adapter.store, own, self._links)
         self._rollout = self._create_rollout()
         self._watch = SiteWatch(
-            adapter, self._book, self._wanted, self._quotas, self._dispatcher, self._rollout.wake
+            adapter,
+            self._followed,
+            self._book,
+            self._wanted,
+            self._quotas,
+            self._dispatcher,
+            self._rollout.wake,
         )
         self._inquirer = EngineInquirer(
             self._book, self._wanted, adapter.control, lambda: self._watch.is_away
@@ -152,6 +168,9 @@
             self._news,
         )
 
+    def _take_reader_news(self, host: HostName, news: ReaderNews) -> None:
+        self._followed.take_news(host, news)
+
     def _measure_silence(self, domain: str) -> float | None:
         return self._links.measure_silence(domain)
 
--- a/turmericproxy/host/watching.py
+++ b/turmericproxy/host/watching.py
@@ -10,7 +10,7 @@
 from turmericproxy.placement.book import UpstreamBook
 from turmericproxy.placement.lapses import LapseKeeper
 from turmericproxy.rollout.wanted import LONG_AGO, NamedWeights, WantedVersions
-from turmericproxy.store import ChangedRow, TableFollower, TableState
+from turmericproxy.store import ChangedRow, TableFollower, TableState, TableStore
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.site import Site
@@ -28,6 +28,7 @@
     def __init__(
         self,
         adapter: SiteAdapter,
+        store: TableStore,
         book: UpstreamBook,
         wanted: WantedVersions,
         quotas: QuotaController,
@@ -43,14 +44,14 @@
         self._lapses = LapseKeeper(book.remove)
         self.site: Site | None = None
         self._configuration = TableFollower(
-            adapter.store,
+            store,
             adapter.configuration_table,
             CONFIGURATION_WAIT,
             self._take_configuration,
             lambda changed: self._take_configuration_row(changed.row, is_new=True),
         )
         self._upstreams = TableFollower(
-            adapter.store,
+            store,
             adapter.upstream_table,
             UPSTREAM_WAIT,
             self._take_upstreams,
