--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -21,11 +21,8 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store import ReaderNews
 
-# Seconds between two batches to a few peers; a batch with no news is sent as a heartbeat.
+# Seconds between two batches; a batch with no news is sent as a heartbeat.
 BATCH_SECONDS = 0.04
-# Batches that a host sends in a second at most, but for heartbeats: reading and writing one takes
-# some 50 microseconds, and each host gets as many as it sends, which is a twentieth of a core.
-LARGEST_BATCH_RATE = 400
 # Batches that are merged into one for hosts of other failure domains, where links are thin.
 MERGED_BATCHES = 3
 HEARTBEAT_SECONDS = 0.4
@@ -43,15 +40,6 @@
 LARGEST_BACKLOG = 512 * 1024
 
 
-def choose_pause(peers: int) -> float:
-    """Return the seconds between two batches, so that many peers cost no more than some.
-
-    >>> choose_pause(7), choose_pause(69), choose_pause(329)
-    (0.04, 0.1725, 0.4)
-    """
-    return min(HEARTBEAT_SECONDS, max(BATCH_SECONDS, peers / LARGEST_BATCH_RATE))
-
-
 @dataclass
 class Peer:
     """Hold the link to another host; times are of CLOCK_BOOTTIME."""
@@ -185,7 +173,7 @@
     async def _send_batches(self) -> None:
         near, far = _Outbox(1), _Outbox(MERGED_BATCHES)
         while True:
-            await asyncio.sleep(choose_pause(len(self._peers)))
+            await asyncio.sleep(BATCH_SECONDS)
             self._drop_silent()
             batch = self._create_batch(False)
             now = self._read_clock()
