Begin changes only once the watch of revisions has read every host

What the watch is for, a fall of a revision, was not looked for in that time either. Ruled out: the product; no revision fell and the changes were in force. Change: the scenario's first step waits until each host has been read; the check is as it was, and now covers every change.

--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -96,6 +96,7 @@
     restore_cluster(context.cluster)
     context.key_id, context.key = context.cluster.create_key(CALLER)
     context.revisions = RevisionWatch(context.cluster)
+    context.revisions.await_first()
     context.add_cleanup(context.revisions.close)
     await_revision(context, context.cluster.read_revision("n1"))
     names = context.cluster.host_names
--- a/features/support/revision_watch.py
+++ b/features/support/revision_watch.py
@@ -40,6 +40,7 @@
         self._closed = threading.Event()
         self._lock = threading.Lock()
         self._highest = dict.fromkeys(cluster.host_names, 0)
+        self._read_once: set[str] = set()
         self.readings = 0
         self.falls: list[str] = []
         self._threads = [
@@ -49,6 +50,13 @@
         for thread in self._threads:
             thread.start()
 
+    def await_first(self) -> None:
+        """Wait until each host has been read, so that no change comes before the watch."""
+        deadline = time.monotonic() + CALL_SECONDS
+        while len(self._read_once) < len(self._threads):
+            assert time.monotonic() < deadline, f"only {sorted(self._read_once)} were read"
+            time.sleep(POLL_SECONDS)
+
     def forget(self, host: str) -> None:
         """Start anew with a host whose process was replaced."""
         with self._lock:
@@ -80,6 +88,7 @@
             revision = json.loads(connection.getresponse().read())["revision"]
             with self._lock:
                 self.readings += 1
+                self._read_once.add(host)
                 if before != self._highest[host]:
                     continue  # the host was forgotten while the answer was on its way
                 if revision < before:
