Count leading parts by one function, and price a token over a link by one

Three loops counted the parts of a prompt up to the first that is missing, and built the keys anew for each; the price of a token over a link stood twice. Behaviour is unchanged; tests/placement passes.

--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -1,6 +1,8 @@
 """Turn what the host knows into views of engines and plain upstreams for one request."""
 
-from collections.abc import Callable, Sequence
+import functools
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from turmericproxy.core import ModelName
@@ -79,8 +81,14 @@
         shared=prompt.shared_parts,
         home_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
     )
-    held = {state.entry.instance: _count_cached(state, prompt, scene) for state in usable}
-    offered = {state.entry.instance: _count_offered(state, prompt, scene) for state in usable}
+    held: dict[InstanceId, int] = {}
+    offered: dict[InstanceId, int] = {}
+    for state in usable:
+        keys, memory = _list_keys_at(state, prompt, scene), state.prefixes
+        held[state.entry.instance] = _count_leading(keys, memory.holds)
+        offered[state.entry.instance] = _count_leading(
+            keys, functools.partial(memory.offers, now=scene.now)
+        )
     known = max(held.values())
     candidates = [
         score_engine(_view_engine(state, usable, held, offered, prompt, scene), need, known)
@@ -116,24 +124,14 @@
     return state.versions.get(scene.model, 0) >= scene.wanted_version
 
 
-def _count_cached(state: UpstreamState, prompt: Prompt, scene: EngineScene) -> int:
+def _list_keys_at(state: UpstreamState, prompt: Prompt, scene: EngineScene) -> tuple[PartKey, ...]:
     version = state.versions.get(scene.model, 0)
-    count = 0
-    for key in list_keys(name_space(scene.wall, scene.model, version), prompt):
-        if not state.prefixes.holds(key):
-            break
-        count += 1
-    return count
+    return list_keys(name_space(scene.wall, scene.model, version), prompt)
 
 
-def _count_offered(state: UpstreamState, prompt: Prompt, scene: EngineScene) -> int:
-    version = state.versions.get(scene.model, 0)
-    count = 0
-    for key in list_keys(name_space(scene.wall, scene.model, version), prompt):
-        if not state.prefixes.offers(key, scene.now):
-            break
-        count += 1
-    return count
+def _count_leading(keys: Iterable[PartKey], is_there: Callable[[PartKey], bool]) -> int:
+    """Return how many keys are there before the first one that is not."""
+    return sum(1 for _ in itertools.takewhile(is_there, keys))
 
 
 def _view_engine(
@@ -186,7 +184,7 @@
         source = FetchSource(
             other.entry.address,
             offered[other.entry.instance],
-            _price_token(scene.traits.link_bytes_per_second, scene.traits, other, state),
+            _price_token(scene.traits.link_bytes_per_second, other.entry.domain, state, scene),
         )
         best = min(best or source, source, key=lambda s: (-s.held_parts, s.seconds_per_token))
     if best or scene.kept_store is None:
@@ -198,17 +196,10 @@
     state: UpstreamState, own: int, prompt: Prompt, scene: EngineScene
 ) -> FetchSource | None:
     store = scene.kept_store
-    version = state.versions.get(scene.model, 0)
-    count = 0
-    for key in list_keys(name_space(scene.wall, scene.model, version), prompt):
-        if not scene.kept.holds(key):
-            break
-        count += 1
+    count = _count_leading(_list_keys_at(state, prompt, scene), scene.kept.holds)
     if store is None or count <= own or not _can_fetch(store.domain, state, scene):
         return None
-    seconds = scene.traits.bytes_per_token / store.link_bytes_per_second
-    if store.domain != state.entry.domain:
-        seconds *= FAR_TRANSFER
+    seconds = _price_token(store.link_bytes_per_second, store.domain, state, scene)
     return FetchSource(store.address, count, seconds)
 
 
@@ -217,8 +208,7 @@
     return domain == target.entry.domain or not scene.is_cut(domain)
 
 
-def _price_token(
-    link: float, traits: EngineTraits, source: UpstreamState, target: UpstreamState
-) -> float:
-    seconds = traits.bytes_per_token / link
-    return seconds if source.entry.domain == target.entry.domain else FAR_TRANSFER * seconds
+def _price_token(link: float, domain: str, target: UpstreamState, scene: EngineScene) -> float:
+    """Return the seconds that a token takes over a link from a failure domain."""
+    seconds = scene.traits.bytes_per_token / link
+    return seconds if domain == target.entry.domain else FAR_TRANSFER * seconds
