Keep what a reader told of a table in one value

Four maps by table stood beside each other; the error for a choice among no hosts could not occur, as a host is always among its own candidates. Behaviour is unchanged; tests/store passes.

--- a/turmericproxy/store/relaying.py
+++ b/turmericproxy/store/relaying.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import hashlib
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from turmericproxy.core import HostName, Refusal
 from turmericproxy.logs import Part, log_event
@@ -32,20 +32,13 @@
     changes: Changes | None
 
 
-class NoReader(ValueError):
-    """Say that a choice was asked of no hosts."""
-
-
 def choose_reader(table: str, hosts: Iterable[HostName]) -> HostName:
     """Return which of some hosts follows a table; a host that leaves changes only its own tables.
 
     >>> choose_reader("t", [HostName("a")])
     'a'
     """
-    ranked = sorted(hosts, key=lambda host: _rank(table, host))
-    if not ranked:
-        raise NoReader("no host was given")
-    return ranked[0]
+    return min(hosts, key=lambda host: _rank(table, host))
 
 
 def _rank(table: str, host: HostName) -> bytes:
@@ -74,6 +67,19 @@
     return Changes(tuple(rows), reached)
 
 
+@dataclass
+class _TableNews:
+    """Hold who follows a table, and what it told since this host last looked.
+
+    ``lost_reader`` has said that it lost the store, and has told of no changes since.
+    """
+
+    reader: HostName | None = None
+    lost_reader: HostName | None = None
+    answers: deque[ReaderNews] = field(default_factory=lambda: deque(maxlen=KEPT_ANSWERS))
+    has_come: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 class RelayedStore:
     """Follow tables through the reader of this failure domain, and through the store without one.
 
@@ -91,11 +97,7 @@
         self._own = own
         self._list_near = list_near
         self._tell_near = tell_near
-        self._answers: dict[str, deque[ReaderNews]] = {}
-        self._news: dict[str, asyncio.Event] = {}
-        self._readers: dict[str, HostName | None] = {}
-        # Readers that said they had lost the store, until they tell of changes again.
-        self._lost_readers: dict[str, HostName] = {}
+        self._tables: defaultdict[str, _TableNews] = defaultdict(_TableNews)
 
     async def read_table(self, table: str) -> TableState | Refusal:
         """Return all rows of a table, from the store."""
@@ -110,7 +112,7 @@
     ) -> Changes | HistoryGone | Refusal:
         """Return what changed since a version, as this host or its reader learns it."""
         reader = self._find_reader(table)
-        if reader is not None and reader not in (self._own, self._lost_readers.get(table)):
+        if reader is not None and reader not in (self._own, self._tables[table].lost_reader):
             answer = await self._wait_for_reader(table, version, seconds, reader)
             if answer is not None:
                 return answer
@@ -120,20 +122,22 @@
         """Take in what a reader has learned."""
         if sender != self._find_reader(news.table):
             return
+        known = self._tables[news.table]
         if news.changes is None:
-            self._lost_readers[news.table] = sender
+            known.lost_reader = sender
         else:
-            self._lost_readers.pop(news.table, None)
-            self._answers.setdefault(news.table, deque(maxlen=KEPT_ANSWERS)).append(news)
-        self._get_event(news.table).set()
+            known.lost_reader = None
+            known.answers.append(news)
+        known.has_come.set()
 
     def _find_reader(self, table: str) -> HostName | None:
         """Return who follows a table for this domain; nobody in a small one."""
         near = self._list_near()
         is_large = len(near) + 1 >= LEAST_HOSTS
         reader = choose_reader(table, (*near, self._own)) if is_large else None
-        if reader != self._readers.get(table):
-            self._readers[table] = reader
+        known = self._tables[table]
+        if reader != known.reader:
+            known.reader = reader
             log_event(Part.CONFIGURATION, "reader chosen", table=table, reader=reader)
         return reader
 
@@ -143,18 +147,19 @@
         """Return the reader's next answer, or nothing if the store is to be asked."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + seconds + PATIENCE_SECONDS
-        event = self._get_event(table)
-        while not event.is_set():
+        known = self._tables[table]
+        while not known.has_come.is_set():
             left = give_up_at - loop.time()
             if left <= 0 or self._find_reader(table) != reader:
                 return None
             try:
-                await asyncio.wait_for(event.wait(), min(LOOK_SECONDS, left))
+                await asyncio.wait_for(known.has_come.wait(), min(LOOK_SECONDS, left))
             except TimeoutError:
                 continue
-        event.clear()
-        answers = tuple(self._answers.pop(table, ()))
-        if self._lost_readers.get(table) == reader:
+        known.has_come.clear()
+        answers = tuple(known.answers)
+        known.answers.clear()
+        if known.lost_reader == reader:
             log_event(Part.CONFIGURATION, "reader has lost the store", table=table, reader=reader)
             return None
         return join_answers(answers, version)
@@ -168,6 +173,3 @@
             told = changes if isinstance(changes, Changes) else None
             self._tell_near(ReaderNews(table, version, told))
         return changes
-
-    def _get_event(self, table: str) -> asyncio.Event:
-        return self._news.setdefault(table, asyncio.Event())
