Write the short requests of the adapter by one function

Store, reports, orders and cache events each wrote a head of their own. The fields are the same, but the order of an order's and a row call's fields differs: Connection now comes before Content-Type.

--- a/turmericproxy/platform/cache_events.py
+++ b/turmericproxy/platform/cache_events.py
@@ -7,6 +7,7 @@
 from turmericproxy.placement.cache_watch import CacheEvent, EventPage, EventsRefused
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.platform import names
+from turmericproxy.platform.calls import write_call
 
 CONNECT_SECONDS = 0.25
 # Seconds beyond the wait in which an answer comes.
@@ -28,12 +29,8 @@
 
     async def read_events(self, since: int, wait: float) -> EventPage | EventsRefused | str:
         """Return the events since a number, waiting some seconds for the first one."""
-        lines = [
-            f"GET {names.EVENTS_PATH}?since={since} HTTP/1.1",
-            f"Host: {self._address}",
-            f"{names.WAIT_MS}: {int(wait * 1000)}",
-        ]
-        data = "\r\n".join([*lines, "", ""]).encode()
+        target = f"{names.EVENTS_PATH}?since={since}"
+        data = write_call("GET", target, self._address, f"{names.WAIT_MS}: {int(wait * 1000)}")
         answer = await self._connection.fetch(
             data, connect_timeout=CONNECT_SECONDS, timeout=wait + ANSWER_SECONDS
         )
--- a/turmericproxy/platform/engines.py
+++ b/turmericproxy/platform/engines.py
@@ -4,6 +4,7 @@
 
 from turmericproxy.edge import fetch
 from turmericproxy.platform import names
+from turmericproxy.platform.calls import CLOSE, write_call
 from turmericproxy.platform.registrations import read_report
 from turmericproxy.rollout.ports import EngineReport, OrderAnswer, WeightsOrder
 
@@ -28,10 +29,8 @@
 
     async def read_report(self, address: str) -> EngineReport | str:
         """Return a server's report, or why there is none."""
-        data = f"GET {names.REPORT_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
-        answer = await fetch(
-            address, data.encode(), connect_timeout=CONNECT_SECONDS, timeout=ANSWER_SECONDS
-        )
+        data = write_call("GET", names.REPORT_PATH, address, CLOSE)
+        answer = await fetch(address, data, connect_timeout=CONNECT_SECONDS, timeout=ANSWER_SECONDS)
         if isinstance(answer, str):
             return answer
         head, body = answer
@@ -53,15 +52,8 @@
                 "expected": order.accepted_orders,
             }
         ).encode()
-        lines = [
-            f"POST {names.ORDER_PATH} HTTP/1.1",
-            f"Host: {address}",
-            f"{names.EXPECTED_INSTANCE}: {order.instance}",
-            "Content-Type: application/json",
-            f"Content-Length: {len(content)}",
-            "Connection: close",
-        ]
-        data = "\r\n".join([*lines, "", ""]).encode() + content
+        instance = f"{names.EXPECTED_INSTANCE}: {order.instance}"
+        data = write_call("POST", names.ORDER_PATH, address, instance, CLOSE, content=content)
         answer = await fetch(address, data, connect_timeout=CONNECT_SECONDS, timeout=ANSWER_SECONDS)
         if isinstance(answer, str):
             return OrderAnswer.NO_ANSWER
--- a/turmericproxy/platform/store.py
+++ b/turmericproxy/platform/store.py
@@ -10,6 +10,7 @@
 from turmericproxy.edge import AnswerHead, fetch
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import names
+from turmericproxy.platform.calls import CLOSE, write_call
 from turmericproxy.store.ports import ChangedRow, Changes, HistoryGone, TableState
 from turmericproxy.tables.messages import (
     AnswerLost,
@@ -112,14 +113,7 @@
     async def _call(
         self, method: str, target: str, content: bytes, timeout: float
     ) -> tuple[AnswerHead, bytes] | str:
-        lines = [
-            f"{method} {target} HTTP/1.1",
-            f"Host: {self._address}",
-            "Content-Type: application/json",
-            f"Content-Length: {len(content)}",
-            "Connection: close",
-        ]
-        data = "\r\n".join([*lines, "", ""]).encode() + content
+        data = write_call(method, target, self._address, CLOSE, content=content)
         return await fetch(self._address, data, connect_timeout=CONNECT_SECONDS, timeout=timeout)
 
 
