Tell notes through a hub in large failure domains

Change: hosts of a domain of eight or more tell a hub, the one with the widest link, which passes notes on as they are, numbered by their senders, to its domain and to one hub of each other domain. Whoever is told passes on, so hosts may choose differently for a while. A hub that is silent for 0.35 s or whose stream breaks is replaced; the whole state, told every 2 s, mends what it had not passed on. Batches carry only the fields that tell something, and bundles are compressed. Small sites keep telling every host.

--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,6 +1,8 @@
 """Check that hosts hear each other, and notice who has gone silent or leaves."""
 
 import asyncio
+import contextlib
+import random
 import socket
 
 from turmericproxy.core import HostName, Incarnation
@@ -8,9 +10,12 @@
 
 
 def pick_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    # Below the ports that the system gives to outgoing connections, of which there are many.
+    while True:
+        port = random.randrange(15_000, 30_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class Node:
@@ -19,11 +24,15 @@
         self.heard: list[Batch] = []
         self.lost: list[HostName] = []
         self.news: list[Batch] = []
-        self.links = FleetLinks(self.hello, self.create, self.receive, self.lost.append)
+        self.links = FleetLinks(self.hello, self, self.receive, self.lost.append)
 
-    def create(self, is_first: bool) -> Batch | None:
-        if is_first:
-            return Batch(kept=(("first", self.hello.host),))
+    def create_introduction(self) -> Batch:
+        return Batch(kept=(("first", self.hello.host),))
+
+    def create_state(self) -> Batch:
+        return Batch(is_whole=True)
+
+    def create_news(self) -> Batch | None:
         return self.news.pop() if self.news else None
 
     def receive(self, hello: Hello, batch: Batch) -> None:
@@ -37,16 +46,16 @@
         await two.links.start()
         two.links.add_peer(one.hello)
         await asyncio.sleep(0.5)
-        assert one.links.list_heard() == [HostName("two")]
-        assert two.links.list_heard() == [HostName("one")]
+        assert one.links.peers.list_heard() == [HostName("two")]
+        assert two.links.peers.list_heard() == [HostName("one")]
         assert one.heard[0].kept == (("first", "two"),)
         two.news.append(Batch(kept=(("s", "p"),)))
         await asyncio.sleep(0.2)
         assert one.heard[-1].kept == (("s", "p"),) or Batch(kept=(("s", "p"),)) in one.heard
-        assert one.links.measure_share() == 1.0
+        assert one.links.peers.measure_share() == 1.0
         await two.links.close()
         await asyncio.sleep(0.2)
-        assert one.links.count_hosts() == 1
+        assert one.links.peers.count_hosts() == 1
         await one.links.close()
 
     asyncio.run(run())
@@ -63,8 +72,8 @@
             task.cancel()
         await asyncio.sleep(1.8)
         assert one.lost == [HostName("two")]
-        assert one.links.measure_share() == 0.5
-        assert (one.links.measure_silence("a") or 0.0) > 1.0
+        assert one.links.peers.measure_share() == 0.5
+        assert (one.links.peers.measure_silence("a") or 0.0) > 1.0
         await one.links.close()
         await two.links.close()
 
@@ -81,7 +90,7 @@
         await two.links.start()
         two.links.add_peer(one.hello)
         await asyncio.sleep(0.4)
-        assert one.links.list_heard() == [HostName("two")]
+        assert one.links.peers.list_heard() == [HostName("two")]
         await one.links.close()
         await two.links.close()
 
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -1,19 +1,27 @@
 """Check that messages between hosts come back as they were sent."""
 
+import zlib
+
+import msgpack
 import pytest
 
 from turmericproxy.core import AccountName, HostName, Incarnation, ModelName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.fleet.messages import (
+    LARGEST_MESSAGE_BYTES,
     LENGTH_BYTES,
     Batch,
     Hello,
+    Note,
+    Notes,
     PlacedPrompt,
+    Spread,
     Unreadable,
-    pack_batch,
     pack_hello,
-    pack_reader_news,
+    pack_note,
+    pack_notes,
     unpack,
+    unpack_note,
 )
 from turmericproxy.placement.book import Work
 from turmericproxy.store import ChangedRow, Changes, ReaderNews
@@ -29,24 +37,53 @@
     versions=((ONE, ModelName("m"), 2),),
     changing=((ONE, 0.5),),
     is_leaving=True,
+    is_kept_store_reachable=False,
+    is_whole=True,
 )
+SENDER = Hello(HostName("h"), "10.0.0.1:1", "a", Incarnation("i"), 100)
 
 
-def test_messages_come_back_as_they_were() -> None:
-    hello = Hello(HostName("h"), "10.0.0.1:1", "a", Incarnation("i"))
-    assert unpack(pack_hello(hello)[LENGTH_BYTES:]) == hello
-    assert unpack(pack_batch(BATCH)[LENGTH_BYTES:]) == BATCH
+def test_introductions_come_back_as_they_were() -> None:
+    assert unpack(pack_hello(SENDER)[LENGTH_BYTES:]) == SENDER
 
 
 @pytest.mark.parametrize(
-    "changes", [None, Changes((ChangedRow(Row("k", b"\xff", 4), is_deleted=True),), 5)]
+    "content",
+    [
+        BATCH,
+        Batch(),
+        ReaderNews("t", 3, None),
+        ReaderNews("t", 3, Changes((ChangedRow(Row("k", b"\xff", 4), is_deleted=True),), 5)),
+    ],
 )
-def test_news_of_a_reader_come_back_as_they_were(changes: Changes | None) -> None:
-    news = ReaderNews("t", 3, changes)
-    assert unpack(pack_reader_news(news)[LENGTH_BYTES:]) == news
+def test_notes_come_back_as_they_were(content: Batch | ReaderNews) -> None:
+    note = Note(SENDER, 7, content)
+    assert unpack_note(pack_note(note)) == note
+
 
+@pytest.mark.parametrize("count", [1, 100])
+def test_packed_notes_come_back_as_they_were(count: int) -> None:
+    notes = Notes(Spread.DOMAIN, (pack_note(Note(SENDER, 7, BATCH)),) * count)
+    assert unpack(pack_notes(notes)[LENGTH_BYTES:]) == notes
 
-@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x91\xa5hello", b"\x92\xa5batch\x01", b"\x01"])
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        b"\x91\xa5hello",
+        b"\x94\xa5notes\xa6nobody\xc3\xc4\x01x",
+        b"\x94\xa5notes\xa3all\xc2\xc4\x01\x90",
+        b"\x01",
+    ],
+)
 def test_other_bytes_are_unreadable(data: bytes) -> None:
     with pytest.raises(Unreadable):
         unpack(data)
+
+
+def test_notes_that_grow_too_large_are_unreadable() -> None:
+    bomb = zlib.compress(b"\x00" * (LARGEST_MESSAGE_BYTES + 1))
+    with pytest.raises(Unreadable):
+        unpack(msgpack.packb(["notes", "nobody", True, bomb]))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,15 @@
     assert settings.is_first_start
 
 
+def test_width_of_the_link_may_be_missing_but_not_wrong() -> None:
+    settings = decode_settings({**VALUES, "limits.link_mbps": "1000.0"})
+    assert isinstance(settings, SiteHostSettings)
+    assert settings.link_mbps == 1000
+    assert decode_settings({**VALUES, "limits.link_mbps": "wide"}) == SettingsFault(
+        "limits.link_mbps", "is no number"
+    )
+
+
 @pytest.mark.parametrize("name", sorted(set(VALUES) - {"a.new.field"}))
 def test_missing_setting_is_named(name: str) -> None:
     fault = decode_settings({n: v for n, v in VALUES.items() if n != name})
--- a/tests/store/test_relaying.py
+++ b/tests/store/test_relaying.py
@@ -17,10 +17,10 @@
     TableFollower,
     TableState,
 )
-from turmericproxy.store.relaying import LEAST_HOSTS, choose_reader, join_answers
+from turmericproxy.store.relaying import LARGE_DOMAIN_HOSTS, choose_reader, join_answers
 from turmericproxy.tables.messages import Committed, Row, Transaction
 
-HOSTS = [HostName(f"h{n}") for n in range(LEAST_HOSTS)]
+HOSTS = [HostName(f"h{n}") for n in range(LARGE_DOMAIN_HOSTS)]
 AWAY = refuse(ResultCode.PLATFORM_UNAVAILABLE, "away")
 
 
@@ -209,7 +209,7 @@
 def test_the_loss_of_a_host_changes_the_reader_of_its_own_tables_only() -> None:
     tables = [f"table {n}" for n in range(50)]
     before = {table: choose_reader(table, HOSTS) for table in tables}
-    assert len(set(before.values())) > LEAST_HOSTS // 2
+    assert len(set(before.values())) > LARGE_DOMAIN_HOSTS // 2
     for table, reader in before.items():
         left = [host for host in HOSTS if host != HOSTS[0]]
         assert (choose_reader(table, left) == reader) is (reader != HOSTS[0])
--- a/turmericproxy/fleet/__init__.py
+++ b/turmericproxy/fleet/__init__.py
@@ -2,6 +2,15 @@
 
 from turmericproxy.fleet.links import FleetLinks
 from turmericproxy.fleet.messages import Batch, Hello, PlacedPrompt
+from turmericproxy.fleet.peers import PeerTable
 from turmericproxy.fleet.quotas import QuotaController, QuotaTolerance
 
-__all__ = ["Batch", "FleetLinks", "Hello", "PlacedPrompt", "QuotaController", "QuotaTolerance"]
+__all__ = [
+    "Batch",
+    "FleetLinks",
+    "Hello",
+    "PeerTable",
+    "PlacedPrompt",
+    "QuotaController",
+    "QuotaTolerance",
+]
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -1,8 +1,8 @@
-"""Keep a stream to every other host, and tell who can be heard."""
+"""Keep streams to the hosts that are told notes, and pass on the notes of others."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Protocol
 
 from turmericproxy.core import HostName, read_boottime
 from turmericproxy.edge.sockets import bound_unacknowledged
@@ -11,13 +11,20 @@
     LENGTH_BYTES,
     Batch,
     Hello,
+    Note,
+    Notes,
+    Spread,
     Unreadable,
     merge_batches,
-    pack_batch,
     pack_hello,
-    pack_reader_news,
+    pack_note,
+    pack_notes,
     unpack,
+    unpack_note,
 )
+from turmericproxy.fleet.outbox import Outbox
+from turmericproxy.fleet.peers import Peer, PeerTable
+from turmericproxy.fleet.routes import Routes, plan_routes
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store import ReaderNews
 
@@ -25,11 +32,22 @@
 BATCH_SECONDS = 0.04
 # Batches that are merged into one for hosts of other failure domains, where links are thin.
 MERGED_BATCHES = 3
-HEARTBEAT_SECONDS = 0.4
-# Seconds of silence after which a peer is out of touch: three heartbeats and a round trip.
-SILENCE_SECONDS = 1.3
-# Seconds after which a peer that stays out of touch is no longer counted as running.
-FORGET_SECONDS = 30.0
+# Hosts of the own domain that a hub tells with each batch; with more it tells less often, so that
+# its messages a second stay the same.
+HOSTS_PER_BATCH = 25
+# Seconds between two plans of whom to tell.
+PLAN_SECONDS = 0.12
+# Seconds between two notes of a host's whole state to its hub; they mend what a lost hub had not
+# passed on.
+STATE_SECONDS = 2.0
+# Seconds without a message from the hub itself after which another one is chosen, and for which
+# the silent one is passed over. A hub passes on the heartbeats of its domain many times a second.
+HUB_SILENCE_SECONDS = 0.35
+HUB_AVOIDED_SECONDS = 3.0
+# Seconds for which a peer is no hub after its stream has broken.
+BROKEN_AVOIDED_SECONDS = 1.0
+# Seconds after the last note to pass on for which a host keeps the streams of a hub.
+HUB_IDLE_SECONDS = 5.0
 CONNECT_SECONDS = 0.6
 # Seconds between two attempts to reach a peer, doubled up to the longest.
 SHORTEST_REDIAL = 0.2
@@ -40,30 +58,21 @@
 LARGEST_BACKLOG = 512 * 1024
 
 
-@dataclass
-class Peer:
-    """Hold the link to another host; times are of CLOCK_BOOTTIME."""
+class StateSource(Protocol):
+    """Tell what other hosts are to know of this one."""
 
-    hello: Hello
-    known_at: float
-    heard_at: float | None = None
-    is_leaving: bool = False
-    writer: asyncio.StreamWriter | None = None
-    task: asyncio.Task[None] | None = field(default=None, repr=False)
+    def create_news(self) -> Batch | None:
+        """Return what has changed since the last call."""
 
-    def is_heard(self, now: float) -> bool:
-        """Return whether the peer has been heard of late."""
-        return self.heard_at is not None and now - self.heard_at < SILENCE_SECONDS
+    def create_state(self) -> Batch:
+        """Return all work and spending."""
 
-    def is_running(self, now: float) -> bool:
-        """Return whether the peer may take requests, heard or not."""
-        if self.is_leaving:
-            return False
-        return now - (self.heard_at or self.known_at) < FORGET_SECONDS
+    def create_introduction(self) -> Batch:
+        """Return all that a host needs which has just started."""
 
 
 class FleetLinks:
-    """Send batches to all peers; ``create_batch`` makes one with all state for a new stream.
+    """Tell other hosts of this one, and hear them.
 
     ``receive`` takes each batch, ``take_news`` what a reader of the store tells, and ``lose`` is
     called once for each peer that falls silent.
@@ -72,20 +81,28 @@
     def __init__(
         self,
         own: Hello,
-        create_batch: Callable[[bool], Batch | None],
+        source: StateSource,
         receive: Callable[[Hello, Batch], None],
         lose: Callable[[HostName], None],
         take_news: Callable[[HostName, ReaderNews], None] = lambda _host, _news: None,
         read_clock: Callable[[], float] = read_boottime,
     ) -> None:
         self._own = own
-        self._create_batch = create_batch
+        self._source = source
         self._receive = receive
         self._lose = lose
         self._take_news = take_news
         self._read_clock = read_clock
-        self._peers: dict[HostName, Peer] = {}
-        self._lost: set[HostName] = set()
+        self.peers = PeerTable(own, read_clock)
+        self._routes = Routes(None, (), (), ())
+        self._planned_at = self._hub_since = self._told_state_at = 0.0
+        self._passed_on_at = -HUB_IDLE_SECONDS
+        self._wanted: frozenset[HostName] = frozenset()
+        self._number = 0
+        self._ticks = 0
+        self._near_box, self._far_box = Outbox(1), Outbox(MERGED_BATCHES)
+        self._for_near: list[bytes] = []
+        self._for_far: list[bytes] = []
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._incoming: set[asyncio.StreamWriter] = set()
@@ -95,16 +112,17 @@
         """Listen, and begin to send."""
         ip, _, port = self._own.address.rpartition(":")
         self._server = await asyncio.start_server(self._accept, ip, int(port))
-        self._spawn(self._send_batches())
+        self._spawn(self._run())
 
     async def close(self) -> None:
         """Tell peers that this host leaves, and close all streams."""
         self._is_closing = True
-        for is_near in (True, False):
-            self._send(pack_batch(Batch(is_leaving=True)), is_near=is_near)
+        self._tell(Batch(is_leaving=True))
+        self._flush_near()
+        self._flush_far()
         for task in self._tasks:
             task.cancel()
-        for peer in self._peers.values():
+        for peer in self.peers:
             if peer.writer:
                 peer.writer.close()
         for writer in self._incoming:
@@ -113,56 +131,18 @@
             self._server.close()
 
     def add_peer(self, hello: Hello) -> None:
-        """Dial a host that was told of; its address may have changed."""
-        if hello.host == self._own.host or self._is_closing:
-            return
-        known = self._peers.get(hello.host)
-        if known and known.hello.address == hello.address:
-            return
-        if known and known.task:
-            known.task.cancel()
-        peer = Peer(hello, self._read_clock())
-        self._peers[hello.host] = peer
-        peer.task = self._spawn(self._keep_link(peer))
-
-    def list_heard(self) -> list[HostName]:
-        """Return the peers that have been heard of late."""
-        now = self._read_clock()
-        return [name for name, peer in self._peers.items() if peer.is_heard(now)]
-
-    def list_near(self) -> list[HostName]:
-        """Return the heard peers of this failure domain that don't leave."""
-        now = self._read_clock()
-        return [
-            name
-            for name, peer in self._peers.items()
-            if peer.hello.domain == self._own.domain and peer.is_heard(now) and not peer.is_leaving
-        ]
+        """Take in a host that was told of; its address may have changed."""
+        peer = None if self._is_closing else self.peers.admit(hello)
+        if peer:
+            peer.has_spoken.set()
 
     def tell_near(self, news: ReaderNews) -> None:
-        """Pass on to the peers of this failure domain what this host read in the store."""
-        self._send(pack_reader_news(news), is_near=True)
-
-    def measure_silence(self, domain: str) -> float | None:
-        """Return the seconds since any host of a failure domain was heard."""
-        now = self._read_clock()
-        heard = [
-            now - peer.heard_at
-            for peer in self._peers.values()
-            if peer.hello.domain == domain and peer.heard_at is not None and not peer.is_leaving
-        ]
-        return min(heard, default=None)
-
-    def count_hosts(self) -> int:
-        """Return how many hosts may take requests, this one included."""
-        now = self._read_clock()
-        return 1 + sum(peer.is_running(now) for peer in self._peers.values())
-
-    def measure_share(self) -> float:
-        """Return the part of all running hosts that this host is in touch with, itself included."""
-        now = self._read_clock()
-        heard = sum(p.is_heard(now) and p.is_running(now) for p in self._peers.values())
-        return (1 + heard) / self.count_hosts()
+        """Pass on to the hosts of this failure domain what this host read in the store."""
+        packed = self._pack(news)
+        if self._routes.hub:
+            self._send([self._routes.hub], Spread.DOMAIN, [packed])
+        else:
+            self._for_near.append(packed)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
@@ -170,60 +150,142 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _send_batches(self) -> None:
-        near, far = _Outbox(1), _Outbox(MERGED_BATCHES)
+    async def _run(self) -> None:
         while True:
             await asyncio.sleep(BATCH_SECONDS)
-            self._drop_silent()
-            batch = self._create_batch(False)
             now = self._read_clock()
-            self._send(near.take(batch, now), is_near=True)
-            self._send(far.take(batch, now), is_near=False)
-
-    def _send(self, data: bytes | None, *, is_near: bool) -> None:
-        if data is None:
+            if now >= self._planned_at + PLAN_SECONDS:
+                self._plan(now)
+            self._tell_news(now)
+            self._ticks += 1
+            if self._ticks % (1 + len(self._routes.near) // HOSTS_PER_BATCH) == 0:
+                self._flush_near()
+            if self._ticks % MERGED_BATCHES == 0:
+                self._flush_far()
+
+    def _plan(self, now: float) -> None:
+        self._planned_at = now
+        for host in self.peers.find_lost():
+            self._lose(host)
+        self._judge_hub(now)
+        routes = plan_routes(self._own, self.peers, now)
+        if routes.hub != self._routes.hub:
+            log_event(Part.PEERS, "hub chosen", hub=routes.hub or self._own.host)
+            self._hub_since, self._told_state_at = now, 0.0
+        self._routes = routes
+        is_hub = routes.hub is None or now < self._passed_on_at + HUB_IDLE_SECONDS
+        self._wanted = routes.targets if is_hub else frozenset()
+        if routes.hub:
+            self._wanted |= {routes.hub}
+        for host in self._wanted:
+            peer = self.peers.find(host)
+            if peer and peer.task is None:
+                peer.task = self._spawn(self._keep_link(peer))
+
+    def _judge_hub(self, now: float) -> None:
+        """Pass over a hub that does not pass on."""
+        hub = self.peers.find(self._routes.hub) if self._routes.hub else None
+        if hub is None:
+            return
+        told_at = max(self._hub_since, hub.direct_at or 0.0)
+        if now - told_at > HUB_SILENCE_SECONDS:
+            hub.avoided_until = now + HUB_AVOIDED_SECONDS
+            log_event(Part.PEERS, "hub is silent", hub=hub.hello.host, age=round(now - told_at, 2))
+
+    def _tell_news(self, now: float) -> None:
+        batch = self._source.create_news()
+        hub = self._routes.hub
+        if hub and now >= self._told_state_at + STATE_SECONDS:
+            self._told_state_at = now
+            state = self._source.create_state()
+            batch = merge_batches(batch, state) if batch else state
+        if hub:
+            due = self._near_box.take(batch, now)
+            if due:
+                self._send([hub], Spread.FLEET, [self._pack(due)])
             return
-        for peer in self._peers.values():
-            writer = peer.writer
+        near, far = self._near_box.take(batch, now), self._far_box.take(batch, now)
+        if near:
+            self._for_near.append(self._pack(near))
+        if far:
+            self._for_far.append(self._pack(far))
+
+    def _tell(self, batch: Batch) -> None:
+        packed = self._pack(batch)
+        if self._routes.hub:
+            self._send([self._routes.hub], Spread.FLEET, [packed])
+        else:
+            self._for_near.append(packed)
+            self._for_far.append(packed)
+
+    def _pack(self, content: Batch | ReaderNews) -> bytes:
+        self._number += 1
+        return pack_note(Note(self._own, self._number, content))
+
+    def _flush_near(self) -> None:
+        waiting, self._for_near = self._for_near, []
+        self._send(self._routes.near, Spread.NOBODY, waiting)
+
+    def _flush_far(self) -> None:
+        waiting, self._for_far = self._for_far, []
+        self._send(self._routes.far, Spread.NOBODY, waiting)
+        self._send(self._routes.far_hubs, Spread.DOMAIN, waiting)
+
+    def _send(self, hosts: Iterable[HostName], spread: Spread, packed: list[bytes]) -> None:
+        if not packed:
+            return
+        data = pack_notes(Notes(spread, tuple(packed)))
+        for host in hosts:
+            peer = self.peers.find(host)
+            writer = peer.writer if peer else None
             if writer is None or writer.is_closing():
                 continue
-            if (peer.hello.domain == self._own.domain) is not is_near:
-                continue
             if writer.transport.get_write_buffer_size() > LARGEST_BACKLOG:
                 writer.transport.abort()
                 continue
             writer.write(data)
 
-    def _drop_silent(self) -> None:
-        now = self._read_clock()
-        for name, peer in self._peers.items():
-            if peer.heard_at is not None and not peer.is_heard(now) and name not in self._lost:
-                self._lost.add(name)
-                log_event(Part.PEERS, "host out of touch", peer=name)
-                self._lose(name)
-
     async def _keep_link(self, peer: Peer) -> None:
         ip, _, port = peer.hello.address.rpartition(":")
         pause = SHORTEST_REDIAL
-        while not self._is_closing:
-            try:
-                opening = asyncio.open_connection(ip, int(port))
-                reader, writer = await asyncio.wait_for(opening, CONNECT_SECONDS)
-            except (OSError, ValueError):
-                await asyncio.sleep(pause)
-                pause = min(LONGEST_REDIAL, 2 * pause)
-                continue
-            pause = SHORTEST_REDIAL
-            bound_unacknowledged(writer.transport, USER_TIMEOUT_MS)
-            writer.write(pack_hello(self._own) + pack_batch(self._create_batch(True) or Batch()))
-            peer.writer = writer
-            try:
-                await reader.read()
-            except OSError as error:
-                log_event(Part.PEERS, "link broke", peer=peer.hello.host, reason=repr(error))
-            finally:
-                peer.writer = None
-                writer.close()
+        try:
+            while peer.hello.host in self._wanted and not self._is_closing:
+                try:
+                    opening = asyncio.open_connection(ip, int(port))
+                    reader, writer = await asyncio.wait_for(opening, CONNECT_SECONDS)
+                except (OSError, ValueError):
+                    self._avoid_broken(peer)
+                    await peer.wait_to_redial(pause)
+                    pause = min(LONGEST_REDIAL, 2 * pause)
+                    continue
+                pause = SHORTEST_REDIAL
+                await self._use_link(peer, reader, writer)
+                self._avoid_broken(peer)
+        finally:
+            peer.task = None
+
+    async def _use_link(
+        self, peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Introduce this host, and hold the stream until it ends."""
+        bound_unacknowledged(writer.transport, USER_TIMEOUT_MS)
+        introduction = self._pack(self._source.create_introduction())
+        writer.write(pack_hello(self._own))
+        writer.write(pack_notes(Notes(Spread.NOBODY, (introduction,))))
+        peer.writer = writer
+        if peer.hello.host == self._routes.hub:
+            self._told_state_at = 0.0
+        try:
+            await reader.read()
+        except OSError as error:
+            log_event(Part.PEERS, "link broke", peer=peer.hello.host, reason=repr(error))
+        finally:
+            peer.writer = None
+            writer.close()
+
+    def _avoid_broken(self, peer: Peer) -> None:
+        peer.avoided_until = max(peer.avoided_until, self._read_clock() + BROKEN_AVOIDED_SECONDS)
+        self._planned_at = 0.0
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         bound_unacknowledged(writer.transport, USER_TIMEOUT_MS)
@@ -235,55 +297,41 @@
                 if isinstance(message, Hello):
                     hello = message
                     self.add_peer(hello)
-                elif hello and isinstance(message, ReaderNews):
-                    self._take_news(hello.host, message)
-                elif hello and isinstance(message, Batch):
-                    self._take_batch(hello, message)
+                elif hello:
+                    self._take_notes(hello, message)
         except asyncio.IncompleteReadError:
             pass
         except (OSError, Unreadable) as error:
-            peer = hello.host if hello else None
-            log_event(Part.PEERS, "stream from host ended", peer=peer, reason=repr(error))
+            host = hello.host if hello else None
+            log_event(Part.PEERS, "stream from host ended", peer=host, reason=repr(error))
         finally:
             self._incoming.discard(writer)
             writer.close()
 
-    def _take_batch(self, hello: Hello, batch: Batch) -> None:
-        peer = self._peers.get(hello.host)
-        if peer is None or peer.hello.address != hello.address:
-            return
-        if hello.host in self._lost or peer.heard_at is None:
-            log_event(Part.PEERS, "host in touch", peer=hello.host, incarnation=hello.incarnation)
-            self._lost.discard(hello.host)
-        peer.hello = hello
-        peer.heard_at = self._read_clock()
-        peer.is_leaving = batch.is_leaving
-        self._receive(hello, batch)
-
-
-class _Outbox:
-    """Merge some batches in a row into one, and make heartbeats where there is nothing to tell."""
-
-    def __init__(self, merged: int) -> None:
-        self._merged = merged
-        self._count = 0
-        self._batch: Batch | None = None
-        self._sent_at = 0.0
-
-    def take(self, batch: Batch | None, now: float) -> bytes | None:
-        """Add a batch, and return the message that is due."""
-        if batch is not None:
-            self._batch = merge_batches(self._batch, batch) if self._batch else batch
-        self._count += 1
-        is_due = self._count >= self._merged and self._batch is not None
-        if not is_due and now - self._sent_at < HEARTBEAT_SECONDS:
-            return None
-        data = pack_batch(self._batch or Batch())
-        self._batch, self._count, self._sent_at = None, 0, now
-        return data
-
-
-async def _read_message(reader: asyncio.StreamReader) -> Hello | Batch | ReaderNews:
+    def _take_notes(self, hello: Hello, notes: Notes) -> None:
+        now = self._read_clock()
+        speaker = self.peers.find(hello.host)
+        if speaker:
+            speaker.direct_at = now
+            if notes.spread is Spread.DOMAIN and speaker.hello.domain != self._own.domain:
+                speaker.hub_at = now
+        if notes.spread is not Spread.NOBODY:
+            self._passed_on_at = now
+        for packed in notes.packed:
+            note = unpack_note(packed)
+            if self.peers.take_note(note) is None:
+                continue
+            if notes.spread is not Spread.NOBODY:
+                self._for_near.append(packed)
+            if notes.spread is Spread.FLEET:
+                self._for_far.append(packed)
+            if isinstance(note.content, Batch):
+                self._receive(note.sender, note.content)
+            else:
+                self._take_news(note.sender.host, note.content)
+
+
+async def _read_message(reader: asyncio.StreamReader) -> Hello | Notes:
     size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
     if size > LARGEST_MESSAGE_BYTES:
         raise Unreadable(f"a message of {size} bytes")
--- a/turmericproxy/fleet/messages.py
+++ b/turmericproxy/fleet/messages.py
@@ -1,7 +1,9 @@
 """Pack the messages between hosts."""
 
-from collections.abc import Mapping
+import zlib
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import astuple, dataclass, field
+from enum import Enum
 from typing import Any
 
 import msgpack
@@ -15,6 +17,9 @@
 LENGTH_BYTES = 4
 # A longer message is not one of ours.
 LARGEST_MESSAGE_BYTES = 4 * 1024 * 1024
+# Notes of fewer bytes are sent as they are; compressing them saves less than a packet's head.
+LEAST_COMPRESSED_BYTES = 256
+COMPRESSION_LEVEL = 1
 
 
 class Unreadable(ValueError):
@@ -23,12 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Introduce the sender; it opens every stream."""
+    """Introduce a host; ``strength`` orders hosts by their links, in Mbit/s."""
 
     host: HostName
     address: str
     domain: str
     incarnation: Incarnation
+    strength: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +53,8 @@
 
     ``spent`` holds tokens since the sender's start, by account. ``changing`` holds the seconds
     that engines still need for new weights. ``is_leaving`` tells that the sender takes no more
-    requests; hosts beside the kept store tell whether it answers.
+    requests; hosts beside the kept store tell whether it answers. A whole batch holds all of the
+    sender's work, and what it told of its work before no longer holds.
     """
 
     work: Mapping[InstanceId, Work] = field(default_factory=dict)
@@ -59,13 +66,14 @@
     changing: tuple[tuple[InstanceId, float], ...] = ()
     is_leaving: bool = False
     is_kept_store_reachable: bool | None = None
+    is_whole: bool = False
 
 
 def merge_batches(first: Batch, second: Batch) -> Batch:
     """Return one batch that tells what two in a row tell."""
     is_reachable = second.is_kept_store_reachable
     return Batch(
-        work={**first.work, **second.work},
+        work={**({} if second.is_whole else first.work), **second.work},
         placed=first.placed + second.placed,
         kept=first.kept + second.kept,
         spent={**first.spent, **second.spent},
@@ -76,61 +84,124 @@
         is_kept_store_reachable=(
             first.is_kept_store_reachable if is_reachable is None else is_reachable
         ),
+        is_whole=first.is_whole or second.is_whole,
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Hold what a host tells all others; the notes of one run of a host are numbered."""
+
+    sender: Hello
+    number: int
+    content: Batch | ReaderNews
+
+
+class Spread(Enum):
+    """Tell to whom the receiver of notes passes them on."""
+
+    NOBODY = "nobody"
+    DOMAIN = "domain"
+    FLEET = "fleet"
+
+
+@dataclass(frozen=True, slots=True)
+class Notes:
+    """Hold packed notes of any hosts, to be passed on as they are."""
+
+    spread: Spread
+    packed: tuple[bytes, ...]
+
+
 def pack_hello(hello: Hello) -> bytes:
     """Return the framed bytes of an introduction."""
-    return _frame(["hello", hello.host, hello.address, hello.domain, hello.incarnation])
-
-
-def pack_batch(batch: Batch) -> bytes:
-    """Return the framed bytes of a batch."""
-    return _frame(
-        [
-            "batch",
-            {instance: astuple(work) for instance, work in batch.work.items()},
-            [[p.instance, p.space, p.parts, p.seconds] for p in batch.placed],
-            batch.kept,
-            dict(batch.spent),
-            dict(batch.levels),
-            batch.versions,
-            batch.changing,
-            batch.is_leaving,
-            batch.is_kept_store_reachable,
-        ]
-    )
+    return _frame(["hello", *astuple(hello)])
 
 
-def pack_reader_news(news: ReaderNews) -> bytes:
-    """Return the framed bytes of what the reader of a failure domain learned."""
-    changes = None
-    if news.changes is not None:
-        rows = [[*astuple(changed.row), changed.is_deleted] for changed in news.changes.rows]
-        changes = [rows, news.changes.version]
-    return _frame(["reader_news", news.table, news.after, changes])
+def pack_note(note: Note) -> bytes:
+    """Return the bytes of a note, for a message of notes."""
+    content = note.content
+    is_batch = isinstance(content, Batch)
+    told = _write_batch(content) if isinstance(content, Batch) else _write_reader_news(content)
+    packed: bytes = msgpack.packb([*astuple(note.sender), note.number, is_batch, told])
+    return packed
 
 
-def unpack(data: bytes) -> Hello | Batch | ReaderNews:
+def pack_notes(notes: Notes) -> bytes:
+    """Return the framed bytes of notes."""
+    data: bytes = msgpack.packb(notes.packed)
+    is_compressed = len(data) >= LEAST_COMPRESSED_BYTES
+    if is_compressed:
+        data = zlib.compress(data, COMPRESSION_LEVEL)
+    return _frame(["notes", notes.spread.value, is_compressed, data])
+
+
+def unpack(data: bytes) -> Hello | Notes:
     """Return the message in a frame, or raise ``Unreadable``."""
-    try:
-        kind, *fields = msgpack.unpackb(data)
+    with _Reading():
+        kind, *values = msgpack.unpackb(data)
         if kind == "hello":
-            return Hello(*map(str, fields))  # type: ignore[arg-type]
-        if kind == "batch":
-            return _read_batch(*fields)
-        if kind == "reader_news":
-            return _read_reader_news(*fields)
-    except (ValueError, TypeError, KeyError, AttributeError, msgpack.UnpackException) as error:
-        raise Unreadable(str(error)) from error
+            return _read_hello(*values)
+        if kind == "notes":
+            return _read_notes(*values)
     raise Unreadable(f"no message is called {kind!r}")
 
 
-def _frame(fields: list[Any]) -> bytes:
-    body: bytes = msgpack.packb(fields)
+def unpack_note(data: bytes) -> Note:
+    """Return a packed note, or raise ``Unreadable``."""
+    with _Reading():
+        *sender, number, is_batch, told = msgpack.unpackb(data, strict_map_key=False)
+        content = _read_batch(told) if is_batch else _read_reader_news(*told)
+        return Note(_read_hello(*sender), int(number), content)
+
+
+class _Reading:
+    """Turn the errors of reading into ``Unreadable``."""
+
+    def __enter__(self) -> None:
+        pass
+
+    def __exit__(self, kind: object, error: BaseException | None, trace: object) -> None:
+        if isinstance(
+            error,
+            ValueError
+            | TypeError
+            | KeyError
+            | AttributeError
+            | msgpack.UnpackException
+            | zlib.error,
+        ):
+            raise Unreadable(str(error)) from error
+
+
+def _frame(values: list[Any]) -> bytes:
+    body: bytes = msgpack.packb(values)
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
+def _read_hello(host: Any, address: Any, domain: Any, incarnation: Any, strength: Any) -> Hello:
+    return Hello(
+        HostName(str(host)), str(address), str(domain), Incarnation(str(incarnation)), int(strength)
+    )
+
+
+def _read_notes(spread: Any, is_compressed: Any, data: Any) -> Notes:
+    if is_compressed:
+        inflater = zlib.decompressobj()
+        data = inflater.decompress(data, LARGEST_MESSAGE_BYTES)
+        if inflater.unconsumed_tail:
+            raise Unreadable("notes are too large")
+    return Notes(Spread(spread), tuple(map(bytes, msgpack.unpackb(data))))
+
+
+def _write_reader_news(news: ReaderNews) -> list[Any]:
+    changes = None
+    if news.changes is not None:
+        rows = [[*astuple(changed.row), changed.is_deleted] for changed in news.changes.rows]
+        changes = [rows, news.changes.version]
+    return [news.table, news.after, changes]
+
+
 def _read_reader_news(table: Any, after: Any, changes: Any) -> ReaderNews:
     if changes is None:
         return ReaderNews(str(table), int(after), None)
@@ -142,28 +213,51 @@
     return ReaderNews(str(table), int(after), Changes(changed, int(version)))
 
 
-def _read_batch(
-    work: Any,
-    placed: Any,
-    kept: Any,
-    spent: Any,
-    levels: Any,
-    versions: Any,
-    changing: Any,
-    is_leaving: Any,
-    is_reachable: Any,
-) -> Batch:
-    return Batch(
-        work={InstanceId(i): Work(*map(int, w)) for i, w in work.items()},
-        placed=tuple(
-            PlacedPrompt(InstanceId(i), str(s), tuple((str(p), int(t)) for p, t in parts), float(d))
-            for i, s, parts, d in placed
-        ),
-        kept=tuple((str(space), str(part)) for space, part in kept),
-        spent={AccountName(name): int(total) for name, total in spent.items()},
-        levels={AccountName(name): int(level) for name, level in levels.items()},
-        versions=tuple((InstanceId(i), ModelName(m), int(v)) for i, m, v in versions),
-        changing=tuple((InstanceId(i), float(s)) for i, s in changing),
-        is_leaving=bool(is_leaving),
-        is_kept_store_reachable=None if is_reachable is None else bool(is_reachable),
+def _write_batch(batch: Batch) -> dict[int, Any]:
+    """Return the fields that tell something, by their place in the class."""
+    told = {}
+    for place, (name, _) in enumerate(_READERS):
+        value = getattr(batch, name)
+        if value or (value is False and name == "is_kept_store_reachable"):
+            told[place] = value
+    if batch.work:
+        told[_WORK] = {
+            i: [w.requests, w.unread_tokens, w.held_tokens] for i, w in batch.work.items()
+        }
+    if batch.placed:
+        told[_PLACED] = [[p.instance, p.space, p.parts, p.seconds] for p in batch.placed]
+    return told
+
+
+def _read_batch(told: dict[int, Any]) -> Batch:
+    values = {}
+    for place, value in told.items():
+        name, read = _READERS[place]
+        values[name] = read(value)
+    return Batch(**values)
+
+
+def _read_placed(value: Any) -> tuple[PlacedPrompt, ...]:
+    return tuple(
+        PlacedPrompt(InstanceId(i), str(s), tuple((str(p), int(t)) for p, t in parts), float(d))
+        for i, s, parts, d in value
     )
+
+
+def _read_totals(value: Any) -> dict[AccountName, int]:
+    return {AccountName(name): int(total) for name, total in value.items()}
+
+
+_READERS: Sequence[tuple[str, Callable[[Any], Any]]] = (
+    ("work", lambda v: {InstanceId(i): Work(*map(int, w)) for i, w in v.items()}),
+    ("placed", _read_placed),
+    ("kept", lambda v: tuple((str(space), str(part)) for space, part in v)),
+    ("spent", _read_totals),
+    ("levels", _read_totals),
+    ("versions", lambda v: tuple((InstanceId(i), ModelName(m), int(n)) for i, m, n in v)),
+    ("changing", lambda v: tuple((InstanceId(i), float(s)) for i, s in v)),
+    ("is_leaving", bool),
+    ("is_kept_store_reachable", bool),
+    ("is_whole", bool),
+)
+_WORK, _PLACED = 0, 1
--- a/turmericproxy/host/announcing.py
+++ b/turmericproxy/host/announcing.py
@@ -1,6 +1,7 @@
 """Collect what peers are to be told of, and take in what they tell."""
 
 import asyncio
+from dataclasses import replace
 
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
@@ -41,16 +42,22 @@
         """Tell that an engine has loaded a version."""
         self._versions.append((instance, model, version))
 
-    def create_batch(self, is_first: bool) -> Batch | None:
-        """Return the news since the last batch, or all state for a new stream."""
-        if is_first:
-            return Batch(
-                work=self._book.list_own_work(),
-                spent=self._quotas.list_spent(),
-                levels=self._quotas.list_levels(),
-                versions=self._book.list_versions(),
-                is_kept_store_reachable=self._caches.get_own_finding(),
-            )
+    def create_introduction(self) -> Batch:
+        """Return all state, for a host that has just started."""
+        return replace(
+            self.create_state(),
+            levels=self._quotas.list_levels(),
+            versions=self._book.list_versions(),
+            is_kept_store_reachable=self._caches.get_own_finding(),
+        )
+
+    def create_state(self) -> Batch:
+        """Return all work and spending."""
+        work, spent = self._book.list_own_work(), self._quotas.list_spent()
+        return Batch(work=work, spent=spent, is_whole=True)
+
+    def create_news(self) -> Batch | None:
+        """Return what has changed since the last call."""
         work, spent = self._book.take_changed_work(), self._quotas.take_changed()
         placed, kept = self._dispatcher.take_news()
         changing, self._changing = self._changing, []
@@ -82,6 +89,8 @@
         """Take in a batch of a peer."""
         for instance, model, version in batch.versions:
             self._book.learn_version(instance, model, version)
+        if batch.is_whole:
+            self._book.forget_peer(hello.host)
         self._book.set_peer_work(hello.host, batch.work)
         now = asyncio.get_running_loop().time()
         for prompt in batch.placed:
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -32,6 +32,8 @@
 RETRY_RESERVE_USED = 0.6
 # Hosts that are counted at least, so that one that knows no peers takes no more than its part.
 LEAST_HOSTS = 6
+# Hexadecimal digits that tell two runs of one host apart; every note carries them.
+INCARNATION_DIGITS = 8
 # Seconds between two updates of shares and limits.
 UPKEEP_SECONDS = 0.1
 # Seconds after SIGTERM in which new connections still come: two missed checks and their delay.
@@ -51,7 +53,8 @@
         self._metrics = Metrics()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._is_draining = False
-        own = Hello(settings.host, settings.links, settings.domain, Incarnation(create_id()))
+        incarnation = Incarnation(create_id()[:INCARNATION_DIGITS])
+        own = Hello(settings.host, settings.links, settings.domain, incarnation, settings.link_mbps)
         self._book = UpstreamBook()
         self._wanted = WantedVersions()
         self._quotas = QuotaController(
@@ -75,13 +78,13 @@
         self._news = FleetNews(self._book, self._dispatcher, self._quotas, self._caches)
         self._links = FleetLinks(
             own,
-            self._news.create_batch,
+            self._news,
             self._news.receive,
             self._news.lose,
             self._take_reader_news,
         )
         self._followed = RelayedStore(
-            adapter.store, settings.host, self._links.list_near, self._links.tell_near
+            adapter.store, settings.host, self._links.peers.list_near, self._links.tell_near
         )
         self._directory = HostDirectory(adapter.store, own, self._links)
         self._rollout = self._create_rollout()
@@ -164,7 +167,7 @@
             adapter.control,
             holder,
             settings.host,
-            self._links.list_heard,
+            self._links.peers.list_heard,
             self._news,
         )
 
@@ -172,7 +175,7 @@
         self._followed.take_news(host, news)
 
     def _measure_silence(self, domain: str) -> float | None:
-        return self._links.measure_silence(domain)
+        return self._links.peers.measure_silence(domain)
 
     def _note_unreadable(self, status: int) -> tuple[list[tuple[str, str]], bytes]:
         self._metrics.count("unreadable_requests", status=str(status))
@@ -192,7 +195,7 @@
         return budget
 
     def _measure_reserve(self) -> float:
-        hosts = max(LEAST_HOSTS, self._links.count_hosts())
+        hosts = max(LEAST_HOSTS, self._links.peers.count_hosts())
         return RETRY_RESERVE_USED * self._settings.retry_reserve / hosts
 
     async def _tell_ready(self, request: ClientRequest, writer: AnswerWriter) -> None:
@@ -209,7 +212,7 @@
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
-            self._quotas.follow_share(self._links.measure_share())
+            self._quotas.follow_share(self._links.peers.measure_share())
             reserve = self._measure_reserve()
             for budget in self._budgets.values():
                 budget.set_reserve(reserve)
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -53,6 +53,7 @@
                 overshoot=reader.read_number("bounds.quota_overshoot"),
                 slack=reader.read_number("bounds.quota_slack"),
             ),
+            link_mbps=int(reader.read_number("limits.link_mbps", missing="0")),
         )
     except _Wrong as wrong:
         return wrong.fault
@@ -74,8 +75,8 @@
     def __init__(self, values: Mapping[str, str]) -> None:
         self._values = values
 
-    def read_text(self, name: str) -> str:
-        value = self._values.get(name, "")
+    def read_text(self, name: str, missing: str = "") -> str:
+        value = self._values.get(name, "") or missing
         if not value:
             raise _Wrong(name, "is missing")
         return value
@@ -83,9 +84,9 @@
     def read_list(self, name: str) -> list[str]:
         return self.read_text(name).split(",")
 
-    def read_number(self, name: str) -> float:
+    def read_number(self, name: str, missing: str = "") -> float:
         try:
-            return float(self.read_text(name))
+            return float(self.read_text(name, missing))
         except ValueError:
             raise _Wrong(name, "is no number") from None
 
--- a/turmericproxy/store/relaying.py
+++ b/turmericproxy/store/relaying.py
@@ -13,7 +13,7 @@
 
 # Hosts of a failure domain from which on one follows for all: with fewer, the calls that it saves
 # cost less than what a lost reader delays.
-LEAST_HOSTS = 8
+LARGE_DOMAIN_HOSTS = 8
 # Seconds beyond a call's own wait after which a host asks the store itself: a merged batch, a
 # round trip and a busy reader.
 PATIENCE_SECONDS = 0.5
@@ -133,7 +133,7 @@
     def _find_reader(self, table: str) -> HostName | None:
         """Return who follows a table for this domain; nobody in a small one."""
         near = self._list_near()
-        is_large = len(near) + 1 >= LEAST_HOSTS
+        is_large = len(near) + 1 >= LARGE_DOMAIN_HOSTS
         reader = choose_reader(table, (*near, self._own)) if is_large else None
         known = self._tables[table]
         if reader != known.reader:
