Load new weights on a share of the engines at once, and count what peers have in sums

Ruled out: the lease and its holder; loads followed each other without a pause in the log. Change: two fifths of a model's engines load at once, which are 2 of 5 or 6 as before. Besides, a choice no longer adds up the work of all peers for each engine, nor looks for the engines that offer parts once for each target.

--- a/tests/placement/test_book.py
+++ b/tests/placement/test_book.py
@@ -59,3 +59,15 @@
     assert book.list_ready(SERVICE) == []
     book.update(create_entry("one"))
     assert len(book.list_ready(SERVICE)) == 1
+
+
+def test_sum_over_peers_follows_each_change() -> None:
+    book = create_book(create_entry("one"))
+    for host, work in (("h", Work(3, 30, 300)), ("i", Work(1, 5, 9)), ("h", Work(1, 0, 100))):
+        book.set_peer_work(HostName(host), {ONE: work})
+    state = book.find(ONE)
+    assert state is not None
+    assert state.others == Work(2, 5, 109)
+    book.set_peer_work(HostName("i"), {ONE: Work()})
+    assert state.others == Work(1, 0, 100)
+    assert set(state.peers) == {"h"}
--- a/turmericproxy/placement/book.py
+++ b/turmericproxy/placement/book.py
@@ -29,16 +29,37 @@
     unread_tokens: int = 0
     held_tokens: int = 0
 
+    def __add__(self, other: "Work") -> "Work":
+        return Work(
+            self.requests + other.requests,
+            self.unread_tokens + other.unread_tokens,
+            self.held_tokens + other.held_tokens,
+        )
+
+    def __sub__(self, other: "Work") -> "Work":
+        return Work(
+            self.requests - other.requests,
+            self.unread_tokens - other.unread_tokens,
+            self.held_tokens - other.held_tokens,
+        )
+
+
+NO_WORK = Work()
+
 
 @dataclass
 class UpstreamState:
-    """Gather what a host knows of one upstream; times are of the event loop."""
+    """Gather what a host knows of one upstream; times are of the event loop.
+
+    ``others`` is the sum over all peers, which each choice asks for.
+    """
 
     entry: UpstreamEntry
     prefixes: PrefixMemory
     health: Health = Health()
-    own: Work = Work()
+    own: Work = NO_WORK
     peers: dict[HostName, Work] = field(default_factory=dict)
+    others: Work = NO_WORK
     versions: dict[ModelName, int] = field(default_factory=dict)
     changing_until: float = 0.0
     is_superseded: bool = False
@@ -58,17 +79,23 @@
     @property
     def requests(self) -> int:
         """Return the requests of all hosts."""
-        return self.own.requests + sum(work.requests for work in self.peers.values())
+        return self.own.requests + self.others.requests
 
     @property
     def unread_tokens(self) -> int:
         """Return the prompt tokens of all hosts that have not brought a first token."""
-        return self.own.unread_tokens + sum(work.unread_tokens for work in self.peers.values())
+        return self.own.unread_tokens + self.others.unread_tokens
 
     @property
     def held_tokens(self) -> int:
         """Return the memory that requests of all hosts take, in tokens."""
-        return self.own.held_tokens + sum(work.held_tokens for work in self.peers.values())
+        return self.own.held_tokens + self.others.held_tokens
+
+    def set_peer_work(self, host: HostName, work: Work) -> None:
+        """Take in what a peer has here."""
+        self.others = self.others - self.peers.pop(host, NO_WORK) + work
+        if work != NO_WORK:
+            self.peers[host] = work
 
 
 class UpstreamBook:
@@ -174,12 +201,13 @@
         for instance, work in works.items():
             state = self._states.get(instance)
             if state:
-                state.peers[host] = work
+                state.set_peer_work(host, work)
 
     def forget_peer(self, host: HostName) -> None:
         """Drop the work of a peer that can't be heard any more."""
         for state in self._states.values():
-            state.peers.pop(host, None)
+            if host in state.peers:
+                state.set_peer_work(host, NO_WORK)
 
     def take_changed_work(self) -> dict[InstanceId, Work]:
         """Return this host's work where it has changed since the last call."""
@@ -238,7 +266,7 @@
         memory = PrefixMemory(self._capacities.get(entry.service, 0))
         state = UpstreamState(entry, memory, versions=dict(entry.versions))
         if before:
-            state.own, state.peers = before.own, before.peers
+            state.own, state.peers, state.others = before.own, before.peers, before.others
         self._states[entry.instance] = state
         self._index()
 
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -2,7 +2,7 @@
 
 import functools
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from turmericproxy.core import ModelName
@@ -81,22 +81,44 @@
         shared=prompt.shared_parts,
         home_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
     )
-    held: dict[InstanceId, int] = {}
-    offered: dict[InstanceId, int] = {}
-    for state in usable:
-        keys, memory = _list_keys_at(state, prompt, scene), state.prefixes
-        held[state.entry.instance] = _count_leading(keys, memory.holds)
-        offered[state.entry.instance] = _count_leading(
-            keys, functools.partial(memory.offers, now=scene.now)
-        )
-    known = max(held.values())
+    keys_at = {v: _list_keys_at(v, prompt, scene) for v in {_get_version(s, scene) for s in usable}}
+    holdings = [_find_holding(state, keys_at, scene) for state in usable]
+    known = max(holding.held_parts for holding in holdings)
+    sources = [h for h in holdings if h.offered_parts and _is_sound(h.state, scene)]
+    kept_parts = {v: _count_leading(keys, scene.kept.holds) for v, keys in keys_at.items()}
+    chosen_from = {state.entry.instance for state in awake}
     candidates = [
-        score_engine(_view_engine(state, usable, held, offered, prompt, scene), need, known)
-        for state in awake
+        score_engine(
+            _view_engine(holding, _find_source(holding, sources, kept_parts, scene), scene),
+            need,
+            known,
+        )
+        for holding in holdings
+        if holding.state.entry.instance in chosen_from
     ]
     return choose_engine(candidates, need, known)
 
 
+@dataclass(frozen=True, slots=True)
+class _Holding:
+    """Hold how many leading parts of a prompt an engine has, and how many of them to others."""
+
+    state: UpstreamState
+    version: int
+    held_parts: int
+    offered_parts: int
+
+
+def _find_holding(
+    state: UpstreamState, keys_at: Mapping[int, tuple[PartKey, ...]], scene: EngineScene
+) -> _Holding:
+    version = _get_version(state, scene)
+    keys, memory = keys_at[version], state.prefixes
+    held = _count_leading(keys, memory.holds)
+    offered = _count_leading(keys[:held], functools.partial(memory.offers, now=scene.now))
+    return _Holding(state, version, held, offered)
+
+
 def list_awake(
     states: Sequence[UpstreamState], is_cut: Callable[[str], bool], now: float
 ) -> Sequence[UpstreamState]:
@@ -124,8 +146,11 @@
     return state.versions.get(scene.model, 0) >= scene.wanted_version
 
 
-def _list_keys_at(state: UpstreamState, prompt: Prompt, scene: EngineScene) -> tuple[PartKey, ...]:
-    version = state.versions.get(scene.model, 0)
+def _get_version(state: UpstreamState, scene: EngineScene) -> int:
+    return state.versions.get(scene.model, 0)
+
+
+def _list_keys_at(version: int, prompt: Prompt, scene: EngineScene) -> tuple[PartKey, ...]:
     return list_keys(name_space(scene.wall, scene.model, version), prompt)
 
 
@@ -134,75 +159,63 @@
     return sum(1 for _ in itertools.takewhile(is_there, keys))
 
 
-def _view_engine(
-    state: UpstreamState,
-    states: Sequence[UpstreamState],
-    held: dict[InstanceId, int],
-    offered: dict[InstanceId, int],
-    prompt: Prompt,
-    scene: EngineScene,
-) -> EngineView:
-    entry = state.entry
-    version = state.versions.get(scene.model, 0)
+def _view_engine(holding: _Holding, source: FetchSource | None, scene: EngineScene) -> EngineView:
+    state, entry = holding.state, holding.state.entry
     changing = max(0.0, state.changing_until - scene.now)
-    if version < scene.wanted_version and scene.wanted_age > OLD_WEIGHTS_SECONDS:
+    if holding.version < scene.wanted_version and scene.wanted_age > OLD_WEIGHTS_SECONDS:
         changing += OLD_WEIGHTS_PENALTY
     return EngineView(
         instance=entry.instance,
         address=entry.address,
         domain=entry.domain,
         is_near=entry.domain == scene.domain,
-        version=version,
+        version=holding.version,
         requests=state.requests,
         unread_tokens=state.unread_tokens,
         held_tokens=state.held_tokens,
         capacity_tokens=scene.traits.capacity_tokens,
-        cached_parts=held[entry.instance],
+        cached_parts=holding.held_parts,
         tokens_per_second=state.tokens_per_second,
         failure_share=state.health.measure_failures(scene.now),
         changing_seconds=changing,
-        source=_find_source(state, states, held[entry.instance], offered, prompt, scene),
+        source=source,
     )
 
 
 def _find_source(
-    state: UpstreamState,
-    states: Sequence[UpstreamState],
-    own: int,
-    offered: dict[InstanceId, int],
-    prompt: Prompt,
+    target: _Holding,
+    sources: Sequence[_Holding],
+    kept_parts: Mapping[int, int],
     scene: EngineScene,
 ) -> FetchSource | None:
-    version = state.versions.get(scene.model, 0)
     best: FetchSource | None = None
-    for other in states:
-        is_equal = other.versions.get(scene.model, 0) == version
-        is_sound = not other.health.is_paused(scene.now) and scene.now >= other.changing_until
-        is_sound = is_sound and _can_fetch(other.entry.domain, state, scene)
-        if other is state or not is_equal or not is_sound or offered[other.entry.instance] <= own:
+    for other in sources:
+        domain = other.state.entry.domain
+        is_equal = other.version == target.version and other.state is not target.state
+        if not is_equal or other.offered_parts <= target.held_parts:
             continue
-        source = FetchSource(
-            other.entry.address,
-            offered[other.entry.instance],
-            _price_token(scene.traits.link_bytes_per_second, other.entry.domain, state, scene),
-        )
+        if not _can_fetch(domain, target.state, scene):
+            continue
+        price = _price_token(scene.traits.link_bytes_per_second, domain, target.state, scene)
+        source = FetchSource(other.state.entry.address, other.offered_parts, price)
         best = min(best or source, source, key=lambda s: (-s.held_parts, s.seconds_per_token))
-    if best or scene.kept_store is None:
-        return best
-    return _find_kept(state, own, prompt, scene)
+    return best or _find_kept(target, kept_parts[target.version], scene)
 
 
-def _find_kept(
-    state: UpstreamState, own: int, prompt: Prompt, scene: EngineScene
-) -> FetchSource | None:
+def _find_kept(target: _Holding, count: int, scene: EngineScene) -> FetchSource | None:
     store = scene.kept_store
-    count = _count_leading(_list_keys_at(state, prompt, scene), scene.kept.holds)
-    if store is None or count <= own or not _can_fetch(store.domain, state, scene):
+    if store is None or count <= target.held_parts:
+        return None
+    if not _can_fetch(store.domain, target.state, scene):
         return None
-    seconds = _price_token(store.link_bytes_per_second, store.domain, state, scene)
+    seconds = _price_token(store.link_bytes_per_second, store.domain, target.state, scene)
     return FetchSource(store.address, count, seconds)
 
 
+def _is_sound(state: UpstreamState, scene: EngineScene) -> bool:
+    return not state.health.is_paused(scene.now) and scene.now >= state.changing_until
+
+
 def _can_fetch(domain: str, target: UpstreamState, scene: EngineScene) -> bool:
     # A source that can't be reached costs the engine some hundred milliseconds.
     return domain == target.entry.domain or not scene.is_cut(domain)
--- a/turmericproxy/rollout/plan.py
+++ b/turmericproxy/rollout/plan.py
@@ -5,8 +5,10 @@
 
 from turmericproxy.core.ids import InstanceId
 
-# Engines that load at the same time; more slow each other down.
-LOADS_AT_ONCE = 2
+# Share of a model's engines that load at the same time, and how many at least: on the users'
+# sheets, more of them slow each other down.
+LOADS_SHARE = 0.4
+LEAST_LOADS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +31,7 @@
     ('b',)
     """
     loading = sum(standing.is_loading for standing in standings)
-    room = max(0, LOADS_AT_ONCE - loading)
+    room = max(0, max(LEAST_LOADS, int(LOADS_SHARE * len(standings))) - loading)
     lagging = [s for s in standings if s.version < wanted and not s.is_loading and s.is_reachable]
     lagging.sort(key=lambda s: (s.requests, s.instance))
     return tuple(standing.instance for standing in lagging[:room])
