Close a connection quietly that its client reset after the answer

Ruled out: answers; the request's answer was whole. The test with a transport that was reset fails without the change.

--- a/tests/edge/test_connection.py
+++ b/tests/edge/test_connection.py
@@ -1,12 +1,15 @@
 """Check that the front reads strictly, waits for nobody, and stops with its clients."""
 
 import asyncio
+import errno
+import gc
 import time
 
 import pytest
 
 from tests.edge.support import GET, Seen, exchange, start_server
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits
+from turmericproxy.edge.connection import LINGER_SECONDS, ClientConnection
 
 HOST = b"Host: a\r\n"
 # A request that must never be taken out of the body of another one.
@@ -278,3 +281,41 @@
     received = asyncio.run(run())
     assert received.endswith(b"\r\n\r\nall")
     assert b"chunked" not in received
+
+
+class ResetTransport(asyncio.Transport):
+    """Act as the end of a connection that the client has reset."""
+
+    is_closed = False
+
+    def write(self, data: object) -> None:
+        pass
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        raise OSError(errno.ENOTCONN, "not connected")
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+
+def test_connection_that_was_reset_after_its_answer_is_closed_quietly() -> None:
+    async def run() -> None:
+        faults: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: faults.append(context))
+        connection = ClientConnection(Seen().answer, EdgeLimits, lambda: True)
+        transport = ResetTransport()
+        connection.connection_made(transport)
+        connection.data_received(GET)
+        await asyncio.sleep(LINGER_SECONDS + 0.2)
+        gc.collect()
+        assert faults == []
+        assert transport.is_closed
+
+    asyncio.run(run())
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -1,6 +1,7 @@
 """Read requests from one client connection, strictly and with time limits."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -256,7 +257,9 @@
         self._is_refused = True
         if self._transport:
             if self._transport.can_write_eof():
-                self._transport.write_eof()
+                # A client that has reset its connection leaves nothing to end.
+                with contextlib.suppress(OSError):
+                    self._transport.write_eof()
             self._set_timer(LINGER_SECONDS, self._transport.close)
 
     def _set_timer(self, seconds: float, action: Callable[[], None] | None) -> None:
