Take signals of changed settings from the first line on

Ruled out: the handler on the event loop, which only comes later. Change: the entry module ignores the signal before it imports the host. The interpreter's own start stays open to it; nothing of ours runs there.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -19,7 +19,7 @@
     if content is not None:
         path.write_text(content)
     ended = subprocess.run(
-        [sys.executable, "-m", "turmericproxy.platform.program"],
+        [sys.executable, "-m", "turmericproxy.platform"],
         cwd=ROOT,
         env={**os.environ, "TURMERICPROXY_CONFIG": str(path)},
         capture_output=True,
@@ -32,3 +32,22 @@
     assert fault["code"] == 700
     assert fault["setting"]
     assert fault["reason"]
+
+
+def test_changed_settings_do_not_end_a_host_that_still_starts() -> None:
+    # The entry module takes in none of the host's modules before it ignores the signal.
+    check = (
+        "import signal, sys\n"
+        "from turmericproxy.platform import __main__ as entry\n"
+        "assert 'turmericproxy.platform.program' not in sys.modules\n"
+        "assert 'asyncio' not in sys.modules\n"
+        "del __import__('os').environ['TURMERICPROXY_CONFIG']\n"
+        "assert entry.main() != 0\n"
+        "signal.raise_signal(signal.SIGHUP)\n"
+        "print('alive')"
+    )
+    environment = {**os.environ, "TURMERICPROXY_CONFIG": "none"}
+    run = subprocess.run(
+        [sys.executable, "-c", check], env=environment, capture_output=True, text=True, check=False
+    )
+    assert run.stdout.endswith("alive\n"), run.stderr
--- a/turmericproxy/platform/program.py
+++ b/turmericproxy/platform/program.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import sys
 from pathlib import Path
 
 from turmericproxy.cli.exits import ExitCode
@@ -59,7 +58,3 @@
 async def _run_host(settings: SiteHostSettings) -> None:
     # The parts of a host belong to a running event loop.
     await SiteHost(settings, create_adapter(settings.store)).run()
-
-
-if __name__ == "__main__":
-    sys.exit(main())
