--- a/tests/edge/test_connection.py
+++ b/tests/edge/test_connection.py
@@ -288,6 +288,15 @@
 
     is_closed = False
 
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
     def write(self, data: object) -> None:
         pass
 
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -8,6 +8,8 @@
 from turmericproxy.core import HostName, Incarnation
 from turmericproxy.fleet import Batch, FleetLinks, Hello
 
+_TAKEN: set[int] = set()
+
 
 def pick_port() -> int:
     # Below the ports that the system gives to outgoing connections, of which there are many.
@@ -15,7 +17,9 @@
         port = random.randrange(15_000, 30_000)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            return port
+            if port not in _TAKEN:
+                _TAKEN.add(port)
+                return port
 
 
 class Node:
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -95,6 +95,8 @@
             self._report(writer)
         elif request.path == "/api/order":
             await self._order(request, writer)
+        elif request.path == "/api/kv-events":
+            await self._tell_events(request, writer)
         else:
             await self._run(request, writer)
 
@@ -108,6 +110,12 @@
         }
         writer.send(200, (), json.dumps(content).encode())
 
+    async def _tell_events(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        # The stand-in's cache never changes.
+        await asyncio.sleep(int(request.headers.get("Wait-Ms") or 0) / 1000)
+        content = {"epoch": self.born, "next": 0, "lost": False, "events": []}
+        writer.send(200, (), json.dumps(content).encode())
+
     async def _order(self, request: ClientRequest, writer: AnswerWriter) -> None:
         order = json.loads(request.body)
         if request.headers.get("X-Expect-Instance") != self.instance:
