--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -26,6 +26,14 @@
 RESTART_SECONDS = 0.3
 START_SECONDS = 8.0
 WEIGHTS_KEY = "version/m"
+STORE_TROUBLES = {
+    Trouble.REFUSING_STORE,
+    Trouble.SLOW_STORE,
+    Trouble.SILENT_STORE,
+    Trouble.ANSWERLESS_STORE,
+    Trouble.LOST_HISTORY,
+}
+SILENCE_SECONDS = 3.0
 _LOGGER = logging.getLogger("soak")
 
 
@@ -130,6 +138,11 @@
         return call is not None and call.status == 200 and call.is_whole
 
     async def _run_fault(self, fault: Fault) -> None:
+        loop = asyncio.get_running_loop()
+        if fault.trouble in STORE_TROUBLES:
+            # Hosts notice a store that went silent after some seconds.
+            ends = loop.time() + max(fault.seconds, SILENCE_SECONDS)
+            self.history.store_troubles.append((loop.time(), ends))
         await _ACTS[fault.trouble](self, fault)
 
     def _pick_host(self, fault: Fault) -> Host:
