Let the next host read the store for a domain while the first has lost it

Ruled out: the hub, which passed on what there was; the hosts' own links. Change: a reader answers each second at least, so that silence is noticed 1.5 s after it begins. A host that has lost the store or is silent is passed over for 20 s or until it reaches it, and the next one reads in its place, also for the host that can't; before, each host of the domain did.

--- a/turmericproxy/store/relaying.py
+++ b/turmericproxy/store/relaying.py
@@ -17,8 +17,13 @@
 # Seconds beyond a call's own wait after which a host asks the store itself: a merged batch, a
 # round trip and a busy reader.
 PATIENCE_SECONDS = 0.5
+# Longest wait of a reader's call, in seconds. A reader whose link to the store is silent is noticed
+# after this and the patience, well within the time in which a configuration is in force.
+READER_WAIT_SECONDS = 1.0
 # Seconds between two looks at who reads; a reader that is lost is noticed after 1.3 s.
 LOOK_SECONDS = 0.3
+# Seconds for which a host that has lost the store is passed over, unless it reaches it before.
+PASSED_OVER_SECONDS = 20.0
 # Answers that are kept for a host that handles an earlier one.
 KEPT_ANSWERS = 64
 
@@ -69,16 +74,24 @@
 
 @dataclass
 class _TableNews:
-    """Hold who follows a table, and what it told since this host last looked.
+    """Hold who follows a table, and what was told of it since this host last looked.
 
-    ``lost_reader`` has said that it lost the store, and has told of no changes since.
+    ``passed_over`` has the hosts that lost the store or fell silent, and until when.
     """
 
     reader: HostName | None = None
-    lost_reader: HostName | None = None
+    passed_over: dict[HostName, float] = field(default_factory=dict)
     answers: deque[ReaderNews] = field(default_factory=lambda: deque(maxlen=KEPT_ANSWERS))
     has_come: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def pass_over(self, host: HostName) -> None:
+        """Let others follow the table for some time."""
+        self.passed_over[host] = asyncio.get_running_loop().time() + PASSED_OVER_SECONDS
+
+    def is_passed_over(self, host: HostName) -> bool:
+        """Return whether a host does not follow the table for now."""
+        return self.passed_over.get(host, 0.0) > asyncio.get_running_loop().time()
+
 
 class RelayedStore:
     """Follow tables through the reader of this failure domain, and through the store without one.
@@ -112,30 +125,36 @@
     ) -> Changes | HistoryGone | Refusal:
         """Return what changed since a version, as this host or its reader learns it."""
         reader = self._find_reader(table)
-        if reader is not None and reader not in (self._own, self._tables[table].lost_reader):
-            answer = await self._wait_for_reader(table, version, seconds, reader)
+        reader_wait = min(seconds, READER_WAIT_SECONDS)
+        if reader is None:
+            return await self._ask_store(table, version, seconds)
+        if reader != self._own:
+            answer = await self._wait_for_reader(table, version, reader_wait, reader)
             if answer is not None:
                 return answer
-        return await self._ask_store(table, version, seconds)
+        return await self._ask_store(table, version, reader_wait)
 
     def take_news(self, sender: HostName, news: ReaderNews) -> None:
-        """Take in what a reader has learned."""
-        if sender != self._find_reader(news.table):
-            return
+        """Take in what a host of the domain has learned; hosts may differ on who reads."""
         known = self._tables[news.table]
         if news.changes is None:
-            known.lost_reader = sender
+            log_event(
+                Part.CONFIGURATION, "reader has lost the store", table=news.table, reader=sender
+            )
+            known.pass_over(sender)
         else:
-            known.lost_reader = None
+            known.passed_over.pop(sender, None)
             known.answers.append(news)
         known.has_come.set()
 
     def _find_reader(self, table: str) -> HostName | None:
         """Return who follows a table for this domain; nobody in a small one."""
         near = self._list_near()
-        is_large = len(near) + 1 >= LARGE_DOMAIN_HOSTS
-        reader = choose_reader(table, (*near, self._own)) if is_large else None
         known = self._tables[table]
+        reader = None
+        if len(near) + 1 >= LARGE_DOMAIN_HOSTS:
+            hosts = [host for host in (*near, self._own) if not known.is_passed_over(host)]
+            reader = choose_reader(table, hosts) if hosts else None
         if reader != known.reader:
             known.reader = reader
             log_event(Part.CONFIGURATION, "reader chosen", table=table, reader=reader)
@@ -144,13 +163,20 @@
     async def _wait_for_reader(
         self, table: str, version: int, seconds: float, reader: HostName
     ) -> Changes | None:
-        """Return the reader's next answer, or nothing if the store is to be asked."""
+        """Return the next answer that is told, or nothing if the store is to be asked now.
+
+        All hosts ask once when a reader is lost, so that an outage is noticed by all at once.
+        """
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + seconds + PATIENCE_SECONDS
         known = self._tables[table]
         while not known.has_come.is_set():
             left = give_up_at - loop.time()
-            if left <= 0 or self._find_reader(table) != reader:
+            if self._find_reader(table) != reader:
+                return None
+            if left <= 0:
+                log_event(Part.CONFIGURATION, "reader is silent", table=table, reader=reader)
+                known.pass_over(reader)
                 return None
             try:
                 await asyncio.wait_for(known.has_come.wait(), min(LOOK_SECONDS, left))
@@ -159,8 +185,7 @@
         known.has_come.clear()
         answers = tuple(known.answers)
         known.answers.clear()
-        if known.lost_reader == reader:
-            log_event(Part.CONFIGURATION, "reader has lost the store", table=table, reader=reader)
+        if known.is_passed_over(reader):
             return None
         return join_answers(answers, version)
 
@@ -168,8 +193,15 @@
         self, table: str, version: int, seconds: float
     ) -> Changes | HistoryGone | Refusal:
         changes = await self._store.wait_for_changes(table, version, seconds)
+        if isinstance(changes, HistoryGone):
+            return changes
+        known = self._tables[table]
         is_reader = self._find_reader(table) == self._own
-        if is_reader and not isinstance(changes, HistoryGone):
-            told = changes if isinstance(changes, Changes) else None
-            self._tell_near(ReaderNews(table, version, told))
+        if isinstance(changes, Changes):
+            if is_reader or known.is_passed_over(self._own):
+                known.passed_over.pop(self._own, None)
+                self._tell_near(ReaderNews(table, version, changes))
+        elif is_reader:
+            known.pass_over(self._own)
+            self._tell_near(ReaderNews(table, version, None))
         return changes
