--- a/tests/traffic/test_attempts.py
+++ b/tests/traffic/test_attempts.py
@@ -4,6 +4,7 @@
 
 from turmericproxy.edge import AnswerHead, Headers
 from turmericproxy.traffic.attempts import (
+    MOST_SENT,
     MOST_TRIES,
     Attempt,
     History,
@@ -35,6 +36,26 @@
     assert decide(Attempt(outcome), repeatable=False, tries=MOST_TRIES) is Step.GIVE_UP
 
 
+def play(outcomes: list[Outcome]) -> Step:
+    history = History()
+    for outcome in outcomes:
+        history = history.add(Attempt(outcome))
+    last = Attempt(outcomes[-1])
+    return decide_step(last, history, is_repeatable=False, max_runs=1, seconds_left=1.0)
+
+
+def test_request_survives_a_crash_of_many_upstreams_at_once() -> None:
+    # A third of 45 engines, and each is found out by its refusal.
+    assert play([Outcome.NOT_SENT] * 15) is Step.RETRY
+
+
+def test_upstreams_that_refuse_a_request_are_not_asked_on_and_on() -> None:
+    refused = [Outcome.NOT_RUN] * MOST_SENT
+    assert play(refused[:-1]) is Step.RETRY
+    assert play(refused) is Step.GIVE_UP
+    assert play([*refused, Outcome.NOT_SENT]) is Step.GIVE_UP
+
+
 def test_failures_of_an_upstream_are_answers() -> None:
     failed = Attempt(Outcome.ANSWERED, FAILED)
     assert decide(failed, repeatable=False) is Step.ANSWER
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -61,20 +61,25 @@
     Outcome.SILENT: Ending.SILENT,
 }
 
-# Attempts of one request in all, those that did not run included.
-MOST_TRIES = 4
+# Attempts of one request that reach an upstream, those that did not run included.
+MOST_SENT = 4
+# Attempts in all. An upstream that has crashed refuses within a round trip, and many may crash at
+# once; the deadline bounds those that time out.
+MOST_TRIES = 24
 
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """Hold what a request has behind it: attempts, and those that may have run."""
+    """Hold what a request has behind it: attempts, those that may have run, and those sent."""
 
     tries: int = 0
     runs: int = 0
+    sent: int = 0
 
     def add(self, attempt: Attempt) -> "History":
         """Return the history with one more attempt."""
-        return History(self.tries + 1, self.runs + attempt.may_have_run)
+        is_sent = attempt.outcome is not Outcome.NOT_SENT
+        return History(self.tries + 1, self.runs + attempt.may_have_run, self.sent + is_sent)
 
 
 def decide_step(
@@ -92,7 +97,8 @@
     if is_answer and not attempt.is_failure:
         return Step.ANSWER
     otherwise = Step.ANSWER if is_answer else Step.GIVE_UP
-    if history.tries >= MOST_TRIES or seconds_left <= 0:
+    is_spent = history.sent >= MOST_SENT or history.tries >= MOST_TRIES
+    if is_spent or seconds_left <= 0:
         return otherwise
     if attempt.may_have_run and (not is_repeatable or history.runs >= max_runs):
         return otherwise
