Tell peers of an upstream whose address another one has

Change: the host that finds it out tells the others, with the address, so that an upstream that has registered elsewhere meanwhile stays in use.

--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -36,6 +36,7 @@
     levels={AccountName("a"): 7},
     versions=((ONE, ModelName("m"), 2),),
     changing=((ONE, 0.5),),
+    gone=((ONE, "10.0.0.1:1"),),
     is_leaving=True,
     is_kept_store_reachable=False,
     is_whole=True,
--- a/tests/host/test_whole_path.py
+++ b/tests/host/test_whole_path.py
@@ -323,3 +323,21 @@
         assert len(engines) == 1
 
     play(scene, hosts=2)
+
+
+def test_hosts_tell_each_other_of_a_server_that_is_no_longer_at_its_address() -> None:
+    async def scene(stage: Stage) -> None:
+        await asyncio.sleep(0.5)
+        gone = stage.servers["p1"]
+        gone.instance = "another"
+        for n in range(4):
+            answer = await stage.ask(f"/look/{n}", method="GET", request_id=f"first{n}")
+            assert answer.status == 200
+        assert len(gone.seen) == 1
+        await asyncio.sleep(0.3)
+        for n in range(8):
+            answer = await stage.ask(f"/look/{n}", method="GET", request_id=f"r{n}", index=1)
+            assert answer.status == 200
+        assert len(gone.seen) == 1
+
+    play(scene, hosts=2)
--- a/tests/placement/test_book.py
+++ b/tests/placement/test_book.py
@@ -55,7 +55,10 @@
 
 def test_superseded_upstream_is_left_until_it_registers() -> None:
     book = create_book(create_entry("one"))
-    book.supersede(ONE)
+    assert not book.supersede(ONE, "10.9.9.9:9")
+    assert book.list_ready(SERVICE) != []
+    assert book.supersede(ONE, create_entry("one").address)
+    assert not book.supersede(ONE, create_entry("one").address)
     assert book.list_ready(SERVICE) == []
     book.update(create_entry("one"))
     assert len(book.list_ready(SERVICE)) == 1
--- a/turmericproxy/fleet/messages.py
+++ b/turmericproxy/fleet/messages.py
@@ -52,7 +52,8 @@
     """Hold what has changed at the sender since its last batch.
 
     ``spent`` holds tokens since the sender's start, by account. ``changing`` holds the seconds
-    that engines still need for new weights. ``is_leaving`` tells that the sender takes no more
+    that engines still need for new weights, ``gone`` upstreams that are no longer at an address.
+    ``is_leaving`` tells that the sender takes no more
     requests; hosts beside the kept store tell whether it answers. A whole batch holds all of the
     sender's work, and what it told of its work before no longer holds.
     """
@@ -64,6 +65,7 @@
     levels: Mapping[AccountName, int] = field(default_factory=dict)
     versions: tuple[tuple[InstanceId, ModelName, int], ...] = ()
     changing: tuple[tuple[InstanceId, float], ...] = ()
+    gone: tuple[tuple[InstanceId, str], ...] = ()
     is_leaving: bool = False
     is_kept_store_reachable: bool | None = None
     is_whole: bool = False
@@ -80,6 +82,7 @@
         levels={**first.levels, **second.levels},
         versions=first.versions + second.versions,
         changing=first.changing + second.changing,
+        gone=first.gone + second.gone,
         is_leaving=second.is_leaving,
         is_kept_store_reachable=(
             first.is_kept_store_reachable if is_reachable is None else is_reachable
@@ -256,6 +259,7 @@
     ("levels", _read_totals),
     ("versions", lambda v: tuple((InstanceId(i), ModelName(m), int(n)) for i, m, n in v)),
     ("changing", lambda v: tuple((InstanceId(i), float(s)) for i, s in v)),
+    ("gone", lambda v: tuple((InstanceId(i), str(address)) for i, address in v)),
     ("is_leaving", bool),
     ("is_kept_store_reachable", bool),
     ("is_whole", bool),
--- a/turmericproxy/host/announcing.py
+++ b/turmericproxy/host/announcing.py
@@ -33,6 +33,7 @@
         self._told_finding: bool | None = None
         self._changing: list[tuple[InstanceId, float]] = []
         self._versions: list[tuple[InstanceId, ModelName, int]] = []
+        self._gone: list[tuple[InstanceId, str]] = []
 
     def announce_change(self, instance: InstanceId, seconds: float) -> None:
         """Tell that an engine loads weights for some seconds."""
@@ -42,6 +43,10 @@
         """Tell that an engine has loaded a version."""
         self._versions.append((instance, model, version))
 
+    def announce_gone(self, instance: InstanceId, address: str) -> None:
+        """Tell that another upstream answered at an upstream's address."""
+        self._gone.append((instance, address))
+
     def create_introduction(self) -> Batch:
         """Return all state, for a host that has just started."""
         return replace(
@@ -62,10 +67,11 @@
         placed, kept = self._dispatcher.take_news()
         changing, self._changing = self._changing, []
         versions, self._versions = self._versions, []
+        gone, self._gone = self._gone, []
         finding = self._caches.get_own_finding()
         is_news = finding is not self._told_finding
         self._told_finding = finding
-        if not any((work, spent, placed, kept, changing, versions, is_news)):
+        if not any((work, spent, placed, kept, changing, versions, gone, is_news)):
             return None
         return Batch(
             work=work,
@@ -82,6 +88,7 @@
             spent=spent,
             versions=tuple(versions),
             changing=tuple(changing),
+            gone=tuple(gone),
             is_kept_store_reachable=finding if is_news else None,
         )
 
@@ -103,6 +110,8 @@
         )
         for instance, seconds in batch.changing:
             self._book.mark_changing(instance, now + seconds)
+        for instance, address in batch.gone:
+            self._book.supersede(instance, address)
         if batch.is_kept_store_reachable is not None:
             self._caches.take_finding(batch.is_kept_store_reachable)
         if batch.levels:
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -98,7 +98,11 @@
             self._rollout.wake,
         )
         self._inquirer = EngineInquirer(
-            self._book, self._wanted, adapter.control, lambda: self._watch.is_away
+            self._book,
+            self._wanted,
+            adapter.control,
+            lambda: self._watch.is_away,
+            self._news.announce_gone,
         )
         parts = ExchangeParts(adapter.codec, self._dispatcher, self._inquirer, self._get_budget)
         self._router = Router(parts, self._quotas, lambda: self._watch.site, self._metrics)
--- a/turmericproxy/placement/book.py
+++ b/turmericproxy/placement/book.py
@@ -134,13 +134,18 @@
             log_event(Part.ROUTING, "upstream gone", upstream=instance)
             self._index()
 
-    def supersede(self, instance: InstanceId) -> None:
-        """Send nothing more to an upstream whose address another one has, until it registers."""
+    def supersede(self, instance: InstanceId, address: str) -> bool:
+        """Send nothing more to an upstream whose address another one has, until it registers.
+
+        Return whether that is new; an upstream that has another address by now is left alone.
+        """
         state = self._states.get(instance)
-        if state and not state.is_superseded:
-            state.is_superseded = True
-            log_event(Part.ROUTING, "upstream superseded", upstream=instance)
-            self._index()
+        if state is None or state.is_superseded or state.entry.address != address:
+            return False
+        state.is_superseded = True
+        log_event(Part.ROUTING, "upstream superseded", upstream=instance, address=address)
+        self._index()
+        return True
 
     def find(self, instance: InstanceId) -> UpstreamState | None:
         """Return what is known of an upstream."""
--- a/turmericproxy/rollout/inquiring.py
+++ b/turmericproxy/rollout/inquiring.py
@@ -17,7 +17,8 @@
 class EngineInquirer:
     """Ask engines for their versions: when one denies a version, and while the store is away.
 
-    A version that an engine has was named, so it is wanted of the others too.
+    A version that an engine has was named, so it is wanted of the others too. ``announce_gone``
+    tells other hosts of an upstream that is no longer at its address.
     """
 
     def __init__(
@@ -26,11 +27,13 @@
         wanted: WantedVersions,
         control: EngineControl,
         is_store_away: Callable[[], bool],
+        announce_gone: Callable[[InstanceId, str], None],
     ) -> None:
         self._book = book
         self._wanted = wanted
         self._control = control
         self._is_store_away = is_store_away
+        self._announce_gone = announce_gone
         self._running: dict[InstanceId, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -53,14 +56,15 @@
             task.add_done_callback(lambda _: self._running.pop(instance, None))
         await asyncio.shield(task)
 
-    async def adopt(self, instance: InstanceId, successor: InstanceId) -> None:
+    async def adopt(self, instance: InstanceId, address: str, successor: InstanceId) -> None:
         """Drop an upstream whose address another one has; take that one in its place if it may.
 
         Only while the store can't tell, and only an engine of the same models, which no other
         service has.
         """
         state = self._book.find(instance)
-        self._book.supersede(instance)
+        if self._book.supersede(instance, address):
+            self._announce_gone(instance, address)
         if state is None or self._book.find(successor) or not self._is_store_away():
             return
         report = await self._control.read_report(state.entry.address)
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -179,7 +179,8 @@
             return
         self._excluded |= {sent_to}
         if answered_by and answered_by != sent_to:
-            await self._parts.inquirer.adopt(sent_to, InstanceId(answered_by))
+            successor = InstanceId(answered_by)
+            await self._parts.inquirer.adopt(sent_to, placement.address, successor)
 
     def _judge_refusal(self, refusal: Refusal) -> Refusal:
         """Never say that a request has not run after an attempt that may have."""
--- a/turmericproxy/traffic/ports.py
+++ b/turmericproxy/traffic/ports.py
@@ -14,7 +14,7 @@
     async def inquire(self, instance: InstanceId) -> None:
         """Learn an engine's versions from itself."""
 
-    async def adopt(self, instance: InstanceId, successor: InstanceId) -> None:
+    async def adopt(self, instance: InstanceId, address: str, successor: InstanceId) -> None:
         """Learn of an engine that has taken another one's address."""
 
 
