Divide the questions to engines while the store is away, and hash by one function

Change: the hosts of a failure domain that hear each other divide the engines by hash and tell what is new; a version that a peer tells of counts as named. Five copies of rendezvous hashing are one.

--- a/tests/rollout/test_controller.py
+++ b/tests/rollout/test_controller.py
@@ -40,6 +40,9 @@
     def announce_change(self, instance: InstanceId, seconds: float) -> None:
         self.told.setdefault(instance, asyncio.get_running_loop().time())
 
+    def announce_gone(self, instance: InstanceId, address: str) -> None:
+        pass
+
     def announce_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
         pass
 
--- a/tests/store/test_relaying.py
+++ b/tests/store/test_relaying.py
@@ -8,6 +8,7 @@
 import pytest
 
 from turmericproxy.core import HostName, Refusal, ResultCode, refuse
+from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.store import (
     ChangedRow,
     Changes,
@@ -21,7 +22,6 @@
     LARGE_DOMAIN_HOSTS,
     PATIENCE_SECONDS,
     READER_WAIT_SECONDS,
-    choose_reader,
     join_answers,
 )
 from turmericproxy.tables.messages import Committed, Row, Transaction
@@ -107,7 +107,7 @@
 
     @property
     def reader(self) -> HostName:
-        return choose_reader("t", self.up)
+        return choose_by_hash("t", self.up)
 
     async def stop(self, host: HostName) -> None:
         self.up.discard(host)
@@ -193,7 +193,7 @@
 def test_a_silent_reader_is_not_waited_for_much_longer_than_a_call() -> None:
     async def run() -> None:
         store = Store()
-        host = next(h for h in HOSTS if h != choose_reader("t", HOSTS))
+        host = next(h for h in HOSTS if h != choose_by_hash("t", HOSTS))
         relay = RelayedStore(
             Access(store, host), host, lambda: [h for h in HOSTS if h != host], lambda _news: None
         )
@@ -219,11 +219,11 @@
 
 def test_the_loss_of_a_host_changes_the_reader_of_its_own_tables_only() -> None:
     tables = [f"table {n}" for n in range(50)]
-    before = {table: choose_reader(table, HOSTS) for table in tables}
+    before = {table: choose_by_hash(table, HOSTS) for table in tables}
     assert len(set(before.values())) > LARGE_DOMAIN_HOSTS // 2
     for table, reader in before.items():
         left = [host for host in HOSTS if host != HOSTS[0]]
-        assert (choose_reader(table, left) == reader) is (reader != HOSTS[0])
+        assert (choose_by_hash(table, left) == reader) is (reader != HOSTS[0])
 
 
 @pytest.mark.parametrize(
--- a/turmericproxy/fleet/routes.py
+++ b/turmericproxy/fleet/routes.py
@@ -6,12 +6,12 @@
 choose different hubs for a while lose nothing.
 """
 
-import hashlib
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from turmericproxy.core import HostName
+from turmericproxy.core.hashing import weigh_rendezvous
 from turmericproxy.fleet.messages import Hello
 from turmericproxy.fleet.peers import Peer
 from turmericproxy.store import LARGE_DOMAIN_HOSTS
@@ -66,7 +66,7 @@
 
 def choose_hub(hosts: Iterable[Hello]) -> HostName:
     """Return the host with the widest link; equals are ordered by a hash."""
-    return min(hosts, key=lambda hello: (-hello.strength, _rank(hello.host))).host
+    return min(hosts, key=lambda hello: (-hello.strength, weigh_rendezvous("hub", hello.host))).host
 
 
 def _choose_far_hub(members: list[Peer], now: float) -> HostName:
@@ -78,7 +78,3 @@
 
 def _list_usable(peers: Iterable[Peer], now: float) -> list[Hello]:
     return [p.hello for p in peers if p.is_likely_up(now) and now >= p.avoided_until]
-
-
-def _rank(host: HostName) -> bytes:
-    return hashlib.blake2b(host.encode(), digest_size=8).digest()
--- a/turmericproxy/host/announcing.py
+++ b/turmericproxy/host/announcing.py
@@ -10,6 +10,7 @@
 from turmericproxy.host.cache_following import CacheFollowing
 from turmericproxy.placement.book import UpstreamBook
 from turmericproxy.placement.prefixes import PartKey
+from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.dispatching import Dispatcher
 
 # Tokens that a part is taken for when a peer tells only that it is kept.
@@ -25,11 +26,13 @@
         dispatcher: Dispatcher,
         quotas: QuotaController,
         caches: CacheFollowing,
+        wanted: WantedVersions,
     ) -> None:
         self._book = book
         self._dispatcher = dispatcher
         self._quotas = quotas
         self._caches = caches
+        self._wanted = wanted
         self._told_finding: bool | None = None
         self._changing: list[tuple[InstanceId, float]] = []
         self._versions: list[tuple[InstanceId, ModelName, int]] = []
@@ -93,13 +96,14 @@
         )
 
     def receive(self, hello: Hello, batch: Batch) -> None:
-        """Take in a batch of a peer."""
+        """Take in a batch of a peer; a version that an engine has was named."""
+        now = asyncio.get_running_loop().time()
         for instance, model, version in batch.versions:
             self._book.learn_version(instance, model, version)
+            self._wanted.learn(model, version, now)
         if batch.is_whole:
             self._book.forget_peer(hello.host)
         self._book.set_peer_work(hello.host, batch.work)
-        now = asyncio.get_running_loop().time()
         for prompt in batch.placed:
             state = self._book.find(prompt.instance)
             if state:
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -75,7 +75,9 @@
             adapter.create_cache_events, self._book, self._dispatcher.kept, settings.domain
         )
         self._dispatcher.follow_kept_store(self._caches.is_kept_store_reachable)
-        self._news = FleetNews(self._book, self._dispatcher, self._quotas, self._caches)
+        self._news = FleetNews(
+            self._book, self._dispatcher, self._quotas, self._caches, self._wanted
+        )
         self._links = FleetLinks(
             own,
             self._news,
@@ -102,7 +104,9 @@
             self._wanted,
             adapter.control,
             lambda: self._watch.is_away,
-            self._news.announce_gone,
+            self._news,
+            settings.host,
+            self._links.peers.list_near,
         )
         parts = ExchangeParts(adapter.codec, self._dispatcher, self._inquirer, self._get_budget)
         self._router = Router(parts, self._quotas, lambda: self._watch.site, self._metrics)
--- a/turmericproxy/peers/topology.py
+++ b/turmericproxy/peers/topology.py
@@ -9,9 +9,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from hashlib import blake2b
 
 from turmericproxy.core import DomainName, HostName
+from turmericproxy.core.hashing import weigh_rendezvous
 
 FULL_MESH_HOSTS = 12
 DOMAIN_RINGS = 2
@@ -50,10 +50,6 @@
 
 def _find_ring_neighbours(host: HostName, hosts: Iterable[HostName], ring: str) -> set[HostName]:
     """Return the next and the previous host of a ring."""
-    ordered = sorted(hosts, key=lambda other: _rank(other, ring))
+    ordered = sorted(hosts, key=lambda other: weigh_rendezvous(ring, other))
     position = ordered.index(host)
     return {ordered[position - 1], ordered[(position + 1) % len(ordered)]}
-
-
-def _rank(host: HostName, ring: str) -> bytes:
-    return blake2b(f"{ring}/{host}".encode(), digest_size=8).digest()
--- a/turmericproxy/rates/host_keeper.py
+++ b/turmericproxy/rates/host_keeper.py
@@ -3,10 +3,10 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from hashlib import blake2b
 from typing import Any
 
 from turmericproxy.core import HostName, Incarnation, Refusal
+from turmericproxy.core.hashing import weigh_rendezvous
 from turmericproxy.logs import Part, log_event
 from turmericproxy.rates import leases
 from turmericproxy.rates.context import Links, RateContext
@@ -180,7 +180,7 @@
         present = {Lessor(peer.host, peer.incarnation) for peer in peers}
         if not present or own.row.lessor in present:
             return
-        chosen = min(present, key=lambda lessor: _rank(self._member.host, lessor.host))
+        chosen = min(present, key=lambda lessor: weigh_rendezvous(self._member.host, lessor.host))
         new = replace(own.row, lessor=chosen)
         if self._holdings.is_open():
             self._write_own(new, own)
@@ -229,7 +229,3 @@
         left = {str(account): level for account, level in levels.items()}
         closed = replace(own.row, standing=Standing.CLOSED, levels=left)
         self._table.commit_host(closed, own)
-
-
-def _rank(host: HostName, other: HostName) -> bytes:
-    return blake2b(f"{host}/{other}".encode(), digest_size=8).digest()
--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -4,7 +4,6 @@
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 from zlib import crc32
 
 from turmericproxy.core import HostName, ModelName
@@ -13,7 +12,13 @@
 from turmericproxy.placement.book import UpstreamBook, UpstreamState
 from turmericproxy.rollout.holder import LeaseHolder
 from turmericproxy.rollout.plan import EngineStanding, choose_loads
-from turmericproxy.rollout.ports import EngineControl, EngineReport, OrderAnswer, WeightsOrder
+from turmericproxy.rollout.ports import (
+    Announcer,
+    EngineControl,
+    EngineReport,
+    OrderAnswer,
+    WeightsOrder,
+)
 from turmericproxy.rollout.wanted import WantedVersions
 
 # Seconds between two looks at engines that lag.
@@ -39,16 +44,6 @@
 LONGEST_LOAD = 3.0
 
 
-class Announcer(Protocol):
-    """Tell peers of changing engines."""
-
-    def announce_change(self, instance: InstanceId, seconds: float) -> None:
-        """Tell that an engine loads weights for some seconds."""
-
-    def announce_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
-        """Tell that an engine has loaded a version."""
-
-
 @dataclass
 class _Load:
     """Hold a load that was ordered; times are of the event loop."""
--- a/turmericproxy/rollout/inquiring.py
+++ b/turmericproxy/rollout/inquiring.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from turmericproxy.core import HostName
+from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.logs import Part, log_event
 from turmericproxy.placement.book import UpstreamBook
-from turmericproxy.rollout.ports import EngineControl
+from turmericproxy.rollout.ports import Announcer, EngineControl
 from turmericproxy.rollout.wanted import WantedVersions
 
 # Seconds between two rounds of questions while the store is away.
@@ -17,8 +19,8 @@
 class EngineInquirer:
     """Ask engines for their versions: when one denies a version, and while the store is away.
 
-    A version that an engine has was named, so it is wanted of the others too. ``announce_gone``
-    tells other hosts of an upstream that is no longer at its address.
+    A version that an engine has was named, so it is wanted of the others too. While the store is
+    away the hosts of a failure domain, ``list_near`` and ``host``, divide the engines.
     """
 
     def __init__(
@@ -27,13 +29,17 @@
         wanted: WantedVersions,
         control: EngineControl,
         is_store_away: Callable[[], bool],
-        announce_gone: Callable[[InstanceId, str], None],
+        announcer: Announcer,
+        host: HostName,
+        list_near: Callable[[], list[HostName]],
     ) -> None:
         self._book = book
         self._wanted = wanted
         self._control = control
         self._is_store_away = is_store_away
-        self._announce_gone = announce_gone
+        self._announcer = announcer
+        self._host = host
+        self._list_near = list_near
         self._running: dict[InstanceId, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -64,7 +70,7 @@
         """
         state = self._book.find(instance)
         if self._book.supersede(instance, address):
-            self._announce_gone(instance, address)
+            self._announcer.announce_gone(instance, address)
         if state is None or self._book.find(successor) or not self._is_store_away():
             return
         report = await self._control.read_report(state.entry.address)
@@ -87,8 +93,13 @@
         while True:
             await asyncio.sleep(ROUND_SECONDS)
             if self._is_store_away():
-                engines = [s for s in self._book.list_states() if s.entry.versions]
-                await asyncio.gather(*(self._ask(s.entry.instance) for s in engines))
+                await asyncio.gather(*(self._ask(instance) for instance in self._list_own_part()))
+
+    def _list_own_part(self) -> list[InstanceId]:
+        """Return the engines that this host asks for its failure domain."""
+        hosts = [self._host, *self._list_near()]
+        engines = [s.entry.instance for s in self._book.list_states() if s.entry.versions]
+        return [i for i in engines if choose_by_hash(i, hosts) == self._host]
 
     async def _ask(self, instance: InstanceId) -> None:
         state = self._book.find(instance)
@@ -102,5 +113,7 @@
             return
         now = asyncio.get_running_loop().time()
         for model, version in report.versions.items():
+            if version > state.versions.get(model, 0):
+                self._announcer.announce_version(instance, model, version)
             self._book.correct_version(instance, model, version)
             self._wanted.learn(model, version, now)
--- a/turmericproxy/rollout/ports.py
+++ b/turmericproxy/rollout/ports.py
@@ -53,3 +53,16 @@
 
     async def order_weights(self, address: str, order: WeightsOrder) -> OrderAnswer:
         """Give an order; one without an answer may still be carried out."""
+
+
+class Announcer(Protocol):
+    """Tell peers of engines."""
+
+    def announce_change(self, instance: InstanceId, seconds: float) -> None:
+        """Tell that an engine loads weights for some seconds."""
+
+    def announce_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
+        """Tell that an engine has a version."""
+
+    def announce_gone(self, instance: InstanceId, address: str) -> None:
+        """Tell that another upstream answered at an upstream's address."""
--- a/turmericproxy/routing/plain.py
+++ b/turmericproxy/routing/plain.py
@@ -14,9 +14,9 @@
     read_boottime,
     refuse,
 )
+from turmericproxy.core.hashing import weigh_rendezvous
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.routing.health import Health, record_ending
-from turmericproxy.routing.policies import weigh_rendezvous
 from turmericproxy.routing.requests import FinishKind, UpstreamChoice
 
 RETRY_AFTER = 0.5
--- a/turmericproxy/routing/policies.py
+++ b/turmericproxy/routing/policies.py
@@ -1,11 +1,11 @@
 """Choose one of the candidates for a request, by the policy of the host."""
 
-import hashlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import singledispatch
 
 from turmericproxy.cache.blocks import TOKENS_PER_BLOCK
+from turmericproxy.core.hashing import weigh_rendezvous
 from turmericproxy.routing.requests import RoutingRequest
 from turmericproxy.routing.views import Candidate
 
@@ -58,12 +58,6 @@
     return policies[name]
 
 
-def weigh_rendezvous(key: str, name: str) -> int:
-    """Return the weight of a name for a key in rendezvous hashing."""
-    digest = hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 @singledispatch
 def select(
     policy: Policy, candidates: Sequence[Candidate], request: RoutingRequest, turn: int
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -17,11 +17,12 @@
     UpstreamName,
     read_boottime,
 )
+from turmericproxy.core.hashing import weigh_rendezvous
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.routing.decisions import Decision, decide
 from turmericproxy.routing.fleet import Fleet
 from turmericproxy.routing.plain import PlainSelector
-from turmericproxy.routing.policies import create_policy, weigh_rendezvous
+from turmericproxy.routing.policies import create_policy
 from turmericproxy.routing.polling import Pollers
 from turmericproxy.routing.requests import (
     Choice,
--- a/turmericproxy/store/relaying.py
+++ b/turmericproxy/store/relaying.py
@@ -1,12 +1,13 @@
 """Let one host of a failure domain follow the store for all of them."""
 
 import asyncio
-import hashlib
+import contextlib
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from turmericproxy.core import HostName, Refusal
+from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store.ports import ChangedRow, Changes, HistoryGone, TableState, TableStore
 from turmericproxy.tables.messages import AnswerLost, Committed, Conflict, Transaction
@@ -37,19 +38,6 @@
     changes: Changes | None
 
 
-def choose_reader(table: str, hosts: Iterable[HostName]) -> HostName:
-    """Return which of some hosts follows a table; a host that leaves changes only its own tables.
-
-    >>> choose_reader("t", [HostName("a")])
-    'a'
-    """
-    return min(hosts, key=lambda host: _rank(table, host))
-
-
-def _rank(table: str, host: HostName) -> bytes:
-    return hashlib.blake2b(f"{table}/{host}".encode(), digest_size=8).digest()
-
-
 def join_answers(answers: Sequence[ReaderNews], version: int) -> Changes | None:
     """Return what changed since a version, or nothing if a part of it is missing.
 
@@ -154,7 +142,7 @@
         reader = None
         if len(near) + 1 >= LARGE_DOMAIN_HOSTS:
             hosts = [host for host in (*near, self._own) if not known.is_passed_over(host)]
-            reader = choose_reader(table, hosts) if hosts else None
+            reader = choose_by_hash(table, hosts) if hosts else None
         if reader != known.reader:
             known.reader = reader
             log_event(Part.CONFIGURATION, "reader chosen", table=table, reader=reader)
@@ -170,24 +158,20 @@
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + seconds + PATIENCE_SECONDS
         known = self._tables[table]
-        while not known.has_come.is_set():
+        while self._find_reader(table) == reader:
+            if known.answers:
+                answers = tuple(known.answers)
+                known.answers.clear()
+                return join_answers(answers, version)
             left = give_up_at - loop.time()
-            if self._find_reader(table) != reader:
-                return None
             if left <= 0:
                 log_event(Part.CONFIGURATION, "reader is silent", table=table, reader=reader)
                 known.pass_over(reader)
                 return None
-            try:
+            known.has_come.clear()
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(known.has_come.wait(), min(LOOK_SECONDS, left))
-            except TimeoutError:
-                continue
-        known.has_come.clear()
-        answers = tuple(known.answers)
-        known.answers.clear()
-        if known.is_passed_over(reader):
-            return None
-        return join_answers(answers, version)
+        return None
 
     async def _ask_store(
         self, table: str, version: int, seconds: float
