Split the fleet's streams and batches from its links and messages

Streams to wanted peers have a module of their own, and so have batches with the form in which they are packed; each module holds one concept again.

--- a/tests/fleet/test_merging.py
+++ b/tests/fleet/test_batches.py
@@ -2,7 +2,7 @@
 
 from turmericproxy.core import AccountName
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.fleet.messages import Batch, merge_batches
+from turmericproxy.fleet.batches import Batch, merge_batches
 from turmericproxy.placement.book import Work
 
 ONE, TWO = InstanceId("one"), InstanceId("two")
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -72,8 +72,8 @@
         await two.links.start()
         one.links.add_peer(two.hello)
         await asyncio.sleep(0.5)
-        for task in list(two.links._tasks):
-            task.cancel()
+        assert two.links._task is not None
+        two.links._task.cancel()
         await asyncio.sleep(1.8)
         assert one.lost == [HostName("two")]
         assert one.links.peers.measure_share() == 0.5
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -7,14 +7,13 @@
 
 from turmericproxy.core import AccountName, HostName, Incarnation, ModelName
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.fleet.batches import Batch, PlacedPrompt
 from turmericproxy.fleet.messages import (
     LARGEST_MESSAGE_BYTES,
     LENGTH_BYTES,
-    Batch,
     Hello,
     Note,
     Notes,
-    PlacedPrompt,
     Spread,
     Unreadable,
     pack_hello,
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -1,21 +1,20 @@
-"""Keep streams to the hosts that are told notes, and pass on the notes of others."""
+"""Tell other hosts of this one, and pass on the notes of others."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from turmericproxy.core import HostName, read_boottime
 from turmericproxy.edge.sockets import bound_unacknowledged
+from turmericproxy.fleet.batches import Batch, merge_batches
 from turmericproxy.fleet.messages import (
     LARGEST_MESSAGE_BYTES,
     LENGTH_BYTES,
-    Batch,
     Hello,
     Note,
     Notes,
     Spread,
     Unreadable,
-    merge_batches,
     pack_hello,
     pack_note,
     pack_notes,
@@ -25,6 +24,7 @@
 from turmericproxy.fleet.outbox import Outbox
 from turmericproxy.fleet.peers import Peer, PeerTable
 from turmericproxy.fleet.routes import Routes, plan_routes
+from turmericproxy.fleet.streams import USER_TIMEOUT_MS, FleetStreams
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store import ReaderNews
 
@@ -44,18 +44,8 @@
 # the silent one is passed over. A hub passes on the heartbeats of its domain many times a second.
 HUB_SILENCE_SECONDS = 0.35
 HUB_AVOIDED_SECONDS = 3.0
-# Seconds for which a peer is no hub after its stream has broken.
-BROKEN_AVOIDED_SECONDS = 1.0
 # Seconds after the last note to pass on for which a host keeps the streams of a hub.
 HUB_IDLE_SECONDS = 5.0
-CONNECT_SECONDS = 0.6
-# Seconds between two attempts to reach a peer, doubled up to the longest.
-SHORTEST_REDIAL = 0.2
-LONGEST_REDIAL = 2.0
-# Milliseconds without an acknowledgement after which a stream is given up.
-USER_TIMEOUT_MS = 1300
-# Unsent bytes at which a stream is given up; its peer does not read.
-LARGEST_BACKLOG = 512 * 1024
 
 
 class StateSource(Protocol):
@@ -97,14 +87,14 @@
         self._routes = Routes(None, (), (), ())
         self._planned_at = self._hub_since = self._told_state_at = 0.0
         self._passed_on_at = -HUB_IDLE_SECONDS
-        self._wanted: frozenset[HostName] = frozenset()
+        self._streams = FleetStreams(self.peers, self._introduce, self._plan_soon, read_clock)
         self._number = 0
         self._ticks = 0
         self._near_box, self._far_box = Outbox(1), Outbox(MERGED_BATCHES)
         self._for_near: list[bytes] = []
         self._for_far: list[bytes] = []
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._task: asyncio.Task[None] | None = None
         self._incoming: set[asyncio.StreamWriter] = set()
         self._is_closing = False
 
@@ -112,7 +102,7 @@
         """Listen, and begin to send."""
         ip, _, port = self._own.address.rpartition(":")
         self._server = await asyncio.start_server(self._accept, ip, int(port))
-        self._spawn(self._run())
+        self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def close(self) -> None:
         """Tell peers that this host leaves, and close all streams."""
@@ -120,11 +110,9 @@
         self._tell(Batch(is_leaving=True))
         self._flush_near()
         self._flush_far()
-        for task in self._tasks:
-            task.cancel()
-        for peer in self.peers:
-            if peer.writer:
-                peer.writer.close()
+        if self._task:
+            self._task.cancel()
+        self._streams.close()
         for writer in self._incoming:
             writer.close()
         if self._server:
@@ -144,12 +132,6 @@
         else:
             self._for_near.append(packed)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(BATCH_SECONDS)
@@ -174,13 +156,11 @@
             self._hub_since, self._told_state_at = now, 0.0
         self._routes = routes
         is_hub = routes.hub is None or now < self._passed_on_at + HUB_IDLE_SECONDS
-        self._wanted = routes.targets if is_hub else frozenset()
-        if routes.hub:
-            self._wanted |= {routes.hub}
-        for host in self._wanted:
-            peer = self.peers.find(host)
-            if peer and peer.task is None:
-                peer.task = self._spawn(self._keep_link(peer))
+        wanted = routes.targets if is_hub else frozenset()
+        self._streams.want(wanted | {routes.hub} if routes.hub else wanted)
+
+    def _plan_soon(self) -> None:
+        self._planned_at = 0.0
 
     def _judge_hub(self, now: float) -> None:
         """Pass over a hub that does not pass on."""
@@ -234,58 +214,14 @@
     def _send(self, hosts: Iterable[HostName], spread: Spread, packed: list[bytes]) -> None:
         if not packed:
             return
-        data = pack_notes(Notes(spread, tuple(packed)))
-        for host in hosts:
-            peer = self.peers.find(host)
-            writer = peer.writer if peer else None
-            if writer is None or writer.is_closing():
-                continue
-            if writer.transport.get_write_buffer_size() > LARGEST_BACKLOG:
-                writer.transport.abort()
-                continue
-            writer.write(data)
+        self._streams.send(hosts, pack_notes(Notes(spread, tuple(packed))))
 
-    async def _keep_link(self, peer: Peer) -> None:
-        ip, _, port = peer.hello.address.rpartition(":")
-        pause = SHORTEST_REDIAL
-        try:
-            while peer.hello.host in self._wanted and not self._is_closing:
-                try:
-                    opening = asyncio.open_connection(ip, int(port))
-                    reader, writer = await asyncio.wait_for(opening, CONNECT_SECONDS)
-                except (OSError, ValueError):
-                    self._avoid_broken(peer)
-                    await peer.wait_to_redial(pause)
-                    pause = min(LONGEST_REDIAL, 2 * pause)
-                    continue
-                pause = SHORTEST_REDIAL
-                await self._use_link(peer, reader, writer)
-                self._avoid_broken(peer)
-        finally:
-            peer.task = None
-
-    async def _use_link(
-        self, peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Introduce this host, and hold the stream until it ends."""
-        bound_unacknowledged(writer.transport, USER_TIMEOUT_MS)
-        introduction = self._pack(self._source.create_introduction())
-        writer.write(pack_hello(self._own))
-        writer.write(pack_notes(Notes(Spread.NOBODY, (introduction,))))
-        peer.writer = writer
+    def _introduce(self, peer: Peer) -> bytes:
         if peer.hello.host == self._routes.hub:
+            # The hub has only just begun to pass on what this host tells.
             self._told_state_at = 0.0
-        try:
-            await reader.read()
-        except OSError as error:
-            log_event(Part.PEERS, "link broke", peer=peer.hello.host, reason=repr(error))
-        finally:
-            peer.writer = None
-            writer.close()
-
-    def _avoid_broken(self, peer: Peer) -> None:
-        peer.avoided_until = max(peer.avoided_until, self._read_clock() + BROKEN_AVOIDED_SECONDS)
-        self._planned_at = 0.0
+        introduction = self._pack(self._source.create_introduction())
+        return pack_hello(self._own) + pack_notes(Notes(Spread.NOBODY, (introduction,)))
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         bound_unacknowledged(writer.transport, USER_TIMEOUT_MS)
--- a/turmericproxy/fleet/outbox.py
+++ b/turmericproxy/fleet/outbox.py
@@ -1,6 +1,6 @@
 """Make a host's own notes: merge its news, and tell at least that it runs."""
 
-from turmericproxy.fleet.messages import Batch, merge_batches
+from turmericproxy.fleet.batches import Batch, merge_batches
 
 HEARTBEAT_SECONDS = 0.4
 
--- a/turmericproxy/fleet/peers.py
+++ b/turmericproxy/fleet/peers.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from turmericproxy.core import HostName, Incarnation
-from turmericproxy.fleet.messages import Batch, Hello, Note
+from turmericproxy.fleet.batches import Batch
+from turmericproxy.fleet.messages import Hello, Note
 from turmericproxy.logs import Part, log_event
 
 # Seconds of silence after which a peer is out of touch: three heartbeats and a round trip.
--- a/turmericproxy/host/announcing.py
+++ b/turmericproxy/host/announcing.py
@@ -5,7 +5,8 @@
 
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.fleet.messages import Batch, Hello, PlacedPrompt
+from turmericproxy.fleet.batches import Batch, PlacedPrompt
+from turmericproxy.fleet.messages import Hello
 from turmericproxy.fleet.quotas import QuotaController
 from turmericproxy.host.cache_following import CacheFollowing
 from turmericproxy.placement.book import UpstreamBook
