--- a/tests/placement/support.py
+++ b/tests/placement/support.py
@@ -38,7 +38,9 @@
     return book
 
 
-def create_scene(**changes: object) -> EngineScene:
+def create_scene(
+    *, wanted_version: int = 1, wanted_age: float = 100.0, **changes: object
+) -> EngineScene:
     scene = EngineScene(
         traits=TRAITS,
         model=MODEL,
@@ -47,8 +49,8 @@
         kept_store=None,
         kept=PrefixMemory(800_000),
         is_cut=lambda domain: False,
-        wanted_version=1,
-        wanted_age=100.0,
+        wanted_version=wanted_version,
+        measure_age=lambda version: wanted_age if version < wanted_version else 0.0,
         oldest_age=4.5,
         now=10.0,
     )
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -33,7 +33,7 @@
     """Hold what all engines share in a choice; times are of the event loop.
 
     ``is_cut`` tells failure domains that can't be reached. ``wall`` separates the cache of an
-    isolated account; ``wanted_version`` was named ``wanted_age`` seconds ago, and from
+    isolated account. ``measure_age`` tells for how many seconds a version has been old, and from
     ``oldest_age`` on older weights are no longer used.
     """
 
@@ -45,7 +45,7 @@
     kept: PrefixMemory
     is_cut: Callable[[str], bool]
     wanted_version: int
-    wanted_age: float
+    measure_age: Callable[[int], float]
     oldest_age: float
     now: float
 
@@ -141,9 +141,7 @@
 
 
 def _may_serve(state: UpstreamState, scene: EngineScene) -> bool:
-    if scene.wanted_age < scene.oldest_age:
-        return True
-    return state.versions.get(scene.model, 0) >= scene.wanted_version
+    return scene.measure_age(_get_version(state, scene)) < scene.oldest_age
 
 
 def _get_version(state: UpstreamState, scene: EngineScene) -> int:
@@ -162,7 +160,7 @@
 def _view_engine(holding: _Holding, source: FetchSource | None, scene: EngineScene) -> EngineView:
     state, entry = holding.state, holding.state.entry
     changing = max(0.0, state.changing_until - scene.now)
-    if holding.version < scene.wanted_version and scene.wanted_age > OLD_WEIGHTS_SECONDS:
+    if scene.measure_age(holding.version) > OLD_WEIGHTS_SECONDS:
         changing += OLD_WEIGHTS_PENALTY
     return EngineView(
         instance=entry.instance,
--- a/turmericproxy/rollout/wanted.py
+++ b/turmericproxy/rollout/wanted.py
@@ -1,11 +1,14 @@
 """Remember which weights the operator has named, and since when."""
 
+from collections import deque
 from dataclasses import dataclass
 
 from turmericproxy.core import ModelName
 
 # A version that was named before the host began to follow counts as old.
 LONG_AGO = 1e6
+# Named versions that are remembered; an engine that lags behind more has lagged for long.
+KEPT_VERSIONS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,26 +28,33 @@
 
 
 class WantedVersions:
-    """Hold the newest named version of each model; times are of the event loop."""
+    """Hold the named versions of each model; times are of the event loop."""
 
     def __init__(self) -> None:
-        self._wanted: dict[ModelName, WantedVersion] = {}
+        self._named: dict[ModelName, deque[WantedVersion]] = {}
 
     def learn(self, model: ModelName, version: int, learnt_at: float) -> bool:
         """Take in a named version; return whether it is newer than all before."""
-        known = self._wanted.get(model)
-        if known and known.version >= version:
+        named = self._named.setdefault(model, deque(maxlen=KEPT_VERSIONS))
+        if named and named[-1].version >= version:
             return False
-        self._wanted[model] = WantedVersion(version, learnt_at)
+        named.append(WantedVersion(version, learnt_at))
         return True
 
-    def find(self, model: ModelName, now: float) -> tuple[int, float]:
-        """Return the version wanted of a model and its age in seconds; 0 if none was named."""
-        known = self._wanted.get(model)
-        if known is None:
-            return 0, LONG_AGO
-        return known.version, now - known.learnt_at
+    def find(self, model: ModelName) -> int:
+        """Return the version wanted of a model; 0 if none was named."""
+        named = self._named.get(model)
+        return named[-1].version if named else 0
+
+    def measure_age(self, model: ModelName, version: int, now: float) -> float:
+        """Return the seconds for which weights have been old; 0 if they are the newest.
+
+        They are old from when the next version was named, also if others have followed it.
+        """
+        newer = (w for w in self._named.get(model, ()) if w.version > version)
+        following = next(newer, None)
+        return now - following.learnt_at if following else 0.0
 
     def list_models(self) -> list[tuple[ModelName, int]]:
         """Return the models with the versions wanted of them."""
-        return [(model, wanted.version) for model, wanted in self._wanted.items()]
+        return [(model, named[-1].version) for model, named in self._named.items()]
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -241,7 +241,6 @@
 
     def _create_scene(self, passage: Passage, traits: EngineTraits, prompt: Prompt) -> EngineScene:
         now = self._read_clock()
-        version, age = self._wanted.find(prompt.model, now)
         account = passage.account
         return EngineScene(
             traits=traits,
@@ -251,8 +250,8 @@
             kept_store=passage.site.kept_store if self._is_store_reachable() else None,
             kept=self.kept,
             is_cut=self._domains.is_cut,
-            wanted_version=version,
-            wanted_age=age,
+            wanted_version=self._wanted.find(prompt.model),
+            measure_age=lambda version: self._wanted.measure_age(prompt.model, version, now),
             oldest_age=self._oldest_age,
             now=now,
         )
