Pick the addresses of tests by the one function that there was

The tests of the fleet, of whole hosts and of the soak each picked ports in a way of their own, one of them kept in a test module that the others imported. pick_addresses of the bench does the same with a network for each process and ports below those of outgoing connections.

--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,30 +1,15 @@
 """Check that hosts hear each other, and notice who has gone silent or leaves."""
 
 import asyncio
-import contextlib
-import random
-import socket
 
+from turmericproxy.bench.processes import pick_addresses
 from turmericproxy.core import HostName, Incarnation
 from turmericproxy.fleet import Batch, FleetLinks, Hello
 
-_TAKEN: set[int] = set()
-
-
-def pick_port() -> int:
-    # Below the ports that the system gives to outgoing connections, of which there are many.
-    while True:
-        port = random.randrange(15_000, 30_000)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            if port not in _TAKEN:
-                _TAKEN.add(port)
-                return port
-
 
 class Node:
     def __init__(self, name: str) -> None:
-        self.hello = Hello(HostName(name), f"127.0.0.1:{pick_port()}", "a", Incarnation(name))
+        self.hello = Hello(HostName(name), pick_addresses(1)[0], "a", Incarnation(name))
         self.heard: list[Batch] = []
         self.lost: list[HostName] = []
         self.news: list[Batch] = []
@@ -88,8 +73,8 @@
     async def run() -> None:
         one, two = Node("one"), Node("two")
         await one.links.start()
-        port = int(one.hello.address.rpartition(":")[2])
-        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        ip, _, port = one.hello.address.rpartition(":")
+        _, writer = await asyncio.open_connection(ip, int(port))
         writer.write(b"GET / HTTP/1.1\r\n\r\n")
         await two.links.start()
         two.links.add_peer(one.hello)
--- a/tests/fleet/test_passing_on.py
+++ b/tests/fleet/test_passing_on.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from tests.fleet.test_links import pick_port
+from turmericproxy.bench.processes import pick_addresses
 from turmericproxy.core import HostName, Incarnation
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.fleet import Batch, FleetLinks, Hello
@@ -61,7 +61,7 @@
             Node(
                 Hello(
                     HostName(f"{domain}{n}"),
-                    f"127.0.0.1:{pick_port()}",
+                    pick_addresses(1)[0],
                     domain,
                     Incarnation("i"),
                     100 if n == 0 else 10,
--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import copy
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from tests.platform.support import CONFIGURATION
+from turmericproxy.bench.processes import pick_addresses
 from turmericproxy.core import HostName
 from turmericproxy.fleet.quotas import NO_TOLERANCE
 from turmericproxy.host.site_daemon import SiteHost
@@ -16,12 +16,6 @@
 from turmericproxy.standins.platform_wire_store import WireStore
 
 
-def pick_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @dataclass(frozen=True)
 class Answer:
     """Hold what a client got; ``is_whole`` tells whether the answer ended as complete."""
@@ -49,13 +43,14 @@
         return server
 
     async def add_host(self, name: str, domain: str = "a", store: str | None = None) -> SiteHost:
+        callers, readiness, links, metrics = pick_addresses(4)
         settings = SiteHostSettings(
             host=HostName(name),
             domain=domain,
-            callers=pick_address(),
-            readiness=pick_address(),
-            links=pick_address(),
-            metrics=pick_address(),
+            callers=callers,
+            readiness=readiness,
+            links=links,
+            metrics=metrics,
             store=store or self.store.address,
             is_first_start=True,
             order_guard=1.0,
--- a/tests/host/test_whole_path.py
+++ b/tests/host/test_whole_path.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.host.support import Stage, pick_address, play
+from tests.host.support import Stage, play
+from turmericproxy.bench.processes import pick_addresses
 from turmericproxy.standins.platform_wire_server import SeenRequest
 
 
@@ -241,7 +242,7 @@
 
 def test_host_without_a_store_answers_503_until_it_is_back() -> None:
     async def scene(stage: Stage) -> None:
-        address = pick_address()
+        address = pick_addresses(1)[0]
         await stage.add_host("alone", store=address)
         answer = await stage.ask("/book/1", index=1)
         assert answer.status == 503
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.fleet.test_links import pick_port
+from turmericproxy.bench.processes import pick_addresses
 
 # Seconds that a host has between SIGTERM and the end.
 GRACE_SECONDS = 4
@@ -30,8 +30,7 @@
     process: subprocess.Popen[bytes] | None = field(default=None, repr=False)
 
     def __post_init__(self) -> None:
-        self.callers, self.readiness = (f"127.0.0.1:{pick_port()}" for _ in range(2))
-        self._links, self._metrics = pick_port(), pick_port()
+        self.callers, self.readiness, self._links, self._metrics = pick_addresses(4)
         self._is_first_start = True
 
     def start(self) -> None:
@@ -90,13 +89,15 @@
             await asyncio.sleep(0.02)
 
     def _write_settings(self) -> str:
+        ip, _, links_port = self._links.rpartition(":")
+        metrics_port = self._metrics.rpartition(":")[2]
         values = {
             "node": self.name,
             "zone": self.domain,
-            "ip": "127.0.0.1",
+            "ip": ip,
             "listen.front": self.callers,
             "listen.ready": self.readiness,
-            "port_range": f"{self._links},{self._metrics}",
+            "port_range": f"{links_port},{metrics_port}",
             "bootstrap": str(self._is_first_start).lower(),
             "platform.address": self.store,
             "bounds.lease_ms": 1000,
