--- a/tests/traffic/test_attempts.py
+++ b/tests/traffic/test_attempts.py
@@ -11,6 +11,7 @@
     NextAction,
     Outcome,
     decide_next_action,
+    find_obstacle,
 )
 from turmericproxy.traffic.requests import ParsedAnswer, Verdict
 
@@ -22,9 +23,10 @@
     attempt: Attempt, *, is_repeatable: bool, max_runs: int = 2, attempts: int = 1
 ) -> NextAction:
     counts = AttemptCounts(attempts - 1, 0).add(attempt)
-    return decide_next_action(
+    obstacle = find_obstacle(
         attempt, counts, is_repeatable=is_repeatable, max_runs=max_runs, seconds_left=1.0
     )
+    return decide_next_action(attempt, obstacle)
 
 
 @pytest.mark.parametrize("outcome", [Outcome.BROKEN, Outcome.TIMED_OUT])
@@ -48,7 +50,8 @@
     for outcome in outcomes:
         counts = counts.add(Attempt(outcome))
     last = Attempt(outcomes[-1])
-    return decide_next_action(last, counts, is_repeatable=False, max_runs=1, seconds_left=1.0)
+    obstacle = find_obstacle(last, counts, is_repeatable=False, max_runs=1, seconds_left=1.0)
+    return decide_next_action(last, obstacle)
 
 
 def test_request_survives_a_crash_of_many_upstreams_at_once() -> None:
@@ -76,7 +79,6 @@
 
 def test_no_retry_after_the_deadline() -> None:
     attempt = Attempt(Outcome.NOT_SENT)
-    action = decide_next_action(
-        attempt, AttemptCounts(1, 0), is_repeatable=True, max_runs=2, seconds_left=0.0
-    )
-    assert action is NextAction.GIVE_UP
+    counts = AttemptCounts(1, 0)
+    obstacle = find_obstacle(attempt, counts, is_repeatable=True, max_runs=2, seconds_left=0.0)
+    assert decide_next_action(attempt, obstacle) is NextAction.GIVE_UP
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -126,7 +126,11 @@
             self._links.peers.list_local_peers,
         )
         dependencies = ExchangeDependencies(
-            adapter.codec, self._dispatcher, self._version_resolver, self._get_budget
+            adapter.codec,
+            self._dispatcher,
+            self._version_resolver,
+            self._get_budget,
+            self._metrics,
         )
         self._router = Router(
             dependencies, self._quotas, lambda: self._follower.site, self._metrics
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -26,6 +26,17 @@
     GIVE_UP = "give_up"
 
 
+class Obstacle(Enum):
+    """Why no further attempt is made; the values are logged."""
+
+    ANSWERED = "answered"
+    NOT_REPEATABLE = "not_repeatable"
+    NO_ATTEMPT_LEFT = "no_attempt_left"
+    NO_TIME_LEFT = "no_time_left"
+    NO_BUDGET = "no_budget"
+    NO_UPSTREAM = "no_upstream"
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """Result of one attempt.
@@ -88,31 +99,38 @@
         )
 
 
-def decide_next_action(
+def find_obstacle(
     attempt: Attempt,
     attempt_counts: AttemptCounts,
     *,
     is_repeatable: bool,
     max_runs: int,
     seconds_left: float,
-) -> NextAction:
-    """Return what to do after an attempt, which ``attempt_counts`` already includes.
+) -> Obstacle | None:
+    """Return why no further attempt may follow this one, or ``None`` if one may.
 
-    The caller must also check the retry budget before it retries an attempt that was sent.
+    ``attempt_counts`` already includes the attempt. The caller must also check the retry budget
+    before it retries an attempt that was sent.
 
-    >>> decide_next_action(Attempt(Outcome.BROKEN), AttemptCounts(1, 1), is_repeatable=False,
-    ...                    max_runs=2, seconds_left=1.0)
-    <NextAction.GIVE_UP: 'give_up'>
+    >>> find_obstacle(Attempt(Outcome.BROKEN), AttemptCounts(1, 1), is_repeatable=False,
+    ...               max_runs=2, seconds_left=1.0)
+    <Obstacle.NOT_REPEATABLE: 'not_repeatable'>
     """
-    is_answer = attempt.outcome is Outcome.ANSWERED
-    if is_answer and not attempt.is_failure:
-        return NextAction.ANSWER
-    fallback = NextAction.ANSWER if is_answer else NextAction.GIVE_UP
-    is_limit_reached = (
-        attempt_counts.sent >= MAX_SENT_ATTEMPTS or attempt_counts.total >= MAX_TOTAL_ATTEMPTS
-    )
-    if is_limit_reached or seconds_left <= 0:
-        return fallback
-    if attempt.may_have_run and (not is_repeatable or attempt_counts.possible_runs >= max_runs):
-        return fallback
-    return NextAction.RETRY
+    if attempt.outcome is Outcome.ANSWERED and not attempt.is_failure:
+        return Obstacle.ANSWERED
+    if attempt_counts.sent >= MAX_SENT_ATTEMPTS or attempt_counts.total >= MAX_TOTAL_ATTEMPTS:
+        return Obstacle.NO_ATTEMPT_LEFT
+    if seconds_left <= 0:
+        return Obstacle.NO_TIME_LEFT
+    if not attempt.may_have_run:
+        return None
+    if not is_repeatable:
+        return Obstacle.NOT_REPEATABLE
+    return Obstacle.NO_ATTEMPT_LEFT if attempt_counts.possible_runs >= max_runs else None
+
+
+def decide_next_action(attempt: Attempt, obstacle: Obstacle | None) -> NextAction:
+    """Return what to do after an attempt, given what prevents a further one."""
+    if obstacle is None:
+        return NextAction.RETRY
+    return NextAction.ANSWER if attempt.outcome is Outcome.ANSWERED else NextAction.GIVE_UP
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -10,7 +10,15 @@
 from turmericproxy.edge import UpstreamCall
 from turmericproxy.edge.upstream import EndKind
 from turmericproxy.logs import Part, log_decision
-from turmericproxy.traffic.attempts import Attempt, NextAction, Outcome, decide_next_action
+from turmericproxy.metrics import Metrics
+from turmericproxy.traffic.attempts import (
+    Attempt,
+    NextAction,
+    Obstacle,
+    Outcome,
+    decide_next_action,
+    find_obstacle,
+)
 from turmericproxy.traffic.dispatching import Dispatcher, Placement
 from turmericproxy.traffic.events import EventSplitter
 from turmericproxy.traffic.interfaces import MessageCodec, VersionResolver
@@ -38,6 +46,7 @@
     dispatcher: Dispatcher
     version_resolver: VersionResolver
     get_budget: Callable[[ServiceName], RetryBudget]
+    metrics: Metrics
 
 
 @dataclass(frozen=True)
@@ -57,7 +66,8 @@
         self._excluded: frozenset[InstanceId] = frozenset()
         self._refreshed: frozenset[InstanceId] = frozenset()
         self._last_id: str | None = request.parsed.last_event_id
-        self._had_event = False
+        self._event_parts = 0
+        self._received_at = 0.0
 
     async def run(self) -> CompletedAnswer | Refusal:
         """Answer the client; return a refusal if no attempt gave an answer."""
@@ -70,27 +80,31 @@
                 return self._adjust_refusal(placement)
             attempt = await self._attempt(placement)
             request.attempt_counts = request.attempt_counts.add(attempt)
-            action = decide_next_action(
-                attempt,
-                request.attempt_counts,
-                is_repeatable=request.route.is_repeatable,
-                max_runs=request.route.max_attempts,
-                seconds_left=request.deadline - self._clock(),
-            )
+            obstacle = self._find_obstacle(attempt)
             needs_no_budget = attempt.outcome is Outcome.NOT_SENT
-            if action is NextAction.RETRY and not needs_no_budget and not budget.take():
-                action = (
-                    NextAction.ANSWER if attempt.outcome is Outcome.ANSWERED else NextAction.GIVE_UP
-                )
-            self._log_attempt(placement, attempt, action)
+            if obstacle is None and not needs_no_budget and not budget.take():
+                obstacle = Obstacle.NO_BUDGET
+            action = decide_next_action(attempt, obstacle)
+            self._log_attempt(placement, attempt, action, obstacle)
             await self._exclude_upstream(placement, attempt)
             if action is not NextAction.RETRY:
                 return self._finish(attempt, action)
 
+    def _find_obstacle(self, attempt: Attempt) -> Obstacle | None:
+        request = self._request
+        return find_obstacle(
+            attempt,
+            request.attempt_counts,
+            is_repeatable=request.route.is_repeatable,
+            max_runs=request.route.max_attempts,
+            seconds_left=request.deadline - self._clock(),
+        )
+
     async def _attempt(self, placement: Placement) -> Attempt:
         dispatcher = self._dependencies.dispatcher
         started = self._clock()
-        self._had_event = False
+        self._event_parts = 0
+        self._received_at = started
         attempt: Attempt | None = None
         dispatcher.record_start(placement)
         try:
@@ -103,7 +117,7 @@
             raise
         finally:
             seconds = self._clock() - started
-            dispatcher.record_end(placement, attempt, seconds, had_event=self._had_event)
+            dispatcher.record_end(placement, attempt, seconds, had_event=self._event_parts > 0)
         return attempt
 
     async def _send(self, placement: Placement) -> Attempt:
@@ -121,6 +135,7 @@
         self, placement: Placement, call: UpstreamCall, limit: asyncio.Timeout
     ) -> Attempt:
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
+        self._received_at = self._clock()
         parsed = answer.answer if isinstance(answer, Attempt) else answer
         if parsed is not None:
             # Before the answer is relayed: a stream may last for longer than its upstream stays.
@@ -142,13 +157,14 @@
         writer, started = self._request.writer, self._clock()
         splitter = EventSplitter()
         while isinstance(part := await call.read_part(), bytes):
+            self._received_at = self._clock()
             events = splitter.feed(part)
             if splitter.is_event_too_long:
                 return Attempt(Outcome.BROKEN, answer, reason="an event exceeds the size limit")
             if not events.data:
                 continue
-            if not self._had_event:
-                self._had_event = True
+            self._event_parts += 1
+            if self._event_parts == 1:
                 self._dependencies.dispatcher.record_first_event(placement, self._clock() - started)
             if not writer.is_started:
                 writer.start(answer.head.status, _list_header_fields(answer), None)
@@ -226,7 +242,19 @@
             ResultCode.OVERLOADED, attempt.reason, retry_after=OVERLOADED_RETRY_AFTER_SECONDS
         )
 
-    def _log_attempt(self, placement: Placement, attempt: Attempt, action: NextAction) -> None:
+    def _log_attempt(
+        self,
+        placement: Placement,
+        attempt: Attempt,
+        action: NextAction,
+        obstacle: Obstacle | None,
+    ) -> None:
+        self._dependencies.metrics.count(
+            "attempts",
+            outcome=attempt.outcome.value,
+            step=action.value,
+            obstacle=obstacle.value if obstacle else "",
+        )
         log_decision(
             Part.CALLERS,
             "attempt ended",
@@ -238,6 +266,10 @@
             tries=self._request.attempt_counts.total,
             runs=self._request.attempt_counts.possible_runs,
             step=action.value,
+            obstacle=obstacle.value if obstacle else None,
+            event_parts=self._event_parts,
+            silent_seconds=round(self._clock() - self._received_at, 3),
+            revision=self._request.site.revision,
             seconds_left=round(self._request.deadline - self._clock(), 3),
         )
 
