--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -71,6 +71,7 @@
         self._server = EdgeServer("127.0.0.1:0", self._answer)
         self._accepted_orders = 0
         self._is_busy = False
+        self._silent_until = 0.0
 
     @property
     def address(self) -> str:
@@ -85,6 +86,12 @@
         """Stop listening."""
         self._server.close()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing for some seconds, then go on; a server that is silent already stays so."""
+        now = asyncio.get_running_loop().time()
+        if now >= self._silent_until:
+            self._silent_until = now + seconds
+
     def describe(self, state: str = "ready") -> dict[str, object]:
         """Return the registration of the server."""
         registration: dict[str, object] = {
@@ -104,6 +111,8 @@
 
     async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
         self.calls += 1
+        if request.path.startswith("/api/"):
+            await self._wait_while_silent()
         if self.retry_after is not None:
             fields = [("X-Not-Executed", "1"), ("Retry-After", self.retry_after)]
             writer.send(503, [*fields, *self._list_notice_fields()])
@@ -167,6 +176,7 @@
             writer.send(503, [("X-Not-Executed", "1")])
             return
         received.was_executed = True
+        await self._wait_while_silent()
         if self._consume_fault("silent"):
             await asyncio.sleep(60)
         if self._consume_fault("crash"):
@@ -200,6 +210,7 @@
                 return
             writer.write(b"id: %d\ndata: t%d\n\n" % (number, number))
             await asyncio.sleep(self.event_interval)
+            await self._wait_while_silent()
             if self._consume_fault("trickle"):
                 while True:
                     writer.write(b"x")
@@ -219,6 +230,10 @@
     def _list_notice_fields(self) -> list[tuple[str, str]]:
         return [("Server-Leaving", "1")] if self.is_leaving else []
 
+    async def _wait_while_silent(self) -> None:
+        while (seconds := self._silent_until - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(seconds)
+
     def _consume_fault(self, name: str) -> bool:
         remaining: int = getattr(self.faults, name)
         if remaining:
