Secure a replacement before an attempt is ended for its silence

Callers saw resumable streams closed without their end, and requests that may be repeated refused with 502, while their upstreams were silent for about a second and then went on.

Cause: an attempt was cancelled after a fixed silence (twice the event gap, or 0.7 s after the expected first event), and only then did the host look whether the retry budget and the upstreams allowed another. With more silent requests than the budget of a host covers, or with no other upstream, the working attempt had been ended for nothing. A replacement that refused ended the request as well.

Now a silence has two limits. After the first, the same as before, the upstream is suspected, which only makes new requests prefer others and is undone when it goes on. After the second a request leaves it, if another upstream that isn't suspected and a retry are secured, and one more retry remains for the case that the replacement refuses; else it waits and looks again. An upstream that was left only for its silence is the last choice. A stream is no longer left while its client reads slowly.

--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -26,10 +26,11 @@
 
 
 class EndKind(Enum):
-    """Distinguish a complete answer from one that broke off."""
+    """Distinguish a complete answer, one that broke off, and one that the host gave up."""
 
     COMPLETE = "complete"
     BROKEN = "broken"
+    GIVEN_UP = "given_up"
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +132,16 @@
             self._transport.resume_reading()
         return data
 
+    @property
+    def has_parts(self) -> bool:
+        """Return whether a part of the body has not been taken."""
+        return bool(self._parts)
+
+    def give_up(self, reason: str) -> None:
+        """End the answer and ignore what still arrives."""
+        self._finish(EndKind.GIVEN_UP, reason)
+        self._notify()
+
     def _finish(self, end: EndKind, reason: str) -> None:
         if self.end is None:
             self.end = end
@@ -191,9 +202,28 @@
         is_persistent = (head.headers.get("connection") or "").lower() != "close"
         return self._transport if is_persistent and self._reader.is_framed else None
 
+    def give_up(self, reason: str) -> None:
+        """Make all reads end with ``EndKind.GIVEN_UP``, unless the answer has ended."""
+        self._reader.give_up(reason)
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the answer is complete, broke off or was given up."""
+        return self._reader.end is not None
+
+    @property
+    def is_given_up(self) -> bool:
+        """Return whether the call was given up before the answer ended."""
+        return self._reader.end is EndKind.GIVEN_UP
+
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether a part of the body has arrived and not been read."""
+        return self._reader.has_parts
+
     @property
     def reason(self) -> str:
-        """Return why the answer broke off, or an empty text."""
+        """Return why the answer broke off or was given up, or an empty text."""
         return self._reader.reason
 
     def close(self) -> None:
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -35,6 +35,7 @@
     NO_TIME_LEFT = "no_time_left"
     NO_BUDGET = "no_budget"
     NO_UPSTREAM = "no_upstream"
+    SLOW_CLIENT = "slow_client"
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -10,6 +10,7 @@
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
 from turmericproxy.placement.engines import EngineCandidate
+from turmericproxy.placement.health import HealthSignal
 from turmericproxy.placement.notices import NO_NOTICE
 from turmericproxy.placement.plain import choose_plain, estimate_seconds
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
@@ -113,6 +114,28 @@
             )
         return placed
 
+    def place_replacement(
+        self, request: RoutedRequest, excluded: frozenset[InstanceId], resume_after: str | None
+    ) -> Placement | None:
+        """Choose an upstream that is expected to answer, in place of a silent one."""
+        placed = self.place(request, excluded, resume_after)
+        if isinstance(placed, Refusal):
+            return None
+        state = self._registry.find(placed.instance)
+        return placed if state and not state.is_suspended(self._read_clock()) else None
+
+    def record_silence(self, placement: Placement) -> None:
+        """Record that an attempt has been silent for longer than expected."""
+        self._record_signal(placement, HealthSignal.TIMED_OUT)
+
+    def record_progress(self, placement: Placement) -> None:
+        """Record that an upstream goes on after a silence."""
+        self._record_signal(placement, HealthSignal.ANSWERED)
+
+    def _record_signal(self, placement: Placement, health_signal: HealthSignal) -> None:
+        now = self._read_clock()
+        self._registry.record_health_signal(placement.instance, health_signal, now)
+
     def _refuse_silent(
         self, request: RoutedRequest, states: list[UpstreamState], now: float
     ) -> Refusal:
@@ -157,11 +180,18 @@
             self._saved_parts += placement.keys
 
     def record_end(
-        self, placement: Placement, attempt: Attempt | None, seconds: float, *, had_event: bool
+        self,
+        placement: Placement,
+        attempt: Attempt | None,
+        seconds: float,
+        *,
+        had_event: bool,
+        is_suspected: bool,
     ) -> None:
         """Remove the work of an ended attempt and record its outcome.
 
-        ``attempt`` is ``None`` if the client disconnected.
+        ``attempt`` is ``None`` if the client disconnected. ``is_suspected`` tells whether the
+        silence at its end has been recorded.
         """
         work = placement.work
         prefill_change = 0 if had_event else -work.pending_prefill_tokens
@@ -169,6 +199,8 @@
         if attempt is None:
             return
         self._record_reachability(placement, attempt)
+        if is_suspected and attempt.outcome is Outcome.TIMED_OUT:
+            return
         is_plain_answer = attempt.outcome is Outcome.ANSWERED and placement.prompt is None
         now = self._read_clock()
         self._registry.record_health_signal(
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -13,6 +13,7 @@
 from turmericproxy.metrics import Metrics
 from turmericproxy.traffic.attempts import (
     Attempt,
+    AttemptCounts,
     NextAction,
     Obstacle,
     Outcome,
@@ -25,15 +26,21 @@
 from turmericproxy.traffic.requests import ParsedAnswer, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.sending import open_call, read_answer, read_head
+from turmericproxy.traffic.silence import SilenceHandlers, SilenceLimits, SilenceWatch
 
 # Timeout of a plain call that may be repeated: a multiple of its expected time, with a minimum.
 # Slow calls take five times as long as usual ones.
 TIMEOUT_FACTOR = 8.0
 MIN_TIMEOUT_SECONDS = 0.15
-# A resumable stream is retried if its first event is later than expected by this time.
+# An upstream is suspected if the first event of a stream is later than expected by this time, or
+# after a pause of this many target event gaps.
 FIRST_EVENT_MARGIN_SECONDS = 0.7
-# A resumable stream is retried after a pause of this many target event gaps.
 EVENT_GAP_FACTOR = 2.0
+# A stream leaves a suspected upstream after this silence. Sound ones may pause for about a second.
+STREAM_PATIENCE_SECONDS = 1.5
+# Retries that must remain in the budget when a silent upstream is left, since its replacement may
+# refuse the request.
+SPARE_RETRIES = 1
 # Retry-After when no attempt has run: about the time for which an upstream is paused.
 OVERLOADED_RETRY_AFTER_SECONDS = 0.5
 
@@ -64,10 +71,18 @@
         self._dependencies = dependencies
         self._clock = asyncio.get_running_loop().time
         self._excluded: frozenset[InstanceId] = frozenset()
+        # Left only for their silence: used again if no other upstream takes the request.
+        self._silent: frozenset[InstanceId] = frozenset()
+        self._replacement: Placement | None = None
+        self._logged_obstacle: Obstacle | None = None
+        self._watch: SilenceWatch | None = None
+        self._is_suspected = False
         self._refreshed: frozenset[InstanceId] = frozenset()
         self._last_id: str | None = request.parsed.last_event_id
         self._event_parts = 0
         self._received_at = 0.0
+        gap = EVENT_GAP_FACTOR * request.route.target_event_gap
+        self._gap_limits = SilenceLimits(gap, max(gap, STREAM_PATIENCE_SECONDS))
 
     async def run(self) -> CompletedAnswer | Refusal:
         """Answer the client; return a refusal if no attempt gave an answer."""
@@ -75,13 +90,13 @@
         budget = self._dependencies.get_budget(request.service.name)
         budget.record_request()
         while True:
-            placement = self._dependencies.dispatcher.place(request, self._excluded, self._last_id)
+            placement = self._take_replacement() or self._place()
             if isinstance(placement, Refusal):
                 return self._adjust_refusal(placement)
             attempt = await self._attempt(placement)
             request.attempt_counts = request.attempt_counts.add(attempt)
-            obstacle = self._find_obstacle(attempt)
-            needs_no_budget = attempt.outcome is Outcome.NOT_SENT
+            obstacle = self._find_obstacle(attempt, request.attempt_counts)
+            needs_no_budget = attempt.outcome is Outcome.NOT_SENT or self._replacement is not None
             if obstacle is None and not needs_no_budget and not budget.take():
                 obstacle = Obstacle.NO_BUDGET
             action = decide_next_action(attempt, obstacle)
@@ -90,11 +105,23 @@
             if action is not NextAction.RETRY:
                 return self._finish(attempt, action)
 
-    def _find_obstacle(self, attempt: Attempt) -> Obstacle | None:
+    def _place(self) -> Placement | Refusal:
+        """Choose the next upstream; one that was only silent is the last choice."""
+        dispatcher, request = self._dependencies.dispatcher, self._request
+        placement = dispatcher.place(request, self._excluded | self._silent, self._last_id)
+        if isinstance(placement, Refusal) and self._silent:
+            placement = dispatcher.place(request, self._excluded, self._last_id)
+        return placement
+
+    def _take_replacement(self) -> Placement | None:
+        replacement, self._replacement = self._replacement, None
+        return replacement
+
+    def _find_obstacle(self, attempt: Attempt, attempt_counts: AttemptCounts) -> Obstacle | None:
         request = self._request
         return find_obstacle(
             attempt,
-            request.attempt_counts,
+            attempt_counts,
             is_repeatable=request.route.is_repeatable,
             max_runs=request.route.max_attempts,
             seconds_left=request.deadline - self._clock(),
@@ -105,6 +132,7 @@
         started = self._clock()
         self._event_parts = 0
         self._received_at = started
+        self._is_suspected = False
         attempt: Attempt | None = None
         dispatcher.record_start(placement)
         try:
@@ -117,7 +145,13 @@
             raise
         finally:
             seconds = self._clock() - started
-            dispatcher.record_end(placement, attempt, seconds, had_event=self._event_parts > 0)
+            dispatcher.record_end(
+                placement,
+                attempt,
+                seconds,
+                had_event=self._event_parts > 0,
+                is_suspected=self._is_suspected,
+            )
         return attempt
 
     async def _send(self, placement: Placement) -> Attempt:
@@ -125,15 +159,15 @@
         if isinstance(opened, Attempt):
             return opened
         with opened as call:
+            self._watch = self._start_watch(placement, call)
             try:
-                async with asyncio.timeout(self._compute_timeout(placement)) as limit:
-                    return await self._receive(placement, call, limit)
-            except TimeoutError:
-                return Attempt(Outcome.TIMED_OUT, reason="the upstream exceeded the expected time")
+                attempt = await self._receive(placement, call)
+            finally:
+                if self._watch:
+                    self._watch.close()
+        return Attempt(Outcome.TIMED_OUT, reason=call.reason) if call.is_given_up else attempt
 
-    async def _receive(
-        self, placement: Placement, call: UpstreamCall, limit: asyncio.Timeout
-    ) -> Attempt:
+    async def _receive(self, placement: Placement, call: UpstreamCall) -> Attempt:
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
         self._received_at = self._clock()
         parsed = answer.answer if isinstance(answer, Attempt) else answer
@@ -143,15 +177,11 @@
         if isinstance(answer, Attempt):
             return answer
         if self._request.route.is_stream and answer.verdict is Verdict.SUCCESS:
-            return await self._relay(placement, call, answer, limit)
+            return await self._relay(placement, call, answer)
         return await read_answer(call, answer)
 
     async def _relay(
-        self,
-        placement: Placement,
-        call: UpstreamCall,
-        answer: ParsedAnswer,
-        limit: asyncio.Timeout,
+        self, placement: Placement, call: UpstreamCall, answer: ParsedAnswer
     ) -> Attempt:
         """Relay complete events as they arrive; the client's answer starts with the first one."""
         writer, started = self._request.writer, self._clock()
@@ -170,8 +200,9 @@
                 writer.start(answer.head.status, _list_header_fields(answer), None)
             self._last_id = events.last_id or self._last_id
             writer.write(events.data)
-            self._extend_timeout(limit)
             await writer.drain()
+            if self._watch:
+                self._watch.record_progress(self._gap_limits)
         if part is not EndKind.COMPLETE or splitter.has_partial_event:
             return Attempt(
                 Outcome.BROKEN, answer, reason=call.reason or "the stream ended within an event"
@@ -180,20 +211,59 @@
             writer.start(answer.head.status, _list_header_fields(answer), None)
         return Attempt(Outcome.ANSWERED, answer)
 
-    def _compute_timeout(self, placement: Placement) -> float | None:
-        """Return the timeout of an attempt in seconds, or ``None`` if it must not be repeated."""
-        request = self._request
-        if not request.route.is_repeatable or not self._may_run_again():
+    def _start_watch(self, placement: Placement, call: UpstreamCall) -> SilenceWatch | None:
+        """Watch a call whose request may be sent once more."""
+        if not self._request.route.is_repeatable or not self._may_run_again():
             return None
-        if request.route.is_stream:
-            return placement.expected_seconds + FIRST_EVENT_MARGIN_SECONDS
-        return max(MIN_TIMEOUT_SECONDS, TIMEOUT_FACTOR * placement.expected_seconds)
-
-    def _extend_timeout(self, limit: asyncio.Timeout) -> None:
-        if limit.when() is not None:
-            limit.reschedule(
-                self._clock() + EVENT_GAP_FACTOR * self._request.route.target_event_gap
+        handlers = SilenceHandlers(
+            suspect=lambda: self._record_silence(placement),
+            clear=lambda: self._record_progress(placement),
+            replace=lambda: self._secure_replacement(placement),
+        )
+        return SilenceWatch(call, self._compute_limits(placement), handlers)
+
+    def _compute_limits(self, placement: Placement) -> SilenceLimits:
+        """Return how long a call may be silent before its first event, or a plain call at all."""
+        expected = placement.expected_seconds
+        if self._request.route.is_stream:
+            return SilenceLimits(
+                expected + FIRST_EVENT_MARGIN_SECONDS, expected + STREAM_PATIENCE_SECONDS
             )
+        timeout = max(MIN_TIMEOUT_SECONDS, TIMEOUT_FACTOR * expected)
+        return SilenceLimits(timeout, timeout)
+
+    def _record_silence(self, placement: Placement) -> None:
+        self._is_suspected = True
+        self._dependencies.dispatcher.record_silence(placement)
+
+    def _record_progress(self, placement: Placement) -> None:
+        self._is_suspected = False
+        self._dependencies.dispatcher.record_progress(placement)
+
+    def _secure_replacement(self, placement: Placement) -> bool:
+        """Choose the next upstream and take its retry; return whether both could be had."""
+        obstacle = self._find_replacement(placement)
+        self._log_silence(placement, obstacle)
+        return obstacle is None
+
+    def _find_replacement(self, placement: Placement) -> Obstacle | None:
+        request, silent = self._request, Attempt(Outcome.TIMED_OUT)
+        if request.writer.is_paused:
+            return Obstacle.SLOW_CLIENT
+        obstacle = self._find_obstacle(silent, request.attempt_counts.add(silent))
+        if obstacle:
+            return obstacle
+        budget = self._dependencies.get_budget(request.service.name)
+        if not budget.holds(1 + SPARE_RETRIES):
+            return Obstacle.NO_BUDGET
+        excluded = self._excluded | self._silent | {placement.instance}
+        self._replacement = self._dependencies.dispatcher.place_replacement(
+            request, excluded, self._last_id
+        )
+        if self._replacement is None:
+            return Obstacle.NO_UPSTREAM
+        budget.take()
+        return None
 
     def _may_run_again(self) -> bool:
         return self._request.attempt_counts.possible_runs + 1 < self._request.route.max_attempts
@@ -209,6 +279,9 @@
             self._refreshed |= {sent_to}
             await self._dependencies.version_resolver.refresh_versions(sent_to)
             return
+        if attempt.outcome is Outcome.TIMED_OUT:
+            self._silent |= {sent_to}
+            return
         self._excluded |= {sent_to}
         if answered_by and answered_by != sent_to:
             successor = InstanceId(answered_by)
@@ -242,6 +315,24 @@
             ResultCode.OVERLOADED, attempt.reason, retry_after=OVERLOADED_RETRY_AFTER_SECONDS
         )
 
+    def _log_silence(self, placement: Placement, obstacle: Obstacle | None) -> None:
+        if obstacle and obstacle is self._logged_obstacle:
+            return
+        self._logged_obstacle = obstacle
+        step = "wait" if obstacle else "replace"
+        self._dependencies.metrics.count("silent_attempts", step=step)
+        log_decision(
+            Part.CALLERS,
+            "upstream silent",
+            request_id=self._request.parsed.request_id,
+            upstream=placement.instance,
+            silent_seconds=round(self._clock() - self._received_at, 3),
+            event_parts=self._event_parts,
+            step=step,
+            obstacle=obstacle.value if obstacle else None,
+            replacement=self._replacement.instance if self._replacement else None,
+        )
+
     def _log_attempt(
         self,
         placement: Placement,
--- /dev/null
+++ b/turmericproxy/traffic/silence.py
@@ -0,0 +1,85 @@
+"""Notice silent upstreams, and leave one only once its replacement is secured."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from turmericproxy.edge import UpstreamCall
+
+# Interval between two searches for a replacement of a silent upstream.
+SEARCH_INTERVAL_SECONDS = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """Silence in seconds after which an upstream is suspected, and after which it may be left."""
+
+    suspicion: float
+    patience: float
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceHandlers:
+    """Functions that a watch calls.
+
+    ``suspect`` is called once per silence and ``clear`` when a suspected upstream goes on.
+    ``replace`` returns whether a replacement is secured; then the watched call is given up.
+    """
+
+    suspect: Callable[[], None]
+    clear: Callable[[], None]
+    replace: Callable[[], bool]
+
+
+class SilenceWatch:
+    """Watch the progress of one call, from its start until ``close``."""
+
+    def __init__(
+        self, call: UpstreamCall, limits: SilenceLimits, handlers: SilenceHandlers
+    ) -> None:
+        self._call = call
+        self._limits = limits
+        self._handlers = handlers
+        self._loop = asyncio.get_running_loop()
+        self._progress_at = self._loop.time()
+        self._is_suspected = False
+        self._timer = self._loop.call_later(limits.suspicion, self._check)
+
+    def record_progress(self, limits: SilenceLimits) -> None:
+        """Start measuring the silence anew, with other limits."""
+        self._progress_at = self._loop.time()
+        if self._is_suspected:
+            self._is_suspected = False
+            self._handlers.clear()
+        if limits is not self._limits:
+            self._limits = limits
+            self._set_timer(limits.suspicion)
+
+    def close(self) -> None:
+        """Stop watching."""
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        if self._call.has_ended:
+            return
+        if self._call.has_unread_data:
+            # The client reads slowly; the upstream isn't silent.
+            self._set_timer(self._limits.suspicion)
+            return
+        silent_seconds = self._loop.time() - self._progress_at
+        if silent_seconds < self._limits.suspicion:
+            self._set_timer(self._limits.suspicion - silent_seconds)
+            return
+        if not self._is_suspected:
+            self._is_suspected = True
+            self._handlers.suspect()
+        if silent_seconds < self._limits.patience:
+            self._set_timer(self._limits.patience - silent_seconds)
+        elif self._handlers.replace():
+            self._call.give_up("the upstream was silent and a replacement is available")
+        else:
+            self._set_timer(SEARCH_INTERVAL_SECONDS)
+
+    def _set_timer(self, seconds: float) -> None:
+        self._timer.cancel()
+        self._timer = self._loop.call_later(seconds, self._check)
