Let an engine stand-in pause, and keep a request while it has a connection

The fault "pause" silences every stream for some seconds, after which it goes on; "silent" never ends, so no test could tell a silent engine from a lost one.

A request that was resumed while its old connection was open was cancelled resume_hold seconds after the old one closed, although the new one was being read. The stand-in recorded the close of any connection as the request's own; it now counts the connections and starts the time with the last. The new test failed before with "ProtocolError: Response ended prematurely" and passes now.

--- a/tests/standins/engine/test_http_api.py
+++ b/tests/standins/engine/test_http_api.py
@@ -134,3 +134,19 @@
     assert client.call_json("POST", "/v1/cancel", {"request_id": "a"})[1] == {"cancelled": True}
     assert client.call_json("GET", "/v1/load")[1]["running"] == 0
     answer.close()
+
+
+# A resumed request was cancelled because the connection that it replaced was closed afterwards.
+def test_resumed_stream_outlasts_the_connection_that_it_replaced() -> None:
+    engine = create_engine(EngineOptions(resume_hold=0.2))
+    engine.start()
+    client = HttpClient(engine.address, read_timeout=3.0)
+    body = json.dumps({**build_body("a", max_tokens=80), "stream": True}).encode()
+    replaced = client.open("POST", "/v1/chat/completions", body=body)
+    resume = json.dumps({"request_id": "a", "after": -1}).encode()
+    resumed = client.open("POST", "/v1/resume", body=resume)
+    assert not isinstance(replaced, CallFailure) and not isinstance(resumed, CallFailure)
+    replaced.close()
+    content = b"".join(resumed.stream(decode_content=False))
+    engine.close()
+    assert content.endswith(b"data: [DONE]\n\n")
--- a/turmericproxy/standins/engine/answers.py
+++ b/turmericproxy/standins/engine/answers.py
@@ -74,6 +74,10 @@
         pieces = [self._describe_piece(n)["text"] for n in range(job.start, job.max_tokens)]
         return {**self._describe_usage(0), "text": "".join(pieces)}
 
+    @property
+    def _is_silent(self) -> bool:
+        return self.is_stalled or time.monotonic() < self._faults.paused_until
+
     def _delay(self) -> None:
         time.sleep(self._faults.late)
 
@@ -83,7 +87,7 @@
         self._wait(
             lambda: self._job.produced > index
             or self._job.is_ended
-            or (time.monotonic() > due and not self.is_stalled)
+            or (time.monotonic() > due and not self._is_silent)
         )
         if self._job.is_ended and self._job.produced <= index:
             raise ResponseAborted
@@ -95,9 +99,9 @@
             raise ResponseAborted
 
     def _wait(self, is_ready: Any) -> None:
-        while not is_ready() or self.is_stalled:
+        while not is_ready() or self._is_silent:
             with self._job.changed:
-                if not is_ready() or self.is_stalled:
+                if not is_ready() or self._is_silent:
                     self._job.changed.wait(timeout=POLL_SECONDS)
             if self._request.is_client_gone() or self._job.state is JobState.LOST:
                 raise ResponseAborted
--- a/turmericproxy/standins/engine/batch.py
+++ b/turmericproxy/standins/engine/batch.py
@@ -41,6 +41,7 @@
     computed_tokens: int | None = None
     produced: int = 0
     next_piece_at: float = 0.0
+    connections: int = 1
     detached_at: float | None = None
     arrival_number: int = 0
     changed: threading.Condition = field(default_factory=threading.Condition)
--- a/turmericproxy/standins/engine/core.py
+++ b/turmericproxy/standins/engine/core.py
@@ -91,13 +91,16 @@
         with self._condition:
             job = self._jobs.get(request_id)
             if job:
+                job.connections += 1
                 job.detached_at = None
             return job
 
     def detach(self, job: Job) -> None:
-        """Record that a request is disconnected; ``resume_hold`` seconds later it is cancelled."""
+        """Record a lost connection; ``resume_hold`` seconds after the last the request ends."""
         with self._condition:
-            job.detached_at = time.monotonic()
+            job.connections -= 1
+            if job.connections == 0:
+                job.detached_at = time.monotonic()
 
     def cancel(self, request_id: str) -> bool:
         """Stop a request and return whether it was running."""
--- a/turmericproxy/standins/engine/http_api.py
+++ b/turmericproxy/standins/engine/http_api.py
@@ -89,6 +89,10 @@
             except OSError:
                 time.sleep(BIND_RETRY_SECONDS)
 
+    def pause(self, seconds: float) -> None:
+        """Send nothing on any stream for ``seconds``, then go on."""
+        self.faults.apply({"paused_until": time.monotonic() + seconds})
+
     def _create_server(self, address: str) -> HttpServer:
         return HttpServer(address, self._handle, threads=self.options.threads)
 
@@ -191,6 +195,8 @@
                 answers = list(self._answers)
             for open_answer in answers:
                 open_answer.is_stalled = True
+        if changes.get("pause") is not None:
+            self.pause(float(changes["pause"]))
         if changes.get("evict"):
             self._core.clear_cache()
         answer = create_json_response(200, {"applied": sorted(changes)})
--- a/turmericproxy/standins/engine/options.py
+++ b/turmericproxy/standins/engine/options.py
@@ -38,7 +38,7 @@
 
     ``crossed`` is how many more answers switch to another request's output after
     ``crossed_after`` pieces of their own; ``break_stream_after`` aborts the next stream after
-    that many pieces.
+    that many pieces. ``paused_until`` is a monotonic time until which no answer is sent.
     """
 
     event_lag: float
@@ -49,6 +49,7 @@
     crossed: int = 0
     crossed_after: int = 0
     break_stream_after: int | None = None
+    paused_until: float = 0.0
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def apply(self, changes: Mapping[str, Any]) -> None:
