Secure a replacement before a chat leaves a silent engine

Callers saw a chat end with 502 upstream_failed, or a stream with stream_broken, while its engine was sound and went on a moment later: after a pause of the only engine with the retry budget used up, or of one engine while the other was full or down, or with a full budget if the first event was late on every connection.

Cause: the host closed the connection as soon as first_byte_timeout or idle_timeout had passed without a byte, and only then asked for a resume, a retry of the budget, an attempt and another engine. Each of these could be missing, and the connection was gone. A late engine lost every attempt in turn, as each new connection was closed before its first event. With retries left the chat was run again: 3 runs for one pause.

Ruled out: plain calls, repeatable or not.

Fix: a socket asks a handler whenever its timeout passes, in place of failing. The handler asks the engine to resume on a second connection, and moves there only once that one has brought an event. Or it chooses another engine, which must be healthy, checks that an attempt is left, and takes a retry. Only then the chat leaves. Else it goes on waiting: until the deadline of the first token, or for 30 s of silence once the stream has begun, as a started stream has no deadline here. An engine that was left for its silence alone is the last choice. A connection that is closed or refused is left at once, as before.

--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, replace
 
 from turmericproxy.cache.blocks import hash_blocks
-from turmericproxy.callers.attempts import Attempt, AttemptFailure
+from turmericproxy.callers.attempts import Attempt, AttemptFailure, ProbeResult
 from turmericproxy.callers.calls import ChatCall
+from turmericproxy.callers.choices import EngineChooser
 from turmericproxy.callers.clients import UpstreamClients
 from turmericproxy.callers.events import (
     ExpectedEvent,
@@ -20,7 +21,6 @@
 from turmericproxy.callers.exchange import Exchange
 from turmericproxy.core import (
     AccountName,
-    EngineName,
     Refusal,
     RequestId,
     ResultCode,
@@ -44,6 +44,8 @@
 MAX_ATTEMPTS_WITHOUT_PROGRESS = 4
 STARTED_STREAM_WAIT_SECONDS = 10.0
 UNSTARTED_STREAM_WAIT_SECONDS = 1.5
+# Longest silence of the engines of a started stream; engines send a comment every half second.
+STARTED_STREAM_SILENCE_SECONDS = 30.0
 ENGINE_POLL_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 1.0
 SALT_BYTES = 8
@@ -103,7 +105,10 @@
         self._salt = derive_salt(exchange.identity.account)
         self._blocks = self._hash_blocks()
         self._next_index = 0
-        self._excluded: frozenset[EngineName] = frozenset()
+        self._chooser = EngineChooser(dependencies.selector, dependencies.keys, exchange.identity)
+        self._replacement: EngineChoice | None = None
+        self._attempts_without_progress = 0
+        self._last_event_at = exchange.received_at
         self._usage: Usage | None = None
         self._items = self._run_attempts()
         dependencies.budget.record_request()
@@ -118,11 +123,34 @@
         """End the stream, and cancel the request if it still runs at an engine."""
         self._items.close()
 
+    def is_caller_gone(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        return self._exchange.request.is_client_gone()
+
+    def count_seconds_left(self) -> float:
+        """Return how long the engine may stay silent; negative once the time has passed."""
+        if self._next_index:
+            return self._last_event_at + STARTED_STREAM_SILENCE_SECONDS - read_boottime()
+        return self._exchange.deadline - read_boottime()
+
+    def secure_replacement(self, attempt: Attempt, probe: ProbeResult | None) -> bool:
+        """Choose another engine and take a retry; return whether both succeed."""
+        if not self._has_attempt_left(attempt):
+            return False
+        request = self._create_request()
+        choice = self._chooser.choose_replacement(request, attempt.choice, probe)
+        if choice is None or not self._dependencies.budget.take():
+            return False
+        self._replacement = choice
+        return True
+
+    def _has_attempt_left(self, attempt: Attempt) -> bool:
+        has_progressed = self._next_index > attempt.start
+        return has_progressed or self._attempts_without_progress + 1 < MAX_ATTEMPTS_WITHOUT_PROGRESS
+
     def _run_attempts(self) -> Generator[StreamItem, None, None]:
-        failure: AttemptFailure | None = None
-        attempts_without_progress = 0
+        choice = self._chooser.choose(self._create_request())
         for attempt_number in itertools.count():
-            choice = self._choose_engine() if failure is None else self._choose_for_retry(failure)
             if isinstance(choice, Refusal):
                 yield choice
                 return
@@ -130,14 +158,24 @@
             failure = yield from self._run_attempt(choice, attempt_number)
             if failure is None:
                 return
-            self._excluded |= {choice.engine}
-            self._report_failure(choice, failure)
-            attempts_without_progress = (
-                0 if self._next_index > start else attempts_without_progress + 1
-            )
-            if attempts_without_progress == MAX_ATTEMPTS_WITHOUT_PROGRESS:
+            self._record_failure(choice, failure, has_progressed=self._next_index > start)
+            if self._attempts_without_progress == MAX_ATTEMPTS_WITHOUT_PROGRESS:
                 yield self._refuse_broken(failure.reason)
                 return
+            choice = self._take_replacement() or self._choose_for_retry(failure)
+
+    def _record_failure(
+        self, choice: EngineChoice, failure: AttemptFailure, has_progressed: bool
+    ) -> None:
+        self._chooser.record_failure(choice, failure)
+        self._report_failure(choice, failure)
+        self._attempts_without_progress = (
+            0 if has_progressed else self._attempts_without_progress + 1
+        )
+
+    def _take_replacement(self) -> EngineChoice | None:
+        replacement, self._replacement = self._replacement, None
+        return replacement
 
     def _choose_for_retry(self, failure: AttemptFailure) -> EngineChoice | Refusal:
         """Choose an engine for a retry, waiting a limited time if none is available.
@@ -150,13 +188,13 @@
             self._update_version()
         wait_deadline = self._compute_wait_deadline(read_boottime())
         while True:
-            choice = self._choose_engine()
+            choice = self._chooser.choose(self._create_request())
             if isinstance(choice, EngineChoice):
                 return choice
             seconds_left = wait_deadline - read_boottime()
             if seconds_left <= 0 or is_final(choice, self._next_index > 0, seconds_left):
                 return self._refuse_broken(f"{failure.reason}; {choice.reason}")
-            self._excluded = frozenset()
+            self._chooser.clear_failed()
             time.sleep(ENGINE_POLL_SECONDS)
 
     def _compute_wait_deadline(self, now: float) -> float:
@@ -167,7 +205,7 @@
     def _update_version(self) -> None:
         """Choose the version anew; only allowed while no piece has been sent to the caller."""
         version = self._dependencies.selector.choose_version(
-            self._call.model, self._exchange.request_id, self._excluded
+            self._call.model, self._exchange.request_id, self._chooser.failed
         )
         self._call = replace(self._call, version=version or self._call.version)
         self._blocks = self._hash_blocks()
@@ -176,15 +214,12 @@
         call = self._call
         return hash_blocks(call.prompt, self._salt, call.model, call.version)
 
-    def _choose_engine(self) -> EngineChoice | Refusal:
-        refusal = self._dependencies.keys.check(self._identity)
-        if refusal:
-            return refusal
+    def _create_request(self) -> RoutingRequest:
         deadline = self._exchange.deadline
         if self._next_index:
             # The exchange's deadline applies to the first token alone, which has been sent.
             deadline = read_boottime() + STARTED_STREAM_WAIT_SECONDS
-        request = RoutingRequest(
+        return RoutingRequest(
             request_id=self._exchange.request_id,
             account=self._identity.account,
             model=self._call.model,
@@ -193,9 +228,7 @@
             prompt_tokens=self._call.prompt_tokens,
             max_tokens=self._call.max_tokens,
             deadline=deadline,
-            excluded=self._excluded,
         )
-        return self._dependencies.selector.choose_engine(request)
 
     def _run_attempt(
         self, choice: EngineChoice, attempt_number: int
@@ -207,10 +240,11 @@
             failure = attempt.dispatch()
             if failure is None:
                 failure = yield from self._read_pieces(attempt)
+            if failure is not None and self.is_caller_gone():
+                yield self._refuse_gone()
+                return None
             if failure is not None and failure.outcome is AttemptOutcome.FAILED:
-                failure = attempt.resume(self._next_index - 1) or (
-                    yield from self._read_pieces(attempt)
-                )
+                failure = attempt.resume() or (yield from self._read_pieces(attempt))
             outcome = failure.outcome if failure else AttemptOutcome.DONE
             return failure
         finally:
@@ -226,6 +260,7 @@
             RequestId(f"{self._exchange.request_id}-{attempt_number}"),
             self._salt,
             self._next_index,
+            self,
         )
 
     def _read_pieces(self, attempt: Attempt) -> Generator[StreamItem, None, AttemptFailure | None]:
@@ -235,13 +270,10 @@
         """
         is_first = True
         for event in attempt.read_events():
+            self._last_event_at = read_boottime()
             if isinstance(event, KeepAlive):
-                if self._exchange.request.is_client_gone():
-                    yield refuse(
-                        ResultCode.STREAM_BROKEN,
-                        "the caller closed the connection",
-                        RunState.UNKNOWN,
-                    )
+                if self.is_caller_gone():
+                    yield self._refuse_gone()
                     return None
                 continue
             failure = self._check_event(event, attempt)
@@ -293,6 +325,10 @@
             pieces=self._next_index,
         )
 
+    def _refuse_gone(self) -> Refusal:
+        reason = "the caller closed the connection"
+        return refuse(ResultCode.STREAM_BROKEN, reason, RunState.UNKNOWN)
+
     def _refuse_broken(self, reason: str) -> Refusal:
         """Return a refusal after a dispatch: the engine may have run the request."""
         code = ResultCode.STREAM_BROKEN if self._next_index else ResultCode.UPSTREAM_FAILED
--- a/turmericproxy/routing/decisions.py
+++ b/turmericproxy/routing/decisions.py
@@ -36,7 +36,8 @@
     """
     matching = [view for view in views if is_serving(view, request)]
     # If all engines are ejected, some may have recovered: each may get one request at a time.
-    serving = [view for view in matching if not view.is_ejected] or matching
+    healthy = [view for view in matching if not view.is_ejected]
+    serving = healthy if healthy or request.needs_healthy else matching
     if not serving:
         reason = "no engine serves the model and version"
         return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=RETRY_AFTER_SECONDS)
--- a/turmericproxy/routing/requests.py
+++ b/turmericproxy/routing/requests.py
@@ -65,7 +65,10 @@
 
 @dataclass(frozen=True)
 class RoutingRequest:
-    """Describe a request to a model; ``deadline`` is a boot time in seconds for its first token."""
+    """Describe a request to a model; ``deadline`` is a boot time in seconds for its first token.
+
+    With ``needs_healthy``, no ejected engine is tried when all are ejected.
+    """
 
     request_id: RequestId
     account: AccountName
@@ -76,6 +79,7 @@
     max_tokens: int
     deadline: float
     excluded: frozenset[EngineName] = frozenset()
+    needs_healthy: bool = False
 
 
 @dataclass(frozen=True)
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -47,7 +47,11 @@
 
 
 class UpstreamSettings(Section):
-    """Timeouts of calls to upstreams, in seconds."""
+    """Timeouts of calls to upstreams, in seconds.
+
+    An engine is silent if it has sent nothing for ``first_byte_timeout``, or for ``idle_timeout``
+    after the head of its answer.
+    """
 
     connect_timeout: float = Field(default=0.5, gt=0)
     first_byte_timeout: float = Field(default=2.0, gt=0)
--- a/turmericproxy/web/client.py
+++ b/turmericproxy/web/client.py
@@ -1,7 +1,9 @@
 """Call HTTP services with urllib3 and report at which stage a call failed."""
 
 import json
-from collections.abc import Mapping
+import select
+import socket
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from http.client import HTTPException
@@ -16,6 +18,11 @@
     ReadTimeoutError,
 )
 
+HasData = Callable[[], bool]
+# Decides whether to go on waiting for a silent service: returns the seconds to wait, or ``None``
+# to end the call as timed out. Its argument tells whether data has arrived in the meantime.
+SilenceHandler = Callable[[HasData], float | None]
+
 
 class FailureStage(Enum):
     """Distinguish how far a failed call got."""
@@ -38,6 +45,33 @@
         return self.stage is FailureStage.CONNECT
 
 
+class _WatchedSocket(socket.socket):
+    """Socket that calls a handler whenever its timeout passes without data."""
+
+    on_silence: SilenceHandler
+
+    def recv_into(self, *arguments: Any) -> int:
+        """Receive data into a buffer; raise ``TimeoutError`` only if the handler ends the wait."""
+        timeout = self.gettimeout()
+        seconds = timeout
+        try:
+            while seconds is not None:
+                self.settimeout(seconds)
+                try:
+                    return super().recv_into(*arguments)
+                except TimeoutError:
+                    seconds = self.on_silence(self._has_data)
+        finally:
+            self.settimeout(timeout)
+        raise TimeoutError("timed out")
+
+    def _has_data(self) -> bool:
+        """Return whether a read would not block, as there is data or the connection is closed."""
+        poller = select.poll()
+        poller.register(self, select.POLLIN)
+        return bool(poller.poll(0))
+
+
 class HttpClient:
     """Call one service at ``address``; timeouts are in seconds.
 
@@ -78,18 +112,21 @@
         headers: Mapping[str, str] | None = None,
         read_timeout: float | None = None,
         idle_timeout: float | None = None,
+        on_silence: SilenceHandler | None = None,
         fresh: bool = False,
     ) -> urllib3.BaseHTTPResponse | CallFailure:
         """Send a request and return the answer with its body unread, or the failure.
 
         ``idle_timeout`` is the longest wait for further data of a body; it applies to fresh
-        connections alone and defaults to ``read_timeout``. The caller has to return the connection
-        to the pool with ``release_conn`` or to close it with ``close``.
+        connections alone and defaults to ``read_timeout``. ``on_silence`` may extend both waits;
+        it applies to fresh connections too. The caller has to return the connection to the pool
+        with ``release_conn`` or to close it with ``close``.
         """
         limit = read_timeout or float(self._timeout.read_timeout or 0)
         sent = {**self._headers, **(headers or {})}
         if fresh:
-            return self._open_fresh(method, path, body, sent, (limit, idle_timeout or limit))
+            limits = (limit, idle_timeout or limit)
+            return self._open_fresh(method, path, body, sent, limits, on_silence)
         try:
             return self._pool.urlopen(
                 method,
@@ -112,12 +149,15 @@
         body: bytes | None,
         headers: dict[str, str],
         limits: tuple[float, float],
+        on_silence: SilenceHandler | None,
     ) -> urllib3.BaseHTTPResponse | CallFailure:
         """Send a request on a new connection, which is closed with the answer."""
         host, port = self._endpoint
         connection = HTTPConnection(host, port, timeout=self._connect_timeout)
         try:
             connection.connect()
+            if on_silence:
+                connection.sock = _watch_socket(connection.sock, on_silence)
         except (HTTPError, OSError) as error:
             connection.close()
             return CallFailure(FailureStage.CONNECT, type(error).__name__)
@@ -178,6 +218,13 @@
         self._pool.close()
 
 
+def _watch_socket(sock: socket.socket, on_silence: SilenceHandler) -> socket.socket:
+    """Move a connection to a socket that calls ``on_silence``."""
+    watched = _WatchedSocket(fileno=sock.detach())
+    watched.on_silence = on_silence
+    return watched
+
+
 def _describe_failure(error: Exception) -> CallFailure:
     if isinstance(error, NewConnectionError | ConnectTimeoutError):
         return CallFailure(FailureStage.CONNECT, type(error).__name__)
