Let sound servers fall silent in the soak, and check that no answer is lost

Why the soak missed it: no server that all hosts use fell silent and went on; a host had one request at a time, so its retry budget never ran out; a stream that was broken off and a 502 were no violations.

- The stand-in falls silent for a while, before answers and between events, then goes on with the same answers.
Three series a seed: a silent server, a silent service or slow events, beside configurations, SIGHUP and SIGTERM in series.
The faults that a seed drew before stay the same.
- A request must end with a whole answer or a refusal.
Exceptions: a server broke off, the time limit was reached, the host was killed or paused, or the last sixth of the grace.
Silence, drains and faults of the store are none.
- Three callers a host at the same total rate; streams last 0.24 s.

The broken-off answer that test_history took for valid is one only if its server broke it off: that case says so now, and the one without is a violation.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from tests.soak.history import Call, History, Kind
+from tests.soak.history import ENGINE_SERVICE, PLAIN_SERVICE, Call, History, Kind
 from tests.soak.hosts import Host
 from tests.soak.servers import EVENTS_PER_STREAM
 from turmericproxy.edge import UpstreamCall
@@ -24,7 +24,7 @@
 }
 # Time limit of plain routes in the test configuration.
 PLAIN_ROUTE_LIMIT_MS = 800
-MEAN_INTERVAL_SECONDS = 0.12
+MEAN_INTERVAL_SECONDS = 0.36
 # Share of requests that callers cancel before the answer.
 CANCELLED_SHARE = 0.03
 _REQUEST_NUMBERS = itertools.count(1)
@@ -86,7 +86,7 @@
         events = b"".join(
             b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, EVENTS_PER_STREAM + 1)
         )
-        is_plain = kind in (Kind.BOOKING, Kind.LOOKUP)
+        is_plain = kind.service == PLAIN_SERVICE
         body = b"done:visit" if kind is Kind.BOOKING else b"done:"
         limit_ms = PLAIN_ROUTE_LIMIT_MS if is_plain else DEADLINE_MS[kind]
         return Call(
@@ -104,7 +104,7 @@
         lines = [f"{method} {target}{call.request_id} HTTP/1.1", f"Host: {host}"]
         lines += [f"X-Attempt-Id: {call.request_id}", f"Authorization: Bearer {self._key}"]
         lines += [f"X-Request-Deadline: {DEADLINE_MS[call.kind]}", f"Content-Length: {len(body)}"]
-        if call.kind in (Kind.STREAM, Kind.RESUMABLE_STREAM):
+        if call.kind.service == ENGINE_SERVICE:
             lines += ["X-Model: m", "X-Token-Count: 60,5"]
             lines += [f"X-Prompt-Prefix: aa:20,b{self._rng.randrange(4)}:20,{call.request_id}:20"]
         return "\r\n".join([*lines, "", ""]).encode() + body
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,12 +29,24 @@
     SLOW_SERVER = "slow_server"
     NEW_CONFIGURATION = "new_configuration"
     NEW_WEIGHTS = "new_weights"
+    SILENT_SERVER = "silent_server"
+    SILENT_SERVICE = "silent_service"
+    SLOW_EVENTS = "slow_events"
 
 
 # Relative frequencies other than 1: all hosts fail at once less often than single components.
 FREQUENCIES = {FaultKind.KILL_ALL_HOSTS: 0.3}
 # The range includes values below and above the time-outs, heartbeat intervals and lease times.
 MIN_FAULT_SECONDS, MAX_FAULT_SECONDS = 0.2, 3.0
+# Sound servers send nothing for this time and then go on, or send events slowly for this time.
+SILENCE_SECONDS = {
+    FaultKind.SILENT_SERVER: (0.9, 1.6),
+    FaultKind.SILENT_SERVICE: (0.9, 1.6),
+    FaultKind.SLOW_EVENTS: (2.0, 3.0),
+}
+CHANGES = (FaultKind.NEW_CONFIGURATION, FaultKind.RELOAD_HOST, FaultKind.STOP_HOST)
+SERIES_COUNT, SERIES_SECONDS = 3, 2.5
+SILENCES_PER_SERIES, CHANGES_PER_SERIES = 2, 4
 
 
 @dataclass(frozen=True)
@@ -51,9 +63,12 @@
 
 
 def draw_faults(seed: int, count: int, phase_seconds: float) -> Sequence[Fault]:
-    """Return faults in the order of their start; they may overlap."""
+    """Return ``count`` faults and the series of the seed in the order of their start.
+
+    Faults and series may overlap.
+    """
     rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind not in SILENCE_SECONDS]
     chosen = rng.choices(kinds, [FREQUENCIES.get(kind, 1.0) for kind in kinds], k=count)
     faults = [
         Fault(
@@ -64,4 +79,20 @@
         )
         for kind in chosen
     ]
+    faults += _draw_series(seed, phase_seconds)
     return sorted(faults, key=lambda fault: fault.start_seconds)
+
+
+def _draw_series(seed: int, phase_seconds: float) -> Sequence[Fault]:
+    """Return series of silences, each beside a series of changes."""
+    rng = random.Random(f"series {seed}")
+    faults = []
+    for _ in range(SERIES_COUNT):
+        series_start = rng.uniform(0, phase_seconds - SERIES_SECONDS)
+        silences = rng.choices(list(SILENCE_SECONDS), k=SILENCES_PER_SERIES)
+        changes = rng.choices(CHANGES, k=CHANGES_PER_SERIES)
+        for kind in silences + changes:
+            start = series_start + rng.uniform(0, SERIES_SECONDS)
+            seconds = rng.uniform(*SILENCE_SECONDS.get(kind, (0.0, 0.0)))
+            faults.append(Fault(kind, start, seconds, rng.randrange(100)))
+    return faults
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -6,8 +6,18 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from tests.soak.hosts import GRACE_SECONDS
+
+ENGINE_SERVICE, PLAIN_SERVICE = "huvo11a", "kafi81c"
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses with which a host itself reports that no upstream answered, or not in time.
+FAILURE_STATUSES = frozenset({502, 504})
+# A connection may be closed without an answer up to this time after a request that crosses it.
+LOSS_SLACK_SECONDS = 0.2
+# From the first time after SIGTERM, the last sixth of the grace, a host may break off what its
+# servers still work on, unless it was sent later than the second time after SIGTERM.
+LAST_GRACE_SECONDS, MAX_SENT_AFTER_STOP_SECONDS = GRACE_SECONDS * 5 / 6, 3.0
 # Allowance for scheduling delays on a busy machine, beyond the time limit of a request.
 ANSWER_TOLERANCE_SECONDS = 1.0
 # Time after the registration of a drain from which a server must get no new request.
@@ -29,6 +39,12 @@
         """Return whether a request may run more than once."""
         return self in (Kind.LOOKUP, Kind.RESUMABLE_STREAM)
 
+    @property
+    def service(self) -> str:
+        """Return the service that runs the requests."""
+        is_plain = self in (Kind.BOOKING, Kind.LOOKUP)
+        return PLAIN_SERVICE if is_plain else ENGINE_SERVICE
+
 
 @dataclass
 class Call:
@@ -54,7 +70,10 @@
 
 @dataclass(frozen=True)
 class ReceivedRequest:
-    """Record a request as a server received it; ``is_rejected`` is true if it was not run."""
+    """Record a request as a server received it; ``is_rejected`` is true if it was not run.
+
+    ``was_faulty`` is true if the server broke off or changed its answer.
+    """
 
     request_id: str
     server: str
@@ -62,6 +81,7 @@
     account: str | None
     key: str | None
     is_rejected: bool
+    was_faulty: bool = False
 
 
 @dataclass(frozen=True)
@@ -73,12 +93,22 @@
     fence: int
 
 
+@dataclass(frozen=True)
+class Stop:
+    """Record the SIGTERM of a host and the exit of its process."""
+
+    host: str
+    signalled_at: float
+    exited_at: float
+
+
 @dataclass
 class History:
     """Collect all observations of one run.
 
     ``drain_times`` maps a server to the time of its drain; ``store_faults`` lists the start and
-    end time of each fault of the store.
+    end time of each fault of the store, and ``break_offs`` the service of each server whose
+    connections were reset, with the time.
     """
 
     account: str
@@ -87,6 +117,8 @@
     orders: list[LoadOrder] = field(default_factory=list)
     drain_times: dict[str, float] = field(default_factory=dict)
     store_faults: list[tuple[float, float]] = field(default_factory=list)
+    break_offs: list[tuple[str, float]] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
 
 
 def find_violations(history: History) -> list[str]:
@@ -97,6 +129,7 @@
         _find_wrong_answers,
         _find_wrong_requests,
         _find_missing_answers,
+        _find_lost_answers,
         _find_requests_after_drain,
         _find_conflicting_orders,
     )
@@ -162,6 +195,48 @@
             yield f"{call.request_id} was forwarded by {call.host} and got no answer"
 
 
+def _find_lost_answers(history: History) -> Iterator[str]:
+    """Find accepted requests that ended without an answer although their servers were sound.
+
+    The silence of a server is no reason to end an answer sooner.
+    """
+    executions = _group_executions(history.received)
+    for call in history.calls:
+        runs = executions.get(call.request_id, [])
+        if call.was_host_disrupted or call.ended_at is None or _may_be_lost(history, call, runs):
+            continue
+        seconds = call.ended_at - call.sent_at
+        is_accepted = bool(runs) or seconds > LOSS_SLACK_SECONDS
+        what = f"{call.kind.value} {call.request_id}, accepted by {call.host}, was lost: "
+        if call.status in FAILURE_STATUSES:
+            yield f"{what}{call.status} after {seconds:.2f} s"
+        elif not call.is_complete and (is_accepted or call.status):
+            yield f"{what}closed after {seconds:.2f} s and {len(call.body)} bytes"
+
+
+def _may_be_lost(history: History, call: Call, runs: Sequence[ReceivedRequest]) -> bool:
+    """Return whether a server broke off, the time limit was reached, or the grace had ended."""
+    assert call.ended_at is not None
+    return (
+        call.ended_at - call.sent_at >= call.limit_seconds
+        or any(run.was_faulty for run in runs)
+        or any(
+            service == call.kind.service and call.sent_at <= at <= call.ended_at
+            for service, at in history.break_offs
+        )
+        or any(_was_in_last_grace(call, stop) for stop in history.stops)
+    )
+
+
+def _was_in_last_grace(call: Call, stop: Stop) -> bool:
+    assert call.ended_at is not None
+    return (
+        call.host == stop.host
+        and call.sent_at <= min(stop.signalled_at + MAX_SENT_AFTER_STOP_SECONDS, stop.exited_at)
+        and call.ended_at >= stop.signalled_at + LAST_GRACE_SECONDS
+    )
+
+
 def _find_requests_after_drain(history: History) -> Iterator[str]:
     disrupted = {call.request_id for call in history.calls if call.was_host_disrupted}
     for server, drained_at in history.drain_times.items():
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -11,7 +11,7 @@
 from tests.platform.support import CONFIGURATION
 from tests.soak.callers import Caller
 from tests.soak.faults import Fault, FaultKind, draw_faults
-from tests.soak.history import History, Kind, find_violations
+from tests.soak.history import History, Kind, Stop, find_violations
 from tests.soak.hosts import GRACE_SECONDS, Host
 from tests.soak.relay import Relay, RelayMode
 from tests.soak.servers import Server
@@ -20,6 +20,7 @@
 ACCOUNT, KEY = "sese880", "key-1"
 # In domain a one host relays messages to the others; domains b and c have one host each.
 DOMAINS = ("a",) * 8 + ("b", "c")
+CALLERS_PER_HOST = 3
 FAULT_COUNT, FAULT_PHASE_SECONDS = 14, 9.0
 # Required time within which hosts serve all kinds of request again after the last fault.
 RECOVERY_SECONDS = 12.0
@@ -57,7 +58,7 @@
         await self._start()
         callers = [
             asyncio.create_task(Caller(host, KEY, self.history, self.seed * 100 + n).run())
-            for n, host in enumerate(self._hosts)
+            for n, host in enumerate(self._hosts * CALLERS_PER_HOST)
         ]
         try:
             await self._inject_faults(draw_faults(self.seed, FAULT_COUNT, FAULT_PHASE_SECONDS))
@@ -184,8 +185,11 @@
         if not host.should_run:
             return
         host.should_run = False
+        stopped_at = asyncio.get_running_loop().time()
         host.signal(signal.SIGTERM)
         await host.wait_for_exit(GRACE_SECONDS + 1)
+        exited_at = asyncio.get_running_loop().time()
+        self.history.stops.append(Stop(host.name, stopped_at, exited_at))
         host.start()
         host.should_run = True
 
@@ -232,7 +236,21 @@
         setattr(faults, name, 0)
 
     async def _reset_server(self, fault: Fault) -> None:
-        self._pick_server(fault).relay.reset()
+        self._pick_server(fault).reset()
+
+    async def _silence_server(self, fault: Fault) -> None:
+        self._pick_server(fault).wire.fall_silent(fault.duration_seconds)
+
+    async def _silence_service(self, fault: Fault) -> None:
+        service = self._pick_server(fault).service
+        for server in self._servers:
+            if server.service == service:
+                server.wire.fall_silent(fault.duration_seconds)
+
+    async def _send_events_slowly(self, fault: Fault) -> None:
+        await asyncio.gather(
+            *(server.send_events_slowly(fault.duration_seconds) for server in self._servers)
+        )
 
     async def _change_configuration(self, fault: Fault) -> None:
         content = self._configuration
@@ -284,6 +302,9 @@
     FaultKind.ANSWERLESS_SERVER: _set_server_mode(RelayMode.HOLD_ANSWERS),
     FaultKind.RESET_SERVER: SoakRun._reset_server,
     FaultKind.SLOW_SERVER: _set_server_mode(RelayMode.SLOW),
+    FaultKind.SILENT_SERVER: SoakRun._silence_server,
+    FaultKind.SILENT_SERVICE: SoakRun._silence_service,
+    FaultKind.SLOW_EVENTS: SoakRun._send_events_slowly,
     FaultKind.NEW_CONFIGURATION: SoakRun._change_configuration,
     FaultKind.NEW_WEIGHTS: SoakRun._change_wanted_version,
 }
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -12,6 +12,7 @@
 
 _INSTANCE_NUMBERS = itertools.count(1)
 EVENTS_PER_STREAM = 6
+EVENT_INTERVAL_SECONDS, SLOW_EVENT_INTERVAL_SECONDS = 0.04, 1.2
 
 
 @dataclass
@@ -36,6 +37,7 @@
             EVENTS_PER_STREAM,
             self.domain,
             load_seconds=0.2,
+            event_interval=EVENT_INTERVAL_SECONDS,
             born=number,
         )
         self.wire.history = self.history
@@ -70,8 +72,21 @@
             self.close()
         await self.start(version)
 
+    async def send_events_slowly(self, seconds: float) -> None:
+        """Send the events of streams at long intervals for some seconds."""
+        wire = self.wire
+        wire.event_interval = SLOW_EVENT_INTERVAL_SECONDS
+        await asyncio.sleep(seconds)
+        wire.event_interval = EVENT_INTERVAL_SECONDS
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        self.history.break_offs.append((self.service, asyncio.get_running_loop().time()))
+        self.relay.reset()
+
     def close(self) -> None:
         """Reset all connections and stop the server."""
+        self.reset()
         self.relay.close()
         self.wire.close()
 
@@ -104,5 +119,6 @@
             seen.get("X-Tenant"),
             seen.get("Authorization"),
             is_rejected=not seen.was_executed,
+            was_faulty=seen.was_faulty,
         )
         self.history.received.append(received)
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -4,7 +4,17 @@
 
 import pytest
 
-from tests.soak.history import Call, History, Kind, LoadOrder, ReceivedRequest, find_violations
+from tests.soak.history import (
+    GRACE_SECONDS,
+    PLAIN_SERVICE,
+    Call,
+    History,
+    Kind,
+    LoadOrder,
+    ReceivedRequest,
+    Stop,
+    find_violations,
+)
 
 CALL = Call(
     "r1",
@@ -37,7 +47,11 @@
         create_history(CALL, REJECTED, REQUEST),
         create_history(replace(CALL, status=503, body=b""), REJECTED),
         create_history(replace(CALL, kind=Kind.LOOKUP), REQUEST, REQUEST),
-        create_history(replace(CALL, body=b"done", is_complete=False), REQUEST),
+        create_history(
+            replace(CALL, body=b"done", is_complete=False), replace(REQUEST, was_faulty=True)
+        ),
+        create_history(replace(CALL, status=502, body=b"", ended_at=1.8), REQUEST),
+        create_history(replace(CALL, status=None, body=b"", is_complete=False, ended_at=1.1)),
         create_history(replace(CALL, status=None, body=b"", was_host_disrupted=True), REQUEST),
         create_history(CALL, REQUEST, orders=(ORDER, ORDER, LoadOrder("e2", "h1", 3))),
     ],
@@ -65,6 +79,19 @@
         (create_history(CALL, replace(REQUEST, key="Bearer k")), "with key"),
         (create_history(replace(CALL, ended_at=4.0), REQUEST), "ended after 3.0 s"),
         (create_history(replace(CALL, status=None, body=b""), REQUEST), "got no answer"),
+        (create_history(replace(CALL, body=b"", is_complete=False), REQUEST), "closed after 0.10"),
+        (
+            create_history(
+                replace(CALL, status=None, body=b"", is_complete=False, ended_at=1.3), REJECTED
+            ),
+            "closed after 0.30",
+        ),
+        (create_history(replace(CALL, status=502, body=b""), REQUEST), "was lost: 502"),
+        (create_history(replace(CALL, status=504, body=b"")), "was lost: 504"),
+        (
+            create_history(replace(CALL, status=502, body=b""), replace(REJECTED, was_faulty=True)),
+            "was lost: 502",
+        ),
         (create_history(CALL, REQUEST, orders=(ORDER, LoadOrder("e1", "h1", 2))), "was used by"),
         (
             create_history(CALL, REQUEST, orders=(ORDER, LoadOrder("e1", "h0", 1))),
@@ -89,3 +116,24 @@
     assert find_violations(history) == []
     history.store_faults[0] = (drained_at - 9, drained_at - 4)
     assert find_violations(history) != []
+
+
+def test_answers_may_be_lost_if_a_server_broke_off_meanwhile() -> None:
+    history = create_history(replace(CALL, is_complete=False), REQUEST)
+    history.break_offs += [(PLAIN_SERVICE, CALL.sent_at - 0.1), ("other", CALL.sent_at)]
+    assert "was lost" in find_violations(history)[0]
+    history.break_offs.append((PLAIN_SERVICE, CALL.sent_at))
+    assert find_violations(history) == []
+
+
+@pytest.mark.parametrize(
+    ("sent_after", "ended_after", "is_lost"),
+    [(-0.1, 0.5, True), (2.9, 3.2, True), (2.9, 3.4, False), (3.1, 3.4, True)],
+)
+def test_answers_may_be_lost_at_the_end_of_the_grace(
+    sent_after: float, ended_after: float, *, is_lost: bool
+) -> None:
+    call = replace(CALL, sent_at=5 + sent_after, ended_at=5 + ended_after, is_complete=False)
+    history = create_history(call, REQUEST)
+    history.stops.append(Stop(CALL.host, 5, 5 + GRACE_SECONDS))
+    assert bool(find_violations(history)) is is_lost
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -8,6 +8,8 @@
 
 EVENT_INTERVAL_SECONDS = 0.005
 TRICKLE_INTERVAL_SECONDS = 0.1
+# Faults that delay an answer, but do not change it or end it early.
+_DELAYS = frozenset({"silent", "trickle"})
 
 
 @dataclass
@@ -32,11 +34,15 @@
 
 @dataclass
 class ReceivedRequest:
-    """Request as received, and whether it was executed and answered in full."""
+    """Request as received, and whether it was executed and answered in full.
+
+    ``was_faulty`` is true if a fault was applied to the request, other than a delay.
+    """
 
     request: ClientRequest
     was_executed: bool = False
     is_complete: bool = False
+    was_faulty: bool = False
 
     def get(self, name: str) -> str | None:
         """Return a header field."""
@@ -172,20 +178,20 @@
         if received.get("X-Expect-Instance") not in (None, self.instance) or is_other_version:
             writer.send(421, [("X-Instance-Id", self.instance), *self._list_notice_fields()])
             return
-        if self._consume_fault("refuse"):
+        if self._consume_fault(received, "refuse"):
             writer.send(503, [("X-Not-Executed", "1")])
             return
         received.was_executed = True
         await self._wait_while_silent()
-        if self._consume_fault("silent"):
+        if self._consume_fault(received, "silent"):
             await asyncio.sleep(60)
-        if self._consume_fault("crash"):
+        if self._consume_fault(received, "crash"):
             writer.abort()
             return
         headers = self._build_headers(received)
-        if self._consume_fault("fail"):
+        if self._consume_fault(received, "fail"):
             writer.send(500, headers, b"failed")
-        elif self._consume_fault("truncate"):
+        elif self._consume_fault(received, "truncate"):
             writer.start(200, headers, 1000)
             writer.write(b"partial")
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
@@ -200,7 +206,8 @@
         self, received: ReceivedRequest, writer: AnswerWriter, headers: list[tuple[str, str]]
     ) -> None:
         first = int(received.get("Last-Event-Id") or 0) + 1
-        last = first + self.faults.break_after if self._consume_fault("break_stream") else None
+        is_broken = self._consume_fault(received, "break_stream")
+        last = first + self.faults.break_after if is_broken else None
         writer.start(200, [*headers, ("Content-Type", "text/event-stream")], None)
         for number in range(first, self.events + 1):
             if number == last:
@@ -211,7 +218,7 @@
             writer.write(b"id: %d\ndata: t%d\n\n" % (number, number))
             await asyncio.sleep(self.event_interval)
             await self._wait_while_silent()
-            if self._consume_fault("trickle"):
+            if self._consume_fault(received, "trickle"):
                 while True:
                     writer.write(b"x")
                     await asyncio.sleep(TRICKLE_INTERVAL_SECONDS)
@@ -219,9 +226,8 @@
         received.is_complete = True
 
     def _build_headers(self, received: ReceivedRequest) -> list[tuple[str, str]]:
-        request_id = (
-            "other" if self._consume_fault("foreign") else received.get("X-Attempt-Id") or ""
-        )
+        is_foreign = self._consume_fault(received, "foreign")
+        request_id = "other" if is_foreign else received.get("X-Attempt-Id") or ""
         headers = [("X-Attempt-Id", request_id), ("X-Response-Signature", f"s.{self.instance}")]
         if self.model:
             headers.append(("X-Weight-Versions", str(self.version)))
@@ -234,8 +240,9 @@
         while (seconds := self._silent_until - asyncio.get_running_loop().time()) > 0:
             await asyncio.sleep(seconds)
 
-    def _consume_fault(self, name: str) -> bool:
+    def _consume_fault(self, received: ReceivedRequest, name: str) -> bool:
         remaining: int = getattr(self.faults, name)
         if remaining:
             setattr(self.faults, name, remaining - 1)
+            received.was_faulty |= name not in _DELAYS
         return bool(remaining)
