Leave a silent upstream only once another one has taken the request

Callers saw streams of a silent engine closed although it went on, when the engine that was to continue them refused them, reset the connection or asked for a pause, or when the silent engine's registration was deleted meanwhile.

If the replacement didn't take the request, the way back needed another retry, attempt and registration, each of which could be missing.

Now the request is sent to the replacement while the silent call stays open. No spare retry is needed, which had kept an engine in use that stays silent. A replacement must not be suspected itself.

--- a/tests/core/test_budget.py
+++ b/tests/core/test_budget.py
@@ -19,10 +19,6 @@
     assert [budget.take() for _ in range(4)] == [True, True, True, False]
 
 
-def test_spare_retries_are_limited_to_the_reserve() -> None:
-    # The reserve of a host in a large fleet is little more than one retry.
-    assert RetryBudget(reserve=1.3).holds(2)
-    assert not RetryBudget(reserve=0.9).holds(2)
-    budget = RetryBudget(reserve=4.0)
-    assert [budget.take(), budget.take(), budget.holds(2)] == [True, True, True]
-    assert [budget.take(), budget.holds(2), budget.holds(1)] == [True, False, True]
+def test_retry_is_available_until_the_last_one_is_taken() -> None:
+    budget = RetryBudget(share=0.0, reserve=1.3)
+    assert [budget.has_retry(), budget.take(), budget.has_retry()] == [True, True, False]
--- a/tests/host/test_silent_upstreams.py
+++ b/tests/host/test_silent_upstreams.py
@@ -1,6 +1,9 @@
 """Check that upstreams which fall silent for a second and go on cost no request its answer."""
 
 import asyncio
+from collections.abc import Callable
+
+import pytest
 
 from tests.host.support import Answer, HostEnvironment, run_scenario
 
@@ -67,21 +70,40 @@
     run_scenario(scenario)
 
 
-# Incident 23: a stream was closed because the engine that was to continue it had no room, although
-# the silent one went on.
-def test_stream_returns_to_its_silent_engine_if_the_other_one_refuses() -> None:
+def refuse_requests(environment: HostEnvironment, silent: str, other: str) -> None:
+    environment.servers[other].faults.refuse = 1000
+
+
+def reset_connections(environment: HostEnvironment, silent: str, other: str) -> None:
+    environment.servers[other].faults.crash = 1000
+
+
+def ask_for_pause(environment: HostEnvironment, silent: str, other: str) -> None:
+    environment.servers[other].retry_after = "2"
+
+
+def remove_silent_engine(environment: HostEnvironment, silent: str, other: str) -> None:
+    refuse_requests(environment, silent, other)
+    environment.store.delete("servers", silent)
+
+
+# Incident 23: streams were closed because the engine that was to continue them did not take them,
+# although the silent one went on.
+@pytest.mark.parametrize(
+    "disturb", [refuse_requests, reset_connections, ask_for_pause, remove_silent_engine]
+)
+def test_streams_stay_with_their_silent_engine_if_the_other_one_does_not_take_them(
+    disturb: Callable[[HostEnvironment, str, str], None],
+) -> None:
     async def scenario(environment: HostEnvironment) -> None:
-        streams = asyncio.create_task(send_streams(environment, 1))
         for server in environment.servers.values():
-            server.event_interval = 0.1
-        await asyncio.sleep(0.25)
-        for name in ("e1", "e2"):
-            server = environment.servers[name]
-            if server.received_requests:
-                server.fall_silent(3.0)
-            else:
-                server.faults.refuse = 100
-        assert count_complete(await streams) == 1
+            server.event_interval = 0.2
+        streams = asyncio.create_task(send_streams(environment, 16))
+        await asyncio.sleep(0.5)
+        assert all(environment.servers[name].received_requests for name in ("e1", "e2"))
+        environment.servers["e1"].fall_silent(3.0)
+        disturb(environment, "e1", "e2")
+        assert count_complete(await streams) == 16
 
     run_scenario(scenario)
 
--- a/tests/traffic/test_silence.py
+++ b/tests/traffic/test_silence.py
@@ -36,27 +36,25 @@
 class FakeCall:
     has_ended: bool = False
     has_unread_data: bool = False
-    is_given_up: bool = False
-
-    def give_up(self, reason: str) -> None:
-        self.has_ended = self.is_given_up = True
 
 
 @dataclass
 class Recorder:
-    """Record what a watch does; ``refusals`` counts the searches that find no replacement."""
+    """Record what a watch does; the search that follows ``refusals`` others ends the call."""
 
     refusals: int = 0
     steps: list[str] = field(default_factory=list)
 
-    def replace(self) -> bool:
+    def replace(self, call: FakeCall) -> None:
         self.steps.append("replace")
         self.refusals -= 1
-        return self.refusals < 0
+        call.has_ended = self.refusals < 0
 
     def watch(self, call: FakeCall) -> SilenceWatch:
         handlers = SilenceHandlers(
-            lambda: self.steps.append("suspect"), lambda: self.steps.append("clear"), self.replace
+            suspect=lambda: self.steps.append("suspect"),
+            clear=lambda: self.steps.append("clear"),
+            replace=lambda: self.replace(call),
         )
         return SilenceWatch(call, LIMITS, handlers)  # type: ignore[arg-type]
 
@@ -74,27 +72,27 @@
         runner.run(run())
 
 
-def test_silent_call_is_given_up_once_it_has_a_replacement() -> None:
+def test_search_ends_with_the_call() -> None:
     call, recorder = FakeCall(), Recorder()
     run_watch(call, recorder, 0.15)
-    assert (recorder.steps, call.is_given_up) == (["suspect", "replace"], True)
+    assert (recorder.steps, call.has_ended) == (["suspect", "replace"], True)
 
 
 # Incident 23: a call was ended for its silence although nothing could take its place.
-def test_silent_call_without_a_replacement_is_kept_and_the_search_repeated() -> None:
+def test_search_is_repeated_while_there_is_no_replacement() -> None:
     call, recorder = FakeCall(), Recorder(refusals=10)
     run_watch(call, recorder, 0.45)
-    assert (recorder.steps, call.is_given_up) == (["suspect", "replace", "replace"], False)
+    assert (recorder.steps, call.has_ended) == (["suspect", "replace", "replace"], False)
 
 
 def test_call_that_goes_on_is_trusted_again_and_kept() -> None:
     call, recorder = FakeCall(), Recorder()
     run_watch(call, recorder, 0.0, progress=3)
-    assert (recorder.steps, call.is_given_up) == (["suspect", "clear"] * 3, False)
+    assert (recorder.steps, call.has_ended) == (["suspect", "clear"] * 3, False)
 
 
 # A client that reads slowly must not make its upstream look silent.
 def test_call_with_unread_data_is_not_silent() -> None:
     call, recorder = FakeCall(has_unread_data=True), Recorder()
     run_watch(call, recorder, 0.15)
-    assert (recorder.steps, call.is_given_up) == ([], False)
+    assert (recorder.steps, call.has_ended) == ([], False)
--- a/turmericproxy/core/budget.py
+++ b/turmericproxy/core/budget.py
@@ -32,10 +32,10 @@
         with self._lock:
             self._balance = min(self._reserve, self._balance + self._share)
 
-    def holds(self, retries: float) -> bool:
-        """Return whether the balance covers one retry, and this many or the whole reserve."""
+    def has_retry(self) -> bool:
+        """Return whether the balance covers a retry."""
         with self._lock:
-            return self._balance >= max(1.0, min(retries, self._reserve))
+            return self._balance >= 1.0
 
     def take(self) -> bool:
         """Deduct one retry and return ``True``, or return ``False`` if the balance is too low."""
--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -206,6 +206,11 @@
         """Make all reads end with ``EndKind.GIVEN_UP``, unless the answer has ended."""
         self._reader.give_up(reason)
 
+    @property
+    def has_head(self) -> bool:
+        """Return whether the head of the answer has arrived."""
+        return self._reader.head is not None
+
     @property
     def has_ended(self) -> bool:
         """Return whether the answer is complete, broke off or was given up."""
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -23,6 +23,7 @@
 
     ANSWER = "answer"
     RETRY = "retry"
+    WAIT = "wait"
     GIVE_UP = "give_up"
 
 
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -118,11 +118,16 @@
         self, request: RoutedRequest, excluded: frozenset[InstanceId], resume_after: str | None
     ) -> Placement | None:
         """Choose an upstream that is expected to answer, in place of a silent one."""
-        placed = self.place(request, excluded, resume_after)
-        if isinstance(placed, Refusal):
+        now = self._read_clock()
+        trusted = {
+            state.entry.instance
+            for state in self._registry.list_ready(request.service.name)
+            if not state.is_suspended(now) and not state.health.consecutive_timeouts
+        }
+        if not trusted - excluded:
             return None
-        state = self._registry.find(placed.instance)
-        return placed if state and not state.is_suspended(self._read_clock()) else None
+        placed = self.place(request, excluded, resume_after)
+        return placed if isinstance(placed, Placement) and placed.instance in trusted else None
 
     def record_silence(self, placement: Placement) -> None:
         """Record that an attempt has been silent for longer than expected."""
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -9,7 +9,7 @@
 from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.edge import UpstreamCall
 from turmericproxy.edge.upstream import EndKind
-from turmericproxy.logs import Part, log_decision
+from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.traffic.attempts import (
     Attempt,
@@ -22,6 +22,7 @@
 )
 from turmericproxy.traffic.dispatching import Dispatcher, Placement
 from turmericproxy.traffic.events import EventSplitter
+from turmericproxy.traffic.handover import OpenAttempt, open_replacement
 from turmericproxy.traffic.interfaces import MessageCodec, VersionResolver
 from turmericproxy.traffic.requests import ParsedAnswer, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
@@ -38,9 +39,6 @@
 EVENT_GAP_FACTOR = 2.0
 # A stream leaves a suspected upstream after this silence. Sound ones may pause for about a second.
 STREAM_PATIENCE_SECONDS = 1.5
-# Retries that must remain in the budget when a silent upstream is left, since its replacement may
-# refuse the request.
-SPARE_RETRIES = 1
 # Retry-After when no attempt has run: about the time for which an upstream is paused.
 OVERLOADED_RETRY_AFTER_SECONDS = 0.5
 
@@ -73,7 +71,8 @@
         self._excluded: frozenset[InstanceId] = frozenset()
         # Left only for their silence: used again if no other upstream takes the request.
         self._silent: frozenset[InstanceId] = frozenset()
-        self._replacement: Placement | None = None
+        self._replacement: OpenAttempt | None = None
+        self._handover: asyncio.Task[None] | None = None
         self._logged_obstacle: Obstacle | None = None
         self._watch: SilenceWatch | None = None
         self._is_suspected = False
@@ -86,19 +85,28 @@
 
     async def run(self) -> CompletedAnswer | Refusal:
         """Answer the client; return a refusal if no attempt gave an answer."""
+        try:
+            return await self._run_attempts()
+        finally:
+            self._end_handover()
+
+    async def _run_attempts(self) -> CompletedAnswer | Refusal:
         request = self._request
         budget = self._dependencies.get_budget(request.service.name)
         budget.record_request()
         while True:
-            placement = self._take_replacement() or self._place()
+            replacement, self._replacement = self._replacement, None
+            placement = replacement.placement if replacement else self._place()
             if isinstance(placement, Refusal):
                 return self._adjust_refusal(placement)
-            attempt = await self._attempt(placement)
-            request.attempt_counts = request.attempt_counts.add(attempt)
-            obstacle = self._find_obstacle(attempt, request.attempt_counts)
-            needs_no_budget = attempt.outcome is Outcome.NOT_SENT or self._replacement is not None
-            if obstacle is None and not needs_no_budget and not budget.take():
-                obstacle = Obstacle.NO_BUDGET
+            attempt = await self._attempt(placement, replacement)
+            self._count(attempt)
+            obstacle = None
+            if self._replacement is None:
+                obstacle = self._find_obstacle(attempt, request.attempt_counts)
+                needs_no_budget = attempt.outcome is Outcome.NOT_SENT
+                if obstacle is None and not needs_no_budget and not budget.take():
+                    obstacle = Obstacle.NO_BUDGET
             action = decide_next_action(attempt, obstacle)
             self._log_attempt(placement, attempt, action, obstacle)
             await self._exclude_upstream(placement, attempt)
@@ -113,10 +121,6 @@
             placement = dispatcher.place(request, self._excluded, self._last_id)
         return placement
 
-    def _take_replacement(self) -> Placement | None:
-        replacement, self._replacement = self._replacement, None
-        return replacement
-
     def _find_obstacle(self, attempt: Attempt, attempt_counts: AttemptCounts) -> Obstacle | None:
         request = self._request
         return find_obstacle(
@@ -127,16 +131,17 @@
             seconds_left=request.deadline - self._clock(),
         )
 
-    async def _attempt(self, placement: Placement) -> Attempt:
+    async def _attempt(self, placement: Placement, replacement: OpenAttempt | None) -> Attempt:
         dispatcher = self._dependencies.dispatcher
-        started = self._clock()
+        started = replacement.sent_at if replacement else self._clock()
         self._event_parts = 0
         self._received_at = started
         self._is_suspected = False
         attempt: Attempt | None = None
-        dispatcher.record_start(placement)
+        if replacement is None:
+            dispatcher.record_start(placement)
         try:
-            attempt = await self._send(placement)
+            attempt = await self._send(placement, replacement)
         except asyncio.CancelledError:
             if self._clock() >= self._request.deadline:
                 attempt = Attempt(
@@ -154,8 +159,12 @@
             )
         return attempt
 
-    async def _send(self, placement: Placement) -> Attempt:
-        opened = await open_call(self._request, placement, self._dependencies.codec)
+    async def _send(self, placement: Placement, replacement: OpenAttempt | None) -> Attempt:
+        opened = (
+            replacement.call
+            if replacement
+            else await open_call(self._request, placement, self._dependencies.codec)
+        )
         if isinstance(opened, Attempt):
             return opened
         with opened as call:
@@ -165,7 +174,11 @@
             finally:
                 if self._watch:
                     self._watch.close()
-        return Attempt(Outcome.TIMED_OUT, reason=call.reason) if call.is_given_up else attempt
+                if not call.is_given_up:
+                    self._end_handover()
+        if call.is_given_up and attempt.outcome is Outcome.BROKEN:
+            return Attempt(Outcome.TIMED_OUT, reason=call.reason)
+        return attempt
 
     async def _receive(self, placement: Placement, call: UpstreamCall) -> Attempt:
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
@@ -218,7 +231,7 @@
         handlers = SilenceHandlers(
             suspect=lambda: self._record_silence(placement),
             clear=lambda: self._record_progress(placement),
-            replace=lambda: self._secure_replacement(placement),
+            replace=lambda: self._seek_replacement(placement, call),
         )
         return SilenceWatch(call, self._compute_limits(placement), handlers)
 
@@ -240,30 +253,85 @@
         self._is_suspected = False
         self._dependencies.dispatcher.record_progress(placement)
 
-    def _secure_replacement(self, placement: Placement) -> bool:
-        """Choose the next upstream and take its retry; return whether both could be had."""
-        obstacle = self._find_replacement(placement)
-        self._log_silence(placement, obstacle)
-        return obstacle is None
-
-    def _find_replacement(self, placement: Placement) -> Obstacle | None:
-        request, silent = self._request, Attempt(Outcome.TIMED_OUT)
+    def _seek_replacement(self, silent: Placement, call: UpstreamCall) -> None:
+        """Start to hand the request over to another upstream if one can be had."""
+        if self._handover and not self._handover.done():
+            return
+        chosen = self._choose_replacement(silent)
+        self._log_silence(silent, chosen)
+        if isinstance(chosen, Placement):
+            handover = self._hand_over(call, chosen)
+            self._handover = asyncio.get_running_loop().create_task(handover)
+            self._handover.add_done_callback(_log_handover_error)
+
+    def _choose_replacement(self, silent: Placement) -> Placement | Obstacle:
+        """Return the next upstream and take a retry, or return what prevents that."""
+        request, ended = self._request, Attempt(Outcome.TIMED_OUT)
         if request.writer.is_paused:
             return Obstacle.SLOW_CLIENT
-        obstacle = self._find_obstacle(silent, request.attempt_counts.add(silent))
+        obstacle = self._find_obstacle(ended, request.attempt_counts.add(ended))
         if obstacle:
             return obstacle
         budget = self._dependencies.get_budget(request.service.name)
-        if not budget.holds(1 + SPARE_RETRIES):
+        if not budget.has_retry():
             return Obstacle.NO_BUDGET
-        excluded = self._excluded | self._silent | {placement.instance}
-        self._replacement = self._dependencies.dispatcher.place_replacement(
+        excluded = self._excluded | self._silent | {silent.instance}
+        placement = self._dependencies.dispatcher.place_replacement(
             request, excluded, self._last_id
         )
-        if self._replacement is None:
+        if placement is None:
             return Obstacle.NO_UPSTREAM
         budget.take()
-        return None
+        return placement
+
+    async def _hand_over(self, silent_call: UpstreamCall, placement: Placement) -> None:
+        """Give the silent call up once another upstream has taken the request.
+
+        The silent call stays if the other upstream refuses, or if it goes on meanwhile.
+        """
+        dispatcher, request = self._dependencies.dispatcher, self._request
+        sent_at = self._clock()
+        progress = self._event_parts, silent_call.has_head
+        dispatcher.record_start(placement)
+        attempt: Attempt | None = None
+        try:
+            opened = await open_replacement(request, placement, self._dependencies.codec)
+            is_unchanged = progress == (self._event_parts, silent_call.has_head)
+            has_progressed = not is_unchanged or silent_call.has_unread_data
+            if isinstance(opened, Attempt):
+                attempt = opened
+            elif has_progressed or silent_call.has_ended:
+                opened.close()
+                self._count(Attempt(Outcome.BROKEN))
+            else:
+                self._replacement = OpenAttempt(placement, opened, sent_at)
+                silent_call.give_up("the upstream was silent, and another one took the request")
+        finally:
+            if self._replacement is None:
+                seconds = self._clock() - sent_at
+                dispatcher.record_end(
+                    placement, attempt, seconds, had_event=False, is_suspected=False
+                )
+        if attempt is not None:
+            self._count(attempt)
+            self._log_attempt(placement, attempt, NextAction.WAIT, None)
+            await self._exclude_upstream(placement, attempt)
+
+    def _count(self, attempt: Attempt) -> None:
+        self._request.attempt_counts = self._request.attempt_counts.add(attempt)
+
+    def _end_handover(self) -> None:
+        """Cancel a handover that is under way, and close a call that isn't used."""
+        if self._handover and not self._handover.done():
+            self._handover.cancel()
+            # The other upstream may have started to execute the request.
+            self._count(Attempt(Outcome.BROKEN))
+        unused, self._replacement = self._replacement, None
+        if unused:
+            unused.call.close()
+            self._dependencies.dispatcher.record_end(
+                unused.placement, None, 0.0, had_event=False, is_suspected=False
+            )
 
     def _may_run_again(self) -> bool:
         return self._request.attempt_counts.possible_runs + 1 < self._request.route.max_attempts
@@ -315,7 +383,8 @@
             ResultCode.OVERLOADED, attempt.reason, retry_after=OVERLOADED_RETRY_AFTER_SECONDS
         )
 
-    def _log_silence(self, placement: Placement, obstacle: Obstacle | None) -> None:
+    def _log_silence(self, silent: Placement, chosen: Placement | Obstacle) -> None:
+        obstacle = chosen if isinstance(chosen, Obstacle) else None
         if obstacle and obstacle is self._logged_obstacle:
             return
         self._logged_obstacle = obstacle
@@ -325,12 +394,12 @@
             Part.CALLERS,
             "upstream silent",
             request_id=self._request.parsed.request_id,
-            upstream=placement.instance,
+            upstream=silent.instance,
             silent_seconds=round(self._clock() - self._received_at, 3),
             event_parts=self._event_parts,
             step=step,
             obstacle=obstacle.value if obstacle else None,
-            replacement=self._replacement.instance if self._replacement else None,
+            replacement=chosen.instance if isinstance(chosen, Placement) else None,
         )
 
     def _log_attempt(
@@ -365,6 +434,11 @@
         )
 
 
+def _log_handover_error(handover: asyncio.Task[None]) -> None:
+    if not handover.cancelled() and (error := handover.exception()):
+        log_event(Part.CALLERS, "handover failed", reason=repr(error))
+
+
 def _list_header_fields(answer: ParsedAnswer) -> list[tuple[str, str]]:
     return [
         (name, value)
--- a/turmericproxy/traffic/silence.py
+++ b/turmericproxy/traffic/silence.py
@@ -1,4 +1,4 @@
-"""Notice silent upstreams, and leave one only once its replacement is secured."""
+"""Notice silent upstreams, and ask for their replacement while they stay silent."""
 
 import asyncio
 from collections.abc import Callable
@@ -22,13 +22,13 @@
 class SilenceHandlers:
     """Functions that a watch calls.
 
-    ``suspect`` is called once per silence and ``clear`` when a suspected upstream goes on.
-    ``replace`` returns whether a replacement is secured; then the watched call is given up.
+    ``suspect`` is called once per silence, ``clear`` when a suspected upstream goes on, and
+    ``replace`` repeatedly once the upstream may be left, until the call ends.
     """
 
     suspect: Callable[[], None]
     clear: Callable[[], None]
-    replace: Callable[[], bool]
+    replace: Callable[[], None]
 
 
 class SilenceWatch:
@@ -75,9 +75,8 @@
             self._handlers.suspect()
         if silent_seconds < self._limits.patience:
             self._set_timer(self._limits.patience - silent_seconds)
-        elif self._handlers.replace():
-            self._call.give_up("the upstream was silent and a replacement is available")
         else:
+            self._handlers.replace()
             self._set_timer(SEARCH_INTERVAL_SECONDS)
 
     def _set_timer(self, seconds: float) -> None:
