Charge no account with all that a peer ever spent after a silence

What callers saw: after a peer had been silent for 1.3 s, or after a start in a large failure domain, requests of accounts within their rate were refused with RATE_EXCEEDED, with the longest Retry-After, until the debt was refilled.

Cause: a peer that counts as lost is forgotten, and its next batch, which holds only the accounts that have changed, became the baseline of all accounts. An account that came in a later batch was compared with 0, so the total since the peer's start was charged. A host that was frozen itself forgets all its peers at once. The same happens on the first contact by way of a hub, which forwards changes before the full state follows.

Evidence, before: test_peer_is_not_charged_for_all_that_it_ever_spent_after_a_ silence failed with "Refusal(code=<ResultCode.RATE_EXCEEDED: 300>, reason= 'account b is over its rate', ..., retry_after=5.0)", at a full bucket of 1,000 tokens of which the peer had spent 50.

Now the totals of a lost peer are unknown one by one: the first report of each account gives its baseline. An account that was never reported counts from 0 only once a full state of the peer has come.

Ruled out: restoring the level that a bucket loses with the reachable share. The other side of a partition may have spent it.

The second test guards the other direction: after a full state, the first spending of a peer is charged (until now an empty state was not recorded, and the first spending not charged).

--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -1,5 +1,7 @@
 """Check that accounts are limited to their rate and burst across all hosts."""
 
+from dataclasses import replace
+
 from turmericproxy.core import AccountName, HostName, Incarnation, Refusal, Revision
 from turmericproxy.edge import EdgeLimits
 from turmericproxy.fleet import QuotaController, QuotaTolerance
@@ -131,3 +133,29 @@
         admitted += 3_000
     bound = (RATE * 8 + BURST) * 1.1 + 40_000
     assert 9_000 <= admitted <= 0.5 * bound
+
+
+def test_peer_is_not_charged_for_all_that_it_ever_spent_after_a_silence() -> None:
+    """Guard against refusals within the rate: a peer that was lost for 1.3 s, or whose updates come
+    by way of a hub, reports one account after the other, each with the total since its start.
+    """
+    other = replace(ACCOUNT, name=AccountName("b"), keys=("l",))
+    peer, incarnation = HostName("peer"), Incarnation("i")
+    quotas = QuotaController(lambda: 100.0, is_first_start=True)
+    quotas.apply_site(Site(Revision(1), (), {}, (ACCOUNT, other), EdgeLimits(), None))
+    for spent in (9_000, 9_050):
+        for account in (ACCOUNT, other):
+            quotas.record_peer_spending(peer, incarnation, {account.name: spent})
+        quotas.forget_peer(peer)
+    for account in (ACCOUNT, other):
+        assert quotas.admit(account, COST) is None
+
+
+def test_first_spending_of_a_peer_is_charged_once_its_state_is_known() -> None:
+    """Guard against a second burst: what a peer spends first on an account must count."""
+    peer, incarnation = HostName("peer"), Incarnation("i")
+    quotas = QuotaController(lambda: 100.0, is_first_start=True)
+    quotas.apply_site(create_site())
+    quotas.record_peer_spending(peer, incarnation, {}, is_complete=True)
+    quotas.record_peer_spending(peer, incarnation, {ACCOUNT.name: int(BURST)})
+    assert isinstance(quotas.admit(ACCOUNT, COST), Refusal)
--- a/turmericproxy/fleet/quotas.py
+++ b/turmericproxy/fleet/quotas.py
@@ -31,10 +31,21 @@
 
 @dataclass
 class _PeerSpending:
-    """Hold the spending that a peer has reported."""
+    """Hold the spending that a peer has reported.
+
+    A total is ``None`` if the peer has been unreachable since it reported it. With ``is_complete``,
+    the peer had spent nothing on the accounts without a total.
+    """
 
     incarnation: Incarnation
-    totals: dict[AccountName, int] = field(default_factory=dict)
+    totals: dict[AccountName, int | None] = field(default_factory=dict)
+    is_complete: bool = False
+
+    def record(self, name: AccountName, total: int) -> int:
+        """Record a total; return by how much it has risen, 0 if the one before isn't known."""
+        previous = self.totals.get(name, 0 if self.is_complete else None)
+        self.totals[name] = total
+        return 0 if previous is None else total - previous
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,25 +154,34 @@
             self._add_spent(account.name, -cost)
 
     def record_peer_spending(
-        self, host: HostName, incarnation: Incarnation, spent: Mapping[AccountName, int]
+        self,
+        host: HostName,
+        incarnation: Incarnation,
+        spent: Mapping[AccountName, int],
+        *,
+        is_complete: bool = False,
     ) -> None:
-        """Charge what a peer has spent since its last report; ``spent`` holds totals by account."""
+        """Charge what a peer has spent since its last report; ``spent`` holds totals by account.
+
+        With ``is_complete``, the report holds all accounts on which the peer has spent anything.
+        """
         known = self._peers.get(host)
         if known is None or known.incarnation != incarnation:
-            # Tokens that a peer spent while unreachable came out of its own share of the bucket.
-            self._peers[host] = _PeerSpending(incarnation, dict(spent))
-            return
+            known = self._peers[host] = _PeerSpending(incarnation)
         now = self._read_microseconds()
         for name, total in spent.items():
-            change = total - known.totals.get(name, 0)
-            known.totals[name] = total
+            change = known.record(name, total)
             bucket = self._buckets.get(name)
             if bucket is not None and change:
                 self._buckets[name] = charge_up_to_depth(bucket, change * MICRO, now)
+        known.is_complete = known.is_complete or is_complete
 
     def forget_peer(self, host: HostName) -> None:
-        """Drop the spending reported by a peer that has become unreachable."""
-        self._peers.pop(host, None)
+        """Drop the totals reported by a peer that has become unreachable."""
+        known = self._peers.get(host)
+        if known:
+            # Tokens that a peer spends while unreachable come out of its own share of the bucket.
+            known.totals = dict.fromkeys(known.totals)
 
     def inherit_levels(self, levels: Mapping[AccountName, int]) -> None:
         """Take over the levels of a peer's buckets, in micro-tokens, once after the start."""
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -130,8 +130,10 @@
             self._cache_pollers.receive_reachability(batch.is_kept_store_reachable)
         if batch.levels:
             self._quotas.inherit_levels(batch.levels)
-        if batch.spent:
-            self._quotas.record_peer_spending(hello.host, hello.incarnation, batch.spent)
+        if batch.spent or batch.is_full_state:
+            self._quotas.record_peer_spending(
+                hello.host, hello.incarnation, batch.spent, is_complete=batch.is_full_state
+            )
 
     def _apply_upstream_changes(self, batch: Batch, now: float) -> None:
         """Apply what a peer has learnt about upstreams.
