Break off answers whose framing or trailers have no end

What callers would see (not measured): an upstream in trouble sends bytes without end, and all requests at the host are slow until the deadline of the one request.

Cause: the bytes of an answer were limited in its head and in a body that is read whole. In a chunked answer, a trailer and the extension of a chunk have no limit: the parser collects a trailer and copies it with each piece received. Bytes after the end of an answer were read and dropped at full speed for as long as the connection stayed, on the idle connection of a cache poll up to four seconds.

Evidence, before: test_endless_bytes_that_are_no_body_are_broken_off [trailer], [trailers] and [chunk extension] failed with TimeoutError after 5 s; test_endless_bytes_after_an_answer_are_not_read failed with "assert < ((32 * 1024) * 1024)", the bytes read in 0.3 s. The first test's case [interim answers] passed before and stays as a guard.

Now the limit of the head counts all bytes since the start of the answer or the last part of its body, and the connection is closed when bytes follow an answer.

Ruled out: interim answers (1xx) without end count as part of the head, and were broken off before.

--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -194,3 +194,50 @@
         assert answer == "the answer exceeds the size limit"
 
     asyncio.run(run())
+
+
+async def count_endless_bytes(start: bytes, part: bytes) -> tuple[int, object]:
+    """Return how many bytes an upstream could send after ``start``, and how the answer ended."""
+    sent = 0
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        while not writer.is_closing():
+            writer.write(part * (65536 // len(part)))
+            sent += 65536
+            await writer.drain()
+
+    _, address = await start_upstream(handle)
+    called = await call_upstream(address, REQUEST, connect_timeout=1.0)
+    assert not isinstance(called, NotConnected)
+    with called as call:
+        await asyncio.wait_for(call.read_head(), 5.0)
+        end = await asyncio.wait_for(call.read_body(), 5.0)
+        await asyncio.sleep(0.3)
+        return sent, end
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: y\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x"),
+    ],
+    ids=["interim answers", "trailer", "trailers", "chunk extension"],
+)
+def test_endless_bytes_that_are_no_body_are_broken_off(start: bytes, part: bytes) -> None:
+    """Guard against a call that reads until its deadline: bytes of no answer may have no end."""
+    _, end = asyncio.run(count_endless_bytes(start, part))
+    assert isinstance(end, str)
+
+
+def test_endless_bytes_after_an_answer_are_not_read() -> None:
+    """Guard against the processor time of reading what belongs to no request until the close."""
+    start = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    sent, end = asyncio.run(count_endless_bytes(start, b"x"))
+    assert end == b"ok"
+    assert sent < 32 * 1024 * 1024
--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -17,7 +17,8 @@
 USER_TIMEOUT_MS = 3000
 # Status codes below this one belong to interim answers.
 FIRST_FINAL_STATUS = 200
-# Limit of the bytes before the end of an answer's head, far above that of any real one.
+# Limit of an answer's head, and of the bytes between two parts of its body: chunk sizes and
+# trailers. It is far above that of any real answer.
 MAX_HEAD_BYTES = 256 * 1024
 # Limit of a body that is buffered whole: more than a page of rows, which has 1 MB before encoding.
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -40,7 +41,7 @@
 
 
 class _AnswerReader(asyncio.Protocol):
-    """Parse one answer and discard any bytes after its end, which belong to no request."""
+    """Parse one answer; close the connection if bytes follow it, which belong to no request."""
 
     def __init__(self, *, has_body: bool) -> None:
         self._has_body = has_body
@@ -48,7 +49,8 @@
         self._fields: list[tuple[str, str]] = []
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
-        self._head_bytes = 0
+        # Bytes received since the start of the answer or the last part of its body.
+        self._bytes_without_body = 0
         self.is_framed = False
         self._waiter: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -64,17 +66,18 @@
     def data_received(self, data: bytes) -> None:
         if self.end:
             self.has_extra_bytes = True
+            self._abort()
             return
-        if self.head is None:
-            self._head_bytes += len(data)
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # After the end of the answer, it is the bytes that follow which can't be read.
             self.has_extra_bytes = self.end is not None
             self._finish(EndKind.BROKEN, str(error) or "unreadable answer")
-        if self.head is None and self._head_bytes > MAX_HEAD_BYTES:
-            self._finish(EndKind.BROKEN, "the head of the answer exceeds the size limit")
+        if self._bytes_without_body > MAX_HEAD_BYTES:
+            part = "head" if self.head is None else "framing"
+            self._finish(EndKind.BROKEN, f"the {part} of the answer exceeds the size limit")
         self._notify()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -98,12 +101,14 @@
         headers = Headers(self._fields)
         self.is_framed = bool(headers.get("content-length") or headers.get("transfer-encoding"))
         self.head = AnswerHead(status, headers)
+        self._bytes_without_body = 0
         if not self._has_body:
             self._finish(EndKind.COMPLETE, "")
 
     def on_body(self, body: bytes) -> None:
         if self.end is None:
             self._parts.append(body)
+            self._bytes_without_body = 0
             self._buffered_bytes += len(body)
             if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport:
                 self._transport.pause_reading()
@@ -136,6 +141,10 @@
             self.end = end
             self.reason = reason
 
+    def _abort(self) -> None:
+        if self._transport:
+            self._transport.abort()
+
     def _notify(self) -> None:
         if self._waiter and not self._waiter.done():
             self._waiter.set_result(None)
