Keep the kept store in use after a single late poll

What callers saw: after a kept store had been silent for a second, prompts were sent without a fetch from it and without saving to it, by the hosts of its failure domain and, by their report, of all others. Shared parts were read again by engines. With a store that is silent before each answer, for good.

Cause: one poll without an answer in 0.7 s beyond its wait took the store out of use, though it is sound and answers a little later.

Now a failed poll is repeated at once, with a wait of 0.2 s within the same limit of 1.7 s; only a second failure takes the store out of use.

Ruled out: what is known of the caches is kept when polls fail; it is dropped only for a page with another epoch, and a late page can't come on the next poll, since the connection is closed.

--- a/turmericproxy/placement/cache_poller.py
+++ b/turmericproxy/placement/cache_poller.py
@@ -14,6 +14,8 @@
 POLL_INTERVAL_SECONDS = 0.5
 # Time for which a poll waits for events.
 LONG_POLL_SECONDS = 1.0
+# Shorter wait of a poll after one that got no answer, so that the endpoint has more time to answer.
+CONFIRMATION_WAIT_SECONDS = 0.2
 # Delay after an endpoint refused a poll because of too many concurrent ones.
 REFUSED_RETRY_SECONDS = 4.0
 
@@ -69,10 +71,11 @@
 class CacheEventPoller:
     """Poll one endpoint until closed.
 
-    ``is_reachable`` is the result of the last poll that was not refused. Pages are discarded while
-    ``get_tracker`` returns ``None``. ``record_notice`` is called with what the endpoint announces
-    about itself, ``measure_pause`` returns for how many seconds it wants no call, and
-    ``on_page`` is called with each page that was applied.
+    ``is_reachable`` is the result of the last poll that was not refused, but a failure counts only
+    if the next poll, which follows at once, confirms it: a sound endpoint may be silent for a
+    while. Pages are discarded while ``get_tracker`` returns ``None``. ``record_notice`` is called
+    with what the endpoint announces about itself, ``measure_pause`` returns for how many seconds it
+    wants no call, and ``on_page`` is called with each page that was applied.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         self._on_page = on_page
         self._epoch: int | None = None
         self._next_event = 0
+        self._has_failed = False
         self._task: asyncio.Task[None] | None = None
         self.address = address
         self.is_reachable = True
@@ -114,12 +118,17 @@
         if pause > 0:
             await asyncio.sleep(pause)
             return
-        page = await self._source.read_events(self._next_event, LONG_POLL_SECONDS)
+        wait = CONFIRMATION_WAIT_SECONDS if self._has_failed else LONG_POLL_SECONDS
+        page = await self._source.read_events(self._next_event, wait)
         if not isinstance(page, str) and page.notice != NO_NOTICE:
             self._record_notice(page.notice)
         if isinstance(page, PollRefused):
             await asyncio.sleep(max(REFUSED_RETRY_SECONDS, page.notice.pause_seconds))
             return
+        if isinstance(page, str) and not self._has_failed:
+            self._has_failed = True
+            log_event(Part.CACHE, "poll failed, repeated", address=self.address, reason=page)
+            return
         self._update_reachability(page)
         if isinstance(page, EventPage):
             self._apply_page(page)
@@ -127,6 +136,7 @@
 
     def _update_reachability(self, page: EventPage | str) -> None:
         is_reachable = isinstance(page, EventPage)
+        self._has_failed = not is_reachable
         if is_reachable is not self.is_reachable:
             message = "cache events reachable again" if is_reachable else "cache events unreachable"
             reason = page if isinstance(page, str) else None
--- a/turmericproxy/platform/cache_events.py
+++ b/turmericproxy/platform/cache_events.py
@@ -12,8 +12,9 @@
 from turmericproxy.platform.notices import read_notice
 
 CONNECT_TIMEOUT_SECONDS = 0.25
-# Time limit for an answer, in addition to the wait that the request asks for.
-ANSWER_MARGIN_SECONDS = 0.7
+# Time limit for an answer, including the wait that the request asks for. A sound endpoint may be
+# silent for more than a second and answer then.
+ANSWER_TIMEOUT_SECONDS = 1.7
 TOO_MANY_REQUESTS = 429
 ADDED_SIGN = "+"
 
@@ -37,7 +38,7 @@
         target = f"{names.EVENTS_PATH}?since={since}"
         data = encode_request("GET", target, self._address, f"{names.WAIT_MS}: {int(wait * 1000)}")
         answer = await self._connection.fetch(
-            data, connect_timeout=CONNECT_TIMEOUT_SECONDS, timeout=wait + ANSWER_MARGIN_SECONDS
+            data, connect_timeout=CONNECT_TIMEOUT_SECONDS, timeout=ANSWER_TIMEOUT_SECONDS
         )
         if isinstance(answer, str):
             return answer
