Wait for the reports and order answers of engines that are silent for a while

What callers saw: with engines that are silent for 1.2 s before each answer, a requested version of weights was loaded by none of them. Once the old version was too old, no engine could be used and all requests for the model were refused. A single silence delayed a load by 0.5 to 1 s.

Cause: a report or an order without an answer in 0.35 s was given up and sent again, each time with the same result.

Evidence, before: test_engines_that_are_silent_before_each_answer_load_new_ weights failed with "assert [1, 1] == [2, 2]" 7 s after the request. Now both engines load with one order each.

The limit is now 1.7 s. What it would hold up no longer waits for it: - Requests that ask for a report after a version mismatch, and the queries of all engines during an outage of the store, wait 0.35 s; the query goes on and its result serves later requests. test_request_does_not_wait_for_the_report_ of_a_silent_engine guards this: it passed before and fails with a limit of 5 s. - An engine without a report is skipped for as long as it was waited for, at least 0.5 s as before, so a frozen one takes no larger share of the loads that may run at once.

Ruled out: a second load by an order that was given up and comes late. It carries the count of accepted orders and the engine's id, and the one sent after it carries the same count unless a report has shown a newer one; so the engine rejects the later of the two. It can't come after the lease either: orders are sent with at least 0.4 s of it left, as before, and the limit counts only the wait for the answer.

--- /dev/null
+++ b/tests/host/test_late_answers.py
@@ -0,0 +1,43 @@
+"""Check that hosts wait for engines and a store that are silent for a while and then answer."""
+
+import asyncio
+import time
+
+from tests.host.support import HostEnvironment, run_scenario
+
+# Seconds for which a sound upstream may be silent.
+SILENCE_SECONDS = 1.2
+VERSION_2 = {"model": "m", "version": 2}
+
+
+def test_engines_that_are_silent_before_each_answer_load_new_weights() -> None:
+    """Guard against refusals of all requests: engines that answer reports and orders late never
+    got new weights, and were out of use once their old ones were too old.
+    """
+
+    async def scenario(environment: HostEnvironment) -> None:
+        engines = [environment.servers[name] for name in ("e1", "e2")]
+        for engine in engines:
+            engine.silence_seconds = SILENCE_SECONDS
+        environment.store.put("op", "version/m", VERSION_2)
+        await asyncio.sleep(7.0)
+        assert [engine.version for engine in engines] == [2, 2]
+        assert [len(engine.orders) for engine in engines] == [1, 1]
+        assert (await environment.send_stream_request()).status == 200
+
+    run_scenario(scenario)
+
+
+def test_request_does_not_wait_for_the_report_of_a_silent_engine() -> None:
+    """Guard against requests that wait for a late report before they go to another engine."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        for engine in (environment.servers["e1"], environment.servers["e2"]):
+            engine.silence_seconds = SILENCE_SECONDS
+        environment.servers["e1"].version = 2
+        started = time.monotonic()
+        for _ in range(3):
+            assert (await environment.send_stream_request("/lepu270/deep/2f")).status == 200
+        assert time.monotonic() - started < SILENCE_SECONDS
+
+    run_scenario(scenario)
--- a/turmericproxy/platform/engines.py
+++ b/turmericproxy/platform/engines.py
@@ -16,8 +16,9 @@
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.25
-# Time limit for the answer to a report request or an order; neither occupies a batch slot.
-ANSWER_TIMEOUT_SECONDS = 0.35
+# Time limit for the answer to a report request or an order; neither occupies a batch slot. A sound
+# engine may be silent for more than a second and answer then.
+ANSWER_TIMEOUT_SECONDS = 1.7
 # Running requests continue with the new weights. Finishing them first would block the engine for
 # new requests.
 SWITCH_MODE = "retain"
--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -33,8 +33,8 @@
 VERSION_POLL_SECONDS = 0.02
 # Delay before another order to an engine that did not answer or was busy.
 RETRY_SECONDS = 0.15
-# Time for which an engine is skipped after it was unreachable, rejected an order or reported a
-# start time that differs from its registration.
+# Minimum time for which an engine is skipped after it was unreachable, rejected an order or
+# reported a start time that differs from its registration.
 SKIP_SECONDS = 0.5
 # Delay between the announcement of a load and its order, so that the announcement reaches peers
 # through two hubs and they choose other engines; a loading engine would refuse their requests.
@@ -205,11 +205,14 @@
     async def _try_load(self, state: UpstreamState, load: _Load) -> bool:
         """Read an engine's report and order the load if needed; return whether to stop trying."""
         instance, address = state.entry.instance, state.entry.address
-        if state.health.must_be_silent(asyncio.get_running_loop().time()):
+        started = asyncio.get_running_loop().time()
+        if state.health.must_be_silent(started):
             return True
         report = await read_engine_report(self._control, self._registry, instance, address)
         if report is None:
-            return self._skip(instance)
+            # Others may load for at least as long as this engine has kept them from it.
+            waited = asyncio.get_running_loop().time() - started
+            return self._skip(instance, max(SKIP_SECONDS, waited))
         if report.versions.get(load.model, 0) >= load.version:
             self._record_version(instance, load.model, report.versions[load.model])
             return True
@@ -245,9 +248,9 @@
                 return True
         return False
 
-    def _skip(self, instance: InstanceId) -> bool:
-        """Skip an engine for a while so that others can load; always return true."""
-        self._skipped_until[instance] = asyncio.get_running_loop().time() + SKIP_SECONDS
+    def _skip(self, instance: InstanceId, seconds: float = SKIP_SECONDS) -> bool:
+        """Skip an engine for some seconds so that others can load; always return true."""
+        self._skipped_until[instance] = asyncio.get_running_loop().time() + seconds
         return True
 
     async def _send_order(
--- a/turmericproxy/rollout/version_resolver.py
+++ b/turmericproxy/rollout/version_resolver.py
@@ -1,13 +1,15 @@
 """Read versions of weights from engines when neither the store nor a peer provides them."""
 
 import asyncio
-from collections.abc import Callable
+import functools
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 
 from turmericproxy.core import HostName
 from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.logs import Part
+from turmericproxy.logs import Part, log_event
+from turmericproxy.placement.entries import UpstreamEntry
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.rollout.interfaces import Announcer, EngineControl, EngineReport
 from turmericproxy.rollout.reports import read_engine_report
@@ -16,6 +18,9 @@
 
 # Interval between queries to each engine while the store is unreachable.
 POLL_SECONDS = 1.0
+# Time for which a request waits for a report, which a sound engine may send more than a second
+# later. The query goes on, and its result serves later requests.
+MAX_REQUEST_WAIT_SECONDS = 0.35
 
 
 class EngineVersionResolver:
@@ -59,13 +64,11 @@
                 task.cancel()
 
     async def refresh_versions(self, instance: InstanceId) -> None:
-        """Update an engine's versions from its report; concurrent calls share one query."""
-        task = self._queries.get(instance)
-        if task is None:
-            task = asyncio.get_running_loop().create_task(self._query_versions(instance))
-            self._queries[instance] = task
-            task.add_done_callback(lambda _: self._queries.pop(instance, None))
-        await asyncio.shield(task)
+        """Update an engine's versions from its report, and wait for a short time until it is done.
+
+        Concurrent calls share one query.
+        """
+        await self._query_briefly(instance, functools.partial(self._query_versions, instance))
 
     async def replace_upstream(
         self, instance: InstanceId, address: str, successor: InstanceId
@@ -80,16 +83,38 @@
             self._announcer.announce_superseded(instance, address)
         if state is None or self._registry.find(successor) or not self._is_store_unreachable():
             return
-        report = await self._read_report(instance, state.entry.address)
-        if report is None or not report.versions:
+        await self._query_briefly(
+            successor, functools.partial(self._register_successor, state.entry, successor)
+        )
+
+    async def _query_briefly(
+        self, instance: InstanceId, query: Callable[[], Coroutine[None, None, None]]
+    ) -> None:
+        """Start a query for an engine, unless one runs, and wait for a short time for its end."""
+        task = self._queries.get(instance)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(query())
+            self._queries[instance] = task
+            task.add_done_callback(functools.partial(self._end_query, instance))
+        await asyncio.wait([task], timeout=MAX_REQUEST_WAIT_SECONDS)
+
+    def _end_query(self, instance: InstanceId, task: asyncio.Task[None]) -> None:
+        self._queries.pop(instance, None)
+        if not task.cancelled() and (error := task.exception()):
+            log_event(Part.WEIGHTS, "query failed", engine=instance, reason=repr(error))
+
+    async def _register_successor(self, entry: UpstreamEntry, successor: InstanceId) -> None:
+        """Register an upstream that has taken the address of another one."""
+        report = await self._read_report(entry.instance, entry.address)
+        if report is None or not report.versions or self._registry.find(successor):
             return
-        if set(report.versions) != set(state.entry.versions):
+        if set(report.versions) != set(entry.versions):
             return
         if self._registry.count_services(report.versions) != 1:
             return
         self._registry.update(
             replace(
-                state.entry,
+                entry,
                 instance=successor,
                 started_at=report.started_at,
                 versions=report.versions,
@@ -100,7 +125,7 @@
         await asyncio.sleep(POLL_SECONDS)
         if self._is_store_unreachable():
             await asyncio.gather(
-                *(self._query_versions(instance) for instance in self._list_assigned_engines())
+                *(self.refresh_versions(instance) for instance in self._list_assigned_engines())
             )
 
     def _list_assigned_engines(self) -> list[InstanceId]:
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -48,7 +48,8 @@
     """Answer requests, reports and orders; ``events`` is the length of a stream.
 
     While ``is_leaving``, all answers say so. While ``retry_after`` is set, all calls are answered
-    with 503 and this Retry-After; ``calls`` counts all calls.
+    with 503 and this Retry-After; ``calls`` counts all calls. Reports and orders are handled after
+    ``silence_seconds``.
     """
 
     instance: str
@@ -66,6 +67,7 @@
     is_leaving: bool = False
     retry_after: str | None = None
     calls: int = 0
+    silence_seconds: float = 0.0
 
     def __post_init__(self) -> None:
         self._server = EdgeServer("127.0.0.1:0", self._answer)
@@ -108,8 +110,10 @@
             fields = [("X-Not-Executed", "1"), ("Retry-After", self.retry_after)]
             writer.send(503, [*fields, *self._list_notice_fields()])
         elif request.path == "/api/report":
+            await asyncio.sleep(self.silence_seconds)
             self._send_report(writer)
         elif request.path == "/api/order":
+            await asyncio.sleep(self.silence_seconds)
             await self._handle_order(request, writer)
         elif request.path == "/api/kv-events":
             await self._send_events(request, writer)
