Ignore a late report that contradicts what became known since

What callers saw: requests to an engine that had just loaded new weights were sent for the old ones and turned away with 421, and what the host knew of the engine's cache was lost.

Cause: a report replaces the known version even by an older one. The report shows a state of some hundred ms ago and may come later still; when the new version became known meanwhile by an answer, a registration or a peer, the old one was put back. After a restart of the engine under its id, the report of the earlier start was applied to the new one.

Evidence, before: test_late_report_does_not_replace_a_version_that_became_ known_since failed, for the engine that loads and for the one that restarts, with "assert {'m': 1} == {'m': 2}".

Now a report is compared with what was known when it was requested: an older version counts only if nothing else became known since, and a report of another registration is dropped.

Ruled out: taking only newer versions. A registration or a peer may have told a version that the engine doesn't have, and its report has to correct that.

--- a/tests/rollout/test_version_resolver.py
+++ b/tests/rollout/test_version_resolver.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from tests.placement.support import MODEL, create_entry, create_registry
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.placement import UpstreamEntry, UpstreamRegistry
 from turmericproxy.rollout.interfaces import (
     EngineReport,
     OrderResult,
@@ -66,3 +69,39 @@
         assert sorted(engines.announced) == sorted((name, 2) for name in ENGINES)
 
     asyncio.run(run())
+
+
+class LateReports(EngineStub):
+    """Report version 1 only after a newer version has become known by another way."""
+
+    def __init__(self, registry: UpstreamRegistry, *entries: UpstreamEntry) -> None:
+        super().__init__()
+        self._registry = registry
+        self._entries = entries
+
+    async def read_report(self, address: str) -> EngineReport | ReportUnavailable:
+        await asyncio.sleep(0)
+        for entry in self._entries:
+            self._registry.update(entry)
+        self._registry.record_version(InstanceId("e"), MODEL, 2)
+        return EngineReport({MODEL: 1}, is_busy=False, accepted_orders=0, started_at=1)
+
+
+@pytest.mark.parametrize("entries", [(), (create_entry("e", started_at=2),)])
+def test_late_report_does_not_replace_a_version_that_became_known_since(
+    entries: tuple[UpstreamEntry, ...],
+) -> None:
+    """Guard against an emptied cache index and requests for old weights after a late report."""
+
+    async def run() -> None:
+        registry = create_registry(create_entry("e"))
+        engines = LateReports(registry, *entries)
+        resolver = EngineVersionResolver(
+            registry, WantedVersions(), engines, lambda: False, engines, HOSTS[0], list
+        )
+        await resolver.refresh_versions(InstanceId("e"))
+        state = registry.find(InstanceId("e"))
+        assert state is not None
+        assert state.versions == {MODEL: 2}
+
+    asyncio.run(run())
--- a/turmericproxy/rollout/version_resolver.py
+++ b/turmericproxy/rollout/version_resolver.py
@@ -138,14 +138,20 @@
         state = self._registry.find(instance)
         if state is None:
             return
+        known = dict(state.versions)
         report = await self._read_report(instance, state.entry.address)
-        if report is None:
+        # The engine may have been registered again since the query was sent.
+        if report is None or self._registry.find(instance) is not state:
             return
         if report.started_at != state.entry.started_at:
             return
         now = asyncio.get_running_loop().time()
         for model, version in report.versions.items():
-            if version > state.versions.get(model, 0):
+            current = state.versions.get(model, 0)
+            if version < current != known.get(model, 0):
+                # The report was made before the engine loaded the version known by now.
+                continue
+            if version > current:
                 self._announcer.announce_version(instance, model, version)
             self._registry.set_reported_version(instance, model, version)
             self._wanted.record(model, version, now)
