Wait for reads and commits of a store that is silent for a while

What callers saw: while the store was silent for 1.2 s before each answer, a host that started answered all requests with 503. A host that had to read a table again, after a lost history or a restoration, kept its old configuration.

Cause: each read and commit was given up after 1 s and sent anew, with the same result each time; so no table was ever read, and the host's own row, which was written each time, never counted as written.

Evidence, before: test_host_starts_while_the_store_is_silent_before_each_answer failed with "assert 503 == 200" 4 s after the start (X-Result-Code 400).

Reads and commits now have 2 s. Calls for changes keep their margin of 1 s: they lose nothing when they are given up, since they go on from the same version, and they have to notice an outage before registrations expire.

Ruled out: a commit that was given up and is applied later. A lease is written on condition of its row's version, so the one sent after it fails or supersedes it; the row of the host is the same each time.

Not solved: while each answer takes 1.2 s, reading and writing the lease takes longer than it lasts (2 s), so no weights are ordered.

--- a/tests/host/test_late_answers.py
+++ b/tests/host/test_late_answers.py
@@ -41,3 +41,18 @@
         assert time.monotonic() - started < SILENCE_SECONDS
 
     run_scenario(scenario)
+
+
+def test_host_starts_while_the_store_is_silent_before_each_answer() -> None:
+    """Guard against hosts that refuse all requests, since no read of a slow store ever ended."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        environment.store.silence_seconds = SILENCE_SECONDS
+        await environment.add_host("late")
+        await asyncio.sleep(4.0)
+        assert (await environment.send_request("/book/1", index=1)).status == 200
+        # The host is in the table of hosts, and has connected to the other one.
+        assert environment.store.find("hosts", "late") is not None
+        assert environment.hosts[1]._links.peers.list_reachable() == ["h0"]
+
+    run_scenario(scenario)
--- a/turmericproxy/platform/store.py
+++ b/turmericproxy/platform/store.py
@@ -23,8 +23,10 @@
 
 # Long enough for a round trip and one retransmitted packet.
 CONNECT_TIMEOUT_SECONDS = 0.5
-# The store normally answers within a few milliseconds.
-CALL_TIMEOUT_SECONDS = 1.0
+# The store normally answers within a few milliseconds, but may be silent for more than a second.
+CALL_TIMEOUT_SECONDS = 2.0
+# Time limit for the answer to a call for changes, in addition to its wait.
+CHANGES_MARGIN_SECONDS = 1.0
 OK = 200
 PRECONDITION_FAILED = 412
 GONE = 410
@@ -66,7 +68,7 @@
     ) -> Changes | HistoryGone | Refusal:
         """Return the changes since a version, waiting up to ``seconds`` for the first one."""
         query = {"table": table, "after": version, "wait_ms": int(seconds * 1000)}
-        answer = await self._get(names.FEED_PATH, query, seconds + CALL_TIMEOUT_SECONDS)
+        answer = await self._get(names.FEED_PATH, query, seconds + CHANGES_MARGIN_SECONDS)
         if isinstance(answer, Refusal | HistoryGone):
             return answer
         content, era = answer
--- a/turmericproxy/standins/platform_wire_store.py
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -36,7 +36,8 @@
     """Keep rows in memory and publish their changes; tests set the faults.
 
     ``refusal`` is the status that every call is answered with; ``lost_answers`` is how many of
-    the next commits are applied but not answered. ``era`` counts the restorations.
+    the next commits are applied but not answered. ``era`` counts the restorations. Each call is
+    handled after ``silence_seconds``.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -47,6 +48,7 @@
         self.oldest = 0
         self.refusal: int | None = None
         self.lost_answers = 0
+        self.silence_seconds = 0.0
         self.era = 1
         self.calls: list[str] = []
 
@@ -103,6 +105,7 @@
 
     async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
         self.calls.append(request.path)
+        await asyncio.sleep(self.silence_seconds)
         if self.refusal:
             writer.send(self.refusal, [self._era_field])
             return
