Notice each silence of the store in which registrations lapse

What callers saw: after the store had been silent for 2.4 to 3.3 s, all requests to upstreams that served on were refused for want of an upstream, for up to two seconds, and what was known of the engines' caches was lost.

Cause: registrations that lapse while the store is away are kept for two seconds after its return, if the host has noticed that it was away. A call for changes was given up 3.3 s after it was sent. But registrations lapse three heartbeats (3.6 s) after the last one, which may be 1.2 s older than the silence. A host whose call was still open at the store's return took the removals as true.

Evidence, before: test_upstreams_whose_registrations_lapsed_in_a_short_silence_ stay_in_use failed with "assert 503 == 200" (X-Result-Code 400, Retry-After 0.65) 0.5 s after a silence of 2.4 s.

Now such a call waits for 1.3 s and is given up after 2.3 s, before any registration can lapse. That costs a quiet host in a small failure domain a call every 1.3 s in place of 2.3 s; readers of large ones ask each second already.

Ruled out: taking an answer that comes late as the sign. Its delay can't be told from that of a busy host, and a removal that is delayed without an outage lets requests reach a server that has left.

Open: in large domains, a host that follows through the reader asks the store itself 1.5 s after the reader's last update, with up to 2 s for the answer; a silence that ends in between isn't noticed there.

--- a/tests/host/test_late_answers.py
+++ b/tests/host/test_late_answers.py
@@ -56,3 +56,28 @@
         assert environment.hosts[1]._links.peers.list_reachable() == ["h0"]
 
     run_scenario(scenario)
+
+
+def test_upstreams_whose_registrations_lapsed_in_a_short_silence_stay_in_use() -> None:
+    """Guard against refusals for want of an upstream: registrations lapse three heartbeats after
+    the last one, so already 2.4 s after the store falls silent, and are back a little after it.
+    """
+
+    async def scenario(environment: HostEnvironment) -> None:
+        store = environment.store
+        store.put("servers", "p1", environment.servers["p1"].describe())
+        await asyncio.sleep(0.05)  # a new call for changes is open
+        store.running.clear()
+        await asyncio.sleep(2.4)
+        for name in environment.servers:
+            store.delete("servers", name)
+        store.running.set()
+        await asyncio.sleep(0.5)
+        assert (await environment.send_request("/book/1")).status == 200
+        for name, server in environment.servers.items():
+            store.put("servers", name, server.describe())
+        await asyncio.sleep(2.0)
+        assert (await environment.send_request("/book/2")).status == 200
+        assert (await environment.send_stream_request()).status == 200
+
+    run_scenario(scenario)
--- a/turmericproxy/host/site_follower.py
+++ b/turmericproxy/host/site_follower.py
@@ -19,10 +19,11 @@
 
 # Time for which a long poll waits for changes to the configuration.
 CONFIGURATION_WAIT_SECONDS = 8.0
-# Time for which a long poll waits for changes to the upstreams: three heartbeats less the time for
-# an answer. Shorter than the time without heartbeats after which registrations expire, so that an
-# outage that makes them expire is detected.
-UPSTREAM_WAIT_SECONDS = 2.3
+# Time for which a long poll waits for changes to the upstreams. With the time for an answer, it is
+# shorter than any outage in which registrations expire, so that each of those is detected: they
+# expire after three heartbeats of 1.2 s, and the last one may be one interval older than the
+# outage.
+UPSTREAM_WAIT_SECONDS = 1.3
 
 
 class SiteFollower:
--- a/turmericproxy/standins/platform_wire_store.py
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -37,7 +37,7 @@
 
     ``refusal`` is the status that every call is answered with; ``lost_answers`` is how many of
     the next commits are applied but not answered. ``era`` counts the restorations. Each call is
-    handled after ``silence_seconds``.
+    handled after ``silence_seconds``. While ``running`` is not set, calls get no answer.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -49,6 +49,8 @@
         self.refusal: int | None = None
         self.lost_answers = 0
         self.silence_seconds = 0.0
+        self.running = asyncio.Event()
+        self.running.set()
         self.era = 1
         self.calls: list[str] = []
 
@@ -106,6 +108,7 @@
     async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
         self.calls.append(request.path)
         await asyncio.sleep(self.silence_seconds)
+        await self.running.wait()
         if self.refusal:
             writer.send(self.refusal, [self._era_field])
             return
@@ -151,6 +154,9 @@
                 if row.table == query["table"] and row.version > after
             ]
             remaining = last - asyncio.get_running_loop().time()
+            if not self.running.is_set():
+                await self.running.wait()
+                continue
             if rows or remaining <= 0:
                 rows.sort(key=lambda row: row.version)
                 self._send(writer, 200, {"rows": [_describe(row) for row in rows]})
