Poll an engine that restarts under its id at its new address

What callers would see (not measured): requests placed by a wrong index of an engine's cache, so shared parts read again.

Cause: a poller was kept by the engine's id. An engine that starts again under its id (the users' page allows that) with another address went on being polled at the old one, which may belong to another engine by then: the events of that one were taken for its own, or none came. The page doesn't say whether the address changes in such a start.

Evidence, before: test_engine_that_restarts_at_another_address_is_polled_there failed with "assert ['10.0.0.1:3'] == ['10.0.0.1:3', '10.0.0.2:1']".

Now a poller is closed when its address isn't the registered one.

Ruled out: a restart at the same address needs nothing. The epoch of the events changes and the index is emptied then.

--- a/tests/host/test_cache_following.py
+++ b/tests/host/test_cache_following.py
@@ -1,7 +1,7 @@
 """Check which caches a host polls and how it determines the reachability of the kept store."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tests.placement.support import STORE, create_entry, create_registry
 from turmericproxy.core import HostName
@@ -144,3 +144,23 @@
     assert kept.holds(SHARED)
     manager.receive_kept_epoch(2)
     assert not kept.holds(SHARED)
+
+
+def test_engine_that_restarts_at_another_address_is_polled_there() -> None:
+    """Guard against events of another engine: a server may start again under its id elsewhere."""
+
+    async def run() -> None:
+        endpoints, entry = FakeEndpoints(), create_entry("one")
+        moved = replace(entry, address="10.0.0.2:1", started_at=2)
+        registry = create_registry(entry)
+        manager = CachePollerManager(
+            endpoints.create_source, registry, PrefixTracker(10), entry.domain, HOST
+        )
+        manager.update(None)
+        registry.update(moved)
+        manager.update(None)
+        manager.update(None)
+        assert endpoints.polled == [entry.address, moved.address]
+        manager.close()
+
+    asyncio.run(run())
--- a/turmericproxy/host/cache_following.py
+++ b/turmericproxy/host/cache_following.py
@@ -99,8 +99,10 @@
             and not state.is_leaving
             and is_polled_here(state.entry.instance)
         }
-        for instance in set(self._engine_pollers) - set(engines):
-            self._engine_pollers.pop(instance).close()
+        for instance, poller in list(self._engine_pollers.items()):
+            # An engine may have started again under its id at another address.
+            if engines.get(instance) != poller.address:
+                self._engine_pollers.pop(instance).close()
         for instance, address in engines.items():
             if instance not in self._engine_pollers:
                 self._engine_pollers[instance] = self._start_engine_poller(instance, address)
