Dial a peer that closes each stream with pauses

What callers would see (not measured): a slow host. What answers at the address of a peer and closes the connection at once, for instance another program that doesn't know the messages, or a peer that can't read them, was dialed again without a pause.

Cause: the delay between two attempts applied only if the connection failed, and started anew once one was established.

Evidence, before: test_peer_that_closes_each_stream_is_dialed_with_pauses failed with "assert 3367 < 6", the connections in one second.

Now a stream that ends within two seconds counts as a failed attempt.

Ruled out: other loops of that kind. A store or a cache that closes each connection is called with the followers' and pollers' pauses.

--- a/turmericproxy/fleet/streams.py
+++ b/turmericproxy/fleet/streams.py
@@ -11,7 +11,8 @@
 # Seconds for which a peer is not used as a hub after its stream has failed.
 BROKEN_STREAM_AVOIDED_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 0.6
-# Bounds of the delay before a peer is dialed again, which doubles with each failure.
+# Bounds of the delay before a peer is dialed again, which doubles with each failure. A stream that
+# ends within the longest delay counts as a failure too.
 MIN_REDIAL_SECONDS = 0.2
 MAX_REDIAL_SECONDS = 2.0
 # Milliseconds without a TCP acknowledgement after which a stream is closed.
@@ -78,13 +79,17 @@
                     opening = asyncio.open_connection(ip, int(port))
                     reader, writer = await asyncio.wait_for(opening, CONNECT_TIMEOUT_SECONDS)
                 except (OSError, ValueError):
-                    self._mark_avoided(peer)
-                    await peer.wait_to_redial(delay)
-                    delay = min(MAX_REDIAL_SECONDS, 2 * delay)
-                    continue
-                delay = MIN_REDIAL_SECONDS
-                await self._run_stream(peer, reader, writer)
+                    lasted = 0.0
+                else:
+                    opened_at = self._read_clock()
+                    await self._run_stream(peer, reader, writer)
+                    lasted = self._read_clock() - opened_at
                 self._mark_avoided(peer)
+                if lasted > MAX_REDIAL_SECONDS:
+                    delay = MIN_REDIAL_SECONDS
+                    continue
+                await peer.wait_to_redial(delay)
+                delay = min(MAX_REDIAL_SECONDS, 2 * delay)
         finally:
             peer.task = None
 
