Close a stream on which a peer's address sends bytes

What callers would see (not measured): a host that ends for lack of memory, and the requests it has accepted with it.

Cause: a host reads its outgoing streams to their end to notice when they close, and kept all that came on them. Peers send nothing there, but another program that has got the address may, and its bytes may have no end.

Evidence, before: test_endless_bytes_of_a_peer_do_not_fill_the_memory failed with "assert < ((64 * 1024) * 1024)", the bytes taken in a second.

Now the first byte ends the stream, with a log line; it is dialed again with the pauses of a failed one.

Ruled out: incoming streams. A message has a limit there, also when unpacked, and a malformed one ends the stream.

--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -39,3 +39,9 @@
     """Guard against a host that does nothing but connect: an address may have been given away."""
     connections, _ = asyncio.run(count_connections(b"HTTP/1.1 400 \r\n\r\n", is_endless=False))
     assert connections < 6
+
+
+def test_endless_bytes_of_a_peer_do_not_fill_the_memory() -> None:
+    """Guard against a host that ends for lack of memory: peers send nothing on these streams."""
+    _, sent = asyncio.run(count_connections(b"x" * 65536, is_endless=True))
+    assert sent < 64 * 1024 * 1024
--- a/turmericproxy/fleet/streams.py
+++ b/turmericproxy/fleet/streams.py
@@ -96,12 +96,16 @@
     async def _run_stream(
         self, peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Introduce this host on a stream, and wait until the stream ends."""
+        """Introduce this host on a stream, and wait until the stream ends.
+
+        Peers send nothing on it, so bytes show that something else has the address.
+        """
         set_user_timeout(writer.transport, USER_TIMEOUT_MS)
         writer.write(self._pack_introduction(peer))
         peer.writer = writer
         try:
-            await reader.read()
+            if await reader.read(1):
+                log_event(Part.PEERS, "unexpected bytes on a stream", peer=peer.hello.host)
         except OSError as error:
             log_event(
                 Part.PEERS, "outgoing stream failed", peer=peer.hello.host, reason=repr(error)
