--- a/turmericproxy/fleet/streams.py
+++ b/turmericproxy/fleet/streams.py
@@ -11,7 +11,8 @@
 # Seconds for which a peer is not used as a hub after its stream has failed.
 BROKEN_STREAM_AVOIDED_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 0.6
-# Bounds of the delay before a peer is dialed again, which doubles with each failure.
+# Bounds of the delay before a peer is dialed again, which doubles with each failure. A stream that
+# ends within the longest delay counts as a failure too.
 MIN_REDIAL_SECONDS = 0.2
 MAX_REDIAL_SECONDS = 2.0
 # Milliseconds without a TCP acknowledgement after which a stream is closed.
@@ -78,25 +79,33 @@
                     opening = asyncio.open_connection(ip, int(port))
                     reader, writer = await asyncio.wait_for(opening, CONNECT_TIMEOUT_SECONDS)
                 except (OSError, ValueError):
-                    self._mark_avoided(peer)
-                    await peer.wait_to_redial(delay)
-                    delay = min(MAX_REDIAL_SECONDS, 2 * delay)
-                    continue
-                delay = MIN_REDIAL_SECONDS
-                await self._run_stream(peer, reader, writer)
+                    lasted = 0.0
+                else:
+                    opened_at = self._read_clock()
+                    await self._run_stream(peer, reader, writer)
+                    lasted = self._read_clock() - opened_at
                 self._mark_avoided(peer)
+                if lasted > MAX_REDIAL_SECONDS:
+                    delay = MIN_REDIAL_SECONDS
+                    continue
+                await peer.wait_to_redial(delay)
+                delay = min(MAX_REDIAL_SECONDS, 2 * delay)
         finally:
             peer.task = None
 
     async def _run_stream(
         self, peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Introduce this host on a stream, and wait until the stream ends."""
+        """Introduce this host on a stream, and wait until the stream ends.
+
+        Peers send nothing on it, so bytes show that something else has the address.
+        """
         set_user_timeout(writer.transport, USER_TIMEOUT_MS)
         writer.write(self._pack_introduction(peer))
         peer.writer = writer
         try:
-            await reader.read()
+            if await reader.read(1):
+                log_event(Part.PEERS, "unexpected bytes on a stream", peer=peer.hello.host)
         except OSError as error:
             log_event(
                 Part.PEERS, "outgoing stream failed", peer=peer.hello.host, reason=repr(error)
--- a/turmericproxy/standins/platform_wire_store.py
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -36,7 +36,8 @@
     """Keep rows in memory and publish their changes; tests set the faults.
 
     ``refusal`` is the status that every call is answered with; ``lost_answers`` is how many of
-    the next commits are applied but not answered. ``era`` counts the restorations.
+    the next commits are applied but not answered. ``era`` counts the restorations. Each call is
+    handled after ``silence_seconds``. While ``running`` is not set, calls get no answer.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -47,6 +48,9 @@
         self.oldest = 0
         self.refusal: int | None = None
         self.lost_answers = 0
+        self.silence_seconds = 0.0
+        self.running = asyncio.Event()
+        self.running.set()
         self.era = 1
         self.calls: list[str] = []
 
@@ -103,6 +107,8 @@
 
     async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
         self.calls.append(request.path)
+        await asyncio.sleep(self.silence_seconds)
+        await self.running.wait()
         if self.refusal:
             writer.send(self.refusal, [self._era_field])
             return
@@ -148,6 +154,9 @@
                 if row.table == query["table"] and row.version > after
             ]
             remaining = last - asyncio.get_running_loop().time()
+            if not self.running.is_set():
+                await self.running.wait()
+                continue
             if rows or remaining <= 0:
                 rows.sort(key=lambda row: row.version)
                 self._send(writer, 200, {"rows": [_describe(row) for row in rows]})
