--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -27,18 +27,13 @@
 from turmericproxy.traffic.requests import ParsedAnswer, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.sending import open_call, read_answer, read_head
-from turmericproxy.traffic.silence import SilenceHandlers, SilenceLimits, SilenceWatch
-
-# Timeout of a plain call that may be repeated: a multiple of its expected time, with a minimum.
-# Slow calls take five times as long as usual ones.
-TIMEOUT_FACTOR = 8.0
-MIN_TIMEOUT_SECONDS = 0.15
-# An upstream is suspected if the first event of a stream is later than expected by this time, or
-# after a pause of this many target event gaps.
-FIRST_EVENT_MARGIN_SECONDS = 0.7
-EVENT_GAP_FACTOR = 2.0
-# A stream leaves a suspected upstream after this silence. Sound ones may pause for about a second.
-STREAM_PATIENCE_SECONDS = 1.5
+from turmericproxy.traffic.silence import (
+    SilenceHandlers,
+    SilenceWatch,
+    compute_gap_limits,
+    compute_start_limits,
+)
+
 # Retry-After when no attempt has run: about the time for which an upstream is paused.
 OVERLOADED_RETRY_AFTER_SECONDS = 0.5
 
@@ -80,8 +75,7 @@
         self._last_id: str | None = request.parsed.last_event_id
         self._event_parts = 0
         self._received_at = 0.0
-        gap = EVENT_GAP_FACTOR * request.route.target_event_gap
-        self._gap_limits = SilenceLimits(gap, max(gap, STREAM_PATIENCE_SECONDS))
+        self._gap_limits = compute_gap_limits(request.route)
 
     async def run(self) -> CompletedAnswer | Refusal:
         """Answer the client; return a refusal if no attempt gave an answer."""
@@ -233,17 +227,8 @@
             clear=lambda: self._record_progress(placement),
             replace=lambda: self._seek_replacement(placement, call),
         )
-        return SilenceWatch(call, self._compute_limits(placement), handlers)
-
-    def _compute_limits(self, placement: Placement) -> SilenceLimits:
-        """Return how long a call may be silent before its first event, or a plain call at all."""
-        expected = placement.expected_seconds
-        if self._request.route.is_stream:
-            return SilenceLimits(
-                expected + FIRST_EVENT_MARGIN_SECONDS, expected + STREAM_PATIENCE_SECONDS
-            )
-        timeout = max(MIN_TIMEOUT_SECONDS, TIMEOUT_FACTOR * expected)
-        return SilenceLimits(timeout, timeout)
+        limits = compute_start_limits(self._request.route, placement.expected_seconds)
+        return SilenceWatch(call, limits, handlers)
 
     def _record_silence(self, placement: Placement) -> None:
         self._is_suspected = True
--- a/turmericproxy/traffic/silence.py
+++ b/turmericproxy/traffic/silence.py
@@ -5,7 +5,18 @@
 from dataclasses import dataclass
 
 from turmericproxy.edge import UpstreamCall
-
+from turmericproxy.traffic.site import Route
+
+# Time after which a plain call is silent: a multiple of its expected time, with a minimum.
+# Slow calls take five times as long as usual ones.
+TIMEOUT_FACTOR = 8.0
+MIN_TIMEOUT_SECONDS = 0.15
+# An upstream is suspected if the first event of a stream is later than expected by this time, or
+# after a pause of this many target event gaps.
+FIRST_EVENT_MARGIN_SECONDS = 0.7
+EVENT_GAP_FACTOR = 2.0
+# A stream leaves a suspected upstream after this silence. Sound ones may pause for about a second.
+STREAM_PATIENCE_SECONDS = 1.5
 # Interval between two searches for a replacement of a silent upstream.
 SEARCH_INTERVAL_SECONDS = 0.25
 
@@ -18,6 +29,23 @@
     patience: float
 
 
+def compute_start_limits(route: Route, expected_seconds: float) -> SilenceLimits:
+    """Return how long a call may be silent before its first event, or a plain call at all."""
+    if route.is_stream:
+        return SilenceLimits(
+            expected_seconds + FIRST_EVENT_MARGIN_SECONDS,
+            expected_seconds + STREAM_PATIENCE_SECONDS,
+        )
+    seconds = max(MIN_TIMEOUT_SECONDS, TIMEOUT_FACTOR * expected_seconds)
+    return SilenceLimits(seconds, seconds)
+
+
+def compute_gap_limits(route: Route) -> SilenceLimits:
+    """Return how long a stream may be silent between two events."""
+    seconds = EVENT_GAP_FACTOR * route.target_event_gap
+    return SilenceLimits(seconds, max(seconds, STREAM_PATIENCE_SECONDS))
+
+
 @dataclass(frozen=True, slots=True)
 class SilenceHandlers:
     """Functions that a watch calls.
