Answer the whole requests before an unreadable one, and refuse it after them

Callers saw: a client that sends several requests without waiting got the answer to the first one only, if a later one couldn't be read. Whole requests between them got neither an answer nor a refusal, nor did the unreadable one, and the connection stayed open: what was sent on it later was dropped, too, until the idle timeout closed it. Input after a request with "Connection: close" dropped the whole requests before it in the same way.

Cause: while a handler runs, ClientConnection._refuse cleared the queue, ignored all further input and sent nothing; the end of the running answer then kept the connection.

Why it works: the refusal is kept as a status and sent when the queue is empty, with "Connection: close"; then the connection lingers and closes. Input stays ignored from the unreadable request on. A client that has asked for the close gets no refusal after its last answer.

--- /dev/null
+++ b/tests/edge/test_unanswered_requests.py
@@ -0,0 +1,71 @@
+"""Check that each request that was read whole is answered, and that no connection stays unread."""
+
+import asyncio
+import re
+import time
+
+import pytest
+
+from tests.edge.support import exchange, start_server
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits
+
+HEAD_SECONDS = 0.2
+TOO_LARGE = b"GET /large HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 2000 + b"\r\n\r\n"
+LIMITS = EdgeLimits(head_bytes=1000, body_bytes=1000, head_seconds=HEAD_SECONDS)
+# Input that can't be read as a request, with the status that refuses it.
+UNREADABLE = {
+    "no HTTP": (b"\x16\x03\x01\x02\r\n\r\n", 400),
+    "no host": (b"GET /unread HTTP/1.1\r\n\r\n", 400),
+    "large head": (TOO_LARGE, 431),
+    "large body": (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n", 413),
+    "incomplete head": (b"GET /unread HTTP/1.1\r\nHost", 408),
+}
+
+
+def create_get(number: int, *fields: bytes) -> bytes:
+    return b"\r\n".join([b"GET /%d HTTP/1.1" % number, b"Host: a", *fields, b"", b""])
+
+
+async def answer_slowly(request: ClientRequest, writer: AnswerWriter) -> None:
+    await asyncio.sleep(0.1)
+    writer.send(200, (), request.target.encode())
+
+
+def list_statuses(received: bytes) -> list[int]:
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d{3}) ", received)]
+
+
+def split_heads(received: bytes) -> list[bytes]:
+    return [part.partition(b"\r\n\r\n")[0] for part in received.split(b"HTTP/1.1 ")[1:]]
+
+
+# Guards against whole requests that are dropped, and a connection that stays open with its input
+# ignored, when a request behind them can't be read.
+@pytest.mark.parametrize("name", UNREADABLE)
+@pytest.mark.parametrize("whole", [1, 3])
+def test_unreadable_request_is_refused_after_the_answers_to_those_before_it(
+    name: str, whole: int
+) -> None:
+    data, status = UNREADABLE[name]
+
+    async def run() -> bytes:
+        server = await start_server(answer_slowly, LIMITS)
+        return await exchange(server.port, b"".join(map(create_get, range(whole))) + data, 3.0)
+
+    started = time.monotonic()
+    received = asyncio.run(run())
+    assert list_statuses(received) == [200] * whole + [status]
+    assert [b"Connection: close" in head for head in split_heads(received)] == [False] * whole + [
+        True
+    ]
+    assert time.monotonic() - started < 2.5  # the server has closed the connection
+
+
+# Guards against whole requests that are dropped because of input after the last request.
+def test_input_after_the_last_request_drops_none_before_it() -> None:
+    async def run() -> bytes:
+        server = await start_server(answer_slowly)
+        data = create_get(0) + create_get(1, b"Connection: close") + create_get(2)
+        return await exchange(server.port, data, 3.0)
+
+    assert list_statuses(asyncio.run(run())) == [200, 200]
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -68,6 +68,7 @@
         self._answer_writer: AnswerWriter | None = None
         self._transport: asyncio.Transport | None = None
         self._is_input_ignored = False
+        self._refusal_status: int | None = None
         self._is_receiving = False
         self._keep_alive = True
         self._first_request_due_at: float | None = None
@@ -267,6 +268,8 @@
             # While draining, a connection accepts no further request, even if its answer had
             # started before the drain without "Connection: close".
             self._linger()
+        elif not self._queue and self._refusal_status is not None:
+            self._send_refusal(self._refusal_status)
         else:
             limits = self._get_limits()
             if self._is_receiving:
@@ -279,15 +282,20 @@
     # Refusals and timeouts
 
     def _refuse(self, status: int) -> None:
+        """Refuse an unreadable request once all whole requests before it are answered."""
         if self._is_input_ignored or self._transport is None:
             return
         self._is_input_ignored = True
         self._set_timer(0.0, None)
-        self._queue.clear()
+        self._refusal_status = status
         if self._task is None:
-            writer = AnswerWriter(self._transport, keep_alive=False, is_http_10=False)
-            writer.send(status, *self._build_refusal(status))
-            self._linger()
+            self._send_refusal(status)
+
+    def _send_refusal(self, status: int) -> None:
+        assert self._transport is not None
+        writer = AnswerWriter(self._transport, keep_alive=False, is_http_10=False)
+        writer.send(status, *self._build_refusal(status))
+        self._linger()
 
     def _refuse_slow_request(self) -> None:
         self._refuse(408)
