Answer the requests that a draining connection has begun to read before it closes

Callers saw: during a planned stop, whole requests that were queued behind a running one got neither an answer nor a refusal; their connection was closed. So was that of a request of which only a part had been read when the answer before it started, or when a stream that had started before the drain ended.

Cause: while draining, each answer said "Connection: close" whatever was queued or partly read, and its end discarded both. The choice was also made before the handler ran, while the head is written later.

Evidence: all 4 new tests fail on: assert [200] == [200, 200, 200, 200] assert [200] == [200, 200] assert [200] == [200, 200] assert [200] == [200, 408] After: tests/edge passes.

Why it works: the writer asks when it writes the head whether a request is queued, being read or to be refused; only the answer after which nothing follows says close. The same question decides at its end. A request whose rest never comes is refused with 408 and doesn't keep the connection open. What arrives after an answer that said close isn't read, as HTTP demands.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -69,3 +69,66 @@
         return await exchange(server.port, data, 3.0)
 
     assert list_statuses(asyncio.run(run())) == [200, 200]
+
+
+# Guards against whole requests that are dropped since the answer before them closes a draining
+# connection.
+def test_queued_requests_are_answered_while_draining() -> None:
+    async def run() -> bytes:
+        server = await start_server(answer_slowly)
+        server.drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"".join(map(create_get, range(3))))
+        await asyncio.sleep(0.05)
+        writer.write(create_get(3))
+        return await asyncio.wait_for(reader.read(-1), 5.0)
+
+    received = asyncio.run(run())
+    assert list_statuses(received) == [200] * 4
+    closes = [b"Connection: close" in head for head in split_heads(received)]
+    assert closes == [False, False, False, True]
+
+
+# Guards against a request that is dropped because only a part of it was read when a draining
+# connection had to say whether it closes.
+def test_partly_received_request_is_answered_while_draining() -> None:
+    head = b"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+
+    async def run() -> bytes:
+        server = await start_server(answer_slowly)
+        server.drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1) + head + b"a")
+        received = await reader.readuntil(b"/1")
+        writer.write(b"b")
+        return received + await asyncio.wait_for(reader.read(-1), 5.0)
+
+    received = asyncio.run(run())
+    assert list_statuses(received) == [200, 200]
+    assert [b"Connection: close" in head for head in split_heads(received)] == [False, True]
+
+
+# Guards against a request that is dropped because only a part of it was read at the end of an
+# answer that began before the drain, and against one that keeps a draining connection open.
+@pytest.mark.parametrize(("rest", "status"), [(b"b", 200), (b"", 408)])
+def test_partly_received_request_is_answered_after_a_stream(rest: bytes, status: int) -> None:
+    async def stream(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.start(200, (), None)
+        await asyncio.sleep(0.1)
+        writer.write(b"event")
+        writer.finish()
+
+    async def run() -> bytes:
+        server = await start_server(stream, EdgeLimits(head_seconds=0.2, idle_seconds=0.2))
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1))
+        received = await reader.readuntil(b"\r\n\r\n")
+        server.drain()
+        writer.write(b"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na")
+        received += await reader.readuntil(b"0\r\n\r\n")
+        writer.write(rest)
+        return received + await asyncio.wait_for(reader.read(-1), 5.0)
+
+    received = asyncio.run(run())
+    assert list_statuses(received) == [200, status]
+    assert b"Connection: close" in split_heads(received)[-1]
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -43,8 +43,8 @@
     """Parse the requests of a client connection and handle them one at a time.
 
     ``get_limits`` returns the limits that currently apply; once ``is_draining`` returns true, the
-    connection is closed after the next answer. ``singleton_fields`` are further header fields that
-    may occur only once.
+    connection is closed after the answer to the last request that it has begun to read.
+    ``singleton_fields`` are further header fields that may occur only once.
     """
 
     def __init__(
@@ -243,16 +243,24 @@
     def _run_next(self) -> None:
         if self._task is None and self._queue and self._transport:
             request = self._queue.popleft()
-            is_last = not self._keep_alive and not self._queue
             self._answer_writer = AnswerWriter(
-                self._transport, keep_alive=not is_last, is_http_10=request.is_http_10
+                self._transport,
+                may_keep_alive=self._is_answer_to_follow,
+                is_http_10=request.is_http_10,
             )
             self._task = self._loop.create_task(self._run(request, self._answer_writer))
 
+    def _is_answer_to_follow(self) -> bool:
+        """Return whether a further request is queued, expected or to be refused."""
+        if self._queue:
+            return True
+        if not self._keep_alive:
+            return False
+        is_reading = self._is_receiving or self._refusal_status is not None
+        return is_reading or not self._is_draining()
+
     async def _run(self, request: ClientRequest, writer: AnswerWriter) -> None:
         try:
-            if self._is_draining():
-                writer.keep_alive = False
             await self._handler(request, writer)
         finally:
             self._task = None
@@ -264,7 +272,7 @@
             return
         if not writer.is_finished:
             transport.abort()
-        elif not writer.keep_alive or (self._is_draining() and not self._queue):
+        elif not writer.keep_alive or not self._is_answer_to_follow():
             # While draining, a connection accepts no further request, even if its answer had
             # started before the drain without "Connection: close".
             self._linger()
@@ -293,7 +301,7 @@
 
     def _send_refusal(self, status: int) -> None:
         assert self._transport is not None
-        writer = AnswerWriter(self._transport, keep_alive=False, is_http_10=False)
+        writer = AnswerWriter(self._transport, may_keep_alive=lambda: False, is_http_10=False)
         writer.send(status, *self._build_refusal(status))
         self._linger()
 
--- a/turmericproxy/edge/server.py
+++ b/turmericproxy/edge/server.py
@@ -61,7 +61,7 @@
         )
 
     def drain(self) -> None:
-        """Close each connection after its next answer; new connections are still accepted."""
+        """Close each connection after its last answer; new connections are still accepted."""
         self._is_draining = True
 
     @property
--- a/turmericproxy/edge/writer.py
+++ b/turmericproxy/edge/writer.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 
 
@@ -13,16 +13,26 @@
     A body without a known length is sent with chunked encoding, or to an HTTP/1.0 client, which
     doesn't support that, until the connection is closed. Aborting an answer closes the connection
     in a way that the client can't mistake for the end of the body.
+
+    ``may_keep_alive`` is called when the head is written, since only then is it known which other
+    requests have been read.
     """
 
-    def __init__(self, transport: asyncio.Transport, *, keep_alive: bool, is_http_10: bool) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        *,
+        may_keep_alive: Callable[[], bool],
+        is_http_10: bool,
+    ) -> None:
         self._transport = transport
         self._is_http_10 = is_http_10
         self._is_chunked = False
         self._remaining_bytes: int | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
-        self.keep_alive = keep_alive
+        self._may_keep_alive = may_keep_alive
+        self.keep_alive = True
         self.status: int | None = None
         self.is_finished = False
 
@@ -54,7 +64,7 @@
         self.status = status
         self._remaining_bytes = length
         self._is_chunked = length is None and not self._is_http_10
-        if length is None and self._is_http_10:
+        if not self._may_keep_alive() or (length is None and self._is_http_10):
             self.keep_alive = False
         lines = [f"HTTP/1.1 {status} {_get_reason_phrase(status)}"]
         lines += [f"{name}: {value}" for name, value in fields]
