Apply time limits that a configuration raises to connections that are open

Callers saw: beside a change of the configuration that raises the idle timeout, requests on kept connections were lost: the host closed the connection after the old timeout, while clients reuse it for up to four fifths of the new one. A head or body that took longer than the old limits was refused with 408. A host that starts applies its defaults to the connections that it accepts before it has read a configuration, with the same effect.

Cause: the timers were armed with the limits in force when they started.

Evidence: all 4 new tests fail before the fix: IncompleteReadError: 40 bytes read (closed after the first answer) IncompleteReadError: 70 bytes read (408), twice 408 expected, 200 received (a body of 99 parts, bounded by the old limit) After: tests/edge passes.

Why it works: a timer that ends looks the limit up again and waits for the rest if it is higher now. The bound of a whole body is computed from the limits in force, not from those at its head.

A lower limit reaches a connection at its next timer; it is closed no sooner than its client expects.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.edge.support import exchange, start_server
-from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
 
 HEAD_SECONDS = 0.2
 TOO_LARGE = b"GET /large HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 2000 + b"\r\n\r\n"
@@ -132,3 +132,57 @@
     received = asyncio.run(run())
     assert list_statuses(received) == [200, status]
     assert b"Connection: close" in split_heads(received)[-1]
+
+
+async def send_across_a_change(before: EdgeLimits, after: EdgeLimits, *parts: bytes) -> bytes:
+    """Send two parts, with new limits and a pause between them; return what is received."""
+    limits = [before]
+    server = EdgeServer("127.0.0.1:0", answer_slowly, lambda: limits[0])
+    await server.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(parts[0])
+    await asyncio.sleep(0.2)  # a whole request in the first part is answered by then
+    limits[0] = after
+    await asyncio.sleep(0.5)
+    writer.write(parts[1])
+    received = await asyncio.wait_for(reader.readuntil(b"/last"), 3.0)
+    writer.close()
+    return received
+
+
+LAST = b"GET /last HTTP/1.1\r\nHost: a\r\n\r\n"
+BODY = b"POST /last HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+
+
+# Guards against a connection that is closed, or a request that is refused, by a limit that no
+# longer applies: clients reuse a connection within the limits in force.
+@pytest.mark.parametrize(
+    "parts", [(create_get(1), LAST), (LAST[:9], LAST[9:]), (BODY[:-2], BODY[-2:])]
+)
+def test_time_limits_that_a_configuration_raises_apply_at_once(parts: tuple[bytes, bytes]) -> None:
+    before = EdgeLimits(head_seconds=0.4, idle_seconds=0.4)
+    after = EdgeLimits(head_seconds=5.0, idle_seconds=5.0)
+    received = asyncio.run(send_across_a_change(before, after, *parts))
+    assert set(list_statuses(received)) == {200}
+
+
+# Guards against a body that never ends because each of its parts renews the idle timeout.
+def test_bound_of_a_whole_body_follows_the_limits_in_force() -> None:
+    limits = [EdgeLimits(idle_seconds=10.0)]
+
+    async def run() -> float:
+        server = EdgeServer("127.0.0.1:0", answer_slowly, lambda: limits[0])
+        await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99\r\n\r\n")
+        await asyncio.sleep(0.1)
+        limits[0] = EdgeLimits(idle_seconds=0.3)
+        started = time.monotonic()
+        answer = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+        while not answer.done():
+            writer.write(b"x")
+            await asyncio.sleep(0.1)
+        assert (await answer).startswith(b"HTTP/1.1 408 ")
+        return time.monotonic() - started
+
+    assert asyncio.run(run()) < 2.0
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -82,7 +82,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._first_request_due_at = self._loop.time() + FIRST_REQUEST_SECONDS
-        self._set_timer(self._get_limits().idle_seconds, self._close_silent)
+        self._set_limit_timer(_get_idle_seconds, self._close_silent)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running handler, whose answer can no longer be delivered."""
@@ -108,7 +108,7 @@
         if self._is_input_ignored:
             return
         if not self._is_receiving and not self._queue and self._task is None:
-            self._set_timer(self._get_limits().head_seconds, self._refuse_slow_request)
+            self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
         self._is_receiving = True
         self._first_request_due_at = None
         if not self._is_head_complete:
@@ -156,18 +156,16 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._is_input_ignored:
             return  # the timer that closes the refused connection stays
-        self._body_due_at = self._loop.time() + MAX_BODY_TIME_FACTOR * limits.idle_seconds
-        self._set_timer(limits.idle_seconds, self._refuse_slow_request)
+        self._body_started_at = self._loop.time()
+        self._set_body_timer()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body += body
-        limits = self._get_limits()
-        if len(self._body) > limits.body_bytes:
+        if len(self._body) > self._get_limits().body_bytes:
             self._refuse(413)
         if not self._is_input_ignored:
-            seconds = min(limits.idle_seconds, max(0.0, self._body_due_at - self._loop.time()))
-            self._set_timer(seconds, self._refuse_slow_request)
+            self._set_body_timer()
 
     def on_message_complete(self) -> None:
         """Queue the request and handle it if no other one is running."""
@@ -229,7 +227,7 @@
         self._head_size = 0
         self._is_head_complete = False
         self._is_receiving = False
-        self._body_due_at = 0.0
+        self._body_started_at = 0.0
 
     def _is_head_valid(self) -> bool:
         headers = self._headers
@@ -279,11 +277,10 @@
         elif not self._queue and self._refusal_status is not None:
             self._send_refusal(self._refusal_status)
         else:
-            limits = self._get_limits()
             if self._is_receiving:
-                self._set_timer(limits.head_seconds, self._refuse_slow_request)
+                self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
             else:
-                self._set_timer(limits.idle_seconds, self._close_silent)
+                self._set_limit_timer(_get_idle_seconds, self._close_silent)
             transport.resume_reading()
             self._run_next()
 
@@ -322,3 +319,35 @@
         if self._timer:
             self._timer.cancel()
         self._timer = self._loop.call_later(seconds, action) if action else None
+
+    def _set_body_timer(self) -> None:
+        seconds_since_head = self._loop.time() - self._body_started_at
+
+        def get_seconds(limits: EdgeLimits) -> float:
+            seconds_left = MAX_BODY_TIME_FACTOR * limits.idle_seconds - seconds_since_head
+            return min(limits.idle_seconds, max(0.0, seconds_left))
+
+        self._set_limit_timer(get_seconds, self._refuse_slow_request)
+
+    def _set_limit_timer(
+        self, get_seconds: Callable[[EdgeLimits], float], action: Callable[[], None]
+    ) -> None:
+        """Call ``action`` after a time limit, and no sooner if a new configuration raises it."""
+        started = self._loop.time()
+
+        def check() -> None:
+            seconds_left = started + get_seconds(self._get_limits()) - self._loop.time()
+            if seconds_left > 0.0:
+                self._set_timer(seconds_left, check)
+            else:
+                action()
+
+        self._set_timer(get_seconds(self._get_limits()), check)
+
+
+def _get_head_seconds(limits: EdgeLimits) -> float:
+    return limits.head_seconds
+
+
+def _get_idle_seconds(limits: EdgeLimits) -> float:
+    return limits.idle_seconds
