Time a body out only by its own limit, and not while the server has paused reading

Callers saw: with many requests sent without waiting, a body whose rest had long been sent was refused with 408; before the refusal waited for its turn, the whole requests before it were dropped as well. A body that was being sent when the answer before it ended was refused after the limit of a head.

Cause: the idle timer of a body ran on while reading was paused for a full queue, and the end of each answer replaced it by the timer of a head.

Evidence: both new tests fail before the fix (the server refuses and closes): IncompleteReadError: 270 bytes read IncompleteReadError: 110 bytes read After: tests/edge passes.

Why it works: no timer of a body starts while reading is paused; the end of an answer resumes reading and starts the timer of what is being read, head or body.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -8,6 +8,7 @@
 
 from tests.edge.support import exchange, start_server
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
+from turmericproxy.edge.connection import MAX_QUEUED_REQUESTS
 
 HEAD_SECONDS = 0.2
 TOO_LARGE = b"GET /large HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 2000 + b"\r\n\r\n"
@@ -186,3 +187,35 @@
         return time.monotonic() - started
 
     assert asyncio.run(run()) < 2.0
+
+
+# Guards against whole requests that are dropped, and one that is refused, because the idle timeout
+# of a body ended while the server itself had paused reading.
+def test_body_does_not_time_out_while_reading_is_paused() -> None:
+    async def run() -> bytes:
+        server = await start_server(answer_slowly, EdgeLimits(idle_seconds=0.05))
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"".join(map(create_get, range(1 + MAX_QUEUED_REQUESTS))) + BODY[:-2])
+        await asyncio.sleep(0.02)
+        writer.write(BODY[-2:])
+        received = await asyncio.wait_for(reader.readuntil(b"/last"), 3.0)
+        writer.close()
+        return received
+
+    assert list_statuses(asyncio.run(run())) == [200] * (2 + MAX_QUEUED_REQUESTS)
+
+
+# Guards against a body that is refused by the limit of a head since another answer has ended.
+def test_limit_of_a_head_does_not_bind_a_body() -> None:
+    async def run() -> bytes:
+        limits = EdgeLimits(head_seconds=0.2, idle_seconds=3.0)
+        server = await start_server(answer_slowly, limits)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1) + BODY[:-2])
+        await asyncio.sleep(0.5)
+        writer.write(BODY[-2:])
+        received = await asyncio.wait_for(reader.readuntil(b"/last"), 3.0)
+        writer.close()
+        return received
+
+    assert list_statuses(asyncio.run(run())) == [200, 200]
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -277,11 +277,8 @@
         elif not self._queue and self._refusal_status is not None:
             self._send_refusal(self._refusal_status)
         else:
-            if self._is_receiving:
-                self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
-            else:
-                self._set_limit_timer(_get_idle_seconds, self._close_silent)
             transport.resume_reading()
+            self._set_input_timer()
             self._run_next()
 
     # Refusals and timeouts
@@ -320,7 +317,18 @@
             self._timer.cancel()
         self._timer = self._loop.call_later(seconds, action) if action else None
 
+    def _set_input_timer(self) -> None:
+        """Start the timer of the next input after an answer."""
+        if not self._is_receiving:
+            self._set_limit_timer(_get_idle_seconds, self._close_silent)
+        elif self._is_head_complete:
+            self._set_body_timer()
+        else:
+            self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
+
     def _set_body_timer(self) -> None:
+        if self._transport and not self._transport.is_reading():
+            return  # the client can't be late; the timer starts once reading is resumed
         seconds_since_head = self._loop.time() - self._body_started_at
 
         def get_seconds(limits: EdgeLimits) -> float:
