Answer a request whose handler fails, and log why

Callers saw: a closed connection instead of an answer, also for the whole requests queued behind it, when an exception escaped the handler, when the handler waited for something that was cancelled, when it returned without an answer, or when a header field couldn't be encoded. Nothing was logged but asyncio's own message. One real case: version_resolver.close() cancels the queries that requests wait for, and a CancelledError isn't caught by the router's "except Exception".

Cause: ClientConnection._run aborted the connection whenever the answer wasn't finished. AnswerWriter.start recorded the status before it encoded the head, so that the router took a head that failed for a started answer and aborted, too.

Why it works: an answer that hasn't started becomes a 500, which promises nothing about the run, and the next request is handled; a started one is broken off through AnswerWriter.abort, which can't be taken for an end. One line, "handler failed", tells the reason. A cancelled dependency is told from a cancelled handler by Task.cancelling().

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -1,6 +1,7 @@
 """Check that each request that was read whole is answered, and that no connection stays unread."""
 
 import asyncio
+import logging
 import re
 import time
 
@@ -219,3 +220,65 @@
         return received
 
     assert list_statuses(asyncio.run(run())) == [200, 200]
+
+
+async def fail(request: ClientRequest, writer: AnswerWriter) -> None:
+    raise RuntimeError("unexpected")
+
+
+async def await_a_cancelled_future(request: ClientRequest, writer: AnswerWriter) -> None:
+    future = asyncio.get_running_loop().create_future()
+    future.cancel()
+    await future
+
+
+async def return_early(request: ClientRequest, writer: AnswerWriter) -> None:
+    await asyncio.sleep(0)
+
+
+async def write_invalid_field(request: ClientRequest, writer: AnswerWriter) -> None:
+    writer.send(200, [("X-Reason", "\u2026")])
+
+
+FAILURES = {
+    "exception": fail,
+    "cancelled dependency": await_a_cancelled_future,
+    "no answer": return_early,
+    "field that can't be encoded": write_invalid_field,
+}
+
+
+# Guards against a connection that is closed without an answer, along with the requests behind it,
+# when a handler fails, or waits for something that is cancelled.
+@pytest.mark.parametrize("name", FAILURES)
+def test_failed_handler_is_answered_and_logged(name: str, caplog: pytest.LogCaptureFixture) -> None:
+    async def answer(request: ClientRequest, writer: AnswerWriter) -> None:
+        handle = FAILURES[name] if request.target == "/0" else answer_slowly
+        await handle(request, writer)
+
+    async def run() -> bytes:
+        server = await start_server(answer)
+        return await exchange(server.port, create_get(0) + create_get(1, b"Connection: close"))
+
+    with caplog.at_level(logging.INFO, logger="turmericproxy"):
+        received = asyncio.run(run())
+    assert list_statuses(received) == [500, 200]
+    messages = [r.getMessage() for r in caplog.records if r.name == "turmericproxy"]
+    assert messages == ["callers: handler failed"]
+
+
+# Guards against a broken answer that looks complete.
+def test_handler_that_fails_within_its_answer_closes_the_connection() -> None:
+    async def break_off(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.start(200, (), None)
+        writer.write(b"part")
+        await asyncio.sleep(0.05)
+        raise RuntimeError("unexpected")
+
+    async def run() -> bytes:
+        server = await start_server(break_off)
+        return await exchange(server.port, create_get(0))
+
+    received = asyncio.run(run())
+    assert list_statuses(received) == [200]
+    assert received.endswith(b"4\r\npart\r\n")
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -4,12 +4,14 @@
 import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 import httptools
 
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import ClientRequest, Headers
 from turmericproxy.edge.writer import AnswerWriter
+from turmericproxy.logs import Part, log_decision
 
 Handler = Callable[[ClientRequest, AnswerWriter], Awaitable[None]]
 
@@ -258,19 +260,43 @@
         return is_reading or not self._is_draining()
 
     async def _run(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        reason = "the handler returned before the end of its answer"
         try:
             await self._handler(request, writer)
+        except asyncio.CancelledError:
+            reason = "the handler was cancelled"
+            task = asyncio.current_task()
+            if task and task.cancelling():
+                raise
+        except Exception as error:  # the client must get an answer in any case
+            reason = repr(error)
         finally:
             self._task = None
+            if not writer.is_finished and self._transport and not self._transport.is_closing():
+                self._answer_failure(request, writer, reason)
             self._end_answer(writer)
 
+    def _answer_failure(self, request: ClientRequest, writer: AnswerWriter, reason: str) -> None:
+        """Send an answer that doesn't say whether the request ran, or break a started one off."""
+        is_started = writer.is_started
+        log_decision(
+            Part.CALLERS,
+            "handler failed",
+            method=request.method,
+            path=request.path,
+            reason=reason,
+            answer_started=is_started,
+        )
+        if is_started:
+            writer.abort()
+        else:
+            writer.send(HTTPStatus.INTERNAL_SERVER_ERROR, ())
+
     def _end_answer(self, writer: AnswerWriter) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if not writer.is_finished:
-            transport.abort()
-        elif not writer.keep_alive or not self._is_answer_to_follow():
+        if not writer.keep_alive or not self._is_answer_to_follow():
             # While draining, a connection accepts no further request, even if its answer had
             # started before the drain without "Connection: close".
             self._linger()
--- a/turmericproxy/edge/writer.py
+++ b/turmericproxy/edge/writer.py
@@ -61,7 +61,6 @@
 
     def start(self, status: int, fields: Iterable[tuple[str, str]], length: int | None) -> None:
         """Write the head; ``length`` is the size of the body in bytes, if it is known."""
-        self.status = status
         self._remaining_bytes = length
         self._is_chunked = length is None and not self._is_http_10
         if not self._may_keep_alive() or (length is None and self._is_http_10):
@@ -74,7 +73,9 @@
             lines.append("Transfer-Encoding: chunked")
         if not self.keep_alive:
             lines.append("Connection: close")
-        self._transport.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        self.status = status
+        self._transport.write(head)
 
     def write(self, data: bytes) -> None:
         """Write a part of the body."""
