Accept the connections that wait in the kernel before listening ends

Callers saw: in a planned stop, connections that had just been established, with whole requests sent on them, were reset.

Cause: EdgeServer.close closed the listening socket at once. The kernel resets the connections that it has established and that the event loop hasn't accepted yet; under load that is all that arrived during one turn of the loop. A connection that was accepted but not set up yet counted as not busy, so the drain could end before its request was read.

Evidence: before the fix, of 50 connections that the kernel had established, with a request each, none was answered: assert [b'', b'', ...] == [b'HTTP/1.1 200', ...] After: tests/edge and tests/web pass. test_closed_server_refuses_connections passes before and after; it guards against a listener that stays open.

Why it works: a duplicate of the listening socket keeps its queue while the server stops; the queue is accepted without a turn of the event loop in between, and then the socket is closed. These connections count as busy until they are set up.

--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -199,7 +199,9 @@
     @property
     def is_busy(self) -> bool:
         """Return whether a request is expected, received or handled, or an answer is unsent."""
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
+            return True  # accepted, but not set up yet
+        if self._transport.is_closing():
             return False
         is_receiving = self._is_receiving and not self._is_input_ignored
         is_waited_for = is_receiving or self._is_first_request_due()
--- a/turmericproxy/edge/server.py
+++ b/turmericproxy/edge/server.py
@@ -1,6 +1,7 @@
 """Accept client connections on the event loop."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from weakref import WeakSet
 
@@ -13,6 +14,7 @@
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import ClientRequest
 from turmericproxy.edge.writer import AnswerWriter
+from turmericproxy.logs import Part, log_event
 
 # Length of the accept queue, in connections. When it is full, the kernel drops connection attempts
 # and clients wait for TCP to retransmit.
@@ -44,6 +46,7 @@
         self._build_refusal = build_refusal
         self._connections: WeakSet[ClientConnection] = WeakSet()
         self._server: asyncio.Server | None = None
+        self._accepting: set[asyncio.Task[tuple[asyncio.Transport, asyncio.BaseProtocol]]] = set()
         self._is_draining = False
         self.active = 0
 
@@ -67,7 +70,8 @@
     @property
     def is_busy(self) -> bool:
         """Return whether any request or answer is still under way."""
-        return any(connection.is_busy for connection in self._connections)
+        is_accepting = len(self._accepting) > 0
+        return is_accepting or any(connection.is_busy for connection in self._connections)
 
     def close_idle(self) -> None:
         """Close the connections that are neither receiving nor handling a request."""
@@ -76,13 +80,36 @@
 
     def abort(self) -> None:
         """Close all connections at once, discarding unsent data."""
+        for task in list(self._accepting):
+            task.cancel()
         for connection in list(self._connections):
             connection.abort()
 
     def close(self) -> None:
-        """Stop accepting connections; requests in progress continue."""
-        if self._server:
-            self._server.close()
+        """Accept what the kernel has accepted, then no more; requests in progress continue."""
+        if self._server is None:
+            return
+        listeners = [sock.dup() for sock in self._server.sockets]
+        self._server.close()
+        for listener in listeners:
+            with listener:
+                self._accept_waiting(listener)
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        """Accept the connections in the kernel's queue, which resets them when it is closed."""
+        loop = asyncio.get_running_loop()
+        listener.setblocking(False)
+        while True:
+            try:
+                accepted, _ = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log_event(Part.CALLERS, "connections not accepted", reason=repr(error))
+                return
+            task = loop.create_task(loop.connect_accepted_socket(self._create_connection, accepted))
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
 
     def _create_connection(self) -> ClientConnection:
         connection = ClientConnection(
