Read what has arrived on idle connections before a drain closes them

Callers saw: in a planned stop, requests on kept connections were answered with a reset although they had reached the host before it closed the connection.

Cause: close_idle closed each connection that no read request kept busy, but under load requests wait in the kernel for a turn of the event loop. The drain's own task runs before the input of that turn is read. The drain also ended at once when nothing was busy, with idle connections just being closed.

Why it works: close_idle closes by a timer; asyncio runs timers after the input of the same turn, and input that is read replaces the timer. The drain waits for one poll interval before it first asks whether a connection is busy.

--- a/tests/edge/test_closing_listener.py
+++ b/tests/edge/test_closing_listener.py
@@ -54,3 +54,22 @@
         raise AssertionError("the listener is still open")
 
     asyncio.run(run())
+
+
+# Guards against a connection that counts as idle, and is closed, while its request waits in the
+# kernel because the event loop is late.
+def test_unread_request_is_answered_when_idle_connections_are_closed() -> None:
+    async def run() -> list[bytes]:
+        server = await start_server(RecordingHandler().handle)
+        loop = asyncio.get_running_loop()
+        sockets = [open_blocking(server.port, GET) for _ in range(CONNECTIONS)]
+        for sock in sockets:
+            assert (await loop.sock_recv(sock, 65536)).startswith(b"HTTP/1.1 200")
+        server.drain()
+        for sock in sockets:
+            sock.send(GET)
+        server.close_idle()
+        return [await receive(sock) for sock in sockets]
+
+    answers = asyncio.run(run())
+    assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * CONNECTIONS
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -192,9 +192,12 @@
     # Requests
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is expected, received or handled."""
-        if not self._is_first_request_due():
-            self._close_silent()
+        """Close the connection unless a request is expected, received or handled.
+
+        A timer runs after the input that has arrived is read.
+        """
+        if not self._is_first_request_due() and self._is_idle():
+            self._set_timer(0.0, self._close_silent)
 
     @property
     def is_busy(self) -> bool:
@@ -219,8 +222,11 @@
         if self._transport:
             self._transport.abort()
 
+    def _is_idle(self) -> bool:
+        return self._task is None and not self._is_receiving
+
     def _close_silent(self) -> None:
-        if self._task is None and not self._is_receiving and self._transport:
+        if self._transport and self._is_idle():
             self._transport.close()
 
     def _start_message(self) -> None:
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -277,8 +277,9 @@
         self._callers.drain()
         await asyncio.sleep(ACCEPT_AFTER_SIGTERM_SECONDS)
         self._callers.close()
-        self._callers.close_idle()
         deadline = started + DRAIN_GRACE_FRACTION * self._settings.grace
-        while self._callers.is_busy and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        is_busy = True
+        while is_busy and loop.time() < deadline:
             self._callers.close_idle()
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+            is_busy = self._callers.is_busy
