Wait in a drain until answers are sent and connections are closed

Callers saw: in a planned stop, an answer larger than the socket buffers broke off halfway for a client that reads slowly. A refused client that was still sending could get a reset in place of its refusal.

Cause: a connection whose transport was closing counted as not busy, even with most of the answer unsent, so the process ended.

Why it works: a draining server is busy while any connection is open, that is until connection_lost; close_idle leaves lingering connections to their timer. A client that closes its end ends the linger, so that a drain rarely waits for it. The end of the grace period still bounds the drain.

--- a/tests/edge/test_draining.py
+++ b/tests/edge/test_draining.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from tests.edge.support import GET, start_server
-from turmericproxy.edge import AnswerWriter, ClientRequest
-from turmericproxy.edge.connection import FIRST_REQUEST_SECONDS
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits
+from turmericproxy.edge.connection import FIRST_REQUEST_SECONDS, LINGER_SECONDS
 
 
 def test_connection_closes_after_the_answer_that_began_before_the_drain() -> None:
@@ -76,3 +76,59 @@
         return states
 
     assert asyncio.run(run()) == [True, False, True, True, False]
+
+
+# Guards against an answer that is cut because the process ends while the transport, already
+# closing, still has a part of it to send.
+def test_draining_server_is_busy_until_a_slow_client_has_its_answer() -> None:
+    body = b"x" * 20_000_000
+
+    async def answer(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.send(200, (), body)
+
+    async def run() -> list[bool]:
+        server, states = await start_server(answer), []
+        server.drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        await asyncio.sleep(0.1)
+        server.close_idle()
+        await asyncio.sleep(0.1)
+        states.append(server.is_busy)
+        await asyncio.sleep(LINGER_SECONDS)
+        states.append(server.is_busy)
+        received = await reader.read(-1)
+        assert received.endswith(body)
+        writer.close()
+        await asyncio.sleep(0.05)
+        states.append(server.is_busy)
+        return states
+
+    assert asyncio.run(run()) == [True, True, False]
+
+
+# Guards against a refusal that is destroyed by a reset: closing with unread input sends one.
+def test_close_idle_lets_a_refused_client_finish_sending() -> None:
+    async def run() -> tuple[bytes, bool]:
+        async def answer(request: ClientRequest, writer: AnswerWriter) -> None:
+            writer.send(200, ())
+
+        server = await start_server(answer, EdgeLimits(body_bytes=10))
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n")
+        await asyncio.sleep(0.05)
+        server.drain()
+        server.close_idle()
+        await asyncio.sleep(0.05)
+        is_busy = server.is_busy
+        for _ in range(10):
+            writer.write(b"x" * 100)
+            await writer.drain()  # raises if the server has reset the connection
+            await asyncio.sleep(0.01)
+        received = await reader.read(-1)
+        writer.close()
+        return received, is_busy
+
+    received, is_busy = asyncio.run(run())
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert is_busy
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -69,6 +69,7 @@
         self._task: asyncio.Task[None] | None = None
         self._answer_writer: AnswerWriter | None = None
         self._transport: asyncio.Transport | None = None
+        self._is_lost = False
         self._is_input_ignored = False
         self._refusal_status: int | None = None
         self._is_receiving = False
@@ -88,6 +89,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running handler, whose answer can no longer be delivered."""
+        self._is_lost = True
         self._set_timer(0.0, None)
         self._queue.clear()
         if self._task:
@@ -201,13 +203,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is expected, received or handled, or an answer is unsent."""
-        if self._transport is None:
-            return True  # accepted, but not set up yet
-        if self._transport.is_closing():
+        """Return whether a request is expected, received or handled, or an answer is unsent.
+
+        While draining, an open connection is busy: its input must be read until it is closed.
+        """
+        if self._is_lost:
             return False
-        is_receiving = self._is_receiving and not self._is_input_ignored
-        is_waited_for = is_receiving or self._is_first_request_due()
+        if self._transport is None or self._is_draining():
+            return True  # without a transport it is accepted, but not set up yet
+        is_waited_for = self._is_receiving or self._is_first_request_due()
         return is_waited_for or self._task is not None or self._is_answer_unsent()
 
     def _is_first_request_due(self) -> bool:
@@ -223,7 +227,8 @@
             self._transport.abort()
 
     def _is_idle(self) -> bool:
-        return self._task is None and not self._is_receiving
+        is_reading = self._is_receiving or self._is_input_ignored
+        return self._task is None and not is_reading
 
     def _close_silent(self) -> None:
         if self._transport and self._is_idle():
