Ignore an offered upgrade, and answer the requests after it

Callers saw: a client that offers an upgrade, such as h2c, got its first answer; all that it sent afterwards on the same connection was dropped without an answer until the idle timeout. Whole requests queued before it were dropped, too. With a body, the request was handled as if it had none.

Cause: the parser stops after a request with an upgrade, and takes what follows its head, body included, for another protocol. The stop was treated as unreadable input while the request was being handled.

Why it works: no upgrade is accepted, so that what follows is HTTP; a new parser reads it. A request with a body and an upgrade is refused at its head with 400, since this parser can't read the body, and hasn't run.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.edge.support import exchange, start_server
+from tests.edge.support import RecordingHandler, exchange, start_server
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
 from turmericproxy.edge.connection import MAX_QUEUED_REQUESTS
 
@@ -282,3 +282,40 @@
     received = asyncio.run(run())
     assert list_statuses(received) == [200]
     assert received.endswith(b"4\r\npart\r\n")
+
+
+UPGRADE = (b"Connection: Upgrade", b"Upgrade: h2c")
+
+
+# Guards against a connection whose input is ignored after a request that offers an upgrade.
+@pytest.mark.parametrize("pause", [0.0, 0.2])
+def test_offered_upgrade_is_ignored_and_the_next_request_is_answered(pause: float) -> None:
+    async def run() -> bytes:
+        server = await start_server(answer_slowly)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1, *UPGRADE))
+        await asyncio.sleep(pause)
+        writer.write(create_get(2, *UPGRADE) + LAST)
+        received = await asyncio.wait_for(reader.readuntil(b"/last"), 3.0)
+        writer.close()
+        return received
+
+    assert list_statuses(asyncio.run(run())) == [200, 200, 200]
+
+
+# Guards against a request that is handled without its body, which is then read as a request: the
+# parser takes all that follows a head with an upgrade for another protocol.
+@pytest.mark.parametrize(
+    "body",
+    [b"Content-Length: 2\r\n\r\nab", b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"],
+)
+def test_offered_upgrade_with_a_body_is_refused(body: bytes) -> None:
+    handler = RecordingHandler()
+
+    async def run() -> bytes:
+        server = await start_server(handler.handle)
+        head = b"\r\n".join([b"POST /1 HTTP/1.1", b"Host: a", *UPGRADE, b""])
+        return await exchange(server.port, head + body + create_get(2))
+
+    assert list_statuses(asyncio.run(run())) == [400]
+    assert handler.requests == []
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -118,8 +118,8 @@
         if not self._is_head_complete:
             self._head_size += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self._parse(data)
+        except httptools.HttpParserError:
             self._refuse(400)
         if not self._is_head_complete and self._head_size > self._get_limits().head_bytes:
             self._refuse(431)
@@ -128,6 +128,16 @@
         """Close a half-closed connection; clients that wait for an answer keep both halves open."""
         return False
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; no upgrade is accepted, so that HTTP follows a request that offers one."""
+        while data and not self._is_input_ignored:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                self._parser = httptools.HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+
     # Parser callbacks
 
     def on_message_begin(self) -> None:
@@ -251,8 +261,15 @@
             return False
         if not self._target.startswith(b"/"):
             return False
+        if self._parser.should_upgrade() and self._is_body_announced():
+            return False  # the parser would not read the body
         return all(headers.count(name) <= 1 for name in self._singleton_fields)
 
+    def _is_body_announced(self) -> bool:
+        headers = self._headers
+        has_length = int(headers.get("content-length") or 0) > 0
+        return has_length or headers.get("transfer-encoding") is not None
+
     def _run_next(self) -> None:
         if self._task is None and self._queue and self._transport:
             request = self._queue.popleft()
