Send "100 Continue" only after the answers that are due before it

Callers saw: a client that sends a request with "Expect: 100-continue" behind another one got "100 Continue" before the answer to that one, or in the middle of its stream, which makes a whole answer unreadable.

Cause: ClientConnection wrote it as soon as the head was read.

Why it works: it is sent once no request is running or queued, and the time limits of the body start then, since the client waits for it. A client that sends its body without waiting is read as before.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -319,3 +319,46 @@
 
     assert list_statuses(asyncio.run(run())) == [400]
     assert handler.requests == []
+
+
+EXPECTING = b"POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+
+
+async def stream_events(request: ClientRequest, writer: AnswerWriter) -> None:
+    writer.start(200, (), None)
+    for _ in range(5):
+        writer.write(b"event")
+        await asyncio.sleep(0.03)
+    writer.finish()
+
+
+# Guards against "100 Continue" in the middle of the answer to the request before it, and against a
+# client that is refused while it waits for it.
+@pytest.mark.parametrize("whole", [1, 3])
+def test_permission_to_send_a_body_waits_for_the_answers_before_it(whole: int) -> None:
+    async def run() -> bytes:
+        server = await start_server(stream_events, EdgeLimits(head_seconds=0.1, idle_seconds=0.1))
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"".join(map(create_get, range(whole))) + EXPECTING)
+        received = await asyncio.wait_for(reader.readuntil(b"100 Continue\r\n\r\n"), 3.0)
+        writer.write(b"ab")
+        received += await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 3.0)
+        writer.close()
+        return received
+
+    received = asyncio.run(run())
+    assert list_statuses(received) == [200] * whole + [100, 200]
+    assert received.count(b"5\r\nevent\r\n" * 5 + b"0\r\n\r\n") == whole + 1
+
+
+# Guards against a client that is refused because it sends its body without waiting for permission.
+def test_body_may_be_sent_without_permission() -> None:
+    async def run() -> bytes:
+        server = await start_server(stream_events)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1) + EXPECTING + b"a")
+        await asyncio.sleep(0.05)
+        writer.write(b"b" + create_get(2, b"Connection: close"))
+        return await asyncio.wait_for(reader.read(-1), 3.0)
+
+    assert list_statuses(asyncio.run(run())) == [200, 200, 200]
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -166,12 +166,10 @@
             self._refuse(400)
         elif int(self._headers.get("content-length") or 0) > limits.body_bytes:
             self._refuse(413)
-        elif (self._headers.get("expect") or "").lower() == "100-continue" and self._transport:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._is_input_ignored:
             return  # the timer that closes the refused connection stays
-        self._body_started_at = self._loop.time()
-        self._set_body_timer()
+        self._is_continue_due = (self._headers.get("expect") or "").lower() == "100-continue"
+        self._begin_body()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -244,6 +242,17 @@
         if self._transport and self._is_idle():
             self._transport.close()
 
+    def _begin_body(self) -> None:
+        """Allow the client to send the body once no other answer is due, and time the body."""
+        self._body_started_at = self._loop.time()
+        if self._is_continue_due and (self._task is not None or self._queue):
+            self._set_timer(0.0, None)
+            return
+        if self._is_continue_due and self._transport:
+            self._is_continue_due = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._set_body_timer()
+
     def _start_message(self) -> None:
         self._target = b""
         self._fields: list[tuple[str, str]] = []
@@ -251,6 +260,7 @@
         self._body = bytearray()
         self._head_size = 0
         self._is_head_complete = False
+        self._is_continue_due = False
         self._is_receiving = False
         self._body_started_at = 0.0
 
@@ -377,6 +387,8 @@
         """Start the timer of the next input after an answer."""
         if not self._is_receiving:
             self._set_limit_timer(_get_idle_seconds, self._close_silent)
+        elif self._is_continue_due:
+            self._begin_body()
         elif self._is_head_complete:
             self._set_body_timer()
         else:
