Don't take an empty line between requests for the start of one

Callers saw: a connection that was closed, with a 408 that nobody had asked for, after the time limit of a head instead of the idle timeout, when a client sent an empty line after a request, as some do after a body. A request sent at that moment was lost.

Cause: any input counted as the start of a request. The parser skips empty lines.

Why it works: a request starts when the parser says so, and its time limit with it. Empty lines don't renew the idle timeout.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -362,3 +362,22 @@
         return await asyncio.wait_for(reader.read(-1), 3.0)
 
     assert list_statuses(asyncio.run(run())) == [200, 200, 200]
+
+
+# Guards against an empty line between requests that counts as the start of a request, so that the
+# connection is closed after the time limit of a head.
+def test_empty_line_between_requests_begins_no_request() -> None:
+    async def run() -> bytes:
+        limits = EdgeLimits(head_seconds=0.1, idle_seconds=3.0)
+        server = await start_server(answer_slowly, limits)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1))
+        await asyncio.sleep(0.05)
+        writer.write(b"\r\n")
+        await asyncio.sleep(0.4)
+        writer.write(LAST)
+        received = await asyncio.wait_for(reader.readuntil(b"/last"), 3.0)
+        writer.close()
+        return received
+
+    assert list_statuses(asyncio.run(run())) == [200, 200]
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -111,10 +111,6 @@
         """Parse received bytes; refuse malformed or ambiguous input and close the connection."""
         if self._is_input_ignored:
             return
-        if not self._is_receiving and not self._queue and self._task is None:
-            self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
-        self._is_receiving = True
-        self._first_request_due_at = None
         if not self._is_head_complete:
             self._head_size += len(data)
         try:
@@ -141,9 +137,12 @@
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        """Reset the state for a new request."""
+        """Reset the state for a new request, and time its head if no answer is due before it."""
         self._start_message()
         self._is_receiving = True
+        self._first_request_due_at = None
+        if self._task is None and not self._is_input_ignored:
+            self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
