Log whole requests that are dropped, with the reason

What was missing: whole requests that were queued behind an answer that closes or breaks their connection, or on a connection that the server aborts, left no line in the log.

Why it works: the end of an answer and the server's abort are the only places where ClientConnection still gives up whole requests, one line each, "requests dropped", with their number and the reason. They are dropped where HTTP leaves no other way: after an answer that says close or ends with its connection, and after one that broke off.

--- a/tests/edge/test_unanswered_requests.py
+++ b/tests/edge/test_unanswered_requests.py
@@ -381,3 +381,64 @@
         return received
 
     assert list_statuses(asyncio.run(run())) == [200, 200]
+
+
+# What ends a connection, with the number of whole requests dropped and the reason that is logged.
+DROPS = {
+    "last answer": (2, "the answer before them closes the connection"),
+    "broken answer": (2, "the answer before them broke off"),
+    "server abort": (3, "the server closes its connections"),
+}
+
+
+# Guards against whole requests that are dropped without a trace in the log.
+@pytest.mark.parametrize("closing", DROPS)
+def test_dropped_requests_are_logged_with_the_reason(
+    closing: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def answer(request: ClientRequest, writer: AnswerWriter) -> None:
+        writer.start(200, (), None)
+        await asyncio.sleep(0.1)
+        if closing == "last answer":
+            writer.keep_alive = False
+            writer.finish()
+        else:
+            writer.abort()
+
+    async def run() -> None:
+        server = await start_server(answer)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"".join(map(create_get, range(3))))
+        await reader.readuntil(b"\r\n\r\n")
+        if closing == "server abort":
+            server.abort()
+        await reader.read(-1)
+        writer.close()
+        await asyncio.sleep(0.05)
+
+    with caplog.at_level(logging.INFO, logger="turmericproxy"):
+        asyncio.run(run())
+    lines = [r for r in caplog.records if r.getMessage() == "callers: requests dropped"]
+    assert [(r.requests, r.reason) for r in lines] == [DROPS[closing]]  # type: ignore[attr-defined]
+
+
+# Guards against log lines for what is no loss: an answered request, an idle connection, and a
+# client that closes its connection.
+@pytest.mark.parametrize("is_client_gone", [True, False])
+def test_nothing_is_logged_for_normal_requests(
+    is_client_gone: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def run() -> None:
+        server = await start_server(answer_slowly, EdgeLimits(idle_seconds=0.1))
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(create_get(1) + create_get(2))
+        await reader.readuntil(b"/1")
+        if not is_client_gone:
+            await reader.read(-1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        server.abort()
+
+    with caplog.at_level(logging.INFO, logger="turmericproxy"):
+        asyncio.run(run())
+    assert [r for r in caplog.records if r.name == "turmericproxy"] == []
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -238,6 +238,9 @@
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
+        if self._transport and not self._transport.is_closing():
+            unanswered = len(self._queue) + (self._task is not None)
+            self._log_dropped(unanswered, "the server closes its connections")
         if self._transport:
             self._transport.abort()
 
@@ -355,10 +358,12 @@
     def _end_answer(self, writer: AnswerWriter) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
+            self._log_dropped(len(self._queue), "the answer before them broke off")
             return
         if not writer.keep_alive or not self._is_answer_to_follow():
             # While draining, a connection accepts no further request, even if its answer had
             # started before the drain without "Connection: close".
+            self._log_dropped(len(self._queue), "the answer before them closes the connection")
             self._linger()
         elif not self._queue and self._refusal_status is not None:
             self._send_refusal(self._refusal_status)
@@ -367,6 +372,10 @@
             self._set_input_timer()
             self._run_next()
 
+    def _log_dropped(self, requests: int, reason: str) -> None:
+        if requests:
+            log_decision(Part.CALLERS, "requests dropped", requests=requests, reason=reason)
+
     # Refusals and timeouts
 
     def _refuse(self, status: int) -> None:
