Record what a refusing replacement announces about itself

Callers saw requests refused with 503 for a pause that their host should have kept to itself: an upstream that had refused a request handed over to it, and asked for a pause, got the next requests within that pause.

Cause: the handover read the head of the replacement's answer beside the place that records announcements (leaving, Retry-After), which attempts of the usual way go through. Both call the same method now.

Evidence: the new test in tests/host/test_silent_upstreams.py failed before ({200, 503} == {200}, with calls to the paused upstream) and passes.

--- a/tests/host/test_silent_upstreams.py
+++ b/tests/host/test_silent_upstreams.py
@@ -135,3 +135,24 @@
         assert count_complete(await asyncio.wait_for(streams, 4)) == 1
 
     run_scenario(scenario)
+
+
+# A replacement that asked for a pause when it refused a request got the next ones all the same.
+def test_replacement_that_asks_for_a_pause_gets_nothing_until_its_end() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        plain = [environment.servers[name] for name in ("p1", "p2")]
+        for server in plain:
+            server.fall_silent(0.5)
+        answer = asyncio.create_task(environment.send_request("/look/1", request_id="first"))
+        await asyncio.sleep(0.1)
+        (other,) = [server for server in plain if not server.received_requests]
+        other.retry_after = "5"
+        assert (await answer).status == 200
+        assert other.calls == 1
+        answers = await asyncio.gather(
+            *(environment.send_request("/look/1", request_id=f"r{n}") for n in range(REQUEST_COUNT))
+        )
+        assert {answer.status for answer in answers} == {200}
+        assert other.calls == 1
+
+    run_scenario(scenario)
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -178,15 +178,18 @@
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
         self._received_at = self._clock()
         parsed = answer.answer if isinstance(answer, Attempt) else answer
-        if parsed is not None:
-            # Before the answer is relayed: a stream may last for longer than its upstream stays.
-            self._dependencies.dispatcher.record_answer_head(placement, parsed)
+        # Before the answer is relayed: a stream may last for longer than its upstream stays.
+        self._record_answer_head(placement, parsed)
         if isinstance(answer, Attempt):
             return answer
         if self._request.route.is_stream and answer.verdict is Verdict.SUCCESS:
             return await self._relay(placement, call, answer)
         return await read_answer(call, answer)
 
+    def _record_answer_head(self, placement: Placement, answer: ParsedAnswer | None) -> None:
+        if answer is not None:
+            self._dependencies.dispatcher.record_answer_head(placement, answer)
+
     async def _relay(
         self, placement: Placement, call: UpstreamCall, answer: ParsedAnswer
     ) -> Attempt:
@@ -285,6 +288,7 @@
             has_progressed = not is_unchanged or silent_call.has_unread_data
             if isinstance(opened, Attempt):
                 attempt = opened
+                self._record_answer_head(placement, attempt.answer)
             elif has_progressed or silent_call.has_ended:
                 opened.close()
                 self._count(Attempt(Outcome.BROKEN))
