Show that hosts miss changes after a silence of the store

Callers with a key that was added after a silence got 401 for up to nine seconds, also when the store answered again at once. The stand-in of the store can now leave calls unanswered for good, as a store does that went away and came back.

--- /dev/null
+++ b/tests/host/test_silent_store.py
@@ -0,0 +1,125 @@
+"""Check that hosts learn of changes in time after the store or connections to it fell silent.
+
+A call for changes that nobody will answer looks like a table that doesn't change. A host that waits
+for it handles requests by an outdated configuration, or sends them to a server that has left, long
+after the store answers other calls again.
+"""
+
+import asyncio
+import copy
+from collections.abc import Callable
+
+import pytest
+
+from tests.host.support import HostEnvironment, run_scenario
+from tests.platform.support import CONFIGURATION
+from turmericproxy.standins.platform_wire_store import WireStore
+
+# Time in which a change must be in force on hosts that reach the store, and time after a silence
+# from which on they count as reaching it.
+IN_FORCE_SECONDS = 2.0
+RECOVERY_SECONDS = 3.0
+# Moments of the silence within the call for changes that is open when it begins, and lengths of the
+# silence.
+MOMENTS = (0.1, 0.9)
+LENGTHS = (0.2, 3.3)
+OTHER_HOSTS = [pytest.param((), id="alone"), pytest.param(("h1", "h2"), id="three")]
+
+
+def add_key(environment: HostEnvironment) -> None:
+    (tenant,) = CONFIGURATION["tenants"]
+    changed = {**copy.deepcopy(tenant), "api_keys": ["key-1", "key-3"]}
+    environment.configure(version=8, tenants=[changed])
+
+
+async def count_hosts_with_key(environment: HostEnvironment) -> int:
+    answers = await asyncio.gather(
+        *(
+            environment.send_request("/look/1", key="key-3", index=index)
+            for index in range(len(environment.hosts))
+        )
+    )
+    return sum(answer.status == 200 for answer in answers)
+
+
+async def add_hosts(environment: HostEnvironment, *names: str) -> None:
+    for name in names:
+        await environment.add_host(name)
+    await asyncio.sleep(1.0)
+
+
+@pytest.mark.parametrize("hosts", OTHER_HOSTS)
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_change_is_in_force_after_open_calls_fell_silent(
+    hosts: tuple[str, ...], moment: float
+) -> None:
+    """Guard against hosts that wait up to nine seconds for a call on a connection gone silent."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        await add_hosts(environment, *hosts)
+        await asyncio.sleep(moment)
+        environment.store.abandon_calls()
+        await asyncio.sleep(RECOVERY_SECONDS - IN_FORCE_SECONDS)
+        add_key(environment)
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        assert await count_hosts_with_key(environment) == len(environment.hosts)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("hosts", OTHER_HOSTS)
+@pytest.mark.parametrize("seconds", LENGTHS)
+def test_change_is_in_force_after_the_store_was_silent(
+    hosts: tuple[str, ...], seconds: float
+) -> None:
+    """Guard against hosts that wait for calls which the store swallowed before it came back."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        await add_hosts(environment, *hosts)
+        environment.store.fall_silent()
+        await asyncio.sleep(seconds)
+        environment.store.end_silence()
+        await asyncio.sleep(RECOVERY_SECONDS - IN_FORCE_SECONDS)
+        add_key(environment)
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        assert await count_hosts_with_key(environment) == len(environment.hosts)
+
+    run_scenario(scenario)
+
+
+def test_change_reaches_a_host_whose_own_call_is_lost_by_way_of_its_domain() -> None:
+    """Guard against a host that alone misses a change which all others of its domain know."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        await add_hosts(environment, "h1", "h2")
+        await asyncio.sleep(0.5)
+        environment.store.abandon_calls()
+        await asyncio.sleep(RECOVERY_SECONDS)
+        add_key(environment)
+        await asyncio.sleep(0.3)
+        assert await count_hosts_with_key(environment) == len(environment.hosts)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("silence", [WireStore.abandon_calls, WireStore.fall_silent])
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_leaving_server_gets_no_requests_after_a_silence(
+    silence: Callable[[WireStore], None], moment: float
+) -> None:
+    """Guard against requests to a server whose registration has said for long that it leaves."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        store, server = environment.store, environment.servers["p1"]
+        await asyncio.sleep(moment)
+        silence(store)
+        await asyncio.sleep(2.5)
+        store.end_silence()
+        store.put("servers", "p1", server.describe("draining"))
+        await asyncio.sleep(RECOVERY_SECONDS)
+        before = len(server.received_requests)
+        for number in range(6):
+            assert (await environment.send_request(f"/look/{number}")).status == 200
+        assert len(server.received_requests) == before
+
+    run_scenario(scenario)
--- a/turmericproxy/standins/platform_wire_store.py
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -37,7 +37,8 @@
 
     ``refusal`` is the status that every call is answered with; ``lost_answers`` is how many of
     the next commits are applied but not answered. ``era`` counts the restorations. Each call is
-    handled after ``silence_seconds``. While ``running`` is not set, calls get no answer.
+    handled after ``silence_seconds``. While ``running`` is not set, calls get no answer; calls
+    that ``abandon_calls`` concerns never get one.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -53,6 +54,8 @@
         self.running.set()
         self.era = 1
         self.calls: list[str] = []
+        self._handlers: set[asyncio.Task[None]] = set()
+        self._is_silent = False
 
     @property
     def address(self) -> str:
@@ -96,6 +99,20 @@
         self.era += 1
         self._notify()
 
+    def abandon_calls(self) -> None:
+        """Never answer the calls that are open now, and leave their connections open."""
+        for handler in self._handlers:
+            handler.cancel()
+
+    def fall_silent(self) -> None:
+        """Never answer the calls that are open now, nor those made until ``end_silence``."""
+        self._is_silent = True
+        self.abandon_calls()
+
+    def end_silence(self) -> None:
+        """Answer the calls that are made from now on."""
+        self._is_silent = False
+
     def find(self, table: str, key: str) -> bytes | None:
         """Return the value of a row, or ``None`` if there is none."""
         row = self._rows.get((table, key))
@@ -107,6 +124,20 @@
 
     async def _answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
         self.calls.append(request.path)
+        handler = asyncio.get_running_loop().create_task(self._handle(request, writer))
+        self._handlers.add(handler)
+        if self._is_silent:
+            handler.cancel()
+        try:
+            await asyncio.wait([handler])
+            if handler.cancelled():
+                await asyncio.Event().wait()
+            handler.result()
+        finally:
+            handler.cancel()
+            self._handlers.discard(handler)
+
+    async def _handle(self, request: ClientRequest, writer: AnswerWriter) -> None:
         await asyncio.sleep(self.silence_seconds)
         await self.running.wait()
         if self.refusal:
