Bound the time for which a dead call hides a change of a table

Callers got 401 or 404 for keys and routes that had been added, and requests went by a configuration that had been replaced, up to nine seconds after the store or a connection to it fell silent. A host followed the configuration by a call of 8 s; a call that nobody will answer looks like a table that doesn't change, and one that was made during an outage is not answered after it.

After a failure calls are repeated every second at most, without waiting for changes or for the calls before.

Ruled out: changes received and not applied, and a store that turns hosts away after an outage: no line of either kind, and no answered call, between the end of the silence and the delay.

--- a/tests/store/test_relaying.py
+++ b/tests/store/test_relaying.py
@@ -1,4 +1,7 @@
-"""Check that the hosts of a large failure domain follow the store through one reader."""
+"""Check that the hosts of a failure domain follow the store through one reader.
+
+In a large domain they do so alone, in a small one beside calls of their own.
+"""
 
 import asyncio
 import contextlib
@@ -21,6 +24,7 @@
 from turmericproxy.store.relaying import (
     LARGE_DOMAIN_HOSTS,
     MAX_READER_WAIT_SECONDS,
+    MAX_SMALL_DOMAIN_WAIT_SECONDS,
     READER_GRACE_SECONDS,
     merge_updates,
 )
@@ -29,6 +33,12 @@
 HOSTS = [HostName(f"h{n}") for n in range(LARGE_DOMAIN_HOSTS)]
 # As for the configuration table, which changes rarely.
 LONG_WAIT_SECONDS = 8.0
+SMALL_DOMAIN = HOSTS[:3]
+# Time limits of calls, as for those of the platform's client.
+CALL_LIMIT_SECONDS = 2.0
+MARGIN_SECONDS = 1.0
+# Time after a silence from which on hosts count as reaching the store.
+RECOVERY_SECONDS = 3.0
 UNREACHABLE = refuse(ResultCode.PLATFORM_UNAVAILABLE, "unreachable")
 
 
@@ -42,6 +52,8 @@
     era: int = 1
     refused_hosts: set[HostName] = field(default_factory=set)
     unanswered_hosts: set[HostName] = field(default_factory=set)
+    is_silent: bool = False
+    abandoned: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def restore(self, version: int) -> None:
@@ -51,6 +63,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def abandon_calls(self) -> None:
+        """Never answer the calls that are open now."""
+        self.abandoned += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def put(self, key: str) -> None:
         self.rows.append(ChangedRow(Row(key, b"", len(self.rows) + 1), is_deleted=False))
         self.changed.set()
@@ -72,15 +90,25 @@
     async def wait_for_changes(
         self, table: str, version: int, seconds: float
     ) -> Changes | HistoryGone | Refusal:
+        limit = max(CALL_LIMIT_SECONDS, seconds + MARGIN_SECONDS)
+        try:
+            return await asyncio.wait_for(self._answer(version, seconds), limit)
+        except TimeoutError:
+            return UNREACHABLE
+
+    async def _answer(self, version: int, seconds: float) -> Changes | HistoryGone | Refusal:
         store = self.store
         store.calls += 1
-        if self.host in store.unanswered_hosts:
+        abandoned = store.abandoned
+        if self.host in store.unanswered_hosts or store.is_silent:
             await asyncio.sleep(60)
         if self.host in store.refused_hosts:
             return UNREACHABLE
         if len(store.rows) <= version:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(store.changed.wait(), seconds)
+        if store.abandoned > abandoned:
+            await asyncio.sleep(60)
         if self.host in store.refused_hosts:
             return UNREACHABLE
         if len(store.rows) < version:
@@ -94,12 +122,12 @@
 class Domain:
     """Run the hosts of one failure domain; no update between running hosts is lost."""
 
-    def __init__(self) -> None:
+    def __init__(self, hosts: list[HostName]) -> None:
         self.store = Store()
-        self.running = set(HOSTS)
-        self.keys: dict[HostName, list[str]] = {host: [] for host in HOSTS}
-        self.relays = {host: self._create_relay(host) for host in HOSTS}
-        self.followers = {host: self._create_follower(host) for host in HOSTS}
+        self.running = set(hosts)
+        self.keys: dict[HostName, list[str]] = {host: [] for host in hosts}
+        self.relays = {host: self._create_relay(host) for host in hosts}
+        self.followers = {host: self._create_follower(host) for host in hosts}
 
     def _create_relay(self, host: HostName) -> RelayedStore:
         def send(update: ReaderUpdate) -> None:
@@ -129,9 +157,11 @@
         await self.followers[host].close()
 
 
-def run_scenario(scenario: Callable[[Domain], Awaitable[None]]) -> None:
+def run_scenario(
+    scenario: Callable[[Domain], Awaitable[None]], hosts: list[HostName] = HOSTS
+) -> None:
     async def run() -> None:
-        domain = Domain()
+        domain = Domain(hosts)
         for follower in domain.followers.values():
             follower.start()
         await asyncio.sleep(0.05)
@@ -322,3 +352,52 @@
 def test_update_of_a_later_era_ends_the_comparison_of_versions() -> None:
     later = ReaderUpdate("t", 3, Changes((ChangedRow(Row("k", b"", 4), is_deleted=False),), 4, 2))
     assert merge_updates([later], 3, era=1) == Changes((), 4, 2)
+
+
+@pytest.mark.parametrize("hosts", [HOSTS, SMALL_DOMAIN], ids=["large", "small"])
+@pytest.mark.parametrize("seconds", [0.0, 0.6, 1.9, 3.7])
+def test_changes_are_known_in_time_after_the_store_was_silent(
+    hosts: list[HostName], seconds: float
+) -> None:
+    """Guard against hosts that wait for calls which a silent store has swallowed."""
+
+    async def scenario(domain: Domain) -> None:
+        await asyncio.sleep(0.4)
+        domain.store.abandon_calls()
+        domain.store.is_silent = True
+        await asyncio.sleep(seconds)
+        domain.store.is_silent = False
+        domain.store.put("a")
+        await asyncio.sleep(RECOVERY_SECONDS)
+        assert all(keys == ["a"] for keys in domain.keys.values())
+
+    run_scenario(scenario, hosts)
+
+
+def test_lost_reader_delays_no_change_in_a_small_domain() -> None:
+    async def scenario(domain: Domain) -> None:
+        await domain.stop(domain.reader)
+        await put_each(domain, "a", "b")
+        assert all(domain.keys[host] == ["a", "b"] for host in domain.running)
+
+    run_scenario(scenario, SMALL_DOMAIN)
+
+
+def test_reader_tells_a_change_to_hosts_whose_own_calls_are_refused() -> None:
+    async def scenario(domain: Domain) -> None:
+        domain.store.refused_hosts.update(domain.running - {domain.reader})
+        await put_each(domain, "a", "b")
+        assert all(keys == ["a", "b"] for keys in domain.keys.values())
+
+    run_scenario(scenario, SMALL_DOMAIN)
+
+
+def test_calls_in_a_small_domain_are_those_of_one_reader_and_long_ones() -> None:
+    """Guard against hosts that each make short calls, which the platform charges for."""
+
+    async def scenario(domain: Domain) -> None:
+        await asyncio.sleep(4.0)
+        confirmations = 4.0 / MAX_SMALL_DOMAIN_WAIT_SECONDS
+        assert domain.store.calls <= len(SMALL_DOMAIN) + confirmations + 1
+
+    run_scenario(scenario, SMALL_DOMAIN)
--- a/turmericproxy/platform/store.py
+++ b/turmericproxy/platform/store.py
@@ -25,7 +25,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # The store normally answers within a few milliseconds, but may be silent for more than a second.
 CALL_TIMEOUT_SECONDS = 2.0
-# Time limit for the answer to a call for changes, in addition to its wait.
+# Time limit for the answer to a call for changes, in addition to its wait; it is at least that of
+# other calls.
 CHANGES_MARGIN_SECONDS = 1.0
 OK = 200
 PRECONDITION_FAILED = 412
@@ -68,7 +69,8 @@
     ) -> Changes | HistoryGone | Refusal:
         """Return the changes since a version, waiting up to ``seconds`` for the first one."""
         query = {"table": table, "after": version, "wait_ms": int(seconds * 1000)}
-        answer = await self._get(names.FEED_PATH, query, seconds + CHANGES_MARGIN_SECONDS)
+        timeout = max(CALL_TIMEOUT_SECONDS, seconds + CHANGES_MARGIN_SECONDS)
+        answer = await self._get(names.FEED_PATH, query, timeout)
         if isinstance(answer, Refusal | HistoryGone):
             return answer
         content, era = answer
--- a/turmericproxy/store/following.py
+++ b/turmericproxy/store/following.py
@@ -3,17 +3,22 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
 
 from turmericproxy.core import Refusal
 from turmericproxy.logs import Part, log_event
-from turmericproxy.store.interfaces import ChangedRow, HistoryGone, TableState, TableStore
+from turmericproxy.store.interfaces import ChangedRow, Changes, HistoryGone, TableState, TableStore
 
-# Bounds of the retry delay while the store is unreachable, which doubles with each failure.
+# Bounds of the delay between two calls while the store is unreachable; it doubles each time.
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
-# Share by which retry delays are randomized, so that hosts don't all retry at the same moment.
-RETRY_JITTER = 0.3
+# Factors by which the delays are randomized, so that hosts don't all call at the same moment.
+RETRY_JITTER = (0.7, 1.3)
+
+T = TypeVar("T")
+# A call to the store; its argument is how long the store may wait for changes, in seconds.
+StoreCall = Callable[[float], Coroutine[Any, Any, T | Refusal]]
 
 
 class TableFollower:
@@ -43,12 +48,10 @@
         self._on_change = on_change
         self._on_answer = on_answer
         self._task: asyncio.Task[None] | None = None
-        self._retry_delay = MIN_RETRY_SECONDS
         self._random = random.Random()
-        self._lost_at: float | None = None
+        self._lost_at = 0.0
         self._era: int | None = None
         self._read_due_at = math.inf
-        self._called_at = 0.0
         self.answered_at: float | None = None
         self.reconnected_at: float | None = None
         self.is_store_unreachable = False
@@ -81,12 +84,9 @@
     async def _follow_once(self, version: int | None) -> int | None:
         if version is None or asyncio.get_running_loop().time() >= self._read_due_at:
             return await self._read()
-        self._called_at = asyncio.get_running_loop().time()
-        changes = await self._store.wait_for_changes(self._table, version, self._wait_seconds)
-        if isinstance(changes, Refusal):
-            await self._back_off(changes)
-            return version
-        self._record_success()
+        changes: Changes | HistoryGone = await self._call(
+            lambda seconds: self._store.wait_for_changes(self._table, version, seconds)
+        )
         if isinstance(changes, HistoryGone):
             log_event(
                 Part.CONFIGURATION,
@@ -102,14 +102,9 @@
             self._on_change(changed)
         return max(version, changes.version)
 
-    async def _read(self) -> int | None:
-        """Read all rows; return their version, or ``None`` if the store refused."""
-        self._called_at = asyncio.get_running_loop().time()
-        state = await self._store.read_table(self._table)
-        if isinstance(state, Refusal):
-            await self._back_off(state)
-            return None
-        self._record_success()
+    async def _read(self) -> int:
+        """Read all rows; return their version."""
+        state = await self._call(lambda _seconds: self._store.read_table(self._table))
         self._read_due_at = math.inf
         if self._era is not None and state.era > self._era:
             # As after an outage, rows that were lost with it are about to be written again.
@@ -118,36 +113,68 @@
         self._on_state(state)
         return state.version
 
-    async def _back_off(self, refusal: Refusal) -> None:
+    async def _call(self, call: StoreCall[T]) -> T:
+        """Return the answer to a call, which is repeated until there is one."""
+        called_at = asyncio.get_running_loop().time()
+        result = await call(self._wait_seconds)
+        if isinstance(result, Refusal):
+            self._record_failure(result, called_at)
+            result = await self._repeat_call(call)
+        self._record_answer()
+        return result
+
+    async def _repeat_call(self, call: StoreCall[T]) -> T:
+        """Return the first answer to calls that are made one after the other until there is one.
+
+        They don't wait for changes, and each is made whether or not those before have ended: a call
+        that a silent store received is not answered after its return either.
+        """
+        loop = asyncio.get_running_loop()
+        open_calls: set[asyncio.Task[T | Refusal]] = set()
+        delay = MIN_RETRY_SECONDS
+        try:
+            while True:
+                next_call_at = loop.time() + delay * self._random.uniform(*RETRY_JITTER)
+                while (remaining := next_call_at - loop.time()) > 0:
+                    if not open_calls:
+                        await asyncio.sleep(remaining)
+                        break
+                    ended, open_calls = await asyncio.wait(
+                        open_calls, timeout=remaining, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    for task in ended:
+                        if not isinstance(result := task.result(), Refusal):
+                            return result
+                open_calls.add(loop.create_task(call(0.0)))
+                delay = min(MAX_RETRY_SECONDS, 2 * delay)
+        finally:
+            for task in open_calls:
+                task.cancel()
+
+    def _record_failure(self, refusal: Refusal, called_at: float) -> None:
         now = asyncio.get_running_loop().time()
-        if not self.is_store_unreachable:
-            self.is_store_unreachable = True
-            self._lost_at = now
-            log_event(
-                Part.CONFIGURATION,
-                "store unreachable",
-                table=self._table,
-                reason=refusal.reason,
-                call_seconds=round(now - self._called_at, 2),
-                last_answer_seconds=round(now - self.answered_at, 2) if self.answered_at else None,
-            )
-        await asyncio.sleep(
-            self._retry_delay * self._random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+        self.is_store_unreachable = True
+        self._lost_at = now
+        log_event(
+            Part.CONFIGURATION,
+            "store unreachable",
+            table=self._table,
+            reason=refusal.reason,
+            call_seconds=round(now - called_at, 2),
+            last_answer_seconds=round(now - self.answered_at, 2) if self.answered_at else None,
         )
-        self._retry_delay = min(MAX_RETRY_SECONDS, 2 * self._retry_delay)
 
-    def _record_success(self) -> None:
+    def _record_answer(self) -> None:
         now = asyncio.get_running_loop().time()
         if self.answered_at is not None:
             self._on_answer(now - self.answered_at)
         self.answered_at = now
-        self._retry_delay = MIN_RETRY_SECONDS
-        if self.is_store_unreachable and self._lost_at is not None:
+        if self.is_store_unreachable:
             self.is_store_unreachable = False
             self.reconnected_at = now
             log_event(
                 Part.CONFIGURATION,
                 "store reachable again",
                 table=self._table,
-                seconds=round(self.reconnected_at - self._lost_at, 2),
+                seconds=round(now - self._lost_at, 2),
             )
