Make fewer calls to a store that doesn't answer

Now the delay grows to 1.6 s, and the follower of the configuration waits for that of the upstreams, at most 2 s, so that a store of which only one table is back is noticed too. Readers in small domains confirm every 1.5 s, not 1.3 s.

--- a/turmericproxy/host/site_follower.py
+++ b/turmericproxy/host/site_follower.py
@@ -56,14 +56,6 @@
         self._removals = RemovalScheduler(self._remove_upstream)
         self._upstream_era: int | None = None
         self.site: Site | None = None
-        self._configuration_follower = TableFollower(
-            store,
-            adapter.configuration_table,
-            CONFIGURATION_WAIT_SECONDS,
-            self._apply_configuration,
-            lambda changed: self._apply_configuration_row(changed.row, is_new=True),
-            self._record_configuration_answer,
-        )
         self._upstream_follower = TableFollower(
             store,
             adapter.upstream_table,
@@ -72,6 +64,15 @@
             self._apply_upstream_change,
             lambda seconds: metrics.record_latency("upstream_table_gap", seconds),
         )
+        self._configuration_follower = TableFollower(
+            store,
+            adapter.configuration_table,
+            CONFIGURATION_WAIT_SECONDS,
+            self._apply_configuration,
+            lambda changed: self._apply_configuration_row(changed.row, is_new=True),
+            self._record_configuration_answer,
+            guide=self._upstream_follower,
+        )
 
     @property
     def is_loaded(self) -> bool:
--- a/turmericproxy/store/following.py
+++ b/turmericproxy/store/following.py
@@ -10,11 +10,17 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store.interfaces import ChangedRow, Changes, HistoryGone, TableState, TableStore
 
-# Bounds of the delay between two calls while the store is unreachable; it doubles each time.
+# Bounds of the delay between two calls while the store is unreachable, and its growth. The longest
+# one and the time for reading are less than the 3 s after an outage in which hosts must catch up.
 MIN_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 0.8
+MAX_RETRY_SECONDS = 1.6
+RETRY_GROWTH = 4
+# Delay while another follower can't reach the store either, and will tell when it does.
+GUIDED_RETRY_SECONDS = 2.0
 # Factors by which the delays are randomized, so that hosts don't all call at the same moment.
-RETRY_JITTER = (0.7, 1.3)
+RETRY_JITTER = (0.85, 1.15)
+# Delay before the table is read again after an error in a callback.
+ERROR_DELAY_SECONDS = 0.8
 
 T = TypeVar("T")
 # A call to the store; its argument is how long the store may wait for changes, in seconds.
@@ -29,7 +35,8 @@
     ``on_change`` with each later change. Before them, ``on_answer`` is called with the seconds
     since the previous answer of the store.
     Each call to the store waits up to ``wait_seconds`` for changes. ``answered_at`` is the
-    event-loop time of the last answer.
+    event-loop time of the last answer. ``guide`` follows another table of the store: while neither
+    reaches it, this follower seldom calls, and at once when the guide has an answer.
     """
 
     def __init__(
@@ -40,6 +47,7 @@
         on_state: Callable[[TableState], None],
         on_change: Callable[[ChangedRow], None],
         on_answer: Callable[[float], None] = lambda _seconds: None,
+        guide: "TableFollower | None" = None,
     ) -> None:
         self._store = store
         self._table = table
@@ -47,6 +55,11 @@
         self._on_state = on_state
         self._on_change = on_change
         self._on_answer = on_answer
+        self._guide = guide
+        self._guided: list[TableFollower] = []
+        if guide:
+            guide._guided.append(self)
+        self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._random = random.Random()
         self._lost_at = 0.0
@@ -79,7 +92,7 @@
                     Part.CONFIGURATION, "follower failed", table=self._table, reason=repr(error)
                 )
                 version = None
-                await asyncio.sleep(MAX_RETRY_SECONDS)
+                await asyncio.sleep(ERROR_DELAY_SECONDS)
 
     async def _follow_once(self, version: int | None) -> int | None:
         if version is None or asyncio.get_running_loop().time() >= self._read_due_at:
@@ -131,26 +144,38 @@
         """
         loop = asyncio.get_running_loop()
         open_calls: set[asyncio.Task[T | Refusal]] = set()
+        self._wake.clear()
+        wake = loop.create_task(self._wake.wait())
         delay = MIN_RETRY_SECONDS
         try:
             while True:
-                next_call_at = loop.time() + delay * self._random.uniform(*RETRY_JITTER)
-                while (remaining := next_call_at - loop.time()) > 0:
-                    if not open_calls:
-                        await asyncio.sleep(remaining)
-                        break
-                    ended, open_calls = await asyncio.wait(
-                        open_calls, timeout=remaining, return_when=asyncio.FIRST_COMPLETED
+                next_call_at = loop.time() + self._choose_delay(delay)
+                while (remaining := next_call_at - loop.time()) > 0 and not self._wake.is_set():
+                    watched: set[asyncio.Task[Any]] = {wake, *open_calls}
+                    await asyncio.wait(
+                        watched,
+                        timeout=remaining,
+                        return_when=asyncio.FIRST_COMPLETED,
                     )
-                    for task in ended:
+                    for task in [task for task in open_calls if task.done()]:
                         if not isinstance(result := task.result(), Refusal):
                             return result
+                        open_calls.remove(task)
+                if self._wake.is_set():
+                    self._wake.clear()
+                    wake = loop.create_task(self._wake.wait())
                 open_calls.add(loop.create_task(call(0.0)))
-                delay = min(MAX_RETRY_SECONDS, 2 * delay)
+                delay = min(MAX_RETRY_SECONDS, RETRY_GROWTH * delay)
         finally:
+            wake.cancel()
             for task in open_calls:
                 task.cancel()
 
+    def _choose_delay(self, delay: float) -> float:
+        if self._guide and self._guide.is_store_unreachable:
+            delay = GUIDED_RETRY_SECONDS
+        return delay * self._random.uniform(*RETRY_JITTER)
+
     def _record_failure(self, refusal: Refusal, called_at: float) -> None:
         now = asyncio.get_running_loop().time()
         self.is_store_unreachable = True
@@ -172,6 +197,8 @@
         if self.is_store_unreachable:
             self.is_store_unreachable = False
             self.reconnected_at = now
+            for follower in self._guided:
+                follower._wake.set()
             log_event(
                 Part.CONFIGURATION,
                 "store reachable again",
--- a/turmericproxy/store/relaying.py
+++ b/turmericproxy/store/relaying.py
@@ -29,7 +29,7 @@
 MAX_READER_WAIT_SECONDS = 1.0
 # The same in a small domain, where only calls that fell silent depend on it. Tables for which no
 # call waits longer have no reader there.
-MAX_SMALL_DOMAIN_WAIT_SECONDS = 1.3
+MAX_SMALL_DOMAIN_WAIT_SECONDS = 1.5
 # Seconds between two checks for a change of the reader; a lost peer is detected after 1.3 s.
 READER_CHECK_SECONDS = 0.3
 # Seconds for which a host that timed out or can't reach the store is not chosen as reader,
