Don't deny unknown keys and routes without a confirmed configuration

Callers with a new key got 401, and 404 on a new route, from hosts that couldn't reach the store and so couldn't know of them. A host whose configuration was last confirmed more than 2 s ago, the time in which changes must be in force, now answers 503 with Retry-After; known keys are served as before. The tests failed before: the host answered 401. Missing keys are still denied.

--- a/tests/host/test_silent_store.py
+++ b/tests/host/test_silent_store.py
@@ -16,6 +16,7 @@
 from tests.host.support import HostEnvironment, run_scenario
 from tests.platform.support import CONFIGURATION
 from turmericproxy.standins.platform_wire_store import WireStore
+from turmericproxy.traffic.confirmation import MAX_CERTAIN_AGE_SECONDS
 
 # Time in which a change must be in force on hosts that reach the store, and time after a silence
 # from which on they count as reaching it.
@@ -127,6 +128,26 @@
     run_scenario(scenario)
 
 
+def test_new_key_is_not_denied_while_the_store_is_silent() -> None:
+    """Guard against 401 for a key of which a host that reaches no store can't know."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        store = environment.store
+        store.fall_silent()
+        add_key(environment)
+        await asyncio.sleep(MAX_CERTAIN_AGE_SECONDS + 0.2)
+        assert (await environment.send_request("/look/1")).status == 200
+        answer = await environment.send_request("/look/1", key="key-3")
+        assert (answer.status, "retry-after" in answer.fields) == (503, True)
+        assert (await environment.send_request("/look/1", key=None)).status == 401
+        store.end_silence()
+        await asyncio.sleep(RECOVERY_SECONDS)
+        assert (await environment.send_request("/look/1", key="key-3")).status == 200
+        assert (await environment.send_request("/look/1", key="key-4")).status == 401
+
+    run_scenario(scenario)
+
+
 def test_logs_and_metrics_tell_when_the_store_last_answered(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/turmericproxy/traffic/router.py
+++ b/turmericproxy/traffic/router.py
@@ -8,6 +8,7 @@
 from turmericproxy.fleet.quotas import QuotaController
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.metrics import Metrics
+from turmericproxy.traffic.confirmation import confirm_refusal
 from turmericproxy.traffic.exchange import Exchange, ExchangeDependencies
 from turmericproxy.traffic.filters import compute_cost, find_route, identify_account
 from turmericproxy.traffic.requests import ParsedRequest
@@ -57,9 +58,10 @@
     async def _serve(self, parsed: ParsedRequest, writer: AnswerWriter) -> Refusal | None:
         request = find_route(self._get_site(), parsed, writer)
         if isinstance(request, Refusal):
-            return request
-        refusal = identify_account(request) or self._admit(request)
-        if refusal:
+            return confirm_refusal(request, self._measure_site_age())
+        if refusal := identify_account(request):
+            return confirm_refusal(refusal, self._measure_site_age())
+        if refusal := self._admit(request):
             return refusal
         started = asyncio.get_running_loop().time()
         result = await self._exchange(request)
