--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -70,7 +70,6 @@
         self._handover: asyncio.Task[None] | None = None
         self._logged_obstacle: Obstacle | None = None
         self._watch: SilenceWatch | None = None
-        self._is_suspected = False
         self._refreshed: frozenset[InstanceId] = frozenset()
         self._last_id: str | None = request.parsed.last_event_id
         self._event_parts = 0
@@ -130,7 +129,7 @@
         started = replacement.sent_at if replacement else self._clock()
         self._event_parts = 0
         self._received_at = started
-        self._is_suspected = False
+        self._watch = None
         attempt: Attempt | None = None
         if replacement is None:
             dispatcher.record_start(placement)
@@ -149,7 +148,7 @@
                 attempt,
                 seconds,
                 had_event=self._event_parts > 0,
-                is_suspected=self._is_suspected,
+                is_suspected=self._watch is not None and self._watch.is_suspected,
             )
         return attempt
 
@@ -225,22 +224,15 @@
         """Watch a call whose request may be sent once more."""
         if not self._request.route.is_repeatable or not self._may_run_again():
             return None
+        dispatcher = self._dependencies.dispatcher
         handlers = SilenceHandlers(
-            suspect=lambda: self._record_silence(placement),
-            clear=lambda: self._record_progress(placement),
+            suspect=lambda: dispatcher.record_silence(placement),
+            clear=lambda: dispatcher.record_progress(placement),
             replace=lambda: self._seek_replacement(placement, call),
         )
         limits = compute_start_limits(self._request.route, placement.expected_seconds)
         return SilenceWatch(call, limits, handlers)
 
-    def _record_silence(self, placement: Placement) -> None:
-        self._is_suspected = True
-        self._dependencies.dispatcher.record_silence(placement)
-
-    def _record_progress(self, placement: Placement) -> None:
-        self._is_suspected = False
-        self._dependencies.dispatcher.record_progress(placement)
-
     def _seek_replacement(self, silent: Placement, call: UpstreamCall) -> None:
         """Start to hand the request over to another upstream if one can be had."""
         if self._handover and not self._handover.done():
--- a/turmericproxy/traffic/silence.py
+++ b/turmericproxy/traffic/silence.py
@@ -60,7 +60,10 @@
 
 
 class SilenceWatch:
-    """Watch the progress of one call, from its start until ``close``."""
+    """Watch the progress of one call, from its start until ``close``.
+
+    ``is_suspected`` tells whether the call has been silent for too long since its last progress.
+    """
 
     def __init__(
         self, call: UpstreamCall, limits: SilenceLimits, handlers: SilenceHandlers
@@ -70,14 +73,14 @@
         self._handlers = handlers
         self._loop = asyncio.get_running_loop()
         self._progress_at = self._loop.time()
-        self._is_suspected = False
+        self.is_suspected = False
         self._timer = self._loop.call_later(limits.suspicion, self._check)
 
     def record_progress(self, limits: SilenceLimits) -> None:
         """Start measuring the silence anew, with other limits."""
         self._progress_at = self._loop.time()
-        if self._is_suspected:
-            self._is_suspected = False
+        if self.is_suspected:
+            self.is_suspected = False
             self._handlers.clear()
         if limits is not self._limits:
             self._limits = limits
@@ -98,8 +101,8 @@
         if silent_seconds < self._limits.suspicion:
             self._set_timer(self._limits.suspicion - silent_seconds)
             return
-        if not self._is_suspected:
-            self._is_suspected = True
+        if not self.is_suspected:
+            self.is_suspected = True
             self._handlers.suspect()
         if silent_seconds < self._limits.patience:
             self._set_timer(self._limits.patience - silent_seconds)
