--- a/tests/store/test_relaying.py
+++ b/tests/store/test_relaying.py
@@ -374,6 +374,25 @@
     run_scenario(scenario, hosts)
 
 
+@pytest.mark.parametrize("moment", [0.1, 0.6])
+def test_silence_in_which_registrations_expire_is_noticed_by_all_hosts(moment: float) -> None:
+    """Guard against hosts that take expired registrations for servers that have gone.
+
+    They expire after 2.4 s of silence at the least; a host that has noticed it waits for them.
+    """
+
+    async def scenario(domain: Domain) -> None:
+        await asyncio.sleep(moment)
+        domain.store.abandon_calls()
+        domain.store.is_silent = True
+        await asyncio.sleep(2.4)
+        domain.store.is_silent = False
+        await asyncio.sleep(RECOVERY_SECONDS)
+        assert all(f.reconnected_at is not None for f in domain.followers.values())
+
+    run_scenario(scenario)
+
+
 def test_lost_reader_delays_no_change_in_a_small_domain() -> None:
     async def scenario(domain: Domain) -> None:
         await domain.stop(domain.reader)
