Let a new hub open its streams at once

Hosts of one large failure domain counted those of another as lost after their hub had stopped forwarding, and with them spread the rates anew. A host that others choose as their next hub opened its streams only at its next computation of the routes, up to 0.6 s later; with 0.4 s until the old one is noticed and the heartbeats' age, that is longer than the 1.3 s after which a host is lost.

The new test failed before.

--- a/tests/fleet/test_forwarding.py
+++ b/tests/fleet/test_forwarding.py
@@ -9,7 +9,7 @@
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.fleet import Batch, FleetLinks, Hello
 from turmericproxy.fleet.links import ALIVE_INTERVAL_SECONDS, STATE_INTERVAL_SECONDS
-from turmericproxy.fleet.messages import HostUpdate
+from turmericproxy.fleet.messages import ForwardScope, HostUpdate, UpdateBundle
 from turmericproxy.fleet.outbox import HUB_HEARTBEAT_INTERVAL_SECONDS
 from turmericproxy.fleet.peers import PEER_TIMEOUT_SECONDS, Peer
 from turmericproxy.logs import Part
@@ -148,6 +148,21 @@
     run_scenario(scenario)
 
 
+def test_new_hub_opens_its_streams_at_once() -> None:
+    """Guard against hosts that count as lost elsewhere, since their next hub had no streams yet."""
+
+    async def scenario(nodes: list[Node]) -> None:
+        links = nodes[2].links
+        links._update_routes(links._read_clock())
+        links._receive_bundle(nodes[1].hello, UpdateBundle(ForwardScope.FLEET, ()))
+        await asyncio.sleep(0.3)
+        open_streams = {peer.hello.host for peer in links.peers if peer.writer}
+        assert open_streams >= {node.hello.host for node in nodes[:DOMAIN_HOSTS]} - {"a2"}
+        assert any(host.startswith("b") for host in open_streams)
+
+    run_scenario(scenario)
+
+
 def test_heartbeats_of_an_idle_domain_arrive_in_few_updates() -> None:
     """Idle hosts once received each heartbeat of each other host, hundreds a second in a fleet."""
 
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -188,6 +188,13 @@
         """Return whether other hosts use this one as their hub."""
         return now < self._forward_requested_at + HUB_IDLE_SECONDS
 
+    def _record_forward_request(self, now: float) -> None:
+        if not self._is_forwarding(now):
+            # Opens the streams to the targets at once, before hosts there count the others of this
+            # domain as lost.
+            self._request_route_update()
+        self._forward_requested_at = now
+
     def _request_route_update(self) -> None:
         self._routes_updated_at = 0.0
 
@@ -290,7 +297,7 @@
             if bundle.scope is ForwardScope.DOMAIN and peer.hello.domain != self._own.domain:
                 peer.hub_active_at = now
         if bundle.scope is not ForwardScope.NOBODY:
-            self._forward_requested_at = now
+            self._record_forward_request(now)
         for packed in bundle.packed:
             try:
                 update = unpack_update(packed)
