--- a/tests/host/test_late_answers.py
+++ b/tests/host/test_late_answers.py
@@ -28,6 +28,18 @@
     run_scenario(scenario)
 
 
+def test_engines_load_new_weights_while_the_store_is_silent_before_each_answer() -> None:
+    """Guard against leases that have expired by the time at which a slow store grants them."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        environment.store.silence_seconds = SILENCE_SECONDS
+        environment.store.put("op", "version/m", VERSION_2)
+        await asyncio.sleep(7.0 + SILENCE_SECONDS)
+        assert [environment.servers[name].version for name in ("e1", "e2")] == [2, 2]
+
+    run_scenario(scenario)
+
+
 def test_request_does_not_wait_for_the_report_of_a_silent_engine() -> None:
     """Guard against requests that wait for a late report before they go to another engine."""
 
--- a/tests/host/test_silent_store.py
+++ b/tests/host/test_silent_store.py
@@ -90,6 +90,21 @@
     run_scenario(scenario)
 
 
+def test_change_is_in_force_while_another_table_stays_silent() -> None:
+    """Guard against hosts that wait with one table until they reach another one."""
+
+    async def scenario(environment: HostEnvironment) -> None:
+        await add_hosts(environment, "h1", "h2")
+        environment.store.fall_silent()
+        await asyncio.sleep(4.0)
+        environment.store.end_silence("servers")
+        add_key(environment)
+        await asyncio.sleep(RECOVERY_SECONDS)
+        assert await count_hosts_with_key(environment) == len(environment.hosts)
+
+    run_scenario(scenario)
+
+
 def test_change_reaches_a_host_whose_own_call_is_lost_by_way_of_its_domain() -> None:
     """Guard against a host that alone misses a change which all others of its domain know."""
 
--- a/turmericproxy/standins/platform_wire_store.py
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -56,6 +57,7 @@
         self.calls: list[str] = []
         self._handlers: set[asyncio.Task[None]] = set()
         self._is_silent = False
+        self._silent_tables: frozenset[str] = frozenset()
 
     @property
     def address(self) -> str:
@@ -109,9 +111,10 @@
         self._is_silent = True
         self.abandon_calls()
 
-    def end_silence(self) -> None:
-        """Answer the calls that are made from now on."""
+    def end_silence(self, *silent_tables: str) -> None:
+        """Answer the calls that are made from now on, but not those for some tables."""
         self._is_silent = False
+        self._silent_tables = frozenset(silent_tables)
 
     def find(self, table: str, key: str) -> bytes | None:
         """Return the value of a row, or ``None`` if there is none."""
@@ -126,7 +129,7 @@
         self.calls.append(request.path)
         handler = asyncio.get_running_loop().create_task(self._handle(request, writer))
         self._handlers.add(handler)
-        if self._is_silent:
+        if self._is_silent or self._silent_tables.intersection(_read_query(request)["table"]):
             handler.cancel()
         try:
             await asyncio.wait([handler])
@@ -143,9 +146,7 @@
         if self.refusal:
             writer.send(self.refusal, [self._era_field])
             return
-        query = {
-            name: values[0] for name, values in parse_qs(request.target.partition("?")[2]).items()
-        }
+        query = {name: values[0] for name, values in _read_query(request).items()}
         if request.path == "/api/rows-get":
             self._send_rows(query, writer)
         elif request.path == "/api/rows-feed":
@@ -225,6 +226,10 @@
         return "Store-Era", str(self.era)
 
 
+def _read_query(request: ClientRequest) -> defaultdict[str, list[str]]:
+    return defaultdict(list, parse_qs(request.target.partition("?")[2]))
+
+
 def _describe(row: StoredRow) -> dict[str, object]:
     registration: dict[str, object] = {
         "table": row.table,
