Ignore rows that are nested too deeply to be decoded

One registration of some thousand brackets, from another writer, kept a host from learning of any other upstream: decoding raised RecursionError, which no decoder expected, and the table was read again and again. Reports, cache events, lease and host rows, and requests raised it too. All JSON of other programs is now decoded in one place, where it is a ValueError as other unreadable texts.

--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -12,6 +12,7 @@
 import pytest
 
 from tests.platform.support import CONFIGURATION, REGISTRATION
+from turmericproxy.core.documents import decode_json
 from turmericproxy.edge import AnswerHead, ClientRequest, Headers
 from turmericproxy.host.directory import _read_hello
 from turmericproxy.platform import names
@@ -29,6 +30,7 @@
 REPORT = {"models": [{"name": "m", "version": 1}], "busy": False, "sequence": 2, "born": 5}
 PAGE = {"epoch": 1, "next": 2, "lost": False, "events": [[1, "+", "s", "p", 10, "m"]]}
 ROWS = {"rows": [{"table": "t", "part": "", "key": "k", "value": "eA==", "row_version": 3}]}
+NESTED = b"[" * 5000
 EXPECTED = (ValueError, KeyError, TypeError)
 
 
@@ -77,6 +79,20 @@
         decode(encode(mutate(copy.deepcopy(sample), source), source))
 
 
+@pytest.mark.parametrize("name", DECODERS)
+def test_rows_nested_too_deeply_are_decoded_or_ignored(name: str) -> None:
+    _, decode = DECODERS[name]
+    decode(NESTED)
+
+
+@pytest.mark.parametrize("read", [read_report, decode_json])
+def test_answers_nested_too_deeply_raise_only_the_expected_errors(
+    read: Callable[[bytes], object],
+) -> None:
+    with pytest.raises(EXPECTED):
+        read(NESTED)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_report_and_cache_events_raise_only_the_expected_errors(seed: int) -> None:
     source = random.Random(seed)
--- a/turmericproxy/callers/calls.py
+++ b/turmericproxy/callers/calls.py
@@ -1,7 +1,6 @@
 """Parse requests of callers into typed calls."""
 
 import hashlib
-import json
 from dataclasses import dataclass
 from typing import Annotated, Any
 
@@ -10,6 +9,7 @@
 from turmericproxy.cache.blocks import count_tokens, render_prompt
 from turmericproxy.configuration import Route, Snapshot
 from turmericproxy.core import ModelName, Refusal, ResultCode, RouteName, refuse
+from turmericproxy.core.documents import decode_json
 from turmericproxy.web import HttpRequest
 
 CHAT_PATH = "/v1/chat/completions"
@@ -127,7 +127,7 @@
     if isinstance(content, Refusal):
         return content
     try:
-        document: Any = json.loads(content)
+        document: Any = decode_json(content)
         body = ChatBody.model_validate(document)
     except ValidationError as error:
         faults = "; ".join(
--- a/turmericproxy/callers/events.py
+++ b/turmericproxy/callers/events.py
@@ -1,10 +1,10 @@
 """Parse the events of an engine's stream and check their order."""
 
-import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
+from turmericproxy.core.documents import decode_json
 from turmericproxy.routing import Usage
 
 EVENT_PREFIX = b"data:"
@@ -69,7 +69,7 @@
     if content == DONE_MARKER:
         return None
     try:
-        return _create_event(json.loads(content))
+        return _create_event(decode_json(content))
     except (ValueError, KeyError, TypeError) as error:
         return InvalidEvent(f"an event can't be parsed: {error!r}")
 
--- a/turmericproxy/host/directory.py
+++ b/turmericproxy/host/directory.py
@@ -5,6 +5,7 @@
 import random
 
 from turmericproxy.core import HostName, Incarnation, Refusal
+from turmericproxy.core.documents import decode_json
 from turmericproxy.fleet import FleetLinks, Hello
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store.interfaces import TableStore
@@ -93,7 +94,7 @@
 
 def _read_hello(row: Row) -> Hello | None:
     try:
-        address, domain, link_mbps = json.loads(row.value)
+        address, domain, link_mbps = decode_json(row.value)
         identity = (HostName(row.key), str(address), str(domain), Incarnation(""))
         return Hello(*identity, int(link_mbps))
     except (ValueError, TypeError) as error:
--- a/turmericproxy/operators/requests.py
+++ b/turmericproxy/operators/requests.py
@@ -1,12 +1,12 @@
 """Parse and validate requests to the operator API."""
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from turmericproxy.configuration.changes import MUST_NOT_EXIST, refuse_faults
 from turmericproxy.configuration.resources import FieldFault, Kind
+from turmericproxy.core.documents import decode_json
 from turmericproxy.core.ids import Revision
 from turmericproxy.core.results import Refusal, ResultCode, refuse
 from turmericproxy.web import HttpRequest
@@ -35,7 +35,7 @@
     if body is None:
         return refuse(ResultCode.BODY_TOO_LARGE, f"the body is longer than {MAX_BODY_BYTES} bytes")
     try:
-        value = json.loads(body)
+        value = decode_json(body)
     except ValueError as error:
         return refuse(ResultCode.BAD_REQUEST, f"the body is not valid JSON: {error}")
     if not isinstance(value, dict):
--- a/turmericproxy/platform/cache_events.py
+++ b/turmericproxy/platform/cache_events.py
@@ -1,8 +1,8 @@
 """Read cache events from engines and the kept store."""
 
-import json
 from typing import Any
 
+from turmericproxy.core.documents import decode_json
 from turmericproxy.edge import PersistentConnection
 from turmericproxy.placement.cache_poller import CacheEvent, EventPage, PollRefused
 from turmericproxy.placement.notices import NO_NOTICE, UpstreamNotice
@@ -47,7 +47,7 @@
         if head.status == TOO_MANY_REQUESTS or notice.pause_seconds:
             return PollRefused(notice)
         try:
-            return read_page(json.loads(body), notice)
+            return read_page(decode_json(body), notice)
         except (ValueError, KeyError, TypeError) as error:
             return f"status {head.status}: {error!r}"
 
--- a/turmericproxy/platform/registrations.py
+++ b/turmericproxy/platform/registrations.py
@@ -1,9 +1,9 @@
 """Decode registrations of upstreams and reports of engines."""
 
-import json
 from typing import Any
 
 from turmericproxy.core import ModelName
+from turmericproxy.core.documents import decode_json
 from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.logs import Part, log_event
 from turmericproxy.placement.entries import EntryState, UpstreamEntry
@@ -15,7 +15,7 @@
 def read_upstream_row(row: Row) -> UpstreamEntry | None:
     """Return the registration in a row; log an incomplete or foreign one and return ``None``."""
     try:
-        content = json.loads(row.value)
+        content = decode_json(row.value)
         return UpstreamEntry(
             instance=InstanceId(row.key),
             service=ServiceName(_read_text(content, "service")),
@@ -33,7 +33,7 @@
 
 def read_report(body: bytes, notice: UpstreamNotice = NO_NOTICE) -> EngineReport:
     """Decode a report; raise ``ValueError``, ``KeyError`` or ``TypeError`` if it is invalid."""
-    content = json.loads(body)
+    content = decode_json(body)
     return EngineReport(
         notice=notice,
         versions=_read_versions(content["models"]),
--- a/turmericproxy/platform/site.py
+++ b/turmericproxy/platform/site.py
@@ -1,9 +1,9 @@
 """Decode the operator's configuration and model versions from rows."""
 
-import json
 from typing import Any
 
 from turmericproxy.core import AccountName, ModelName, Revision, RouteName
+from turmericproxy.core.documents import decode_json
 from turmericproxy.core.ids import ServiceName
 from turmericproxy.edge import EdgeLimits
 from turmericproxy.logs import Part, log_event
@@ -32,7 +32,7 @@
     Log an invalid row and return ``None``; return ``None`` also for a row with another key.
     """
     try:
-        content = json.loads(row.value)
+        content = decode_json(row.value)
         if row.key == names.CONFIGURATION_KEY:
             return read_site(content)
         if row.key.startswith(names.MODEL_VERSION_KEY_PREFIX):
--- a/turmericproxy/platform/store.py
+++ b/turmericproxy/platform/store.py
@@ -7,6 +7,7 @@
 from urllib.parse import urlencode
 
 from turmericproxy.core import Refusal, ResultCode, refuse
+from turmericproxy.core.documents import decode_json
 from turmericproxy.edge import AnswerHead, fetch
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import names
@@ -150,7 +151,7 @@
 
 def _decode_object(body: bytes) -> dict[str, Any]:
     try:
-        content = json.loads(body)
+        content = decode_json(body)
     except ValueError:
         return {}
     return content if isinstance(content, dict) else {}
--- a/turmericproxy/rollout/lease_manager.py
+++ b/turmericproxy/rollout/lease_manager.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from turmericproxy.core import Refusal
+from turmericproxy.core.documents import decode_json
 from turmericproxy.logs import Part, log_event
 from turmericproxy.rollout.lease import (
     LEASE_SECONDS,
@@ -145,7 +146,7 @@
     if row is None:
         return None
     try:
-        holder, fence, until, era = json.loads(row.value)
+        holder, fence, until, era = decode_json(row.value)
         return OrderLease(str(holder), int(fence), float(until), int(era))
     except (ValueError, TypeError) as error:
         log_event(Part.WEIGHTS, "invalid lease", reason=repr(error))
