--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -121,7 +121,8 @@
             server.refresh()
         for host in self._hosts:
             if host.should_run and not host.is_running:
-                raise AssertionError(f"{host.name} exited unexpectedly")
+                code = host.process.returncode if host.process else None
+                raise AssertionError(f"{host.name} exited unexpectedly with code {code}")
 
     async def _recover(self) -> list[str]:
         """Return what has not recovered within the time limit."""
