Wait as long for a reader beside a repeated call as elsewhere

A host of a small domain that the store refuses could give up its reader 1.5 s after an update, which is when the next one is due.

--- a/turmericproxy/store/relaying.py
+++ b/turmericproxy/store/relaying.py
@@ -158,7 +158,7 @@
         relay = self._tables[table]
         relay.wait_seconds = max(relay.wait_seconds, seconds)
         reader = self._find_reader(table)
-        is_large = self._is_domain_large()
+        is_large = _is_large(self._list_local_peers())
         limit = MAX_READER_WAIT_SECONDS if is_large else MAX_SMALL_DOMAIN_WAIT_SECONDS
         wait = min(seconds, limit)
         changes: Changes | HistoryGone | None
@@ -168,7 +168,7 @@
             relay.updates.clear()
             return await self._query_store(table, version, wait)
         if seconds == 0:
-            return await self._query_beside_reader(table, version, reader)
+            return await self._query_beside_reader(table, version, limit, reader)
         if is_large:
             relay.close_call()
             changes = await self._wait_for_reader(table, version, wait, reader)
@@ -193,15 +193,12 @@
             self.eras.record(update.changes.era)
         relay.update_received.set()
 
-    def _is_domain_large(self) -> bool:
-        return len(self._list_local_peers()) + 1 >= LARGE_DOMAIN_HOSTS
-
     def _find_reader(self, table: str) -> HostName | None:
         """Return the reader of a table for this domain, or ``None`` if it has none."""
         peers = self._list_local_peers()
         relay = self._tables[table]
         reader = None
-        if self._is_domain_large() or relay.wait_seconds > MAX_SMALL_DOMAIN_WAIT_SECONDS:
+        if _is_large(peers) or relay.wait_seconds > MAX_SMALL_DOMAIN_WAIT_SECONDS:
             hosts = [host for host in (*peers, self._own) if not relay.is_excluded(host)]
             reader = choose_by_hash(table, hosts) if hosts else None
         if reader != relay.reader:
@@ -240,14 +237,15 @@
                 relay.close_call()
 
     async def _query_beside_reader(
-        self, table: str, version: int, reader: HostName
+        self, table: str, version: int, seconds: float, reader: HostName
     ) -> Changes | HistoryGone | Refusal:
-        """Return what arrives first: the store's answer now, or the reader's next update."""
+        """Return what arrives first: the store's answer now, or the reader's next update.
+
+        The reader makes calls that wait up to ``seconds`` for changes.
+        """
         loop = asyncio.get_running_loop()
         call = loop.create_task(self._query_store(table, version, 0.0))
-        update = loop.create_task(
-            self._wait_for_reader(table, version, MAX_READER_WAIT_SECONDS, reader)
-        )
+        update = loop.create_task(self._wait_for_reader(table, version, seconds, reader))
         try:
             return await _find_answer(call, update) or await call
         finally:
@@ -305,6 +303,10 @@
         return changes
 
 
+def _is_large(peers: Sequence[HostName]) -> bool:
+    return len(peers) + 1 >= LARGE_DOMAIN_HOSTS
+
+
 async def _find_answer(
     call: asyncio.Task[Changes | HistoryGone | Refusal],
     update: asyncio.Task[Changes | None],
