--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -12,8 +12,8 @@
 
 # Time limit of a host for its exit after SIGTERM.
 GRACE_SECONDS = 4
-# Time from the start of the interpreter to the first line of the program, on a loaded machine.
-INTERPRETER_START_SECONDS = 0.25
+# Time limit of the interpreter for its start, until the first line of the program.
+INTERPRETER_START_SECONDS = 5.0
 
 
 @dataclass
@@ -62,12 +62,18 @@
         if self.process and self.is_running:
             self.process.send_signal(number)
 
-    def reload(self) -> None:
-        """Signal the process to reload its settings."""
-        now = asyncio.get_running_loop().time()
-        # Until the program runs, SIGHUP has no handler and would end the process.
-        if now > self.started_at + INTERPRETER_START_SECONDS:
-            self.signal(signal.SIGHUP)
+    async def reload(self) -> None:
+        """Signal the process to reload its settings as soon as the program runs.
+
+        Until then SIGHUP has no handler and would end the process.
+        """
+        process = self.process
+        deadline = asyncio.get_running_loop().time() + INTERPRETER_START_SECONDS
+        while process and self.process is process and self.is_running:
+            if _handles_hangup(process.pid) or asyncio.get_running_loop().time() > deadline:
+                self.signal(signal.SIGHUP)
+                return
+            await asyncio.sleep(0.005)
 
     def kill(self) -> None:
         """Kill the process."""
@@ -113,3 +119,10 @@
             "bounds.quota_slack": 110_000,
         }
         return "".join(f"{name}={value}\n" for name, value in values.items())
+
+
+def _handles_hangup(pid: int) -> bool:
+    """Return whether a process ignores or catches SIGHUP."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    return any(mask & 1 << (signal.SIGHUP - 1) for mask in masks)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -198,10 +198,10 @@
         host.start()
         host.should_run = True
         await asyncio.sleep(RELOAD_DELAY_SECONDS)
-        host.reload()
+        await host.reload()
 
     async def _reload_host(self, fault: Fault) -> None:
-        self._pick_host(fault).reload()
+        await self._pick_host(fault).reload()
 
     async def _pause_host(self, fault: Fault) -> None:
         await self._pick_host(fault).pause(fault.duration_seconds)
