--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -36,9 +36,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotConnected:
-    """Describe why no connection was established; nothing was sent."""
+    """Describe why no connection was established; nothing was sent.
+
+    ``is_refused`` tells that the address answered that nothing listens there.
+    """
 
     reason: str
+    is_refused: bool = False
 
 
 class _AnswerReader(asyncio.Protocol):
@@ -272,7 +276,7 @@
     except TimeoutError:
         return NotConnected(TIMED_OUT)
     except (OSError, ValueError) as error:
-        return NotConnected(repr(error))
+        return NotConnected(repr(error), isinstance(error, ConnectionRefusedError))
     set_user_timeout(transport, USER_TIMEOUT_MS)
     return transport
 
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -62,6 +62,7 @@
     loading_until: float = 0.0
     is_superseded: bool = False
     is_leaving: bool = False
+    is_refusing: bool = False
     call_seconds: float = DEFAULT_CALL_SECONDS
     tokens_per_second: float = DEFAULT_TOKENS_PER_SECOND
 
@@ -309,6 +310,8 @@
         if state is None:
             return
         previous = state.health
+        if health_signal is HealthSignal.ANSWERED:
+            state.is_refusing = False
         state.health = record_health_signal(previous, health_signal, now)
         if seconds is not None:
             state.call_seconds += SMOOTHING * (seconds - state.call_seconds)
@@ -321,6 +324,21 @@
                 seconds=round(state.health.paused_until - now, 2),
             )
 
+    def record_refused_connection(self, instance: InstanceId) -> None:
+        """Record that nothing listens at an upstream's address."""
+        state = self._states.get(instance)
+        if state and not state.is_refusing:
+            state.is_refusing = True
+            log_event(
+                Part.ROUTING,
+                "upstream refuses connections",
+                upstream=instance,
+                address=state.entry.address,
+                started_at=state.entry.started_at,
+                state=state.entry.state.value,
+                is_leaving=state.is_leaving,
+            )
+
     def record_prefill_rate(self, instance: InstanceId, tokens: int, seconds: float) -> None:
         """Update the prefill rate with the time to a first token after that many queued tokens."""
         state = self._states.get(instance)
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -18,6 +18,17 @@
     TIMED_OUT = "silent"
 
 
+class AnswerPhase(Enum):
+    """How far an answer had come when its attempt ended; the values are logged.
+
+    ``BEGUN`` answers have a head and no event yet.
+    """
+
+    WAITING = "waiting"
+    BEGUN = "begun"
+    STREAMING = "streaming"
+
+
 class NextAction(Enum):
     """What the host does after an attempt; the values are logged."""
 
@@ -43,13 +54,15 @@
 class Attempt:
     """Result of one attempt.
 
-    ``body`` is the complete body of a plain answer; a stream is relayed during the attempt.
+    ``body`` is the complete body of a plain answer; a stream is relayed during the attempt. With
+    ``is_refused``, nothing listened at the upstream's address.
     """
 
     outcome: Outcome
     answer: ParsedAnswer | None = None
     body: bytes = b""
     reason: str = ""
+    is_refused: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -223,7 +223,9 @@
         state = self._registry.find(placement.instance)
         if state is None:
             return
-        if attempt.outcome is Outcome.NOT_SENT and attempt.reason == TIMED_OUT:
+        if attempt.is_refused:
+            self._registry.record_refused_connection(placement.instance)
+        elif attempt.outcome is Outcome.NOT_SENT and attempt.reason == TIMED_OUT:
             self._domains.record_timeout(state.entry.domain)
         elif attempt.answer is not None:
             self._domains.record_answer(state.entry.domain)
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -12,6 +12,7 @@
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.traffic.attempts import (
+    AnswerPhase,
     Attempt,
     AttemptCounts,
     NextAction,
@@ -74,6 +75,7 @@
         self._last_id: str | None = request.parsed.last_event_id
         self._event_parts = 0
         self._received_at = 0.0
+        self._head_at: float | None = None
         self._gap_limits = compute_gap_limits(request.route)
 
     async def run(self) -> CompletedAnswer | Refusal:
@@ -129,6 +131,7 @@
         started = replacement.sent_at if replacement else self._clock()
         self._event_parts = 0
         self._received_at = started
+        self._head_at = None
         self._watch = None
         attempt: Attempt | None = None
         if replacement is None:
@@ -176,6 +179,8 @@
     async def _receive(self, placement: Placement, call: UpstreamCall) -> Attempt:
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
         self._received_at = self._clock()
+        if isinstance(answer, ParsedAnswer):
+            self._head_at = self._received_at
         parsed = answer.answer if isinstance(answer, Attempt) else answer
         # Before the answer is relayed: a stream may last for longer than its upstream stays.
         self._record_answer_head(placement, parsed)
@@ -298,6 +303,12 @@
             self._log_attempt(placement, attempt, NextAction.WAIT, None)
             await self._exclude_upstream(placement, attempt)
 
+    @property
+    def _phase(self) -> AnswerPhase:
+        if self._head_at is None:
+            return AnswerPhase.WAITING
+        return AnswerPhase.STREAMING if self._event_parts else AnswerPhase.BEGUN
+
     def _count(self, attempt: Attempt) -> None:
         self._request.attempt_counts = self._request.attempt_counts.add(attempt)
 
@@ -390,6 +401,9 @@
         action: NextAction,
         obstacle: Obstacle | None,
     ) -> None:
+        prompt = self._request.parsed.prompt
+        if attempt.outcome is Outcome.BROKEN:
+            self._dependencies.metrics.count("broken_attempts", phase=self._phase.value)
         self._dependencies.metrics.count(
             "attempts",
             outcome=attempt.outcome.value,
@@ -409,6 +423,8 @@
             step=action.value,
             obstacle=obstacle.value if obstacle else None,
             event_parts=self._event_parts,
+            head_seconds=None if self._head_at is None else round(self._clock() - self._head_at, 3),
+            shared=[part.part_id for part in prompt.shared_parts] if prompt else None,
             silent_seconds=round(self._clock() - self._received_at, 3),
             revision=self._request.site.revision,
             seconds_left=round(self._request.deadline - self._clock(), 3),
--- a/turmericproxy/traffic/sending.py
+++ b/turmericproxy/traffic/sending.py
@@ -25,7 +25,7 @@
         has_body=parsed.raw.method != "HEAD",
     )
     if isinstance(call, NotConnected):
-        return Attempt(Outcome.NOT_SENT, reason=call.reason)
+        return Attempt(Outcome.NOT_SENT, reason=call.reason, is_refused=call.is_refused)
     return call
 
 
