Show that requests with a part on which engines end are sent on and on

Three hosts before eight engines that end when they begin an answer on one part: 53 requests with the part reached engines more than 3 s after the fifth end, wherever it stood.

--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeServer
@@ -48,6 +49,11 @@
         """Return a header field."""
         return self.request.headers.get(name)
 
+    def list_shared_parts(self) -> list[str]:
+        """Return the identifiers of the prompt's parts but the last one."""
+        entries = (self.get("X-Prompt-Prefix") or "").split(",")
+        return [entry.partition(":")[0] for entry in entries[:-1]]
+
 
 @dataclass
 class WireServer:
@@ -55,7 +61,8 @@
 
     While ``is_leaving``, all answers say so. While ``retry_after`` is set, all calls are answered
     with 503 and this Retry-After; ``calls`` counts all calls. Reports and orders are handled after
-    ``silence_seconds``.
+    ``silence_seconds``. An engine ends ``crash_seconds`` after it began an answer on a prompt with
+    one of the ``crashing_parts``, but not for the last part; ``on_end`` is then called.
     """
 
     instance: str
@@ -74,9 +81,14 @@
     retry_after: str | None = None
     calls: int = 0
     silence_seconds: float = 0.0
+    crashing_parts: frozenset[str] = frozenset()
+    crash_seconds: float = 0.02
+    on_end: Callable[[], None] = lambda: None
+    listen_on: str = "127.0.0.1:0"
 
     def __post_init__(self) -> None:
-        self._server = EdgeServer("127.0.0.1:0", self._answer)
+        self._server = EdgeServer(self.listen_on, self._answer)
+        self.last_address = self.listen_on
         self._accepted_orders = 0
         self._is_busy = False
         self._silent_until = 0.0
@@ -94,6 +106,13 @@
         """Stop listening."""
         self._server.close()
 
+    def end(self) -> None:
+        """End as a process that crashes does: no answer is completed, no connection accepted."""
+        self.last_address = self.address
+        self._server.close()
+        self._server.abort()
+        self.on_end()
+
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some seconds, then go on; a server that is silent already stays so."""
         now = asyncio.get_running_loop().time()
@@ -213,6 +232,10 @@
         is_broken = self._consume_fault(received, "break_stream")
         last = first + self.faults.break_after if is_broken else None
         writer.start(200, [*headers, ("Content-Type", "text/event-stream")], None)
+        if self.crashing_parts.intersection(received.list_shared_parts()):
+            await asyncio.sleep(self.crash_seconds)
+            self.end()
+            return
         for number in range(first, self.events + 1):
             if number == last:
                 writer.write(b"id: %d\ndata: ha" % number)
