Refuse prompts with a part on which engines end

Cause: an attempt was judged alone. A broken answer lowered the health of its engine, the request was repeated elsewhere, and nobody added up which prompts were at the engines that ended.

Each host now finds out whether an engine ended (its address refuses connections, or another start of it has taken its place) and tells the others which prompts broke with it. A part is blocked once three engines have ended while an answer on it had begun, none was answered in between, and a part that isn't the cause would hardly be in all of them; blocked prompts get 503 at once, with the seconds until the block's trial. A prompt whose answer had begun when its engine ended isn't repeated by the host.

Ruled out: counting parts alone, as parts that all prompts share are in every broken stream; evidence of one other host alone.

--- a/turmericproxy/core/results.py
+++ b/turmericproxy/core/results.py
@@ -35,6 +35,7 @@
     OVERLOADED = 302
     DEADLINE_UNREACHABLE = 303
     DRAINING = 304
+    PROMPT_BLOCKED = 305
 
     NO_UPSTREAM = 400
     UPSTREAM_FAILED = 401
@@ -77,6 +78,7 @@
     ResultCode.OVERLOADED: 503,
     ResultCode.DEADLINE_UNREACHABLE: 503,
     ResultCode.DRAINING: 503,
+    ResultCode.PROMPT_BLOCKED: 503,
     ResultCode.NO_UPSTREAM: 503,
     ResultCode.UPSTREAM_FAILED: 502,
     ResultCode.UPSTREAM_TIMEOUT: 504,
--- /dev/null
+++ b/turmericproxy/crashes/answered.py
@@ -0,0 +1,53 @@
+"""Remember the prompts that were answered recently, to tell common parts from rare ones."""
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from turmericproxy.crashes.evidence import ModelPart
+
+# Answers from which the share of a part is estimated: some seconds of a busy host.
+MAX_ANSWERS = 512
+
+
+class _Answer(NamedTuple):
+    at: float
+    parts: tuple[ModelPart, ...]
+
+
+class AnsweredPrompts:
+    """Hold the newest answered prompts of one model; times are of the event loop.
+
+    >>> prompts = AnsweredPrompts()
+    >>> part = ModelPart("m", "a")
+    >>> prompts.add([part], 1.0)
+    >>> prompts.estimate_share(part)
+    0.75
+    >>> prompts.count_since(0.5), prompts.count_since(1.5)
+    (1, 0)
+    """
+
+    def __init__(self) -> None:
+        self._answers: deque[_Answer] = deque()
+        self._counts: Counter[ModelPart] = Counter()
+
+    def add(self, parts: Iterable[ModelPart], now: float) -> None:
+        """Record an answer."""
+        answer = _Answer(now, tuple(set(parts)))
+        self._answers.append(answer)
+        self._counts.update(answer.parts)
+        if len(self._answers) > MAX_ANSWERS:
+            self._counts -= Counter(self._answers.popleft().parts)
+
+    def estimate_share(self, part: ModelPart) -> float:
+        """Return the expected share of prompts that hold a part, above 0 and below 1."""
+        return (self._counts[part] + 0.5) / (len(self._answers) + 1)
+
+    def count_since(self, start: float) -> int:
+        """Return the number of answers after a time, among those remembered."""
+        count = 0
+        for answer in reversed(self._answers):
+            if answer.at <= start:
+                break
+            count += 1
+        return count
--- /dev/null
+++ b/turmericproxy/crashes/controller.py
@@ -0,0 +1,508 @@
+"""Add up what ended engines, over all hosts, and decide which prompts to refuse."""
+
+import asyncio
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from turmericproxy.core import HostName, ModelName, RequestId
+from turmericproxy.core.hashing import choose_by_hash
+from turmericproxy.crashes.answered import AnsweredPrompts
+from turmericproxy.crashes.blocks import Block, BlockKey, BlockList, compute_block_seconds
+from turmericproxy.crashes.detection import EndDetector, EngineStatus, wait_and_probe
+from turmericproxy.crashes.evidence import (
+    MAX_NOTICES,
+    MAX_PARTS_PER_MESSAGE,
+    MAX_PARTS_PER_PROMPT,
+    MAX_PROMPTS_PER_REPORT,
+    MAX_REPORTS,
+    BlockNotice,
+    BrokenPrompt,
+    EndReport,
+    EngineStart,
+    ModelPart,
+)
+from turmericproxy.crashes.judgement import Suspicion, assess_part, find_common_parts
+from turmericproxy.crashes.ledger import EndLedger, EngineEnd
+from turmericproxy.logs import Part, log_event
+from turmericproxy.metrics import Metrics
+from turmericproxy.placement.registry import UpstreamRegistry
+
+# Delays before the connections by which the end of an engine is noticed: its streams may end some
+# time before its address refuses connections.
+OWN_PROBE_DELAYS = (0.0, 0.1, 0.4)
+# Delays before an engine is probed that only one other host reports as ended.
+REPORTED_PROBE_DELAYS = (0.15,)
+# Probes of reported ends that run at the same time.
+MAX_REPORTED_PROBES = 8
+# Time for which broken prompts are kept while it isn't known whether their engine ended.
+PENDING_SECONDS = 5.0
+MAX_PENDING_ENGINES = 256
+MAX_PENDING_PROMPTS = 2 * MAX_PROMPTS_PER_REPORT
+# Parts that wait for their assessment.
+MAX_DIRTY_PARTS = 4096
+# Time for which reports are sent again with the full state, since a lost hub may have kept them.
+REPEATED_SECONDS = 10.0
+# Hosts that must tell of a block which this host has no evidence for.
+MIN_VOTERS = 2
+MAX_VOTED_BLOCKS = 256
+# Ends that this host must know of itself to believe one other host's block.
+MIN_KNOWN_ENDS = 2
+
+
+class CrashState(NamedTuple):
+    """Hold what one host tells others about ends of engines, answered parts and blocks."""
+
+    reports: tuple[EndReport, ...] = ()
+    answered: tuple[ModelPart, ...] = ()
+    blocks: tuple[BlockNotice, ...] = ()
+
+
+@dataclass
+class _PendingEnd:
+    """Hold broken prompts of an engine; times are of the event loop."""
+
+    since: float
+    prompts: list[tuple[BrokenPrompt, float]] = field(default_factory=list)
+    prompt_count: int = 0
+    is_confirmed: bool = False
+    probe: asyncio.Task[EngineStatus] | None = None
+
+
+class CrashController:
+    """Keep the evidence and the blocks of one host; ``list_reachable`` returns its peers."""
+
+    def __init__(
+        self,
+        host: HostName,
+        registry: UpstreamRegistry,
+        list_reachable: Callable[[], list[HostName]],
+        read_clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._host = host
+        self._detector = EndDetector(registry)
+        self._list_reachable = list_reachable
+        self._read_clock = read_clock
+        self._metrics = metrics
+        self._ledger = EndLedger()
+        self._answered: defaultdict[ModelName, AnsweredPrompts] = defaultdict(AnsweredPrompts)
+        self._pending: OrderedDict[EngineStart, _PendingEnd] = OrderedDict()
+        self._own_reports: list[tuple[float, EndReport]] = []
+        self._unsent_reports: list[EndReport] = []
+        self._unsent_answered: set[ModelPart] = set()
+        self._unsent_notices: list[BlockNotice] = []
+        self._dirty: dict[ModelPart, None] = {}
+        self._votes: OrderedDict[BlockKey, dict[HostName, BlockNotice]] = OrderedDict()
+        self._part_votes: dict[ModelPart, set[HostName]] = {}
+        self._running: dict[object, tuple[ModelName, frozenset[str], Callable[[], None]]] = {}
+        self._tasks: set[asyncio.Task[EngineStatus]] = set()
+        self._reported_probes = 0
+        self.blocks = BlockList()
+        self.on_change: Callable[[], None] = lambda: None
+
+    # Requests
+
+    def find_block(self, request_id: RequestId, model: ModelName, parts: list[str]) -> Block | None:
+        """Return the block under which a prompt is refused, if any.
+
+        Once the time of a block is over, one host lets one request through as a trial.
+        """
+        block = self.blocks.find(model, parts)
+        if block is None:
+            return None
+        now = self._read_clock()
+        if now >= block.until and self._is_elected(block) and block.start_trial(request_id, now):
+            log_event(Part.ROUTING, "blocked part tried", block=block.name, request_id=request_id)
+            return None
+        return block
+
+    def estimate_block_seconds(self, block: Block) -> float:
+        """Return for how long a block will last."""
+        seconds = block.until - self._read_clock()
+        return seconds if seconds > 0 else compute_block_seconds(block.failed_trials)
+
+    @contextmanager
+    def watch(
+        self, model: ModelName, parts: list[str], abandon: Callable[[], None]
+    ) -> Iterator[None]:
+        """Call ``abandon`` if the prompt's parts become blocked meanwhile."""
+        token = object()
+        self._running[token] = (model, frozenset(parts), abandon)
+        try:
+            yield
+        finally:
+            del self._running[token]
+
+    def record_answer(
+        self, engine: EngineStart, model: ModelName, parts: Iterable[str], sent_at: float
+    ) -> None:
+        """Record that an answer came through, which shows that its parts end no engine."""
+        now = self._read_clock()
+        held = [ModelPart(model, part) for part in parts]
+        self._answered[model].add(held, now)
+        end = self._ledger.find(engine)
+        if end and sent_at > end.at:
+            # Its connections were refused or reset, but the engine goes on.
+            self._ledger.remove(engine)
+            log_event(Part.ROUTING, "engine has not ended", engine=engine.instance)
+        if blamed := self._ledger.clear(held, now):
+            self._unsent_answered |= blamed
+        if len(self.blocks):
+            self._narrow_blocks(model, frozenset(part.part_id for part in held), sent_at)
+
+    def record_broken(self, engine: EngineStart, prompt: BrokenPrompt) -> None:
+        """Record a prompt whose answer broke off, and find out whether its engine ended."""
+        if not self._detector.is_eligible(engine):
+            return
+        now = self._read_clock()
+        pending = self._pending.get(engine)
+        if pending is None:
+            pending = self._pending[engine] = _PendingEnd(now)
+            if len(self._pending) > MAX_PENDING_ENGINES:
+                self._pending.popitem(last=False)
+        pending.prompt_count += 1
+        limited = prompt._replace(parts=prompt.parts[:MAX_PARTS_PER_PROMPT])
+        limit = MAX_PENDING_PROMPTS if prompt.has_begun else MAX_PROMPTS_PER_REPORT
+        if len(pending.prompts) < limit:
+            pending.prompts.append((limited, now))
+        if pending.is_confirmed:
+            self._report(engine, pending)
+        elif pending.probe is None:
+            pending.probe = self._start_probe(engine, OWN_PROBE_DELAYS)
+
+    async def await_end(self, engine: EngineStart) -> bool:
+        """Return whether an engine on which a prompt broke has ended, as far as is known soon."""
+        pending = self._pending.get(engine)
+        if pending is None:
+            return False
+        if not pending.is_confirmed:
+            status = await self._detector.probe(engine)
+            self._settle(engine, status)
+        return pending.is_confirmed
+
+    # Other hosts
+
+    def take_state(self) -> CrashState | None:
+        """Return what is new since the last call, or ``None``."""
+        self._review()
+        if not (self._unsent_reports or self._unsent_answered or self._unsent_notices):
+            return None
+        reports = self._unsent_reports[:MAX_REPORTS]
+        del self._unsent_reports[:MAX_REPORTS]
+        answered = tuple(self._unsent_answered)[:MAX_PARTS_PER_MESSAGE]
+        self._unsent_answered.clear()
+        notices = self._unsent_notices[:MAX_NOTICES]
+        del self._unsent_notices[:MAX_NOTICES]
+        now = self._read_clock()
+        return CrashState(self._age(reports, now), answered, tuple(notices))
+
+    def create_state(self, *, is_introduction: bool) -> CrashState:
+        """Return this host's own evidence and its blocks; for a new host, all that it keeps."""
+        now = self._read_clock()
+        reports = [
+            report
+            for at, report in self._own_reports
+            if is_introduction or now - at < REPEATED_SECONDS
+        ]
+        notices = tuple(self._create_notice(block) for block in self.blocks)
+        return CrashState(self._age(reports[-MAX_REPORTS:], now), (), notices)
+
+    def receive(self, host: HostName, state: CrashState) -> None:
+        """Add what another host tells."""
+        now = self._read_clock()
+        for report in state.reports:
+            self._receive_report(host, report, now)
+        if state.answered:
+            self._ledger.clear(state.answered, now)
+            self._count_answered(host, state.answered)
+        for notice in state.blocks:
+            self._receive_notice(host, notice)
+
+    def _receive_report(self, host: HostName, report: EndReport, now: float) -> None:
+        end = self._ledger.add(report, host, now)
+        self._mark_dirty(end)
+        if end.is_credible or self._reported_probes >= MAX_REPORTED_PROBES:
+            return
+        if self._detector.read_status(report.engine) is EngineStatus.UNCLEAR:
+            return
+        self._reported_probes += 1
+        self._start_probe(report.engine, REPORTED_PROBE_DELAYS).add_done_callback(
+            self._end_reported_probe
+        )
+
+    def _end_reported_probe(self, _: asyncio.Task[EngineStatus]) -> None:
+        self._reported_probes -= 1
+
+    def _receive_notice(self, host: HostName, notice: BlockNotice) -> None:
+        key = (notice.model, frozenset(notice.parts))
+        if not notice.parts:
+            return
+        now = self._read_clock()
+        block = self.blocks.get(key)
+        if notice.seconds <= 0:
+            self._votes.get(key, {}).pop(host, None)
+            if block and now >= block.until:
+                self.lift(block, "another host's trial was answered")
+            elif block:
+                self.on_change()
+            return
+        votes = self._votes.setdefault(key, {})
+        votes[host] = notice
+        if len(self._votes) > MAX_VOTED_BLOCKS:
+            self._votes.popitem(last=False)
+        if block:
+            if notice.failed_trials > block.failed_trials:
+                block.failed_trials = notice.failed_trials
+                block.until = max(block.until, now + notice.seconds)
+            block.is_stored |= notice.is_stored
+            return
+        if len(votes) >= MIN_VOTERS or self._has_evidence(key, host):
+            self._adopt(key, max(votes.values(), key=lambda n: n.seconds), sorted(votes))
+
+    def _has_evidence(self, key: BlockKey, voter: HostName) -> bool:
+        """Return whether more than the word of one host speaks for its block."""
+        model, parts = key
+        for part in parts:
+            suspicion = self._assess(ModelPart(model, part))
+            if suspicion is None or suspicion.begun_ends < MIN_KNOWN_ENDS:
+                return False
+            if not suspicion.reporters - {voter}:
+                return False
+        return True
+
+    def _adopt(self, key: BlockKey, notice: BlockNotice, voters: list[HostName]) -> None:
+        seconds = min(notice.seconds, compute_block_seconds(notice.failed_trials))
+        block = Block(*key, self._read_clock() + seconds, notice.failed_trials, notice.is_stored)
+        self._add_block(block, source="hosts", voters=voters)
+
+    def restore(self, block: Block) -> None:
+        """Add a block that was read from the store."""
+        if self.blocks.find(block.model, block.parts) is None:
+            self._add_block(block, source="store")
+
+    # Evidence
+
+    def _start_probe(
+        self, engine: EngineStart, delays: tuple[float, ...]
+    ) -> asyncio.Task[EngineStatus]:
+        task = asyncio.get_running_loop().create_task(
+            wait_and_probe(self._detector, engine, delays)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(lambda done: self._finish_probe(engine, done))
+        return task
+
+    def _finish_probe(self, engine: EngineStart, task: asyncio.Task[EngineStatus]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        if error := task.exception():
+            log_event(Part.ROUTING, "engine not probed", engine=engine.instance, reason=repr(error))
+            return
+        self._settle(engine, task.result())
+
+    def _settle(self, engine: EngineStart, status: EngineStatus) -> None:
+        """Record that an engine has ended, if that is its status."""
+        if status is not EngineStatus.ENDED:
+            return
+        end = self._ledger.find(engine)
+        if end and not end.is_observed:
+            end.is_observed = True
+            self._mark_dirty(end)
+        pending = self._pending.get(engine)
+        if pending and not pending.is_confirmed:
+            pending.is_confirmed = True
+            self._report(engine, pending)
+
+    def _report(self, engine: EngineStart, pending: _PendingEnd) -> None:
+        """Add the broken prompts of an ended engine to the evidence, and tell the other hosts."""
+        now = self._read_clock()
+        aged = [p._replace(seconds=p.seconds + now - at) for p, at in pending.prompts]
+        prompts = tuple(sorted(aged, key=lambda prompt: not prompt.has_begun))
+        report = EndReport(engine, prompts[:MAX_PROMPTS_PER_REPORT], pending.prompt_count)
+        is_first = self._ledger.find(engine) is None
+        end = self._ledger.add(report, self._host, pending.since)
+        end.is_observed = True
+        pending.prompts, pending.prompt_count = [], 0
+        self._own_reports.append((now, report))
+        del self._own_reports[:-MAX_REPORTS]
+        self._unsent_reports.append(report)
+        self._mark_dirty(end)
+        begun = [prompt.request_id for prompt in prompts if prompt.has_begun]
+        if is_first:
+            self._metrics.count("ended_engines")
+        for block in self.blocks:
+            if block.trial in begun:
+                self._fail_trial(block)
+        if is_first or begun:
+            log_event(
+                Part.ROUTING,
+                "engine ended",
+                engine=engine.instance,
+                started_at=engine.started_at,
+                broken=report.prompt_count,
+                begun_requests=begun,
+            )
+
+    def _age(self, reports: list[EndReport], now: float) -> tuple[EndReport, ...]:
+        """Return reports with the time that has passed since they were written."""
+        ages = {id(report): now - at for at, report in self._own_reports}
+        return tuple(
+            report._replace(
+                prompts=tuple(
+                    p._replace(seconds=p.seconds + ages.get(id(report), 0.0))
+                    for p in report.prompts
+                )
+            )
+            for report in reports
+        )
+
+    def _mark_dirty(self, end: EngineEnd) -> None:
+        if not end.is_credible:
+            return
+        for part in end.begun_parts if end.begun else end.other_parts:
+            if len(self._dirty) < MAX_DIRTY_PARTS:
+                self._dirty[part] = None
+
+    def _review(self) -> None:
+        """Assess the parts with new evidence, and see which engines were replaced meanwhile."""
+        now = self._read_clock()
+        for engine, pending in list(self._pending.items()):
+            if now - pending.since > PENDING_SECONDS:
+                del self._pending[engine]
+            elif not pending.is_confirmed:
+                self._settle(engine, self._detector.read_status(engine))
+        dirty, self._dirty = self._dirty, {}
+        suspicions = {part: s for part in dirty if (s := self._assess(part))}
+        # The strongest first: what it explains no longer speaks against the others.
+        for part in sorted(suspicions, key=lambda p: suspicions[p].chance):
+            suspicion = self._assess(part)
+            if suspicion is None or self._is_covered(part):
+                continue
+            if suspicion.is_sufficient and self._is_confirmed(suspicion):
+                self._block(part, suspicion)
+            elif suspicion.begun_ends > 1:
+                # Answers on other parts may still add to the evidence.
+                self._dirty[part] = None
+
+    def _is_covered(self, part: ModelPart) -> bool:
+        block = self.blocks.find(part.model, (part.part_id,))
+        return block is not None
+
+    def _is_confirmed(self, suspicion: Suspicion) -> bool:
+        return self._host in suspicion.reporters or len(suspicion.reporters) >= MIN_VOTERS
+
+    def _assess(self, part: ModelPart) -> Suspicion | None:
+        ends = [end for end in self._ledger.list_blamed(part) if not self._is_explained(part, end)]
+        answered = self._answered[part.model]
+        return assess_part(part, ends, answered.estimate_share(part), answered.count_since)
+
+    def _is_explained(self, part: ModelPart, end: EngineEnd) -> bool:
+        """Return whether a prompt that is refused by now was under way when an engine ended."""
+        return any(
+            part.part_id not in block.parts
+            and any(block.matches(b.prompt.model, b.prompt.parts) for b in end.begun.values())
+            for block in self.blocks
+        )
+
+    # Blocks
+
+    def _block(self, part: ModelPart, suspicion: Suspicion) -> None:
+        now = self._read_clock()
+        since = suspicion.ends[0].at
+        parts = frozenset(
+            other
+            for other in find_common_parts(suspicion)
+            if other == part.part_id
+            or not self._ledger.is_cleared_since(ModelPart(part.model, other), since)
+        )
+        block = Block(
+            part.model, parts, now + compute_block_seconds(0), blamed_until=suspicion.ends[-1].at
+        )
+        self._add_block(
+            block,
+            source="evidence",
+            engines=[end.engine.instance for end in suspicion.ends],
+            requests=[blamed.prompt.request_id for blamed in suspicion.prompts],
+            hosts=sorted(suspicion.reporters),
+            chance=suspicion.chance,
+        )
+
+    def _add_block(self, block: Block, *, source: str, **fields: Any) -> None:
+        self.blocks.add(block)
+        self._unsent_notices.append(self._create_notice(block))
+        self._metrics.count("blocked_parts", source=source)
+        log_event(
+            Part.ROUTING,
+            "part blocked",
+            block=block.name,
+            seconds=round(block.until - self._read_clock(), 1),
+            source=source,
+            **fields,
+        )
+        for model, parts, abandon in list(self._running.values()):
+            if block.matches(model, parts):
+                abandon()
+        self.on_change()
+
+    def lift(self, block: Block, reason: str) -> None:
+        """Send prompts with the parts of a block again."""
+        if self.blocks.remove(block.key) is None:
+            return
+        self._votes.pop(block.key, None)
+        for part in block.parts:
+            self._ledger.clear([ModelPart(block.model, part)], self._read_clock())
+        self._unsent_notices.append(self._create_notice(block)._replace(seconds=0.0))
+        log_event(Part.ROUTING, "block lifted", block=block.name, reason=reason)
+        self.on_change()
+
+    def _narrow_blocks(self, model: ModelName, parts: frozenset[str], sent_at: float) -> None:
+        """Apply an answer to the blocks: none of its parts ends engines."""
+        for block in self.blocks:
+            if block.model != model or not block.parts & parts:
+                continue
+            if block.parts > parts & block.parts:
+                self._replace_block(block, block.parts - parts)
+            elif (block.trial and sent_at >= block.trial_at) or sent_at > block.blamed_until:
+                self.lift(block, "a prompt with its parts was answered")
+
+    def _count_answered(self, host: HostName, parts: Iterable[ModelPart]) -> None:
+        """Narrow blocks by parts that several other hosts saw answered."""
+        for part in parts:
+            for block in self.blocks:
+                if block.model != part.model or part.part_id not in block.parts:
+                    continue
+                voters = self._part_votes.setdefault(part, set())
+                voters.add(host)
+                if len(voters) >= MIN_VOTERS and len(block.parts) > 1:
+                    self._replace_block(block, block.parts - {part.part_id})
+
+    def _replace_block(self, block: Block, parts: frozenset[str]) -> None:
+        self.blocks.remove(block.key)
+        narrowed = Block(block.model, parts, block.until, block.failed_trials)
+        self._add_block(narrowed, source="narrowed", previous=block.name)
+
+    def _fail_trial(self, block: Block) -> None:
+        """Extend a block whose trial has ended an engine."""
+        block.extend(self._read_clock())
+        block.is_stored = False
+        self._unsent_notices.append(self._create_notice(block))
+        log_event(Part.ROUTING, "block extended", block=block.name, trials=block.failed_trials)
+        self.on_change()
+
+    def _create_notice(self, block: Block) -> BlockNotice:
+        seconds = max(0.001, block.until - self._read_clock())
+        return BlockNotice(
+            block.model, tuple(sorted(block.parts)), seconds, block.failed_trials, block.is_stored
+        )
+
+    def _is_elected(self, block: Block) -> bool:
+        return choose_by_hash(block.name, [self._host, *self._list_reachable()]) == self._host
+
+    def close(self) -> None:
+        """Cancel the probes under way."""
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/turmericproxy/crashes/judgement.py
@@ -0,0 +1,78 @@
+"""Judge from the ends of engines whether a prompt part causes them."""
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from turmericproxy.core import HostName
+from turmericproxy.crashes.evidence import ModelPart
+from turmericproxy.crashes.ledger import BlamedPrompt, EngineEnd
+
+# Ends of which a part must have been in a prompt whose answer had just begun.
+MIN_BEGUN_ENDS = 3
+# Ends that are needed if it isn't known which answers had begun.
+MIN_ENDS = 5
+# Chance at which a part would be in as many of these prompts without being the cause. Some hundred
+# parts are judged in a series of ends.
+MAX_CHANCE = 1e-4
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Hold what speaks against a part.
+
+    ``chance`` is the probability that a part which isn't the cause is in these prompts.
+    ``reporters`` are the hosts that sent them.
+    """
+
+    ends: tuple[EngineEnd, ...]
+    prompts: tuple[BlamedPrompt, ...]
+    begun_ends: int
+    chance: float
+    reporters: frozenset[HostName]
+
+    @property
+    def is_sufficient(self) -> bool:
+        """Return whether the part is to be held for the cause."""
+        has_ends = self.begun_ends >= MIN_BEGUN_ENDS or len(self.ends) >= MIN_ENDS
+        return has_ends and self.chance <= MAX_CHANCE and self._is_repeated
+
+    @property
+    def _is_repeated(self) -> bool:
+        # Engines that end in the same moment for one other reason say little about the prompts.
+        return any(blamed.sent_at > self.ends[0].at for blamed in self.prompts)
+
+
+def assess_part(
+    part: ModelPart, ends: Sequence[EngineEnd], share: float, count_answers: Callable[[float], int]
+) -> Suspicion | None:
+    """Return what ends, in order of time, say against a part, or ``None`` if there are none.
+
+    ``share`` is the share of answered prompts with the part, and ``count_answers`` returns the
+    answers on prompts without it after a time. A part that all prompts share is in each broken
+    prompt, so that its ends say nothing; one that no answered prompt holds can hardly be in
+    several by chance.
+    """
+    if not ends:
+        return None
+    logarithm, begun_ends = 0.0, 0
+    prompts: list[BlamedPrompt] = []
+    for end in ends:
+        count = len(end.begun) if end.begun else max(len(end.others), end.prompt_count)
+        logarithm += math.log1p(-((1.0 - share) ** max(1, count)))
+        begun_ends += bool(end.begun)
+        prompts += [blamed for blamed in end.suspects.values() if blamed.holds(part)]
+    if begun_ends >= MIN_BEGUN_ENDS:
+        logarithm += count_answers(ends[0].at) * math.log1p(-share)
+    return Suspicion(
+        tuple(ends),
+        tuple(prompts),
+        begun_ends,
+        math.exp(logarithm),
+        frozenset().union(*(blamed.reporters for blamed in prompts)),
+    )
+
+
+def find_common_parts(suspicion: Suspicion) -> frozenset[str]:
+    """Return the parts that all suspected prompts share."""
+    return frozenset.intersection(*(frozenset(b.prompt.parts) for b in suspicion.prompts))
--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -10,6 +10,14 @@
 
 from turmericproxy.core import AccountName, HostName, ModelName
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.evidence import (
+    BlockNotice,
+    EndReport,
+    ModelPart,
+    decode_notices,
+    decode_parts,
+    decode_reports,
+)
 from turmericproxy.placement.registry import Work
 
 _NO_WORK: Mapping[InstanceId, Work] = MappingProxyType({})
@@ -42,6 +50,8 @@
     and replaces what it reported before. ``alive`` are the hosts whose heartbeats a hub has
     received since its last batch. ``evicted`` holds engines and shared parts that they no longer
     hold, each with its cache space; ``kept_epoch`` changes when the kept store has restarted empty.
+    ``ended`` are the engines whose end the sender has seen, ``answered_parts`` the parts that were
+    suspicious after an end and have been answered, and ``blocks`` the parts that it refuses.
     """
 
     work: Mapping[InstanceId, Work] = _NO_WORK
@@ -59,6 +69,9 @@
     alive: tuple[HostName, ...] = ()
     evicted: tuple[tuple[InstanceId, str, str], ...] = ()
     kept_epoch: int | None = None
+    ended: tuple[EndReport, ...] = ()
+    answered_parts: tuple[ModelPart, ...] = ()
+    blocks: tuple[BlockNotice, ...] = ()
 
 
 # Tells only that the sender is running.
@@ -86,6 +99,9 @@
         alive=first.alive + second.alive,
         evicted=first.evicted + second.evicted,
         kept_epoch=first.kept_epoch if second.kept_epoch is None else second.kept_epoch,
+        ended=first.ended + second.ended,
+        answered_parts=first.answered_parts + second.answered_parts,
+        blocks=first.blocks + second.blocks,
     )
 
 
@@ -153,6 +169,9 @@
     ("alive", lambda v: tuple(HostName(str(host)) for host in v)),
     ("evicted", lambda v: tuple((InstanceId(i), str(space), str(part)) for i, space, part in v)),
     ("kept_epoch", int),
+    ("ended", decode_reports),
+    ("answered_parts", decode_parts),
+    ("blocks", decode_notices),
 )
 # Fields in which false and 0 differ from no value.
 _OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch"})
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -1,9 +1,11 @@
 """Collect local state changes for peers and apply the batches received from them."""
 
 import asyncio
+from typing import Any
 
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.controller import CrashController, CrashState
 from turmericproxy.fleet.batches import Batch, PlacedPrompt
 from turmericproxy.fleet.messages import Hello
 from turmericproxy.fleet.quotas import QuotaController
@@ -27,12 +29,14 @@
         quotas: QuotaController,
         cache_pollers: CachePollerManager,
         wanted: WantedVersions,
+        crashes: CrashController,
     ) -> None:
         self._registry = registry
         self._dispatcher = dispatcher
         self._quotas = quotas
         self._cache_pollers = cache_pollers
         self._wanted = wanted
+        self._crashes = crashes
         self._sent_reachability: bool | None = None
         self._sent_kept_epoch: int | None = None
         self._loading: list[tuple[InstanceId, float]] = []
@@ -59,12 +63,14 @@
             is_kept_store_reachable=self._cache_pollers.get_own_reachability(),
             leaving=self._registry.list_leaving(),
             kept_epoch=self._cache_pollers.get_kept_epoch(),
+            **_list_crash_fields(self._crashes.create_state(is_introduction=True)),
         )
 
     def create_state(self) -> Batch:
         """Return all of this host's work and quota spending."""
         work, spent = self._registry.list_own_work(), self._quotas.list_spent()
-        return Batch(work=work, spent=spent, is_full_state=True)
+        crashes = _list_crash_fields(self._crashes.create_state(is_introduction=False))
+        return Batch(work=work, spent=spent, is_full_state=True, **crashes)
 
     def create_update(self) -> Batch | None:
         """Return the changes since the last call, or ``None`` if there are none."""
@@ -75,12 +81,13 @@
         superseded, self._superseded = self._superseded, []
         leaving, evicted = self._registry.take_leaving(), self._cache_pollers.take_evicted()
         kept_epoch = self._cache_pollers.get_kept_epoch()
+        crashes = self._crashes.take_state()
         is_reachable = self._cache_pollers.get_own_reachability()
         has_changed = is_reachable is not self._sent_reachability
         is_restarted = kept_epoch != self._sent_kept_epoch
         self._sent_reachability, self._sent_kept_epoch = is_reachable, kept_epoch
         announced = (changing, versions, superseded, leaving, evicted, has_changed, is_restarted)
-        if not any((work, spent, placed, kept, *announced)):
+        if not any((work, spent, placed, kept, crashes, *announced)):
             return None
         return Batch(
             work=work,
@@ -102,12 +109,16 @@
             leaving=leaving,
             evicted=tuple((instance, key.space, key.part_id) for instance, key in evicted),
             kept_epoch=kept_epoch if is_restarted else None,
+            **_list_crash_fields(crashes or CrashState()),
         )
 
     def receive(self, hello: Hello, batch: Batch) -> None:
         """Apply a batch from a peer."""
         now = asyncio.get_running_loop().time()
         self._apply_upstream_changes(batch, now)
+        self._crashes.receive(
+            hello.host, CrashState(batch.ended, batch.answered_parts, batch.blocks)
+        )
         if batch.is_full_state:
             self._registry.forget_peer(hello.host)
         self._registry.set_peer_work(hello.host, batch.work)
@@ -155,3 +166,7 @@
         """Discard the state received from a lost peer."""
         self._registry.forget_peer(host)
         self._quotas.forget_peer(host)
+
+
+def _list_crash_fields(state: CrashState) -> dict[str, Any]:
+    return {"ended": state.reports, "answered_parts": state.answered, "blocks": state.blocks}
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -6,6 +6,7 @@
 from turmericproxy.core import HostName, Incarnation, create_id, read_boottime
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import ServiceName
+from turmericproxy.crashes.controller import CrashController
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
 from turmericproxy.host.adapter import SiteAdapter
@@ -72,6 +73,9 @@
             tolerance=settings.quota_tolerance,
         )
         self._domains = DomainMonitor(settings.domain, self._measure_contact_age, loop.time)
+        self._crashes = CrashController(
+            settings.host, self._registry, self._list_reachable, loop.time, self._metrics
+        )
         self._dispatcher = Dispatcher(
             self._registry,
             self._wanted,
@@ -79,6 +83,7 @@
             settings.domain,
             settings.version_seconds,
             loop.time,
+            self._crashes,
         )
         self._cache_pollers = CachePollerManager(
             adapter.create_cache_events,
@@ -90,7 +95,12 @@
         )
         self._dispatcher.set_kept_store_check(self._cache_pollers.is_kept_store_reachable)
         self._updates = FleetUpdates(
-            self._registry, self._dispatcher, self._quotas, self._cache_pollers, self._wanted
+            self._registry,
+            self._dispatcher,
+            self._quotas,
+            self._cache_pollers,
+            self._wanted,
+            self._crashes,
         )
         self._links = FleetLinks(
             own,
@@ -134,6 +144,7 @@
             self._version_resolver,
             self._get_budget,
             self._metrics,
+            self._crashes,
         )
         self._router = Router(
             dependencies,
@@ -195,6 +206,7 @@
         await self._rollout.close()
         await self._version_resolver.close()
         self._cache_pollers.close()
+        self._crashes.close()
         await self._directory.close()
         await self._follower.close()
         self._callers.close()
@@ -230,6 +242,9 @@
     def _list_local_peers(self) -> list[HostName]:
         return self._links.peers.list_local_peers()
 
+    def _list_reachable(self) -> list[HostName]:
+        return self._links.peers.list_reachable()
+
     def _measure_contact_age(self, domain: str) -> float | None:
         return self._links.peers.measure_contact_age(domain)
 
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -47,6 +47,7 @@
     NO_TIME_LEFT = "no_time_left"
     NO_BUDGET = "no_budget"
     NO_UPSTREAM = "no_upstream"
+    UPSTREAM_ENDED = "upstream_ended"
     SLOW_CLIENT = "slow_client"
 
 
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from turmericproxy.core import Refusal, ResultCode, refuse
+from turmericproxy.core import Refusal, RequestId, ResultCode, refuse
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.controller import CrashController
+from turmericproxy.crashes.evidence import BrokenPrompt, EngineStart
 from turmericproxy.edge.upstream import TIMED_OUT
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
@@ -24,7 +26,7 @@
     select_engine,
 )
 from turmericproxy.rollout.wanted import WantedVersions
-from turmericproxy.traffic.attempts import Attempt, Outcome
+from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.site import EngineTraits
@@ -33,6 +35,8 @@
 # don't all retry at the same time.
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 0.8
+# Time from the head of an answer after which its events show that the prompt ends no engine.
+SOUND_ANSWER_SECONDS = 0.5
 # Requests are no longer sent to superseded weights after this share of the allowed time; the rest
 # covers queueing and transport.
 OLD_WEIGHTS_AGE_SHARE = 0.75
@@ -43,7 +47,8 @@
     """Upstream chosen for an attempt, with the expected time and work there.
 
     ``expected_seconds`` is the time to the first token, or of the whole call for a plain request.
-    ``queued_tokens`` are the prompt tokens that the engine had not prefilled at the time.
+    ``queued_tokens`` are the prompt tokens that the engine had not prefilled at the time, and
+    ``started_at`` is its start time in Unix milliseconds.
     """
 
     instance: InstanceId
@@ -54,6 +59,13 @@
     prompt: Prompt | None = None
     keys: tuple[PartKey, ...] = ()
     queued_tokens: float = 0.0
+    started_at: int = 0
+    request_id: RequestId = RequestId("")
+
+    @property
+    def engine(self) -> EngineStart:
+        """Return the start of the engine that was chosen."""
+        return EngineStart(self.instance, self.started_at)
 
 
 # Instance, keys of the shared parts, prompt, and expected seconds until its parts can be fetched.
@@ -71,8 +83,10 @@
         domain: str,
         version_seconds: float,
         read_clock: Callable[[], float],
+        crashes: CrashController,
     ) -> None:
         self._registry = registry
+        self._crashes = crashes
         self._wanted = wanted
         self._domain = domain
         self._domains = domains
@@ -91,6 +105,8 @@
         resume_after: str | None = None,
     ) -> Placement | Refusal:
         """Choose the upstream of the next attempt; return a refusal if none is suitable."""
+        if refusal := self._refuse_blocked(request):
+            return refusal
         ready = self._registry.list_ready(request.service.name)
         now = self._read_clock()
         states = [state for state in ready if not state.health.must_be_silent(now)]
@@ -114,6 +130,21 @@
             )
         return placed
 
+    def _refuse_blocked(self, request: RoutedRequest) -> Refusal | None:
+        """Refuse a prompt with parts on which engines end."""
+        prompt = request.parsed.prompt
+        if prompt is None or request.service.engine is None:
+            return None
+        parts = [part.part_id for part in prompt.shared_parts]
+        block = self._crashes.find_block(request.parsed.request_id, prompt.model, parts)
+        if block is None:
+            return None
+        return refuse(
+            ResultCode.PROMPT_BLOCKED,
+            f"engines have ended on prompts with {block.name}",
+            retry_after=round(self._crashes.estimate_block_seconds(block), 1),
+        )
+
     def place_replacement(
         self, request: RoutedRequest, excluded: frozenset[InstanceId], resume_after: str | None
     ) -> Placement | None:
@@ -190,16 +221,19 @@
         attempt: Attempt | None,
         seconds: float,
         *,
-        had_event: bool,
+        phase: AnswerPhase,
+        head_seconds: float | None,
         is_suspected: bool,
     ) -> None:
         """Remove the work of an ended attempt and record its outcome.
 
-        ``attempt`` is ``None`` if the client disconnected. ``is_suspected`` tells whether the
-        silence at its end has been recorded.
+        ``attempt`` is ``None`` if the client disconnected. The head of the answer came
+        ``head_seconds`` before the end. ``is_suspected`` tells whether the silence at the end has
+        been recorded.
         """
         work = placement.work
-        prefill_change = 0 if had_event else -work.pending_prefill_tokens
+        self._record_crash_evidence(placement, attempt, seconds, phase, head_seconds)
+        prefill_change = 0 if phase is AnswerPhase.STREAMING else -work.pending_prefill_tokens
         self._registry.add_work(placement.instance, Work(-1, prefill_change, -work.reserved_tokens))
         if attempt is None:
             return
@@ -213,6 +247,33 @@
         )
         self._record_version(placement, attempt)
 
+    def _record_crash_evidence(
+        self,
+        placement: Placement,
+        attempt: Attempt | None,
+        seconds: float,
+        phase: AnswerPhase,
+        head_seconds: float | None,
+    ) -> None:
+        """Record whether the prompt was answered, or broke off and may have ended its engine."""
+        prompt = placement.prompt
+        if prompt is None:
+            return
+        parts = tuple(part.part_id for part in prompt.shared_parts)
+        is_answered = (
+            attempt is not None and attempt.outcome is Outcome.ANSWERED and not attempt.is_failure
+        )
+        has_lasted = head_seconds is not None and head_seconds >= SOUND_ANSWER_SECONDS
+        if is_answered or (phase is AnswerPhase.STREAMING and has_lasted):
+            sent_at = self._read_clock() - seconds
+            self._crashes.record_answer(placement.engine, prompt.model, parts, sent_at)
+        elif attempt is not None and attempt.outcome is Outcome.BROKEN:
+            has_begun = phase is AnswerPhase.BEGUN
+            if attempt.answer is None or phase is not AnswerPhase.WAITING:
+                request_id = placement.request_id
+                broken = BrokenPrompt(request_id, prompt.model, parts, has_begun, seconds)
+                self._crashes.record_broken(placement.engine, broken)
+
     def take_placements(self) -> tuple[list[PromptPlacement], list[PartKey]]:
         """Return and clear the prompts placed and the parts saved since the last call."""
         placed, self._placements = self._placements, []
@@ -316,8 +377,14 @@
             prompt=prompt,
             keys=keys if view.version else (),
             queued_tokens=view.pending_prefill_tokens,
+            started_at=self._find_start(view.instance),
+            request_id=request.parsed.request_id,
         )
 
+    def _find_start(self, instance: InstanceId) -> int:
+        state = self._registry.find(instance)
+        return state.entry.started_at if state else 0
+
     def _create_context(
         self, request: RoutedRequest, traits: EngineTraits, prompt: Prompt
     ) -> SelectionContext:
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
 
 from turmericproxy.core import Refusal, ResultCode, RunState, refuse
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.crashes.controller import CrashController
 from turmericproxy.edge import UpstreamCall
 from turmericproxy.edge.upstream import EndKind
 from turmericproxy.logs import Part, log_decision, log_event
@@ -48,6 +50,7 @@
     version_resolver: VersionResolver
     get_budget: Callable[[ServiceName], RetryBudget]
     metrics: Metrics
+    crashes: CrashController
 
 
 @dataclass(frozen=True)
@@ -99,6 +102,8 @@
             obstacle = None
             if self._replacement is None:
                 obstacle = self._find_obstacle(attempt, request.attempt_counts)
+                if obstacle is None and await self._has_ended_engine(placement, attempt):
+                    obstacle = Obstacle.UPSTREAM_ENDED
                 needs_no_budget = attempt.outcome is Outcome.NOT_SENT
                 if obstacle is None and not needs_no_budget and not budget.take():
                     obstacle = Obstacle.NO_BUDGET
@@ -108,6 +113,12 @@
             if action is not NextAction.RETRY:
                 return self._finish(attempt, action)
 
+    async def _has_ended_engine(self, placement: Placement, attempt: Attempt) -> bool:
+        """Return whether the engine ended when it began this answer, as the next one might."""
+        if attempt.outcome is not Outcome.BROKEN or self._phase is not AnswerPhase.BEGUN:
+            return False
+        return await self._dependencies.crashes.await_end(placement.engine)
+
     def _place(self) -> Placement | Refusal:
         """Choose the next upstream; one that was only silent is the last choice."""
         dispatcher, request = self._dependencies.dispatcher, self._request
@@ -150,7 +161,8 @@
                 placement,
                 attempt,
                 seconds,
-                had_event=self._event_parts > 0,
+                phase=self._phase,
+                head_seconds=self._measure_head_seconds(),
                 is_suspected=self._watch is not None and self._watch.is_suspected,
             )
         return attempt
@@ -166,7 +178,8 @@
         with opened as call:
             self._watch = self._start_watch(placement, call)
             try:
-                attempt = await self._receive(placement, call)
+                with self._watch_blocks(placement, call):
+                    attempt = await self._receive(placement, call)
             finally:
                 if self._watch:
                     self._watch.close()
@@ -176,6 +189,21 @@
             return Attempt(Outcome.TIMED_OUT, reason=call.reason)
         return attempt
 
+    def _watch_blocks(
+        self, placement: Placement, call: UpstreamCall
+    ) -> AbstractContextManager[None]:
+        """Give the call up before its answer begins if its prompt becomes blocked."""
+        prompt = placement.prompt
+        if prompt is None:
+            return nullcontext()
+
+        def abandon() -> None:
+            if self._head_at is None:
+                call.give_up("engines have ended on prompts with parts of this one")
+
+        parts = [part.part_id for part in prompt.shared_parts]
+        return self._dependencies.crashes.watch(prompt.model, parts, abandon)
+
     async def _receive(self, placement: Placement, call: UpstreamCall) -> Attempt:
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
         self._received_at = self._clock()
@@ -296,7 +324,12 @@
             if self._replacement is None:
                 seconds = self._clock() - sent_at
                 dispatcher.record_end(
-                    placement, attempt, seconds, had_event=False, is_suspected=False
+                    placement,
+                    attempt,
+                    seconds,
+                    phase=AnswerPhase.WAITING,
+                    head_seconds=None,
+                    is_suspected=False,
                 )
         if attempt is not None:
             self._count(attempt)
@@ -322,7 +355,12 @@
         if unused:
             unused.call.close()
             self._dependencies.dispatcher.record_end(
-                unused.placement, None, 0.0, had_event=False, is_suspected=False
+                unused.placement,
+                None,
+                0.0,
+                phase=AnswerPhase.WAITING,
+                head_seconds=None,
+                is_suspected=False,
             )
 
     def _may_run_again(self) -> bool:
@@ -394,6 +432,9 @@
             replacement=chosen.instance if isinstance(chosen, Placement) else None,
         )
 
+    def _measure_head_seconds(self) -> float | None:
+        return None if self._head_at is None else self._clock() - self._head_at
+
     def _log_attempt(
         self,
         placement: Placement,
@@ -401,7 +442,7 @@
         action: NextAction,
         obstacle: Obstacle | None,
     ) -> None:
-        prompt = self._request.parsed.prompt
+        prompt, head_seconds = self._request.parsed.prompt, self._measure_head_seconds()
         if attempt.outcome is Outcome.BROKEN:
             self._dependencies.metrics.count("broken_attempts", phase=self._phase.value)
         self._dependencies.metrics.count(
@@ -423,7 +464,7 @@
             step=action.value,
             obstacle=obstacle.value if obstacle else None,
             event_parts=self._event_parts,
-            head_seconds=None if self._head_at is None else round(self._clock() - self._head_at, 3),
+            head_seconds=None if head_seconds is None else round(head_seconds, 3),
             shared=[part.part_id for part in prompt.shared_parts] if prompt else None,
             silent_seconds=round(self._clock() - self._received_at, 3),
             revision=self._request.site.revision,
