Keep blocked prompt parts in the store, and let hosts that start learn them

A host that starts reads the table of blocks before it sends prompts to engines, and hears of them from its peers; the blocks outlast a restart of all hosts.

--- a/tests/host/test_crashing_prompts.py
+++ b/tests/host/test_crashing_prompts.py
@@ -13,6 +13,7 @@
     measure_served,
 )
 from tests.host.support import HostEnvironment
+from turmericproxy.crashes import persistence
 
 SOUND_PROMPTS = tuple(("aa", f"b{n}") for n in range(6))
 SOUND_PER_SECOND, CRASHING_PER_SECOND = 40.0, 10.0
@@ -91,3 +92,83 @@
         assert measure_served(sent, started + 5, started + 8) == 1.0
 
     run_pool_scenario(scenario)
+
+
+async def end_engines_on(
+    environment: HostEnvironment, pool: EnginePool, *shared: str, seconds: float = 3.0
+) -> None:
+    """Send sound requests, and some that end engines, until these are refused."""
+    sound = Callers(environment, 1).send_steadily(SOUND_PER_SECOND, seconds, *SOUND_PROMPTS)
+    task = asyncio.create_task(sound)
+    await asyncio.sleep(1.0)
+    await Callers(environment, 2).send_steadily(CRASHING_PER_SECOND, seconds - 1.5, shared)
+    await task
+    assert pool.ends
+
+
+def find_block_rows(environment: HostEnvironment) -> list[str]:
+    return [key for table, key in environment.store.list_keys() if table == "blocked"]
+
+
+# A host that starts later would otherwise send the prompts that all others refuse.
+def test_host_that_starts_later_refuses_what_the_others_refuse() -> None:
+    async def scenario(environment: HostEnvironment, pool: EnginePool) -> None:
+        await end_engines_on(environment, pool, "aa", "bad")
+        arrivals, ends = len(pool.list_arrivals("bad")), len(pool.ends)
+        await environment.add_host("late")
+        sent = await Callers(environment, 3).send_steadily(50.0, 1.0, ("b1", "bad"), host=3)
+        assert {s.answer.status for s in sent} <= {503}
+        assert len(pool.list_arrivals("bad")) == arrivals
+        assert len(pool.ends) == ends
+        assert (await Callers(environment, 4).send("aa", "b1", host=3)).is_served
+
+    run_pool_scenario(scenario, "bad")
+
+
+# No host remembers anything if all of them restart at once.
+def test_block_outlasts_a_restart_of_all_hosts() -> None:
+    async def scenario(environment: HostEnvironment, pool: EnginePool) -> None:
+        await end_engines_on(environment, pool, "aa", "bad")
+        arrivals = len(pool.list_arrivals("bad"))
+        assert len(find_block_rows(environment)) == 1
+        for host in environment.hosts:
+            await host.close()
+        environment.hosts.clear()
+        environment.settings.clear()
+        environment.store.put("blocked", "torn", b"{")
+        for number in range(3):
+            await environment.add_host(f"h{number}")
+        sent = await Callers(environment, 3).send_steadily(50.0, 1.0, ("b1", "bad"))
+        assert {s.answer.status for s in sent} <= {503}
+        assert len(pool.list_arrivals("bad")) == arrivals
+        assert (await Callers(environment, 4).send("aa", "b1")).is_served
+
+    run_pool_scenario(scenario, "bad")
+
+
+# An operator who has repaired the engines must not have to wait until a block ends by itself.
+def test_block_ends_on_all_hosts_when_its_row_is_removed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(persistence, "POLL_SECONDS", 0.5)
+
+    async def scenario(environment: HostEnvironment, pool: EnginePool) -> None:
+        await end_engines_on(environment, pool, "aa", "bad")
+        pool.set_crashing_parts()
+        (key,) = find_block_rows(environment)
+        environment.store.delete("blocked", key)
+        await asyncio.sleep(2.5)
+        callers = Callers(environment, 3)
+        sent = [await callers.send("aa", "bad", host=host) for host in range(3)]
+        assert all(s.is_served for s in sent)
+
+    run_pool_scenario(scenario, "bad")
+
+
+def test_refusal_tells_that_nothing_ran_and_when_to_come_back() -> None:
+    async def scenario(environment: HostEnvironment, pool: EnginePool) -> None:
+        await end_engines_on(environment, pool, "aa", "bad")
+        answer = (await Callers(environment, 3).send("aa", "bad")).answer
+        assert answer.status == 503
+        assert answer.fields["x-result-code"] == "305"
+        assert float(answer.fields["retry-after"]) > 500
+
+    run_pool_scenario(scenario, "bad")
--- a/turmericproxy/crashes/blocks.py
+++ b/turmericproxy/crashes/blocks.py
@@ -30,6 +30,7 @@
     failed_trials: int = 0
     is_stored: bool = False
     blamed_until: float = float("inf")
+    changed_at: float = 0.0
     trial: RequestId | None = None
     trial_at: float = 0.0
 
@@ -51,7 +52,7 @@
         """Extend the block after a trial has ended an engine."""
         self.failed_trials += 1
         self.until = now + compute_block_seconds(self.failed_trials)
-        self.trial = None
+        self.is_stored, self.changed_at, self.trial = False, now, None
 
     def start_trial(self, request_id: RequestId, now: float) -> bool:
         """Let one request through once the time is over; return whether it is this one."""
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -24,7 +24,7 @@
     EngineStart,
     ModelPart,
 )
-from turmericproxy.crashes.judgement import Suspicion, assess_part, find_common_parts
+from turmericproxy.crashes.judgement import Suspicion, Traffic, assess_part, find_common_parts
 from turmericproxy.crashes.ledger import EndLedger, EngineEnd
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
@@ -84,7 +84,7 @@
     ) -> None:
         self._host = host
         self._detector = EndDetector(registry)
-        self._list_reachable = list_reachable
+        self.list_reachable = list_reachable
         self._read_clock = read_clock
         self._metrics = metrics
         self._ledger = EndLedger()
@@ -102,6 +102,10 @@
         self._reported_probes = 0
         self.blocks = BlockList()
         self.on_change: Callable[[], None] = lambda: None
+        # Until the stored blocks have been read, nothing is sent to engines.
+        self.is_loaded = True
+        self.must_read = False
+        self.lifted: list[Block] = []
 
     # Requests
 
@@ -247,7 +251,8 @@
             if block and now >= block.until:
                 self.lift(block, "another host's trial was answered")
             elif block:
-                self.on_change()
+                # An operator may have removed it.
+                self.request_read()
             return
         votes = self._votes.setdefault(key, {})
         votes[host] = notice
@@ -397,8 +402,15 @@
 
     def _assess(self, part: ModelPart) -> Suspicion | None:
         ends = [end for end in self._ledger.list_blamed(part) if not self._is_explained(part, end)]
-        answered = self._answered[part.model]
-        return assess_part(part, ends, answered.estimate_share(part), answered.count_since)
+        if not ends:
+            return None
+        answered, since = self._answered[part.model], ends[0].at
+        traffic = Traffic(
+            answered.estimate_share(part),
+            answered.count_since(since),
+            self._ledger.count_since(since) - len(ends),
+        )
+        return assess_part(part, ends, traffic)
 
     def _is_explained(self, part: ModelPart, end: EngineEnd) -> bool:
         """Return whether a prompt that is refused by now was under way when an engine ended."""
@@ -432,8 +444,9 @@
         )
 
     def _add_block(self, block: Block, *, source: str, **fields: Any) -> None:
+        block.changed_at = self._read_clock()
         self.blocks.add(block)
-        self._unsent_notices.append(self._create_notice(block))
+        self.announce(block)
         self._metrics.count("blocked_parts", source=source)
         log_event(
             Part.ROUTING,
@@ -448,16 +461,36 @@
                 abandon()
         self.on_change()
 
-    def lift(self, block: Block, reason: str) -> None:
-        """Send prompts with the parts of a block again."""
+    def lift(self, block: Block, reason: str, *, is_row_removed: bool = True) -> None:
+        """Send prompts with the parts of a block again; the other hosts follow.
+
+        While its row is still to be removed, they aren't told, since they look there.
+        """
         if self.blocks.remove(block.key) is None:
             return
         self._votes.pop(block.key, None)
         for part in block.parts:
             self._ledger.clear([ModelPart(block.model, part)], self._read_clock())
-        self._unsent_notices.append(self._create_notice(block)._replace(seconds=0.0))
         log_event(Part.ROUTING, "block lifted", block=block.name, reason=reason)
-        self.on_change()
+        if is_row_removed:
+            self.announce_lifted(block)
+        else:
+            self.lifted.append(block)
+            self.on_change()
+
+    def announce_lifted(self, block: Block) -> None:
+        """Tell the other hosts that a block is no longer in force."""
+        self._unsent_notices.append(self._create_notice(block)._replace(seconds=0.0))
+
+    def request_read(self) -> None:
+        """Have the table of blocks read if there are any, since it may have changed."""
+        if len(self.blocks):
+            self.must_read = True
+            self.on_change()
+
+    def announce(self, block: Block) -> None:
+        """Tell the other hosts the present state of a block."""
+        self._unsent_notices.append(self._create_notice(block))
 
     def _narrow_blocks(self, model: ModelName, parts: frozenset[str], sent_at: float) -> None:
         """Apply an answer to the blocks: none of its parts ends engines."""
@@ -467,7 +500,7 @@
             if block.parts > parts & block.parts:
                 self._replace_block(block, block.parts - parts)
             elif (block.trial and sent_at >= block.trial_at) or sent_at > block.blamed_until:
-                self.lift(block, "a prompt with its parts was answered")
+                self.lift(block, "a prompt with its parts was answered", is_row_removed=False)
 
     def _count_answered(self, host: HostName, parts: Iterable[ModelPart]) -> None:
         """Narrow blocks by parts that several other hosts saw answered."""
@@ -482,14 +515,14 @@
 
     def _replace_block(self, block: Block, parts: frozenset[str]) -> None:
         self.blocks.remove(block.key)
+        self.lifted.append(block)
         narrowed = Block(block.model, parts, block.until, block.failed_trials)
         self._add_block(narrowed, source="narrowed", previous=block.name)
 
     def _fail_trial(self, block: Block) -> None:
         """Extend a block whose trial has ended an engine."""
         block.extend(self._read_clock())
-        block.is_stored = False
-        self._unsent_notices.append(self._create_notice(block))
+        self.announce(block)
         log_event(Part.ROUTING, "block extended", block=block.name, trials=block.failed_trials)
         self.on_change()
 
@@ -500,7 +533,7 @@
         )
 
     def _is_elected(self, block: Block) -> bool:
-        return choose_by_hash(block.name, [self._host, *self._list_reachable()]) == self._host
+        return choose_by_hash(block.name, [self._host, *self.list_reachable()]) == self._host
 
     def close(self) -> None:
         """Cancel the probes under way."""
--- a/turmericproxy/crashes/judgement.py
+++ b/turmericproxy/crashes/judgement.py
@@ -1,7 +1,7 @@
 """Judge from the ends of engines whether a prompt part causes them."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from turmericproxy.core import HostName
@@ -13,8 +13,8 @@
 # Ends that are needed if it isn't known which answers had begun.
 MIN_ENDS = 5
 # Chance at which a part would be in as many of these prompts without being the cause. Some hundred
-# parts are judged in a series of ends.
-MAX_CHANCE = 1e-4
+# parts are judged at each of several ends.
+MAX_CHANCE = 1e-5
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,19 +43,31 @@
         return any(blamed.sent_at > self.ends[0].at for blamed in self.prompts)
 
 
-def assess_part(
-    part: ModelPart, ends: Sequence[EngineEnd], share: float, count_answers: Callable[[float], int]
-) -> Suspicion | None:
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Hold what is known of the prompts that didn't break.
+
+    ``share`` is the share of answered prompts with a part, ``answers`` the number of answers on
+    prompts without it since the first end that speaks against it, and ``other_ends`` that of
+    the ends since then that don't.
+    """
+
+    share: float
+    answers: int = 0
+    other_ends: int = 0
+
+
+def assess_part(part: ModelPart, ends: Sequence[EngineEnd], traffic: Traffic) -> Suspicion | None:
     """Return what ends, in order of time, say against a part, or ``None`` if there are none.
 
-    ``share`` is the share of answered prompts with the part, and ``count_answers`` returns the
-    answers on prompts without it after a time. A part that all prompts share is in each broken
-    prompt, so that its ends say nothing; one that no answered prompt holds can hardly be in
-    several by chance.
+    A part that all prompts share is in each broken prompt, so that its ends say nothing; one that
+    no answered prompt holds can hardly be in several by chance.
     """
     if not ends:
         return None
-    logarithm, begun_ends = 0.0, 0
+    share, begun_ends = traffic.share, 0
+    # It could have been in any as many of the ends.
+    logarithm = math.log(math.comb(len(ends) + traffic.other_ends, len(ends)))
     prompts: list[BlamedPrompt] = []
     for end in ends:
         count = len(end.begun) if end.begun else max(len(end.others), end.prompt_count)
@@ -63,12 +75,12 @@
         begun_ends += bool(end.begun)
         prompts += [blamed for blamed in end.suspects.values() if blamed.holds(part)]
     if begun_ends >= MIN_BEGUN_ENDS:
-        logarithm += count_answers(ends[0].at) * math.log1p(-share)
+        logarithm += traffic.answers * math.log1p(-share)
     return Suspicion(
         tuple(ends),
         tuple(prompts),
         begun_ends,
-        math.exp(logarithm),
+        min(1.0, math.exp(logarithm)),
         frozenset().union(*(blamed.reporters for blamed in prompts)),
     )
 
--- a/turmericproxy/crashes/ledger.py
+++ b/turmericproxy/crashes/ledger.py
@@ -137,6 +137,10 @@
         ends = [end for end in self._find_blamed(part) if end.is_credible]
         return sorted(ends, key=lambda end: end.at)
 
+    def count_since(self, time: float) -> int:
+        """Return the number of credible ends from a time on."""
+        return sum(end.at >= time and end.is_credible for end in self._ends.values())
+
     def is_cleared_since(self, part: ModelPart, time: float) -> bool:
         """Return whether a part was answered after a time."""
         return self._cleared_at.get(part, float("-inf")) > time
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -7,6 +7,7 @@
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import ServiceName
 from turmericproxy.crashes.controller import CrashController
+from turmericproxy.crashes.persistence import BlockKeeper
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
 from turmericproxy.host.adapter import SiteAdapter
@@ -116,6 +117,9 @@
             self._links.send_to_domain,
         )
         self._directory = HostDirectory(self._relayed_store, own, self._links)
+        self._block_keeper = BlockKeeper(self._relayed_store, settings.host, self._crashes)
+        self._crashes.is_loaded = False
+        self._relayed_store.eras.add_listener(self._crashes.request_read)
         self._rollout = self._create_rollout()
         self._relayed_store.eras.add_listener(self._directory.refresh)
         self._relayed_store.eras.add_listener(self._rollout.observe_lease)
@@ -186,6 +190,7 @@
         await self._links.start()
         self._follower.start()
         self._directory.start()
+        self._block_keeper.start()
         self._rollout.start()
         if not self._settings.is_first_start:
             self._rollout.observe_lease()
@@ -206,6 +211,7 @@
         await self._rollout.close()
         await self._version_resolver.close()
         self._cache_pollers.close()
+        await self._block_keeper.close()
         self._crashes.close()
         await self._directory.close()
         await self._follower.close()
@@ -273,7 +279,8 @@
         if request.path != self._adapter.ready_path:
             writer.send(404, ())
             return
-        is_ready = self._follower.is_loaded and not self._is_draining
+        is_loaded = self._follower.is_loaded and self._crashes.is_loaded
+        is_ready = is_loaded and not self._is_draining
         writer.send(200 if is_ready else 503, ())
 
     async def _answer_metrics(self, request: ClientRequest, writer: AnswerWriter) -> None:
--- a/turmericproxy/standins/platform_wire_store.py
+++ b/turmericproxy/standins/platform_wire_store.py
@@ -85,6 +85,10 @@
         self._rows[(table, key)] = StoredRow(table, key, b"", self._version, is_deleted=True)
         self._notify()
 
+    def list_keys(self) -> list[tuple[str, str]]:
+        """Return the tables and keys of all rows."""
+        return [key for key, row in self._rows.items() if not row.is_deleted]
+
     def discard_history(self) -> None:
         """Discard past changes: a feed gets 410 until its reader has read the table again."""
         self.oldest = self._version + 1
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -135,6 +135,9 @@
         prompt = request.parsed.prompt
         if prompt is None or request.service.engine is None:
             return None
+        if not self._crashes.is_loaded:
+            reason = "the host has not read yet which prompts it must not send"
+            return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=self._choose_retry_after())
         parts = [part.part_id for part in prompt.shared_parts]
         block = self._crashes.find_block(request.parsed.request_id, prompt.model, parts)
         if block is None:
