Lead from a refused prompt to the ends that blocked its part, and let operators lift a block

`explain` prints the ends of engines and the requests behind a block, `blocks list` and `blocks lift` show and remove blocks in the store. Reports tell how old they are and leave out parts that were answered since, so that a host that starts doesn't blame them.

--- a/tests/crashes/test_controller.py
+++ b/tests/crashes/test_controller.py
@@ -73,7 +73,7 @@
             BrokenPrompt(RequestId(f"{number}-{n}"), MODEL, parts, True, 0.1)
             for n, parts in enumerate(prompts)
         )
-        report = EndReport(ENGINES[number], broken, len(broken))
+        report = EndReport(ENGINES[number], 0.0, broken, len(broken))
         self.controller.receive(HostName(peer), CrashState((report,)))
 
     def refuses(self, *parts: str) -> bool:
@@ -294,11 +294,12 @@
     [
         None,
         [[]],
-        [[["e", 1], [["r", "m", "not a list", True, 0.1]], 1]],
-        [[["e", 1], [["r", "m", ["p"] * 1000, True, 0.1]], 1]],
-        [[["e", 1], [["r", "m", ["p"], True, float("nan")]], 1]],
-        [[["e", 1], [["r", "m", ["p" * 1000], True, 0.1]], 1]],
-        [[["e", 1], [], 1]] * 1000,
+        [[["e", 1], 0.0, [["r", "m", "not a list", True, 0.1]], 1]],
+        [[["e", 1], 0.0, [["r", "m", ["p"] * 1000, True, 0.1]], 1]],
+        [[["e", 1], 0.0, [["r", "m", ["p"], True, float("nan")]], 1]],
+        [[["e", 1], 0.0, [["r", "m", ["p" * 1000], True, 0.1]], 1]],
+        [[["e", 1], -1.0, [], 1]],
+        [[["e", 1], 0.0, [], 1]] * 1000,
     ],
 )
 def test_malformed_reports_are_rejected(value: object) -> None:
--- a/tests/crashes/test_judgement.py
+++ b/tests/crashes/test_judgement.py
@@ -29,7 +29,7 @@
         for n, parts in enumerate(prompts)
     )
     engine = EngineStart(InstanceId(f"e{number}"), 1)
-    ledger.add(EndReport(engine, broken, len(broken)), HOST, at).is_observed = True
+    ledger.add(EndReport(engine, 0.0, broken, len(broken)), HOST, at).is_observed = True
 
 
 def is_condemned(ledger: EndLedger, part: str, share: float, answers: int = 0) -> bool:
--- a/tests/logs/test_explaining.py
+++ b/tests/logs/test_explaining.py
@@ -67,3 +67,33 @@
     assert chosen < ended < refused
     assert CliRunner().invoke(app, ["explain", "none", str(path)]).exit_code != 0
     assert CliRunner().invoke(app, ["explain", "none", str(tmp_path / "missing")]).exit_code != 0
+
+
+# Lines of three hosts in a test in which engines ended on one part, shortened.
+BLOCKED = """\
+{"asctime": "2026-12-04 18:30:01,100", "message": "routing: engine ended", "host": "h1", \
+"engine": "x2-0", "broken": 3, "begun_requests": ["q2-1"]}
+{"asctime": "2026-12-04 18:30:01,300", "message": "routing: engine ended", "host": "h2", \
+"engine": "x5-0", "broken": 1, "begun_requests": ["q2-2"]}
+{"asctime": "2026-12-04 18:30:01,350", "message": "routing: engine ended", "host": "h2", \
+"engine": "x7-0", "broken": 1, "begun_requests": []}
+{"asctime": "2026-12-04 18:30:01,400", "message": "routing: part blocked", "host": "h0", "block": \
+"m/aa+bad", "source": "evidence", "engines": ["x2-0", "x5-0"], "requests": ["q2-1", "q2-2"]}
+{"asctime": "2026-12-04 18:30:01,500", "message": "routing: part blocked", "host": "h0", "block": \
+"m/bad", "source": "narrowed", "previous": "m/aa+bad"}
+{"asctime": "2026-12-04 18:30:02,000", "message": "routing: prompt refused", "host": "h0", \
+"request_id": "q2-9", "block": "m/bad"}
+{"asctime": "2026-12-04 18:30:02,001", "message": "callers: refused", "host": "h0", "request_id": \
+"q2-9", "code": 305, "reason": "engines have ended on prompts with m/bad", "run": "not_run", \
+"retry_after": 599.0, "stream_started": false}
+""".splitlines()
+
+
+def test_refused_prompt_leads_to_the_ends_that_blocked_its_part(tmp_path: Path) -> None:
+    file = tmp_path / "hosts.log"
+    file.write_text("\n".join(BLOCKED))
+    result = CliRunner().invoke(app, ["explain", "q2-9", str(file)])
+    assert result.exit_code == 0
+    for told in ("x2-0", "x5-0", "q2-1", "q2-2", "m/aa+bad", "refused; it has not run"):
+        assert told in result.stdout
+    assert "x7-0" not in result.stdout
--- a/turmericproxy/cli/app.py
+++ b/turmericproxy/cli/app.py
@@ -3,6 +3,7 @@
 import typer
 
 from turmericproxy.cli.bench import run_bench
+from turmericproxy.cli.blocks import blocks_app
 from turmericproxy.cli.explain import explain
 from turmericproxy.cli.keys import keys_app
 from turmericproxy.cli.resources import (
@@ -23,6 +24,7 @@
 app.command("watch")(watch_resources)
 app.command("status")(show_status)
 app.add_typer(keys_app, name="keys")
+app.add_typer(blocks_app, name="blocks")
 app.command("serve")(serve_host)
 app.command("explain")(explain)
 app.command("bench")(run_bench)
--- a/turmericproxy/cli/explain.py
+++ b/turmericproxy/cli/explain.py
@@ -6,7 +6,7 @@
 import typer
 
 from turmericproxy.cli.exits import ExitCode
-from turmericproxy.logs.explaining import explain_request, read_lines
+from turmericproxy.logs.explaining import explain_request, read_block_lines, read_lines
 
 
 def explain(
@@ -26,7 +26,7 @@
         typer.echo(f"no log line contains request {request_id}", err=True)
         raise typer.Exit(ExitCode.NOT_FOUND)
     explanation = explain_request(lines)
-    for line in lines:
+    for line in (*read_block_lines(texts, lines), *lines):
         fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
         typer.echo(f"{line.time} {line.host} {line.message} {fields}")
     typer.echo(f"{explanation.result.value}: {explanation.cause}")
--- a/turmericproxy/crashes/answered.py
+++ b/turmericproxy/crashes/answered.py
@@ -37,7 +37,10 @@
         self._answers.append(answer)
         self._counts.update(answer.parts)
         if len(self._answers) > MAX_ANSWERS:
-            self._counts -= Counter(self._answers.popleft().parts)
+            for part in self._answers.popleft().parts:
+                self._counts[part] -= 1
+                if not self._counts[part]:
+                    del self._counts[part]
 
     def estimate_share(self, part: ModelPart) -> float:
         """Return the expected share of prompts that hold a part, above 0 and below 1."""
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
@@ -33,8 +33,8 @@
 # Delays before the connections by which the end of an engine is noticed: its streams may end some
 # time before its address refuses connections.
 OWN_PROBE_DELAYS = (0.0, 0.1, 0.4)
-# Delays before an engine is probed that only one other host reports as ended.
-REPORTED_PROBE_DELAYS = (0.15,)
+# Delay before an engine is probed that only one other host reports as ended.
+REPORTED_PROBE_DELAY_SECONDS = 0.15
 # Probes of reported ends that run at the same time.
 MAX_REPORTED_PROBES = 8
 # Time for which broken prompts are kept while it isn't known whether their engine ended.
@@ -175,7 +175,8 @@
         if pending.is_confirmed:
             self._report(engine, pending)
         elif pending.probe is None:
-            pending.probe = self._start_probe(engine, OWN_PROBE_DELAYS)
+            probe = wait_and_probe(self._detector, engine, OWN_PROBE_DELAYS)
+            pending.probe = self._start_probe(engine, probe)
 
     async def await_end(self, engine: EngineStart) -> bool:
         """Return whether an engine on which a prompt broke has ended, as far as is known soon."""
@@ -233,9 +234,13 @@
         if self._detector.read_status(report.engine) is EngineStatus.UNCLEAR:
             return
         self._reported_probes += 1
-        self._start_probe(report.engine, REPORTED_PROBE_DELAYS).add_done_callback(
-            self._end_reported_probe
-        )
+        probe = self._start_probe(report.engine, self._probe_reported(end))
+        probe.add_done_callback(self._end_reported_probe)
+
+    async def _probe_reported(self, end: EngineEnd) -> EngineStatus:
+        """Probe an engine unless another host reports its end, too, within a moment."""
+        await asyncio.sleep(REPORTED_PROBE_DELAY_SECONDS)
+        return EngineStatus.UNCLEAR if end.is_credible else await self._detector.probe(end.engine)
 
     def _end_reported_probe(self, _: asyncio.Task[EngineStatus]) -> None:
         self._reported_probes -= 1
@@ -291,11 +296,9 @@
     # Evidence
 
     def _start_probe(
-        self, engine: EngineStart, delays: tuple[float, ...]
+        self, engine: EngineStart, probe: Coroutine[Any, Any, EngineStatus]
     ) -> asyncio.Task[EngineStatus]:
-        task = asyncio.get_running_loop().create_task(
-            wait_and_probe(self._detector, engine, delays)
-        )
+        task = asyncio.get_running_loop().create_task(probe)
         self._tasks.add(task)
         task.add_done_callback(lambda done: self._finish_probe(engine, done))
         return task
@@ -327,9 +330,11 @@
         now = self._read_clock()
         aged = [p._replace(seconds=p.seconds + now - at) for p, at in pending.prompts]
         prompts = tuple(sorted(aged, key=lambda prompt: not prompt.has_begun))
-        report = EndReport(engine, prompts[:MAX_PROMPTS_PER_REPORT], pending.prompt_count)
+        report = EndReport(
+            engine, now - pending.since, prompts[:MAX_PROMPTS_PER_REPORT], pending.prompt_count
+        )
         is_first = self._ledger.find(engine) is None
-        end = self._ledger.add(report, self._host, pending.since)
+        end = self._ledger.add(report, self._host, now)
         end.is_observed = True
         pending.prompts, pending.prompt_count = [], 0
         self._own_reports.append((now, report))
@@ -353,17 +358,23 @@
             )
 
     def _age(self, reports: list[EndReport], now: float) -> tuple[EndReport, ...]:
-        """Return reports with the time that has passed since they were written."""
-        ages = {id(report): now - at for at, report in self._own_reports}
-        return tuple(
-            report._replace(
-                prompts=tuple(
-                    p._replace(seconds=p.seconds + ages.get(id(report), 0.0))
-                    for p in report.prompts
+        """Return reports with the time since they were written, without parts answered since."""
+        written_at = {id(report): at for at, report in self._own_reports}
+        aged = []
+        for report in reports:
+            at = written_at.get(id(report), now)
+            prompts = []
+            for prompt in report.prompts:
+                parts = tuple(
+                    part
+                    for part in prompt.parts
+                    if not self._ledger.is_cleared_since(ModelPart(prompt.model, part), at)
                 )
-            )
-            for report in reports
-        )
+                if parts:
+                    prompts.append(prompt._replace(parts=parts, seconds=prompt.seconds + now - at))
+            seconds = report.seconds + now - at
+            aged.append(report._replace(seconds=seconds, prompts=tuple(prompts)))
+        return tuple(aged)
 
     def _mark_dirty(self, end: EngineEnd) -> None:
         if not end.is_credible:
--- a/turmericproxy/crashes/evidence.py
+++ b/turmericproxy/crashes/evidence.py
@@ -44,12 +44,13 @@
 
 
 class EndReport(NamedTuple):
-    """Report the end of an engine and the prompts of the sender that broke with it.
+    """Report the end of an engine, some seconds ago, and the sender's prompts that broke with it.
 
     ``prompt_count`` also counts those that are left out of ``prompts``.
     """
 
     engine: EngineStart
+    seconds: float
     prompts: tuple[BrokenPrompt, ...]
     prompt_count: int
 
@@ -73,12 +74,15 @@
     return tuple(
         EndReport(
             EngineStart(InstanceId(_check_text(instance)), int(started_at)),
+            _check_seconds(seconds),
             tuple(
                 _decode_prompt(*prompt) for prompt in _check_length(prompts, MAX_PROMPTS_PER_REPORT)
             ),
             int(prompt_count),
         )
-        for (instance, started_at), prompts, prompt_count in _check_length(value, MAX_REPORTS)
+        for (instance, started_at), seconds, prompts, prompt_count in _check_length(
+            value, MAX_REPORTS
+        )
     )
 
 
--- a/turmericproxy/crashes/ledger.py
+++ b/turmericproxy/crashes/ledger.py
@@ -62,15 +62,21 @@
         return self.begun or self.others
 
     def add(self, report: EndReport, reporter: HostName, now: float) -> None:
-        """Add what one host reports."""
+        """Add what one host reports, perhaps not for the first time."""
+        known = {
+            r
+            for group in (self.begun, self.others)
+            for r, b in group.items()
+            if reporter in b.reporters
+        }
+        if reporter not in self.reporters or any(p.request_id not in known for p in report.prompts):
+            self.prompt_count += max(0, report.prompt_count)
         self.reporters.add(reporter)
-        self.prompt_count += max(0, report.prompt_count)
         for prompt in report.prompts:
             group = self.begun if prompt.has_begun else self.others
             limit = MAX_BEGUN_PROMPTS if prompt.has_begun else MAX_OTHER_PROMPTS
-            known = group.get(prompt.request_id)
-            if known:
-                known.reporters.add(reporter)
+            if blamed := group.get(prompt.request_id):
+                blamed.reporters.add(reporter)
             elif len(group) < limit:
                 group[prompt.request_id] = BlamedPrompt(prompt, now - prompt.seconds, {reporter})
                 parts = self.begun_parts if prompt.has_begun else self.other_parts
@@ -104,7 +110,7 @@
 
     def add(self, report: EndReport, reporter: HostName, now: float) -> EngineEnd:
         """Add what one host reports of an end, and return the end."""
-        end = self.open(report.engine, now)
+        end = self.open(report.engine, now - report.seconds)
         end.add(report, reporter, now)
         for prompt in report.prompts:
             for part in prompt.parts:
--- a/turmericproxy/logs/explaining.py
+++ b/turmericproxy/logs/explaining.py
@@ -1,7 +1,7 @@
 """Determine from log lines how a request ended, and why."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -45,19 +45,45 @@
     """Return the log lines of a request by time; other and truncated lines are ignored."""
     found = []
     for text in lines:
-        # A log collector may have added a prefix, such as a time or a host name.
-        start = text.find("{")
-        if start < 0 or request_id not in text:
-            continue
-        try:
-            content = json.loads(text[start:])
-        except ValueError:
-            continue
-        if isinstance(content, dict) and content.get("request_id") == request_id:
+        content = _decode(text) if request_id in text else None
+        if content and content.get("request_id") == request_id:
             found.append(_create_line(content))
     return tuple(sorted(found, key=lambda line: line.time))
 
 
+def read_block_lines(
+    texts: Sequence[str], request_lines: tuple[LogLine, ...]
+) -> tuple[LogLine, ...]:
+    """Return the lines on the block of prompt parts under which a request was refused, by time.
+
+    They include the ends of engines that led to the block.
+    """
+    blocks = {name for line in request_lines if (name := line.fields.get("block"))}
+    if not blocks:
+        return ()
+    told = (text for text in texts if '"block"' in text or "engine ended" in text)
+    contents = [content for text in told if (content := _decode(text))]
+    # A block may follow from a wider one, whose line tells the engines.
+    blocks |= {c["previous"] for c in contents if c.get("block") in blocks and c.get("previous")}
+    decisions = [c for c in contents if c.get("block") in blocks and not c.get("request_id")]
+    engines = {engine for c in decisions for engine in c.get("engines", ())}
+    ends = [c for c in contents if c.get("engine") in engines]
+    lines = [_create_line(content) for content in [*ends, *decisions]]
+    return tuple(sorted(lines, key=lambda line: line.time))
+
+
+def _decode(text: str) -> dict[str, Any] | None:
+    # A log collector may have added a prefix, such as a time or a host name.
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        content = json.loads(text[start:])
+    except ValueError:
+        return None
+    return content if isinstance(content, dict) else None
+
+
 def explain_request(lines: tuple[LogLine, ...]) -> Explanation:
     """Return how a request ended and the cause, from its last refusal or attempt."""
     refusals = [line for line in lines if line.message.endswith("refused")]
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -142,6 +142,13 @@
         block = self._crashes.find_block(request.parsed.request_id, prompt.model, parts)
         if block is None:
             return None
+        log_decision(
+            Part.ROUTING,
+            "prompt refused",
+            request_id=request.parsed.request_id,
+            block=block.name,
+            failed_trials=block.failed_trials,
+        )
         return refuse(
             ResultCode.PROMPT_BLOCKED,
             f"engines have ended on prompts with {block.name}",
