Make fewer calls for blocks while the store is away, and serve after two peers told theirs

Reads and writes of the table of blocks are repeated after 0.5 to 8 s, and three hosts at most write a block. A host that starts while it can't read the table sends prompts once two other hosts have told theirs, at the latest after 3 s.

--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -5,8 +5,15 @@
 import msgpack
 import pytest
 
-from turmericproxy.core import AccountName, HostName, Incarnation, ModelName
+from turmericproxy.core import AccountName, HostName, Incarnation, ModelName, RequestId
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.evidence import (
+    BlockNotice,
+    BrokenPrompt,
+    EndReport,
+    EngineStart,
+    ModelPart,
+)
 from turmericproxy.fleet.batches import Batch, PlacedPrompt
 from turmericproxy.fleet.messages import (
     LENGTH_BYTES,
@@ -43,6 +50,16 @@
     alive=(HostName("x"),),
     evicted=((ONE, "s", "p"),),
     kept_epoch=0,
+    ended=(
+        EndReport(
+            EngineStart(ONE, 3),
+            0.5,
+            (BrokenPrompt(RequestId("r"), ModelName("m"), ("p", "q"), True, 0.25),),
+            4,
+        ),
+    ),
+    answered_parts=(ModelPart(ModelName("m"), "p"),),
+    blocks=(BlockNotice(ModelName("m"), ("p",), 600.0, 1, True),),
 )
 SENDER = Hello(HostName("h"), "10.0.0.1:1", "a", Incarnation("i"), 100)
 
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -106,6 +106,7 @@
         self.is_loaded = True
         self.must_read = False
         self.lifted: list[Block] = []
+        self._told_by: set[HostName] = set()
 
     # Requests
 
@@ -226,6 +227,12 @@
         for notice in state.blocks:
             self._receive_notice(host, notice)
 
+    def record_complete_state(self, host: HostName) -> None:
+        """Record that another host has told all its blocks; some hosts are as good as the store."""
+        if not self.is_loaded:
+            self._told_by.add(host)
+            self.is_loaded = len(self._told_by) >= MIN_VOTERS
+
     def _receive_report(self, host: HostName, report: EndReport, now: float) -> None:
         end = self._ledger.add(report, host, now)
         self._mark_dirty(end)
--- a/turmericproxy/crashes/persistence.py
+++ b/turmericproxy/crashes/persistence.py
@@ -19,8 +19,11 @@
 from turmericproxy.tables.messages import Committed, Condition, Conflict, Transaction, Write
 from turmericproxy.tasks import repeat
 
-# Delay between two attempts while the store is unreachable.
+# Delay between two attempts while the store is unreachable, which doubles up to the longest one.
 RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 8.0
+# Hosts that write a block, one after the other, until one has succeeded.
+MAX_WRITERS = 3
 # Time after which a host serves without having read the table.
 LOAD_PATIENCE_SECONDS = 3.0
 # Interval at which one host looks for blocks that an operator has removed.
@@ -45,6 +48,7 @@
         self._clock_offset = 0.0
         self._eras: dict[BlockKey, int] = {}
         self._read_at: float | None = None
+        self._failures = 0
         controller.on_change = self._changed.set
 
     def start(self) -> None:
@@ -68,7 +72,7 @@
     async def _run(self) -> None:
         if self._read_at is None:
             if not await self._read():
-                await asyncio.sleep(RETRY_SECONDS)
+                await self._wait_to_retry()
                 return
             self._controller.is_loaded = True
         await self._wait_for_work()
@@ -84,7 +88,7 @@
     async def _wait_for_work(self) -> None:
         """Wait for a change, or until the table is due to be read while there are blocks."""
         if self._has_unfinished_work():
-            await asyncio.sleep(RETRY_SECONDS)
+            await self._wait_to_retry()
             return
         try:
             async with asyncio.timeout(POLL_SECONDS if len(self._controller.blocks) else None):
@@ -93,9 +97,16 @@
             return
         self._changed.clear()
 
+    async def _wait_to_retry(self) -> None:
+        longest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2.0 ** min(self._failures, 8))
+        await asyncio.sleep(random.uniform(longest / 2, longest))
+
+    def _record_call(self, *, is_answered: bool) -> None:
+        self._failures = 0 if is_answered else self._failures + 1
+
     def _has_unfinished_work(self) -> bool:
         controller = self._controller
-        has_unstored = any(not block.is_stored for block in controller.blocks)
+        has_unstored = any(self._is_to_be_written(block) for block in controller.blocks)
         return has_unstored or bool(controller.lifted) or controller.must_read
 
     def _is_poll_due(self) -> bool:
@@ -108,6 +119,7 @@
         """Read the table and apply it; return whether the store answered."""
         known = {block.key for block in self._controller.blocks if block.is_stored}
         table = await self._store.read_table(BLOCK_TABLE)
+        self._record_call(is_answered=isinstance(table, TableState))
         if isinstance(table, Refusal):
             log_event(Part.ROUTING, "blocks can't be read", reason=table.reason)
             return False
@@ -120,6 +132,8 @@
                 block = restore_block(record, table.store_clock, self._read_at)
                 present.add(block.key)
                 self._controller.restore(block)
+        for block in self._controller.blocks:
+            block.is_stored |= block.key in present
         self._apply_removals(known - present, table)
         self._eras = dict.fromkeys(present, table.era)
         return True
@@ -136,24 +150,31 @@
 
     async def _write_new(self) -> None:
         for block in self._controller.blocks:
-            if block.is_stored or not self._is_writer(block):
+            if not self._is_to_be_written(block) or not self._is_due(block):
                 continue
             if await self._write(block):
                 block.is_stored = True
                 self._controller.announce(block)
 
-    def _is_writer(self, block: Block) -> bool:
-        """Return whether it is this host's turn to write a block."""
-        hosts = [self._host, *self._controller.list_reachable()]
+    def _is_to_be_written(self, block: Block) -> bool:
+        """Return whether this host is to write a block, now or if others don't."""
+        return not block.is_stored and self._compute_rank(block) < MAX_WRITERS
+
+    def _is_due(self, block: Block) -> bool:
+        delay = self._compute_rank(block) * WRITE_STAGGER_SECONDS
+        return self._now() >= block.changed_at + delay
+
+    def _compute_rank(self, block: Block) -> int:
         own = compute_rendezvous_weight(block.name, self._host)
-        rank = sum(compute_rendezvous_weight(block.name, host) < own for host in hosts)
-        return self._now() >= block.changed_at + rank * WRITE_STAGGER_SECONDS
+        hosts = self._controller.list_reachable()
+        return sum(compute_rendezvous_weight(block.name, host) < own for host in hosts)
 
     async def _write(self, block: Block) -> bool:
         key = compute_row_key(block)
         write = Write(BLOCK_TABLE, key, encode_block(block, block.until + self._clock_offset))
         conditions = () if block.failed_trials else (Condition(BLOCK_TABLE, key, None),)
         result = await self._store.commit(Transaction(conditions, (write,)))
+        self._record_call(is_answered=isinstance(result, Committed | Conflict))
         if isinstance(result, Committed):
             self._eras[block.key] = result.era
             return True
@@ -167,6 +188,7 @@
             block = self._controller.lifted[0]
             write = Write(BLOCK_TABLE, compute_row_key(block), delete=True)
             result = await self._store.commit(Transaction((), (write,)))
+            self._record_call(is_answered=isinstance(result, Committed))
             if not isinstance(result, Committed):
                 reason = getattr(result, "reason", "conflict")
                 log_event(Part.ROUTING, "block not removed", block=block.name, reason=reason)
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -121,6 +121,7 @@
         )
         if batch.is_full_state:
             self._registry.forget_peer(hello.host)
+            self._crashes.record_complete_state(hello.host)
         self._registry.set_peer_work(hello.host, batch.work)
         for prompt in batch.placed_prompts:
             state = self._registry.find(prompt.instance)
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -310,7 +310,7 @@
         if state is None:
             return
         previous = state.health
-        if health_signal is HealthSignal.ANSWERED:
+        if health_signal in (HealthSignal.ANSWERED, HealthSignal.SHED):
             state.is_refusing = False
         state.health = record_health_signal(previous, health_signal, now)
         if seconds is not None:
