--- a/tests/callers/test_silence.py
+++ b/tests/callers/test_silence.py
@@ -83,7 +83,7 @@
             SETTINGS,
         )
 
-    def open(self, deadline_seconds: float = DEADLINE_SECONDS) -> ChatStream:
+    def open(self, deadline_seconds: float = DEADLINE_SECONDS, call: ChatCall = CALL) -> ChatStream:
         """Start a chat with a new request ID."""
         now = read_boottime()
         exchange = replace(
@@ -92,7 +92,7 @@
             request=type("Request", (), {"is_client_gone": lambda _: self.is_caller_gone})(),
             received_at=now,
             deadline=now + deadline_seconds,
-            call=CALL,
+            call=call,
         )
         exchange = replace(
             exchange, identity=replace(exchange.identity, account=AccountName("lima"))
