--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -111,6 +111,11 @@
         self._started_at = read_boottime()
         self._last_event_at = self._started_at
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether the engine may have received the request."""
+        return self._was_sent
+
     def measure_age(self) -> float:
         """Return the seconds since the attempt was created."""
         return read_boottime() - self._started_at
--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -28,6 +28,7 @@
     read_boottime,
     refuse,
 )
+from turmericproxy.crashes.evidence import BrokenPrompt
 from turmericproxy.keys import KeyController
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
@@ -39,9 +40,12 @@
     Selector,
     Usage,
 )
+from turmericproxy.routing.crash_guard import list_message_parts
 from turmericproxy.settings.schema import UpstreamSettings
 
 MAX_ATTEMPTS_WITHOUT_PROGRESS = 4
+# Engines that end before the first piece of one chat, after which it isn't repeated.
+MAX_ENDED_ENGINES = 2
 STARTED_STREAM_WAIT_SECONDS = 10.0
 UNSTARTED_STREAM_WAIT_SECONDS = 1.5
 # Longest silence of the engines of a started stream; engines send a comment every half second.
@@ -106,6 +110,8 @@
         self._blocks = self._hash_blocks()
         self._next_index = 0
         self._chooser = EngineChooser(dependencies.selector, dependencies.keys, exchange.identity)
+        self._parts = list_message_parts(self._call.messages)
+        self._ended_engines = 0
         self._replacement: EngineChoice | None = None
         self._attempts_without_progress = 0
         self._last_event_at = exchange.received_at
@@ -135,7 +141,7 @@
 
     def secure_replacement(self, attempt: Attempt, probe: ProbeResult | None) -> bool:
         """Choose another engine and take a retry; return whether both succeed."""
-        if not self._has_attempt_left(attempt):
+        if not self._has_attempt_left(attempt) or self._check_block():
             return False
         request = self._create_request()
         choice = self._chooser.choose_replacement(request, attempt.choice, probe)
@@ -149,7 +155,7 @@
         return has_progressed or self._attempts_without_progress + 1 < MAX_ATTEMPTS_WITHOUT_PROGRESS
 
     def _run_attempts(self) -> Generator[StreamItem, None, None]:
-        choice = self._chooser.choose(self._create_request())
+        choice = self._check_block() or self._chooser.choose(self._create_request())
         for attempt_number in itertools.count():
             if isinstance(choice, Refusal):
                 yield choice
@@ -159,7 +165,8 @@
             if failure is None:
                 return
             self._record_failure(choice, failure, has_progressed=self._next_index > start)
-            if self._attempts_without_progress == MAX_ATTEMPTS_WITHOUT_PROGRESS:
+            has_attempt_left = self._attempts_without_progress < MAX_ATTEMPTS_WITHOUT_PROGRESS
+            if self._ended_engines == MAX_ENDED_ENGINES or not has_attempt_left:
                 yield self._refuse_broken(failure.reason)
                 return
             choice = self._take_replacement() or self._choose_for_retry(failure)
@@ -182,6 +189,8 @@
 
         A stream that has started waits longer, as only this host can complete it.
         """
+        if blocked := self._check_block():
+            return self._refuse_broken(f"{failure.reason}; {blocked.reason}")
         if not self._dependencies.budget.take():
             return self._refuse_broken(f"{failure.reason}; the host's retry budget is used up")
         if failure.outcome is AttemptOutcome.WRONG_VERSION and not self._next_index:
@@ -238,11 +247,14 @@
         self._dependencies.selector.record_dispatch(choice)
         try:
             failure = attempt.dispatch()
+            has_begun = failure is None
             if failure is None:
                 failure = yield from self._read_pieces(attempt)
             if failure is not None and self.is_caller_gone():
                 yield self._refuse_gone()
                 return None
+            if failure is not None:
+                self._record_broken(attempt, failure, has_begun=has_begun)
             if failure is not None and failure.outcome is AttemptOutcome.FAILED:
                 failure = attempt.resume() or (yield from self._read_pieces(attempt))
             outcome = failure.outcome if failure else AttemptOutcome.DONE
@@ -251,6 +263,26 @@
             attempt.close()
             self._dependencies.selector.record_finish(choice, outcome, self._usage)
 
+    def _check_block(self) -> Refusal | None:
+        return self._dependencies.selector.crashes.check(self._call.model, self._parts)
+
+    def _record_broken(self, attempt: Attempt, failure: AttemptFailure, *, has_begun: bool) -> None:
+        """Record a chat whose connection broke, and whether its engine ended before any piece."""
+        is_broken = failure.outcome in (AttemptOutcome.FAILED, AttemptOutcome.TIMEOUT)
+        if not attempt.was_sent or failure.is_silent or not is_broken:
+            return
+        has_progressed = self._next_index > attempt.start
+        prompt = BrokenPrompt(
+            attempt.request_id,
+            self._call.model,
+            self._parts,
+            has_begun and not has_progressed,
+            attempt.measure_age(),
+        )
+        choice, crashes = attempt.choice, self._dependencies.selector.crashes
+        is_ended = crashes.record_broken(choice.engine, choice.address, prompt)
+        self._ended_engines += is_ended and prompt.has_begun
+
     def _create_attempt(self, choice: EngineChoice, attempt_number: int) -> Attempt:
         return Attempt(
             self._dependencies.clients.get(choice.address),
@@ -290,6 +322,7 @@
             elif isinstance(event, StreamEnd):
                 self._usage = event.usage
                 attempt.finish()
+                self._dependencies.selector.crashes.record_answer(self._call.model, self._parts)
                 yield replace(event, usage=replace(event.usage, completion_tokens=self._next_index))
                 return None
         return AttemptFailure(AttemptOutcome.FAILED, "the stream ended before its last event")
--- /dev/null
+++ b/turmericproxy/routing/crash_guard.py
@@ -0,0 +1,218 @@
+"""Refuse chats with messages on which engines end, at the product's own interface."""
+
+import hashlib
+import socket
+import threading
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from turmericproxy.core import (
+    EngineName,
+    HostName,
+    ModelName,
+    Refusal,
+    ResultCode,
+    read_boottime,
+    refuse,
+)
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.answered import AnsweredPrompts
+from turmericproxy.crashes.blocks import Block, BlockList, compute_block_seconds
+from turmericproxy.crashes.evidence import (
+    BrokenPrompt,
+    EndReport,
+    EngineStart,
+    ModelPart,
+    decode_reports,
+)
+from turmericproxy.crashes.judgement import Suspicion, Traffic, assess_part, find_common_parts
+from turmericproxy.crashes.ledger import MIN_REPORTERS, EndLedger, EngineEnd
+from turmericproxy.logs import Part, log_event
+
+ENDS_MESSAGE = "routing.ends"
+CONNECT_TIMEOUT_SECONDS = 0.3
+# Ends of one engine that are closer are the same one: a restart takes longer.
+SAME_END_SECONDS = 0.25
+# Probes of ends that peers report, running at the same time.
+MAX_REPORTED_PROBES = 4
+DIGEST_BYTES = 8
+OWN_HOST = HostName("")
+
+
+def list_message_parts(messages: Sequence[dict[str, str]]) -> tuple[str, ...]:
+    """Return a digest of each message but the last one, which other chats don't have."""
+    return tuple(
+        hashlib.blake2b(
+            f"{message['role']}:{message['content']}".encode(), digest_size=DIGEST_BYTES
+        ).hexdigest()
+        for message in messages[:-1]
+    )
+
+
+def is_refused(address: str) -> bool:
+    """Return whether nothing listens at ``ip:port``."""
+    ip, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((ip, int(port)), CONNECT_TIMEOUT_SECONDS).close()
+    except ConnectionRefusedError:
+        return True
+    except (OSError, ValueError) as error:
+        log_event(Part.ROUTING, "engine not probed", address=address, reason=repr(error))
+    return False
+
+
+class CrashGuard:
+    """Add up the ends of engines that this host and its peers see; thread-safe.
+
+    ``find_address`` returns the address of an engine, ``None`` for an unknown one.
+    """
+
+    def __init__(
+        self,
+        links: Any,
+        find_address: Callable[[EngineName], str | None],
+        read_clock: Callable[[], float] = read_boottime,
+    ) -> None:
+        self._links = links
+        self._find_address = find_address
+        self._read_clock = read_clock
+        self._lock = threading.Lock()
+        self._ledger = EndLedger()
+        self._answered: defaultdict[ModelName, AnsweredPrompts] = defaultdict(AnsweredPrompts)
+        self._blocks = BlockList()
+        self._last_ends: dict[EngineName, EngineEnd] = {}
+        self._probes = threading.BoundedSemaphore(MAX_REPORTED_PROBES)
+
+    def start(self) -> None:
+        """Receive what peers report, if there are links to peers."""
+        if self._links is not None:
+            self._links.register(ENDS_MESSAGE, self.receive)
+
+    def check(self, model: ModelName, parts: Sequence[str]) -> Refusal | None:
+        """Return a refusal if engines have ended on parts of a prompt."""
+        with self._lock:
+            block = self._blocks.find(model, parts)
+            now = self._read_clock()
+            if block and now >= block.until:
+                self._blocks.remove(block.key)
+                log_event(Part.ROUTING, "block lifted", block=block.name, reason="its time is over")
+                return None
+        if block is None:
+            return None
+        reason = f"engines have ended on prompts with {block.name}"
+        return refuse(ResultCode.PROMPT_BLOCKED, reason, retry_after=round(block.until - now, 1))
+
+    def record_answer(self, model: ModelName, parts: Sequence[str]) -> None:
+        """Record that a prompt was answered completely."""
+        with self._lock:
+            now, held = self._read_clock(), [ModelPart(model, part) for part in parts]
+            self._answered[model].add(held, now)
+            self._ledger.clear(held, now)
+
+    def record_broken(self, engine: EngineName, address: str, prompt: BrokenPrompt) -> bool:
+        """Record a prompt whose answer broke off; return whether its engine ended."""
+        if not is_refused(address):
+            return False
+        with self._lock:
+            now = self._read_clock()
+            report = EndReport(self._find_start(engine, now), 0.0, (prompt,), 1)
+            end = self._add(engine, report, OWN_HOST, now)
+            end.is_observed = True
+            self._review(end)
+        log_event(
+            Part.ROUTING,
+            "engine ended",
+            engine=engine,
+            request_id=prompt.request_id,
+            has_begun=prompt.has_begun,
+        )
+        if self._links is not None:
+            self._links.broadcast(ENDS_MESSAGE, [report])
+        return True
+
+    def receive(self, host: HostName, body: Any) -> None:
+        """Add what a peer reports; malformed reports are logged and dropped."""
+        try:
+            reports = decode_reports(body)
+        except (ValueError, TypeError) as error:
+            log_event(Part.PEERS, "invalid reports of ended engines", peer=host, reason=repr(error))
+            return
+        for report in reports:
+            engine = EngineName(str(report.engine.instance))
+            with self._lock:
+                now = self._read_clock()
+                at = now - report.seconds
+                known = report._replace(engine=self._find_start(engine, at))
+                end = self._add(engine, known, host, now)
+                self._review(end)
+            if not end.is_credible and self._probes.acquire(blocking=False):
+                threading.Thread(
+                    target=self._probe, args=(engine, end), name="end-probe", daemon=True
+                ).start()
+
+    def _probe(self, engine: EngineName, end: EngineEnd) -> None:
+        try:
+            address = self._find_address(engine)
+            if address and is_refused(address):
+                with self._lock:
+                    end.is_observed = True
+                    self._review(end)
+        finally:
+            self._probes.release()
+
+    def _find_start(self, engine: EngineName, at: float) -> EngineStart:
+        last = self._last_ends.get(engine)
+        if last and abs(last.at - at) < SAME_END_SECONDS:
+            return last.engine
+        return EngineStart(InstanceId(engine), int(at * 1000))
+
+    def _add(self, engine: EngineName, report: EndReport, host: HostName, now: float) -> EngineEnd:
+        end = self._ledger.add(report, host, now)
+        if self._find_address(engine) is not None:
+            self._last_ends[engine] = end
+        return end
+
+    def _review(self, end: EngineEnd) -> None:
+        """Block the parts of an end against which there is enough by now."""
+        if not end.is_credible:
+            return
+        for part in end.begun_parts if end.begun else end.other_parts:
+            suspicion = self._assess(part)
+            if suspicion is None or not suspicion.is_sufficient:
+                continue
+            is_own = OWN_HOST in suspicion.reporters
+            if is_own or len(suspicion.reporters) >= MIN_REPORTERS:
+                self._block(part, suspicion)
+
+    def _assess(self, part: ModelPart) -> Suspicion | None:
+        ends = self._ledger.list_blamed(part)
+        if not ends:
+            return None
+        answered, since = self._answered[part.model], ends[0].at
+        traffic = Traffic(
+            answered.estimate_share(part),
+            answered.count_since(since),
+            self._ledger.count_since(since) - len(ends),
+        )
+        return assess_part(part, ends, traffic)
+
+    def _block(self, part: ModelPart, suspicion: Suspicion) -> None:
+        since = suspicion.ends[0].at
+        parts = frozenset(
+            other
+            for other in find_common_parts(suspicion)
+            if other == part.part_id
+            or not self._ledger.is_cleared_since(ModelPart(part.model, other), since)
+        )
+        if self._blocks.find(part.model, parts):
+            return
+        block = Block(part.model, parts, self._read_clock() + compute_block_seconds(0))
+        self._blocks.add(block)
+        log_event(
+            Part.ROUTING,
+            "part blocked",
+            block=block.name,
+            engines=sorted({end.engine.instance for end in suspicion.ends}),
+            requests=[blamed.prompt.request_id for blamed in suspicion.prompts],
+        )
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -19,6 +19,7 @@
 )
 from turmericproxy.core.hashing import compute_rendezvous_weight
 from turmericproxy.logs import Part, log_decision
+from turmericproxy.routing.crash_guard import CrashGuard
 from turmericproxy.routing.decisions import Decision, decide
 from turmericproxy.routing.engine_registry import EngineRegistry
 from turmericproxy.routing.policies import create_policy
@@ -80,11 +81,13 @@
         self._sharing.set_kept_blocks(self._transfers.kept)
         self.engines.set_stored_callback(self._transfers.record_stored)
         self._pollers = Pollers(self.engines, self.services, settings, upstream_settings)
+        self.crashes = CrashGuard(links, self._find_address, read_clock)
 
     def start(self) -> None:
         """Start polling engines and services, exporting blocks and sending dispatches to peers."""
         self._sharing.start()
         self._transfers.start()
+        self.crashes.start()
         self._configuration.subscribe(self._pollers.update)
         self._pollers.update(self._configuration.snapshot())
 
@@ -94,6 +97,10 @@
         self._transfers.close()
         self._sharing.close()
 
+    def _find_address(self, name: EngineName) -> str | None:
+        engines = self._configuration.snapshot().list_engines()
+        return next((engine.address for engine in engines if engine.name == name), None)
+
     def choose_engine(self, request: RoutingRequest) -> EngineChoice | Refusal:
         """Return the engine for the request, or a refusal with the reason if there is none."""
         now = self._read_clock()
