Don't count a blocked request against its engine, nor a planned end against prompts

A request that is given up since its part was blocked meanwhile no longer counts as a time-out of its engine or takes a retry. Reports of engines that have announced to leave are ignored, and an engine is probed again if an answer breaks after the first probe.

--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -178,7 +178,7 @@
             pending.prompts.append((limited, now))
         if pending.is_confirmed:
             self._report(engine, pending)
-        elif pending.probe is None:
+        elif pending.probe is None or pending.probe.done():
             probe = wait_and_probe(self._detector, engine, OWN_PROBE_DELAYS)
             pending.probe = self._start_probe(engine, probe)
 
@@ -237,6 +237,8 @@
             self.is_loaded = len(self._told_by) >= MIN_VOTERS
 
     def _receive_report(self, host: HostName, report: EndReport, now: float) -> None:
+        if self._detector.is_leaving(report.engine):
+            return
         end = self._ledger.add(report, host, now)
         self._mark_dirty(end)
         if end.is_credible or self._reported_probes >= MAX_REPORTED_PROBES:
--- a/turmericproxy/crashes/detection.py
+++ b/turmericproxy/crashes/detection.py
@@ -31,6 +31,11 @@
         """Return whether an end of the engine would be unplanned."""
         return _is_in_use(self._registry.find(engine.instance), engine)
 
+    def is_leaving(self, engine: EngineStart) -> bool:
+        """Return whether the engine has announced that it leaves, so that its end is planned."""
+        state = self._registry.find(engine.instance)
+        return state is not None and not _is_in_use(state, engine)
+
     def read_status(self, engine: EngineStart) -> EngineStatus:
         """Return what the registry shows, without a connection."""
         state = self._registry.find(engine.instance)
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -48,6 +48,7 @@
     NO_BUDGET = "no_budget"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_ENDED = "upstream_ended"
+    PROMPT_BLOCKED = "prompt_blocked"
     SLOW_CLIENT = "slow_client"
 
 
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -79,6 +79,7 @@
         self._event_parts = 0
         self._received_at = 0.0
         self._head_at: float | None = None
+        self._is_blocked = False
         self._gap_limits = compute_gap_limits(request.route)
 
     async def run(self) -> CompletedAnswer | Refusal:
@@ -100,7 +101,9 @@
             attempt = await self._attempt(placement, replacement)
             self._count(attempt)
             obstacle = None
-            if self._replacement is None:
+            if self._is_blocked:
+                obstacle = Obstacle.PROMPT_BLOCKED
+            elif self._replacement is None:
                 obstacle = self._find_obstacle(attempt, request.attempt_counts)
                 if obstacle is None and await self._has_ended_engine(placement, attempt):
                     obstacle = Obstacle.UPSTREAM_ENDED
@@ -159,7 +162,7 @@
             seconds = self._clock() - started
             dispatcher.record_end(
                 placement,
-                attempt,
+                None if self._is_blocked else attempt,
                 seconds,
                 phase=self._phase,
                 head_seconds=self._measure_head_seconds(),
@@ -199,6 +202,7 @@
 
         def abandon() -> None:
             if self._head_at is None:
+                self._is_blocked = True
                 call.give_up("engines have ended on prompts with parts of this one")
 
         parts = [part.part_id for part in prompt.shared_parts]
