--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -1,50 +1,34 @@
 """Add up what ended engines, over all hosts, and decide which prompts to refuse."""
 
-import asyncio
-from collections import OrderedDict, defaultdict
-from collections.abc import Callable, Coroutine, Iterable, Iterator
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from turmericproxy.core import HostName, ModelName, RequestId
 from turmericproxy.core.hashing import choose_by_hash
-from turmericproxy.crashes.answered import AnsweredPrompts
 from turmericproxy.crashes.blocks import Block, BlockKey, BlockList, compute_block_seconds
-from turmericproxy.crashes.detection import EndDetector, EngineStatus, wait_and_probe
+from turmericproxy.crashes.collecting import EndCollector
+from turmericproxy.crashes.detection import EndDetector
 from turmericproxy.crashes.evidence import (
     MAX_NOTICES,
     MAX_PARTS_PER_MESSAGE,
-    MAX_PARTS_PER_PROMPT,
-    MAX_PROMPTS_PER_REPORT,
-    MAX_REPORTS,
     BlockNotice,
     BrokenPrompt,
     EndReport,
     EngineStart,
     ModelPart,
 )
-from turmericproxy.crashes.judgement import Suspicion, Traffic, assess_part, find_common_parts
-from turmericproxy.crashes.ledger import EndLedger, EngineEnd
+from turmericproxy.crashes.judgement import Suspicion
+from turmericproxy.crashes.ledger import EngineEnd
+from turmericproxy.crashes.reports import OwnReports
+from turmericproxy.crashes.suspects import Suspects
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.registry import UpstreamRegistry
 
-# Delays before the connections by which the end of an engine is noticed: its streams may end some
-# time before its address refuses connections.
-OWN_PROBE_DELAYS = (0.0, 0.1, 0.4)
-# Delay before an engine is probed that only one other host reports as ended.
-REPORTED_PROBE_DELAY_SECONDS = 0.15
-# Probes of reported ends that run at the same time.
-MAX_REPORTED_PROBES = 8
-# Time for which broken prompts are kept while it isn't known whether their engine ended.
-PENDING_SECONDS = 5.0
-MAX_PENDING_ENGINES = 256
-MAX_PENDING_PROMPTS = 2 * MAX_PROMPTS_PER_REPORT
 # Parts that wait for their assessment.
 MAX_DIRTY_PARTS = 4096
-# Time for which reports are sent again with the full state, since a lost hub may have kept them.
-REPEATED_SECONDS = 10.0
 # Time within which other hosts have told that a suspicious part was answered there. Requests reach
 # all hosts alike, so that each has about as many answers as this one.
 ANNOUNCEMENT_SECONDS = 0.5
@@ -63,17 +47,6 @@
     blocks: tuple[BlockNotice, ...] = ()
 
 
-@dataclass
-class _PendingEnd:
-    """Hold broken prompts of an engine; times are of the event loop."""
-
-    since: float
-    prompts: list[tuple[BrokenPrompt, float]] = field(default_factory=list)
-    prompt_count: int = 0
-    is_confirmed: bool = False
-    probe: asyncio.Task[EngineStatus] | None = None
-
-
 class CrashController:
     """Keep the evidence and the blocks of one host; ``list_reachable`` returns its peers."""
 
@@ -87,22 +60,21 @@
     ) -> None:
         self._host = host
         self._detector = EndDetector(registry)
+        self._collector = EndCollector(
+            self._detector, read_clock, self._record_end, self._record_report
+        )
+        self._suspects = Suspects()
+        self._ledger = self._suspects.ledger
+        self._own_reports = OwnReports(self._ledger.is_cleared_since)
         self.list_reachable = list_reachable
         self._read_clock = read_clock
         self._metrics = metrics
-        self._ledger = EndLedger()
-        self._answered: defaultdict[ModelName, AnsweredPrompts] = defaultdict(AnsweredPrompts)
-        self._pending: OrderedDict[EngineStart, _PendingEnd] = OrderedDict()
-        self._own_reports: list[tuple[float, EndReport]] = []
-        self._unsent_reports: list[EndReport] = []
         self._unsent_answered: set[ModelPart] = set()
         self._unsent_notices: list[BlockNotice] = []
         self._dirty: dict[ModelPart, None] = {}
         self._votes: OrderedDict[BlockKey, dict[HostName, BlockNotice]] = OrderedDict()
         self._part_votes: dict[ModelPart, set[HostName]] = {}
         self._running: dict[object, tuple[ModelName, frozenset[str], Callable[[], None]]] = {}
-        self._tasks: set[asyncio.Task[EngineStatus]] = set()
-        self._reported_probes = 0
         self.blocks = BlockList()
         self.on_change: Callable[[], None] = lambda: None
         # Until the stored blocks have been read, nothing is sent to engines.
@@ -149,75 +121,44 @@
     ) -> None:
         """Record that an answer came through, which shows that its parts end no engine."""
         now = self._read_clock()
-        held = [ModelPart(model, part) for part in parts]
-        self._answered[model].add(held, now)
+        held = frozenset(parts)
         end = self._ledger.find(engine)
         if end and sent_at > end.at:
             # Its connections were refused or reset, but the engine goes on.
             self._ledger.remove(engine)
             log_event(Part.ROUTING, "engine has not ended", engine=engine.instance)
-        if blamed := self._ledger.clear(held, now):
-            self._unsent_answered |= blamed
+        self._unsent_answered |= self._suspects.record_answer(model, held, now)
         if len(self.blocks):
-            self._narrow_blocks(model, frozenset(part.part_id for part in held), sent_at)
+            self._narrow_blocks(model, held, sent_at)
 
     def record_broken(self, engine: EngineStart, prompt: BrokenPrompt) -> None:
         """Record a prompt whose answer broke off, and find out whether its engine ended."""
-        if not self._detector.is_eligible(engine):
-            return
-        now = self._read_clock()
-        pending = self._pending.get(engine)
-        if pending is None:
-            pending = self._pending[engine] = _PendingEnd(now)
-            if len(self._pending) > MAX_PENDING_ENGINES:
-                self._pending.popitem(last=False)
-        pending.prompt_count += 1
-        limited = prompt._replace(parts=prompt.parts[:MAX_PARTS_PER_PROMPT])
-        limit = MAX_PENDING_PROMPTS if prompt.has_begun else MAX_PROMPTS_PER_REPORT
-        if len(pending.prompts) < limit:
-            pending.prompts.append((limited, now))
-        if pending.is_confirmed:
-            self._report(engine, pending)
-        elif pending.probe is None or pending.probe.done():
-            probe = wait_and_probe(self._detector, engine, OWN_PROBE_DELAYS)
-            pending.probe = self._start_probe(engine, probe)
+        self._collector.record_broken(engine, prompt)
 
     async def await_end(self, engine: EngineStart) -> bool:
         """Return whether an engine on which a prompt broke has ended, as far as is known soon."""
-        pending = self._pending.get(engine)
-        if pending is None:
-            return False
-        if not pending.is_confirmed:
-            status = await self._detector.probe(engine)
-            self._settle(engine, status)
-        return pending.is_confirmed
+        return await self._collector.await_end(engine)
 
     # Other hosts
 
     def take_state(self) -> CrashState | None:
         """Return what is new since the last call, or ``None``."""
+        self._collector.review()
         self._review()
-        if not (self._unsent_reports or self._unsent_answered or self._unsent_notices):
+        reports = self._own_reports.take_unsent(self._read_clock())
+        if not (reports or self._unsent_answered or self._unsent_notices):
             return None
-        reports = self._unsent_reports[:MAX_REPORTS]
-        del self._unsent_reports[:MAX_REPORTS]
         answered = tuple(self._unsent_answered)[:MAX_PARTS_PER_MESSAGE]
         self._unsent_answered.clear()
         notices = self._unsent_notices[:MAX_NOTICES]
         del self._unsent_notices[:MAX_NOTICES]
-        now = self._read_clock()
-        return CrashState(self._age(reports, now), answered, tuple(notices))
+        return CrashState(reports, answered, tuple(notices))
 
     def create_state(self, *, is_introduction: bool) -> CrashState:
         """Return this host's own evidence and its blocks; for a new host, all that it keeps."""
-        now = self._read_clock()
-        reports = [
-            report
-            for at, report in self._own_reports
-            if is_introduction or now - at < REPEATED_SECONDS
-        ]
-        notices = tuple(self._create_notice(block) for block in self.blocks)
-        return CrashState(self._age(reports[-MAX_REPORTS:], now), (), notices)
+        now, reports = self._read_clock(), self._own_reports
+        own = reports.list_all(now) if is_introduction else reports.list_recent(now)
+        return CrashState(own, (), tuple(self._create_notice(block) for block in self.blocks))
 
     def receive(self, host: HostName, state: CrashState) -> None:
         """Add what another host tells."""
@@ -241,21 +182,8 @@
             return
         end = self._ledger.add(report, host, now)
         self._mark_dirty(end)
-        if end.is_credible or self._reported_probes >= MAX_REPORTED_PROBES:
-            return
-        if self._detector.read_status(report.engine) is EngineStatus.UNCLEAR:
-            return
-        self._reported_probes += 1
-        probe = self._start_probe(report.engine, self._probe_reported(end))
-        probe.add_done_callback(self._end_reported_probe)
-
-    async def _probe_reported(self, end: EngineEnd) -> EngineStatus:
-        """Probe an engine unless another host reports its end, too, within a moment."""
-        await asyncio.sleep(REPORTED_PROBE_DELAY_SECONDS)
-        return EngineStatus.UNCLEAR if end.is_credible else await self._detector.probe(end.engine)
-
-    def _end_reported_probe(self, _: asyncio.Task[EngineStatus]) -> None:
-        self._reported_probes -= 1
+        if not end.is_credible:
+            self._collector.check_reported(end)
 
     def _receive_notice(self, host: HostName, notice: BlockNotice) -> None:
         key = (notice.model, frozenset(notice.parts))
@@ -307,53 +235,22 @@
 
     # Evidence
 
-    def _start_probe(
-        self, engine: EngineStart, probe: Coroutine[Any, Any, EngineStatus]
-    ) -> asyncio.Task[EngineStatus]:
-        task = asyncio.get_running_loop().create_task(probe)
-        self._tasks.add(task)
-        task.add_done_callback(lambda done: self._finish_probe(engine, done))
-        return task
-
-    def _finish_probe(self, engine: EngineStart, task: asyncio.Task[EngineStatus]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        if error := task.exception():
-            log_event(Part.ROUTING, "engine not probed", engine=engine.instance, reason=repr(error))
-            return
-        self._settle(engine, task.result())
-
-    def _settle(self, engine: EngineStart, status: EngineStatus) -> None:
-        """Record that an engine has ended, if that is its status."""
-        if status is not EngineStatus.ENDED:
-            return
+    def _record_end(self, engine: EngineStart) -> None:
+        """Record that this host has found out by itself that an engine ended."""
         end = self._ledger.find(engine)
         if end and not end.is_observed:
             end.is_observed = True
             self._mark_dirty(end)
-        pending = self._pending.get(engine)
-        if pending and not pending.is_confirmed:
-            pending.is_confirmed = True
-            self._report(engine, pending)
 
-    def _report(self, engine: EngineStart, pending: _PendingEnd) -> None:
+    def _record_report(self, report: EndReport) -> None:
         """Add the broken prompts of an ended engine to the evidence, and tell the other hosts."""
-        now = self._read_clock()
-        aged = [p._replace(seconds=p.seconds + now - at) for p, at in pending.prompts]
-        prompts = tuple(sorted(aged, key=lambda prompt: not prompt.has_begun))
-        report = EndReport(
-            engine, now - pending.since, prompts[:MAX_PROMPTS_PER_REPORT], pending.prompt_count
-        )
+        now, engine = self._read_clock(), report.engine
         is_first = self._ledger.find(engine) is None
         end = self._ledger.add(report, self._host, now)
         end.is_observed = True
-        pending.prompts, pending.prompt_count = [], 0
-        self._own_reports.append((now, report))
-        del self._own_reports[:-MAX_REPORTS]
-        self._unsent_reports.append(report)
+        self._own_reports.add(report, now)
         self._mark_dirty(end)
-        begun = [prompt.request_id for prompt in prompts if prompt.has_begun]
+        begun = [prompt.request_id for prompt in report.prompts if prompt.has_begun]
         if is_first:
             self._metrics.count("ended_engines")
         for block in self.blocks:
@@ -369,25 +266,6 @@
                 begun_requests=begun,
             )
 
-    def _age(self, reports: list[EndReport], now: float) -> tuple[EndReport, ...]:
-        """Return reports with the time since they were written, without parts answered since."""
-        written_at = {id(report): at for at, report in self._own_reports}
-        aged = []
-        for report in reports:
-            at = written_at.get(id(report), now)
-            prompts = []
-            for prompt in report.prompts:
-                parts = tuple(
-                    part
-                    for part in prompt.parts
-                    if not self._ledger.is_cleared_since(ModelPart(prompt.model, part), at)
-                )
-                if parts:
-                    prompts.append(prompt._replace(parts=parts, seconds=prompt.seconds + now - at))
-            seconds = report.seconds + now - at
-            aged.append(report._replace(seconds=seconds, prompts=tuple(prompts)))
-        return tuple(aged)
-
     def _mark_dirty(self, end: EngineEnd) -> None:
         if not end.is_credible:
             return
@@ -396,13 +274,7 @@
                 self._dirty[part] = None
 
     def _review(self) -> None:
-        """Assess the parts with new evidence, and see which engines were replaced meanwhile."""
-        now = self._read_clock()
-        for engine, pending in list(self._pending.items()):
-            if now - pending.since > PENDING_SECONDS:
-                del self._pending[engine]
-            elif not pending.is_confirmed:
-                self._settle(engine, self._detector.read_status(engine))
+        """Assess the parts with new evidence."""
         dirty, self._dirty = self._dirty, {}
         suspicions = {part: s for part in dirty if (s := self._assess(part))}
         # The strongest first: what it explains no longer speaks against the others.
@@ -424,17 +296,12 @@
         return self._host in suspicion.reporters or len(suspicion.reporters) >= MIN_VOTERS
 
     def _assess(self, part: ModelPart) -> Suspicion | None:
-        ends = [end for end in self._ledger.list_blamed(part) if not self._is_explained(part, end)]
-        if not ends:
-            return None
-        answered, since = self._answered[part.model], ends[0].at
-        traffic = Traffic(
-            answered.estimate_share(part),
-            answered.count_between(since, self._read_clock() - ANNOUNCEMENT_SECONDS)
-            * (1 + len(self.list_reachable())),
-            self._ledger.count_since(since) - len(ends),
+        return self._suspects.assess(
+            part,
+            self._read_clock() - ANNOUNCEMENT_SECONDS,
+            1 + len(self.list_reachable()),
+            self._is_explained,
         )
-        return assess_part(part, ends, traffic)
 
     def _is_explained(self, part: ModelPart, end: EngineEnd) -> bool:
         """Return whether a prompt that is refused by now was under way when an engine ended."""
@@ -447,16 +314,11 @@
     # Blocks
 
     def _block(self, part: ModelPart, suspicion: Suspicion) -> None:
-        now = self._read_clock()
-        since = suspicion.ends[0].at
-        parts = frozenset(
-            other
-            for other in find_common_parts(suspicion)
-            if other == part.part_id
-            or not self._ledger.is_cleared_since(ModelPart(part.model, other), since)
-        )
         block = Block(
-            part.model, parts, now + compute_block_seconds(0), blamed_until=suspicion.ends[-1].at
+            part.model,
+            self._suspects.list_inseparable(part, suspicion),
+            self._read_clock() + compute_block_seconds(0),
+            blamed_until=suspicion.ends[-1].at,
         )
         self._add_block(
             block,
@@ -561,5 +423,4 @@
 
     def close(self) -> None:
         """Cancel the probes under way."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._collector.close()
--- /dev/null
+++ b/turmericproxy/crashes/suspects.py
@@ -0,0 +1,58 @@
+"""Hold the evidence of a host, and assess prompt parts by it."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from turmericproxy.core import ModelName
+from turmericproxy.crashes.answered import AnsweredPrompts
+from turmericproxy.crashes.evidence import ModelPart
+from turmericproxy.crashes.judgement import Suspicion, Traffic, assess_part, find_common_parts
+from turmericproxy.crashes.ledger import EndLedger, EngineEnd
+
+
+class Suspects:
+    """Combine the ends of engines with the prompts that were answered meanwhile."""
+
+    def __init__(self) -> None:
+        self.ledger = EndLedger()
+        self._answered: defaultdict[ModelName, AnsweredPrompts] = defaultdict(AnsweredPrompts)
+
+    def record_answer(self, model: ModelName, parts: Iterable[str], now: float) -> set[ModelPart]:
+        """Record an answer; return its parts that an end had made suspicious."""
+        held = [ModelPart(model, part) for part in parts]
+        self._answered[model].add(held, now)
+        return self.ledger.clear(held, now)
+
+    def assess(
+        self,
+        part: ModelPart,
+        answered_until: float,
+        hosts: int = 1,
+        is_explained: Callable[[ModelPart, EngineEnd], bool] = lambda _part, _end: False,
+    ) -> Suspicion | None:
+        """Return what speaks against a part, ``None`` if nothing does.
+
+        Each of ``hosts`` has had about as many answers as this one until a time, and would have
+        told if one of them was on the part. Ends for which ``is_explained`` returns true have
+        another cause.
+        """
+        ends = [end for end in self.ledger.list_blamed(part) if not is_explained(part, end)]
+        if not ends:
+            return None
+        answered, since = self._answered[part.model], ends[0].at
+        traffic = Traffic(
+            share=answered.estimate_share(part),
+            answers=hosts * answered.count_between(since, answered_until),
+            other_ends=self.ledger.count_since(since) - len(ends),
+        )
+        return assess_part(part, ends, traffic)
+
+    def list_inseparable(self, part: ModelPart, suspicion: Suspicion) -> frozenset[str]:
+        """Return a part with those that were in all its prompts, too, and were not answered."""
+        since = suspicion.ends[0].at
+        return frozenset(
+            other
+            for other in find_common_parts(suspicion)
+            if other == part.part_id
+            or not self.ledger.is_cleared_since(ModelPart(part.model, other), since)
+        )
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -3,7 +3,6 @@
 import hashlib
 import socket
 import threading
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -17,7 +16,6 @@
     refuse,
 )
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.crashes.answered import AnsweredPrompts
 from turmericproxy.crashes.blocks import Block, BlockList, compute_block_seconds
 from turmericproxy.crashes.evidence import (
     BrokenPrompt,
@@ -26,8 +24,9 @@
     ModelPart,
     decode_reports,
 )
-from turmericproxy.crashes.judgement import Suspicion, Traffic, assess_part, find_common_parts
-from turmericproxy.crashes.ledger import MIN_REPORTERS, EndLedger, EngineEnd
+from turmericproxy.crashes.judgement import Suspicion
+from turmericproxy.crashes.ledger import MIN_REPORTERS, EngineEnd
+from turmericproxy.crashes.suspects import Suspects
 from turmericproxy.logs import Part, log_event
 
 ENDS_MESSAGE = "routing.ends"
@@ -78,8 +77,7 @@
         self._find_address = find_address
         self._read_clock = read_clock
         self._lock = threading.Lock()
-        self._ledger = EndLedger()
-        self._answered: defaultdict[ModelName, AnsweredPrompts] = defaultdict(AnsweredPrompts)
+        self._suspects = Suspects()
         self._blocks = BlockList()
         self._last_ends: dict[EngineName, EngineEnd] = {}
         self._probes = threading.BoundedSemaphore(MAX_REPORTED_PROBES)
@@ -106,9 +104,7 @@
     def record_answer(self, model: ModelName, parts: Sequence[str]) -> None:
         """Record that a prompt was answered completely."""
         with self._lock:
-            now, held = self._read_clock(), [ModelPart(model, part) for part in parts]
-            self._answered[model].add(held, now)
-            self._ledger.clear(held, now)
+            self._suspects.record_answer(model, parts, self._read_clock())
 
     def record_broken(self, engine: EngineName, address: str, prompt: BrokenPrompt) -> bool:
         """Record a prompt whose answer broke off; return whether its engine ended."""
@@ -168,7 +164,7 @@
         return EngineStart(InstanceId(engine), int(at * 1000))
 
     def _add(self, engine: EngineName, report: EndReport, host: HostName, now: float) -> EngineEnd:
-        end = self._ledger.add(report, host, now)
+        end = self._suspects.ledger.add(report, host, now)
         if self._find_address(engine) is not None:
             self._last_ends[engine] = end
         return end
@@ -178,33 +174,15 @@
         if not end.is_credible:
             return
         for part in end.begun_parts if end.begun else end.other_parts:
-            suspicion = self._assess(part)
+            suspicion = self._suspects.assess(part, self._read_clock())
             if suspicion is None or not suspicion.is_sufficient:
                 continue
             is_own = OWN_HOST in suspicion.reporters
             if is_own or len(suspicion.reporters) >= MIN_REPORTERS:
                 self._block(part, suspicion)
 
-    def _assess(self, part: ModelPart) -> Suspicion | None:
-        ends = self._ledger.list_blamed(part)
-        if not ends:
-            return None
-        answered, since = self._answered[part.model], ends[0].at
-        traffic = Traffic(
-            answered.estimate_share(part),
-            answered.count_between(since, self._read_clock()),
-            self._ledger.count_since(since) - len(ends),
-        )
-        return assess_part(part, ends, traffic)
-
     def _block(self, part: ModelPart, suspicion: Suspicion) -> None:
-        since = suspicion.ends[0].at
-        parts = frozenset(
-            other
-            for other in find_common_parts(suspicion)
-            if other == part.part_id
-            or not self._ledger.is_cleared_since(ModelPart(part.model, other), since)
-        )
+        parts = self._suspects.list_inseparable(part, suspicion)
         if self._blocks.find(part.model, parts):
             return
         block = Block(part.model, parts, self._read_clock() + compute_block_seconds(0))
