--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -107,3 +107,17 @@
 def to_list(value: object) -> object:
     """Return a value as it arrives from the wire."""
     return [to_list(item) for item in value] if isinstance(value, tuple) else value
+
+
+# Issue 30: a host that restarts would send the prompts again that it has refused.
+def test_blocks_outlast_a_restart_of_the_host() -> None:
+    clock, links = Clock(), Links()
+    guard = create_guard(links, clock)
+    for number in range(3):
+        clock.now += 1.0
+        prompt = create_prompt(number, "bad")
+        guard.record_broken(EngineName(f"e{number}"), REFUSING, prompt)
+    assert guard.check(MODEL, ["bad"]) is not None
+    restarted = create_guard(links, clock)
+    restarted.start()
+    assert restarted.check(MODEL, ["bad"]) is not None
