--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -85,7 +85,9 @@
 
     # Requests
 
-    def find_block(self, request_id: RequestId, model: ModelName, parts: list[str]) -> Block | None:
+    def find_block(
+        self, request_id: RequestId, model: ModelName, parts: Iterable[str]
+    ) -> Block | None:
         """Return the block under which a prompt is refused, if any.
 
         Once the time of a block is over, one host lets one request through as a trial.
@@ -106,7 +108,7 @@
 
     @contextmanager
     def watch(
-        self, model: ModelName, parts: list[str], abandon: Callable[[], None]
+        self, model: ModelName, parts: Iterable[str], abandon: Callable[[], None]
     ) -> Iterator[None]:
         """Call ``abandon`` if the prompt's parts become blocked meanwhile."""
         token = object()
@@ -269,7 +271,7 @@
     def _mark_dirty(self, end: EngineEnd) -> None:
         if not end.is_credible:
             return
-        for part in end.begun_parts if end.begun else end.other_parts:
+        for part in end.suspect_parts:
             if len(self._dirty) < MAX_DIRTY_PARTS:
                 self._dirty[part] = None
 
@@ -282,18 +284,14 @@
             suspicion = self._assess(part)
             if suspicion is None or self._is_covered(part):
                 continue
-            if suspicion.is_sufficient and self._is_confirmed(suspicion):
+            if suspicion.is_sufficient and suspicion.is_confirmed_by(self._host):
                 self._block(part, suspicion)
             elif suspicion.begun_ends > 1:
                 # Answers on other parts may still add to the evidence.
                 self._dirty[part] = None
 
     def _is_covered(self, part: ModelPart) -> bool:
-        block = self.blocks.find(part.model, (part.part_id,))
-        return block is not None
-
-    def _is_confirmed(self, suspicion: Suspicion) -> bool:
-        return self._host in suspicion.reporters or len(suspicion.reporters) >= MIN_VOTERS
+        return self.blocks.find(part.model, (part.part_id,)) is not None
 
     def _assess(self, part: ModelPart) -> Suspicion | None:
         return self._suspects.assess(
@@ -355,8 +353,8 @@
         if self.blocks.remove(block.key) is None:
             return
         self._votes.pop(block.key, None)
-        for part in block.parts:
-            self._ledger.clear([ModelPart(block.model, part)], self._read_clock())
+        parts = [ModelPart(block.model, part) for part in block.parts]
+        self._ledger.clear(parts, self._read_clock())
         log_event(Part.ROUTING, "block lifted", block=block.name, reason=reason)
         if is_row_removed:
             self.announce_lifted(block)
--- a/turmericproxy/crashes/judgement.py
+++ b/turmericproxy/crashes/judgement.py
@@ -6,7 +6,7 @@
 
 from turmericproxy.core import HostName
 from turmericproxy.crashes.evidence import ModelPart
-from turmericproxy.crashes.ledger import BlamedPrompt, EngineEnd
+from turmericproxy.crashes.ledger import MIN_REPORTERS, BlamedPrompt, EngineEnd
 
 # Ends of which a part must have been in a prompt whose answer had just begun.
 MIN_BEGUN_ENDS = 3
@@ -37,6 +37,10 @@
         has_ends = self.begun_ends >= MIN_BEGUN_ENDS or len(self.ends) >= MIN_ENDS
         return has_ends and self.chance <= MAX_CHANCE and self._is_repeated
 
+    def is_confirmed_by(self, host: HostName) -> bool:
+        """Return whether the evidence is more than the word of one host other than this one."""
+        return host in self.reporters or len(self.reporters) >= MIN_REPORTERS
+
     @property
     def _is_repeated(self) -> bool:
         # Engines that end in the same moment for one other reason say little about the prompts.
--- a/turmericproxy/crashes/ledger.py
+++ b/turmericproxy/crashes/ledger.py
@@ -82,9 +82,10 @@
                 parts = self.begun_parts if prompt.has_begun else self.other_parts
                 parts.update(ModelPart(prompt.model, part) for part in prompt.parts)
 
-    def blames(self, part: ModelPart) -> bool:
-        """Return whether a prompt that may have caused the end holds a part."""
-        return part in (self.begun_parts if self.begun else self.other_parts)
+    @property
+    def suspect_parts(self) -> set[ModelPart]:
+        """Return the parts of the prompts that may have caused the end."""
+        return self.begun_parts if self.begun else self.other_parts
 
 
 class EndLedger:
@@ -154,7 +155,7 @@
     def _find_blamed(self, part: ModelPart) -> list[EngineEnd]:
         cleared_at = self._cleared_at.get(part, float("-inf"))
         ends = self._ends_by_part.get(part, {}).values()
-        return [end for end in ends if end.at > cleared_at and end.blames(part)]
+        return [end for end in ends if end.at > cleared_at and part in end.suspect_parts]
 
     def _drop_one(self, keep: EngineStart) -> None:
         others = [end for end in self._ends.values() if end.engine != keep]
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -25,7 +25,7 @@
     decode_reports,
 )
 from turmericproxy.crashes.judgement import Suspicion
-from turmericproxy.crashes.ledger import MIN_REPORTERS, EngineEnd
+from turmericproxy.crashes.ledger import EngineEnd
 from turmericproxy.crashes.suspects import Suspects
 from turmericproxy.logs import Part, log_event
 
@@ -173,12 +173,11 @@
         """Block the parts of an end against which there is enough by now."""
         if not end.is_credible:
             return
-        for part in end.begun_parts if end.begun else end.other_parts:
+        for part in end.suspect_parts:
             suspicion = self._suspects.assess(part, self._read_clock())
             if suspicion is None or not suspicion.is_sufficient:
                 continue
-            is_own = OWN_HOST in suspicion.reporters
-            if is_own or len(suspicion.reporters) >= MIN_REPORTERS:
+            if suspicion.is_confirmed_by(OWN_HOST):
                 self._block(part, suspicion)
 
     def _block(self, part: ModelPart, suspicion: Suspicion) -> None:
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -138,7 +138,7 @@
         if not self._crashes.is_loaded:
             reason = "the host has not read yet which prompts it must not send"
             return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=self._choose_retry_after())
-        parts = [part.part_id for part in prompt.shared_parts]
+        parts = prompt.shared_part_ids
         block = self._crashes.find_block(request.parsed.request_id, prompt.model, parts)
         if block is None:
             return None
@@ -269,7 +269,7 @@
         prompt = placement.prompt
         if prompt is None:
             return
-        parts = tuple(part.part_id for part in prompt.shared_parts)
+        parts = prompt.shared_part_ids
         is_answered = (
             attempt is not None and attempt.outcome is Outcome.ANSWERED and not attempt.is_failure
         )
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -205,8 +205,7 @@
                 self._is_blocked = True
                 call.give_up("engines have ended on prompts with parts of this one")
 
-        parts = [part.part_id for part in prompt.shared_parts]
-        return self._dependencies.crashes.watch(prompt.model, parts, abandon)
+        return self._dependencies.crashes.watch(prompt.model, prompt.shared_part_ids, abandon)
 
     async def _receive(self, placement: Placement, call: UpstreamCall) -> Attempt:
         answer = await read_head(self._request, placement, self._dependencies.codec, call)
@@ -472,7 +471,7 @@
             obstacle=obstacle.value if obstacle else None,
             event_parts=self._event_parts,
             head_seconds=None if head_seconds is None else round(head_seconds, 3),
-            shared=[part.part_id for part in prompt.shared_parts] if prompt else None,
+            shared=prompt.shared_part_ids if prompt else None,
             silent_seconds=round(self._clock() - self._received_at, 3),
             revision=self._request.site.revision,
             seconds_left=round(self._request.deadline - self._clock(), 3),
--- a/turmericproxy/traffic/requests.py
+++ b/turmericproxy/traffic/requests.py
@@ -32,6 +32,11 @@
         """Return the leading parts, which other requests may also have."""
         return self.parts[:-1]
 
+    @property
+    def shared_part_ids(self) -> tuple[PartId, ...]:
+        """Return the identifiers of the shared parts."""
+        return tuple(part.part_id for part in self.shared_parts)
+
 
 @dataclass(frozen=True, slots=True)
 class ParsedRequest:
