Notice at the own interface that an engine ends while it still listens

Cause: an engine was probed once, at once. One that ends may go on listening for a moment, and one that has sent a piece before it ends didn't count as having only begun, so that neither the two ends of a chat nor the three of a message were ever reached. Mend: an answer whose events came for under 0.5 s has only begun, as at the platform's interface; an engine is probed again after the chat was resumed in vain, and in the background; one that no longer knows a chat has started again.

--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -31,17 +31,23 @@
 SILENCE_CHECK_SECONDS = 0.5
 # Interval at which a probe checks whether data has arrived on the connection that was silent.
 PROBE_POLL_SECONDS = 0.05
+# An answer whose events came for longer than this has not ended its engine.
+BEGINNING_SECONDS = 0.5
 # An engine answers 503 while it loads the weights of the model.
 OUTCOME_BY_STATUS = {409: AttemptOutcome.WRONG_VERSION, 503: AttemptOutcome.WRONG_VERSION}
 
 
 @dataclass(frozen=True)
 class AttemptFailure:
-    """Describe why an attempt did not complete the stream."""
+    """Describe why an attempt did not complete the stream.
+
+    ``is_forgotten`` tells that the engine no longer knew a chat which it had begun to answer.
+    """
 
     outcome: AttemptOutcome
     reason: str
     is_silent: bool = False
+    is_forgotten: bool = False
 
 
 @dataclass(frozen=True)
@@ -109,6 +115,7 @@
         self._is_finished = False
         self._was_sent = False
         self._started_at = read_boottime()
+        self._begun_at: float | None = None
         self._last_event_at = self._started_at
 
     @property
@@ -120,6 +127,12 @@
         """Return the seconds since the attempt was created."""
         return read_boottime() - self._started_at
 
+    @property
+    def has_only_begun(self) -> bool:
+        """Return whether the answer broke off soon enough to be what ended its engine."""
+        begun_at = self._begun_at
+        return begun_at is not None and self._last_event_at < begun_at + BEGINNING_SECONDS
+
     def dispatch(self) -> AttemptFailure | None:
         """Request the pieces from index ``start`` on; return a failure unless accepted."""
         body = {
@@ -211,8 +224,14 @@
         if answer.status != HTTP_OK:
             answer.close()
             outcome = OUTCOME_BY_STATUS.get(answer.status, AttemptOutcome.UNREACHABLE)
-            return AttemptFailure(outcome, f"the engine answered with HTTP status {answer.status}")
+            return AttemptFailure(
+                outcome,
+                f"the engine answered with HTTP status {answer.status}",
+                is_forgotten=path == RESUME_PATH and answer.status == HTTP_NOT_FOUND,
+            )
         self._answer = _OpenAnswer(answer, answer.stream(READ_BYTES))
+        if self._begun_at is None:
+            self._begun_at = read_boottime()
         return None
 
     def _send(
--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -44,7 +44,7 @@
 from turmericproxy.settings.schema import UpstreamSettings
 
 MAX_ATTEMPTS_WITHOUT_PROGRESS = 4
-# Engines that end before the first piece of one chat, after which it isn't repeated.
+# Engines that end soon after they began to answer one chat, after which it isn't repeated.
 MAX_ENDED_ENGINES = 2
 STARTED_STREAM_WAIT_SECONDS = 10.0
 UNSTARTED_STREAM_WAIT_SECONDS = 1.5
@@ -166,7 +166,7 @@
                 return
             self._record_failure(choice, failure, has_progressed=self._next_index > start)
             has_attempt_left = self._attempts_without_progress < MAX_ATTEMPTS_WITHOUT_PROGRESS
-            if self._ended_engines == MAX_ENDED_ENGINES or not has_attempt_left:
+            if self._ended_engines >= MAX_ENDED_ENGINES or not has_attempt_left:
                 yield self._refuse_broken(failure.reason)
                 return
             choice = self._take_replacement() or self._choose_for_retry(failure)
@@ -246,17 +246,12 @@
         outcome = AttemptOutcome.CANCELLED
         self._dependencies.selector.record_dispatch(choice)
         try:
-            failure = attempt.dispatch()
-            has_begun = failure is None
-            if failure is None:
-                failure = yield from self._read_pieces(attempt)
+            failure = attempt.dispatch() or (yield from self._read_pieces(attempt))
             if failure is not None and self.is_caller_gone():
                 yield self._refuse_gone()
                 return None
             if failure is not None:
-                self._record_broken(attempt, failure, has_begun=has_begun)
-            if failure is not None and failure.outcome is AttemptOutcome.FAILED:
-                failure = attempt.resume() or (yield from self._read_pieces(attempt))
+                failure = yield from self._resume(attempt, failure)
             outcome = failure.outcome if failure else AttemptOutcome.DONE
             return failure
         finally:
@@ -266,22 +261,45 @@
     def _check_block(self) -> Refusal | None:
         return self._dependencies.selector.crashes.check(self._call.model, self._parts)
 
-    def _record_broken(self, attempt: Attempt, failure: AttemptFailure, *, has_begun: bool) -> None:
-        """Record a chat whose connection broke, and whether its engine ended before any piece."""
+    def _resume(
+        self, attempt: Attempt, failure: AttemptFailure
+    ) -> Generator[StreamItem, None, AttemptFailure | None]:
+        """Let the engine of a broken attempt go on unless it has ended; return the last failure."""
+        broken = self._describe_broken(attempt, failure)
+        if broken and self._has_ended(attempt.choice, broken):
+            return failure
+        if failure.outcome is not AttemptOutcome.FAILED:
+            return failure
+        next_index = self._next_index
+        last_failure = attempt.resume() or (yield from self._read_pieces(attempt))
+        if last_failure and broken and self._next_index == next_index:
+            # An engine may listen for a moment while it ends, or be back by now.
+            self._has_ended(attempt.choice, broken, is_forgotten=last_failure.is_forgotten)
+        return last_failure
+
+    def _describe_broken(self, attempt: Attempt, failure: AttemptFailure) -> BrokenPrompt | None:
+        """Return the prompt of an attempt whose connection broke, ``None`` for other failures."""
         is_broken = failure.outcome in (AttemptOutcome.FAILED, AttemptOutcome.TIMEOUT)
         if not attempt.was_sent or failure.is_silent or not is_broken:
-            return
-        has_progressed = self._next_index > attempt.start
-        prompt = BrokenPrompt(
+            return None
+        return BrokenPrompt(
             attempt.request_id,
             self._call.model,
             self._parts,
-            has_begun and not has_progressed,
+            attempt.has_only_begun,
             attempt.measure_age(),
         )
-        choice, crashes = attempt.choice, self._dependencies.selector.crashes
-        is_ended = crashes.record_broken(choice.engine, choice.address, prompt)
+
+    def _has_ended(
+        self, choice: EngineChoice, prompt: BrokenPrompt, *, is_forgotten: bool = False
+    ) -> bool:
+        """Record a broken prompt, and return whether its engine has ended."""
+        crashes = self._dependencies.selector.crashes
+        is_ended = crashes.record_broken(
+            choice.engine, choice.address, prompt, is_forgotten=is_forgotten
+        )
         self._ended_engines += is_ended and prompt.has_begun
+        return is_ended
 
     def _create_attempt(self, choice: EngineChoice, attempt_number: int) -> Attempt:
         return Attempt(
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -3,7 +3,10 @@
 import hashlib
 import socket
 import threading
+import time
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 from turmericproxy.core import (
@@ -11,6 +14,7 @@
     HostName,
     ModelName,
     Refusal,
+    RequestId,
     ResultCode,
     read_boottime,
     refuse,
@@ -31,10 +35,14 @@
 
 ENDS_MESSAGE = "routing.ends"
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Delays before further probes of an engine that still listens after an answer broke off.
+LATER_PROBE_DELAYS = (0.1, 0.4)
 # Ends of one engine that are closer are the same one: a restart takes longer.
 SAME_END_SECONDS = 0.25
-# Probes of ends that peers report, running at the same time.
-MAX_REPORTED_PROBES = 4
+# Engines that are probed in the background at the same time.
+MAX_PROBED_ENGINES = 8
+# Attempts that are known to have broken with their engine; the oldest are dropped.
+MAX_RECORDED_ATTEMPTS = 1024
 DIGEST_BYTES = 8
 OWN_HOST = HostName("")
 
@@ -80,7 +88,8 @@
         self._suspects = Suspects()
         self._blocks = BlockList()
         self._last_ends: dict[EngineName, EngineEnd] = {}
-        self._probes = threading.BoundedSemaphore(MAX_REPORTED_PROBES)
+        self._recorded: OrderedDict[RequestId, None] = OrderedDict()
+        self._probes = threading.BoundedSemaphore(MAX_PROBED_ENGINES)
 
     def start(self) -> None:
         """Receive what peers report, if there are links to peers."""
@@ -106,13 +115,46 @@
         with self._lock:
             self._suspects.record_answer(model, parts, self._read_clock())
 
-    def record_broken(self, engine: EngineName, address: str, prompt: BrokenPrompt) -> bool:
-        """Record a prompt whose answer broke off; return whether its engine ended."""
-        if not is_refused(address):
-            return False
+    def record_broken(
+        self,
+        engine: EngineName,
+        address: str,
+        prompt: BrokenPrompt,
+        *,
+        is_forgotten: bool = False,
+    ) -> bool:
+        """Record a prompt whose answer broke off; return whether its engine is known to have ended.
+
+        An engine that still listens is probed again in the background. ``is_forgotten`` tells that
+        the engine no longer knows the prompt, since it has started again.
+        """
+        broken_at = self._read_clock()
+        if is_forgotten or is_refused(address):
+            self._record_end(engine, prompt, broken_at)
+            return True
+
+        def probe_later() -> None:
+            for delay in LATER_PROBE_DELAYS:
+                time.sleep(delay)
+                if is_refused(address):
+                    self._record_end(engine, prompt, broken_at)
+                    return
+
+        self._start_probe(probe_later)
+        return False
+
+    def _record_end(self, engine: EngineName, prompt: BrokenPrompt, broken_at: float) -> None:
+        """Add a prompt that broke with its engine to the evidence, once, and tell the peers."""
         with self._lock:
+            if prompt.request_id in self._recorded:
+                return
+            self._recorded[prompt.request_id] = None
+            if len(self._recorded) > MAX_RECORDED_ATTEMPTS:
+                self._recorded.popitem(last=False)
             now = self._read_clock()
-            report = EndReport(self._find_start(engine, now), 0.0, (prompt,), 1)
+            aged = prompt._replace(seconds=prompt.seconds + now - broken_at)
+            start = self._find_start(engine, broken_at)
+            report = EndReport(start, now - broken_at, (aged,), 1)
             end = self._add(engine, report, OWN_HOST, now)
             end.is_observed = True
             self._review(end)
@@ -125,7 +167,6 @@
         )
         if self._links is not None:
             self._links.broadcast(ENDS_MESSAGE, [report])
-        return True
 
     def receive(self, host: HostName, body: Any) -> None:
         """Add what a peer reports; malformed reports are logged and dropped."""
@@ -142,20 +183,29 @@
                 known = report._replace(engine=self._find_start(engine, at))
                 end = self._add(engine, known, host, now)
                 self._review(end)
-            if not end.is_credible and self._probes.acquire(blocking=False):
-                threading.Thread(
-                    target=self._probe, args=(engine, end), name="end-probe", daemon=True
-                ).start()
-
-    def _probe(self, engine: EngineName, end: EngineEnd) -> None:
-        try:
-            address = self._find_address(engine)
-            if address and is_refused(address):
-                with self._lock:
-                    end.is_observed = True
-                    self._review(end)
-        finally:
-            self._probes.release()
+            if not end.is_credible:
+                self._start_probe(partial(self._probe_reported, engine, end))
+
+    def _start_probe(self, probe: Callable[[], None]) -> None:
+        """Run a probe in the background, unless too many are under way."""
+
+        def run() -> None:
+            try:
+                probe()
+            finally:
+                self._probes.release()
+
+        if self._probes.acquire(blocking=False):
+            threading.Thread(target=run, name="end-probe", daemon=True).start()
+        else:
+            log_event(Part.ROUTING, "engine not probed", reason="too many probes under way")
+
+    def _probe_reported(self, engine: EngineName, end: EngineEnd) -> None:
+        address = self._find_address(engine)
+        if address and is_refused(address):
+            with self._lock:
+                end.is_observed = True
+                self._review(end)
 
     def _find_start(self, engine: EngineName, at: float) -> EngineStart:
         last = self._last_ends.get(engine)
