Keep the blocks of the own interface in a table of the platform

A host of the own interface that restarted sent the messages again that it had refused (tests.routing.test_crash_guard::test_blocks_outlast_a_restart_of_the_host, red before). Its blocks were held in memory only, and peers tell of new ends only. A thread of its own reads the table at the start and writes new blocks, and repeats failed calls. A host doesn't wait for the table before it serves: while the platform is away, messages may end engines again until three ends are known.

--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -1,11 +1,25 @@
 """Check how a host at the product's own interface adds up the ends of engines."""
 
 import socket
-
-from turmericproxy.core import EngineName, HostName, ModelName, RequestId, ResultCode
+import threading
+import time
+
+from turmericproxy.core import (
+    EngineName,
+    HostName,
+    ModelName,
+    Refusal,
+    RequestId,
+    ResultCode,
+    refuse,
+)
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.blocks import Block
 from turmericproxy.crashes.evidence import BrokenPrompt, EndReport, EngineStart
+from turmericproxy.crashes.records import BLOCK_TABLE, encode_block
+from turmericproxy.routing.block_table import BlockTable
 from turmericproxy.routing.crash_guard import CrashGuard, list_message_parts
+from turmericproxy.tables.messages import AnswerLost, Committed, Row, Transaction
 
 MODEL = ModelName("notes")
 # Nothing listens on the port of a socket that is bound only.
@@ -36,8 +50,8 @@
         return self.now
 
 
-def create_guard(links: Links, clock: Clock) -> CrashGuard:
-    guard = CrashGuard(links, lambda name: REFUSING, clock)
+def create_guard(links: Links, clock: Clock, table: BlockTable | None = None) -> CrashGuard:
+    guard = CrashGuard(links, lambda name: REFUSING, clock, table)
     for _ in range(100):
         guard.record_answer(MODEL, ["rules"])
     return guard
@@ -109,15 +123,74 @@
     return [to_list(item) for item in value] if isinstance(value, tuple) else value
 
 
+class StoredRows:
+    """Stand in for the platform's tables; the first call of each kind fails."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.failures = ["read", "write"]
+        self.has_written = threading.Event()
+
+    def list_rows(self, table: str) -> tuple[Row, ...] | Refusal:
+        assert table == BLOCK_TABLE
+        if "read" in self.failures:
+            self.failures.remove("read")
+            return refuse(ResultCode.PLATFORM_UNAVAILABLE, "away")
+        return tuple(self.rows.values())
+
+    def commit(self, transaction: Transaction) -> Committed | AnswerLost:
+        if "write" in self.failures:
+            self.failures.remove("write")
+            return AnswerLost("away")
+        for write in transaction.writes:
+            self.rows[write.key] = Row(write.key, write.value, 1)
+        self.has_written.set()
+        return Committed([])
+
+
+def wait_for_refusal(guard: CrashGuard, parts: list[str]) -> Refusal | None:
+    ends_at = time.monotonic() + 5.0
+    while time.monotonic() < ends_at and guard.check(MODEL, parts) is None:
+        time.sleep(0.02)
+    return guard.check(MODEL, parts)
+
+
 # Issue 30: a host that restarts would send the prompts again that it has refused.
 def test_blocks_outlast_a_restart_of_the_host() -> None:
-    clock, links = Clock(), Links()
-    guard = create_guard(links, clock)
+    clock, links, rows = Clock(), Links(), StoredRows()
+    guard = create_guard(links, clock, BlockTable(rows, clock))
+    guard.start()
     for number in range(3):
         clock.now += 1.0
         prompt = create_prompt(number, "bad")
         guard.record_broken(EngineName(f"e{number}"), REFUSING, prompt)
     assert guard.check(MODEL, ["bad"]) is not None
-    restarted = create_guard(links, clock)
+    assert rows.has_written.wait(5.0)
+    guard.close()
+    clock.now = 7.0
+    restarted = create_guard(links, clock, BlockTable(rows, clock))
     restarted.start()
-    assert restarted.check(MODEL, ["bad"]) is not None
+    refusal = wait_for_refusal(restarted, ["bad"])
+    assert refusal is not None and refusal.retry_after is not None
+    assert 0 < refusal.retry_after <= 600
+    assert restarted.check(MODEL, ["rules"]) is None
+    restarted.close()
+
+
+# Rows that other programs wrote must not keep a host from starting.
+def test_malformed_rows_block_nothing() -> None:
+    clock, rows = Clock(), StoredRows()
+    for number, value in enumerate(("no json", "[]", None, 7, '{"model": "notes", "parts": []}')):
+        rows.rows[str(number)] = Row(str(number), value, 1)
+    block = Block(MODEL, frozenset({"bad"}), 200.0)
+    rows.rows["sound"] = Row("sound", encode_block(block, time.time() + 50.0).decode(), 1)
+    rows.rows["over"] = Row("over", encode_block(replace_parts(block), 1.0).decode(), 1)
+    guard = create_guard(Links(), clock, BlockTable(rows, clock))
+    guard.start()
+    assert wait_for_refusal(guard, ["bad"]) is not None
+    assert guard.check(MODEL, ["other"]) is None
+    guard.close()
+
+
+def replace_parts(block: Block) -> Block:
+    return Block(block.model, frozenset({"other"}), block.until)
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -74,7 +74,13 @@
             self.platform, host, incarnation, self._is_alive, settings.bookings
         )
         self.selector = Selector(
-            self.configuration, self.links, settings.routing, settings.upstreams, host, domain
+            self.configuration,
+            self.links,
+            settings.routing,
+            settings.upstreams,
+            host,
+            domain,
+            tables=self.platform,
         )
         self.queue = create_queue(settings.limits.threads)
         self.weights = WeightController(self.configuration, settings.upstreams, host)
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -32,6 +32,7 @@
 from turmericproxy.crashes.ledger import EngineEnd
 from turmericproxy.crashes.suspects import Suspects
 from turmericproxy.logs import Part, log_event
+from turmericproxy.routing.block_table import BlockTable
 
 ENDS_MESSAGE = "routing.ends"
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -72,7 +73,8 @@
 class CrashGuard:
     """Add up the ends of engines that this host and its peers see; thread-safe.
 
-    ``find_address`` returns the address of an engine, ``None`` for an unknown one.
+    ``find_address`` returns the address of an engine, ``None`` for an unknown one. Without a
+    ``table`` the blocks are forgotten at a restart.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         links: Any,
         find_address: Callable[[EngineName], str | None],
         read_clock: Callable[[], float] = read_boottime,
+        table: BlockTable | None = None,
     ) -> None:
         self._links = links
+        self._table = table
         self._find_address = find_address
         self._read_clock = read_clock
         self._lock = threading.Lock()
@@ -92,10 +96,17 @@
         self._probes = threading.BoundedSemaphore(MAX_PROBED_ENGINES)
 
     def start(self) -> None:
-        """Receive what peers report, if there are links to peers."""
+        """Read the stored blocks, and receive what peers report, if there are links to peers."""
+        if self._table is not None:
+            self._table.start(self._restore)
         if self._links is not None:
             self._links.register(ENDS_MESSAGE, self.receive)
 
+    def close(self) -> None:
+        """Stop writing blocks."""
+        if self._table is not None:
+            self._table.close()
+
     def check(self, model: ModelName, parts: Sequence[str]) -> Refusal | None:
         """Return a refusal if engines have ended on parts of a prompt."""
         with self._lock:
@@ -230,16 +241,26 @@
             if suspicion.is_confirmed_by(OWN_HOST):
                 self._block(part, suspicion)
 
+    def _restore(self, block: Block) -> None:
+        with self._lock:
+            if self._blocks.find(block.model, block.parts):
+                return
+            self._blocks.add(block)
+        log_event(Part.ROUTING, "part blocked", block=block.name, source="store")
+
     def _block(self, part: ModelPart, suspicion: Suspicion) -> None:
         parts = self._suspects.list_inseparable(part, suspicion)
         if self._blocks.find(part.model, parts):
             return
         block = Block(part.model, parts, self._read_clock() + compute_block_seconds(0))
         self._blocks.add(block)
+        if self._table is not None:
+            self._table.write(block)
         log_event(
             Part.ROUTING,
             "part blocked",
             block=block.name,
+            source="evidence",
             engines=sorted({end.engine.instance for end in suspicion.ends}),
             requests=[blamed.prompt.request_id for blamed in suspicion.prompts],
         )
--- a/turmericproxy/routing/selector.py
+++ b/turmericproxy/routing/selector.py
@@ -19,6 +19,7 @@
 )
 from turmericproxy.core.hashing import compute_rendezvous_weight
 from turmericproxy.logs import Part, log_decision
+from turmericproxy.routing.block_table import BlockTable, Tables
 from turmericproxy.routing.crash_guard import CrashGuard
 from turmericproxy.routing.decisions import Decision, decide
 from turmericproxy.routing.engine_registry import EngineRegistry
@@ -63,6 +64,7 @@
         host: HostName,
         domain: DomainName,
         read_clock: Callable[[], float] = read_boottime,
+        tables: Tables | None = None,
     ) -> None:
         self._configuration = configuration
         self._policy = create_policy(settings.policy)
@@ -81,7 +83,8 @@
         self._sharing.set_kept_blocks(self._transfers.kept)
         self.engines.set_stored_callback(self._transfers.record_stored)
         self._pollers = Pollers(self.engines, self.services, settings, upstream_settings)
-        self.crashes = CrashGuard(links, self._find_address, read_clock)
+        table = BlockTable(tables, read_clock) if tables is not None else None
+        self.crashes = CrashGuard(links, self._find_address, read_clock, table)
 
     def start(self) -> None:
         """Start polling engines and services, exporting blocks and sending dispatches to peers."""
@@ -93,6 +96,7 @@
 
     def close(self) -> None:
         """Stop the threads."""
+        self.crashes.close()
         self._pollers.close()
         self._transfers.close()
         self._sharing.close()
