Hold back a version of weights on which engines end

A version on which engines end when they load it was ordered 16 times within 6 s at four engines; 8 are allowed (tests.rollout.test_crashing_version, red before). Each order was judged alone: an engine that was back with its old weights was ordered to load again, also within the same load. Once three engines have ended while they loaded a version that no engine has loaded yet, one engine at a time is ordered to, after 1, 2, 4 s and so on. A version that some engine has loaded isn't what ends the others, so that unrelated ends don't leave engines on old weights. A load ends with the engine that it was ordered at.

--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -8,6 +8,7 @@
 
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.crashes.evidence import EngineStart
 from turmericproxy.logs import Part, log_event
 from turmericproxy.placement.registry import UpstreamRegistry, UpstreamState
 from turmericproxy.rollout.interfaces import (
@@ -20,6 +21,7 @@
 from turmericproxy.rollout.lease_manager import LeaseManager
 from turmericproxy.rollout.plan import EngineStatus, choose_engines
 from turmericproxy.rollout.reports import read_engine_report
+from turmericproxy.rollout.trials import VersionTrials
 from turmericproxy.rollout.wanted import WantedVersions
 
 # Interval between checks of a rollout that is not complete.
@@ -83,6 +85,7 @@
         self._observation: asyncio.Task[None] | None = None
         self._target_since: float | None = None
         self._target: tuple[ModelName, int] | None = None
+        self._trials = VersionTrials(registry)
 
     def start(self) -> None:
         """Start the controller's task."""
@@ -122,6 +125,7 @@
             return None
         if self._target_since is None or self._target != target:
             self._target_since, self._target = now, target
+        self._trials.observe(target, self._list_engines(target[0]), now)
         if (
             not self._lease_manager.is_held()
             and now < self._target_since + self._compute_standby_delay()
@@ -181,7 +185,9 @@
             )
             for state in self._list_engines(model)
         ]
-        for instance in choose_engines(statuses, version):
+        limit = self._trials.limit_orders(bool(self._loads), now)
+        for instance in choose_engines(statuses, version)[:limit]:
+            self._trials.record_order(now)
             load = _Load(model, version, now)
             self._loads[instance] = load
             load.task = asyncio.get_running_loop().create_task(self._run_load(instance, load))
@@ -239,12 +245,13 @@
         self._announcer.announce_load(instance, seconds)
 
     async def _wait_for_version(self, state: UpstreamState, load: _Load) -> bool:
-        """Wait for an engine to register the version; return whether it did in time."""
+        """Wait for an engine to register the version; return whether it did in time, or ended."""
         loop = asyncio.get_running_loop()
+        engine = EngineStart(state.entry.instance, state.entry.started_at)
         deadline = loop.time() + EXPECTED_LOAD_SECONDS
         while loop.time() < deadline:
             await asyncio.sleep(VERSION_POLL_SECONDS)
-            if state.versions.get(load.model, 0) >= load.version:
+            if state.versions.get(load.model, 0) >= load.version or self._trials.has_ended(engine):
                 return True
         return False
 
