Tell all answered parts, and forget with a block who saw its parts answered

Two lesser faults of the sharing of evidence, read in the last review and shown by tests that failed before: of more than 512 suspicious parts answered at once the others were told 512, and the rest was dropped without a line, so that sound parts stayed suspicious; and an answer told during one block narrowed a later block of the same parts, which may have another cause.

--- a/tests/crashes/test_controller.py
+++ b/tests/crashes/test_controller.py
@@ -10,6 +10,7 @@
 from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.crashes.controller import CrashController, CrashState
 from turmericproxy.crashes.evidence import (
+    MAX_PARTS_PER_MESSAGE,
     BlockNotice,
     BrokenPrompt,
     EndReport,
@@ -326,3 +327,63 @@
         host.controller.close()
 
     run(scenario)
+
+
+# A host that answers many suspicious parts at once told the others of the first ones only.
+def test_all_answered_parts_are_told_however_many_there_are() -> None:
+    async def scenario() -> None:
+        host = Host()
+        count = 2 * MAX_PARTS_PER_MESSAGE + 1
+        parts = [f"part-{number}" for number in range(count)]
+        prompts = (tuple(parts[n : n + 64]) for n in range(0, count, 64))
+        await host.break_prompts(0, *prompts)
+        host.now += 0.1
+        for part in parts:
+            host.answer(part)
+        told: set[ModelPart] = set()
+        for _ in range(3):
+            state = host.controller.take_state()
+            assert state is not None and len(state.answered) <= MAX_PARTS_PER_MESSAGE
+            told.update(state.answered)
+        assert told == {ModelPart(MODEL, part) for part in parts}
+        assert host.controller.take_state() is None
+        host.controller.close()
+
+    run(scenario)
+
+
+# Answers that were told while a part was blocked narrowed a later block of it, with another cause.
+def test_answers_told_during_one_block_do_not_narrow_a_later_one() -> None:
+    async def scenario() -> None:
+        host = Host()
+        answered = CrashState(answered=(ModelPart(MODEL, "twin"),))
+        for number in range(3):
+            await host.break_prompts(number, ("twin", "bad"))
+        host.controller.receive(HostName("p1"), answered)
+        (block,) = host.controller.blocks
+        host.controller.lift(block, "removed")
+        host.now += 1.0
+        for number in range(3, 6):
+            await host.break_prompts(number, ("twin", "bad"))
+        assert host.refuses("twin", "bad")
+        host.controller.receive(HostName("p2"), answered)
+        assert not host.refuses("bad")
+        host.controller.receive(HostName("p1"), answered)
+        assert host.refuses("bad")
+        host.controller.close()
+
+    run(scenario)
+
+
+# One host that tells that a part was answered, although it wasn't, hides the part from all others.
+def test_one_faulty_host_does_not_keep_a_part_from_being_blocked() -> None:
+    async def scenario() -> None:
+        host = Host()
+        for number in range(5):
+            await host.break_prompts(number, ("bad",))
+            host.now += 0.1
+            host.controller.receive(HostName("p1"), CrashState(answered=(ModelPart(MODEL, "bad"),)))
+        assert host.refuses("bad")
+        host.controller.close()
+
+    run(scenario)
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -151,7 +151,8 @@
         if not (reports or self._unsent_answered or self._unsent_notices):
             return None
         answered = tuple(self._unsent_answered)[:MAX_PARTS_PER_MESSAGE]
-        self._unsent_answered.clear()
+        # The rest is sent with the next message.
+        self._unsent_answered.difference_update(answered)
         notices = self._unsent_notices[:MAX_NOTICES]
         del self._unsent_notices[:MAX_NOTICES]
         return CrashState(reports, answered, tuple(notices))
@@ -354,6 +355,7 @@
             return
         self._votes.pop(block.key, None)
         parts = [ModelPart(block.model, part) for part in block.parts]
+        self._forget_votes(parts)
         self._ledger.clear(parts, self._read_clock())
         log_event(Part.ROUTING, "block lifted", block=block.name, reason=reason)
         if is_row_removed:
@@ -397,8 +399,14 @@
                 if len(voters) >= MIN_VOTERS and len(block.parts) > 1:
                     self._replace_block(block, block.parts - {part.part_id})
 
+    def _forget_votes(self, parts: Iterable[ModelPart]) -> None:
+        """Forget which hosts saw parts answered: a later block may have another cause."""
+        for part in parts:
+            self._part_votes.pop(part, None)
+
     def _replace_block(self, block: Block, parts: frozenset[str]) -> None:
         self.blocks.remove(block.key)
+        self._forget_votes(ModelPart(block.model, part) for part in block.parts)
         self.lifted.append(block)
         narrowed = Block(block.model, parts, block.until, block.failed_trials)
         self._add_block(narrowed, source="narrowed", previous=block.name)
