--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -20,6 +20,7 @@
 MODEL = ModelName("m")
 ENGINES = 24
 RESTART_SECONDS = 1.0
+LONG_RESTART_SECONDS = 4.0
 # Interval between messages of a host, and the way of a message through two hubs.
 MESSAGE_SECONDS = 0.1
 DELIVERY_SECONDS = 0.2
@@ -40,12 +41,22 @@
 
     instance: InstanceId
     started_at: int = 1
+    is_running: bool = False
     server: asyncio.Server | None = None
     port: int = 0
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(lambda _, w: w.close(), "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        if self.server is None:
+            self.server = await asyncio.start_server(lambda _, w: w.close(), "127.0.0.1", self.port)
+            self.port = self.server.sockets[0].getsockname()[1]
+        self.is_running = True
+
+    def end(self, *, keeps_listening: bool) -> None:
+        """End; something before the engine may go on accepting connections."""
+        self.is_running = False
+        if self.server and not keeps_listening:
+            self.server.close()
+            self.server = None
 
     def describe(self) -> UpstreamEntry:
         return UpstreamEntry(
@@ -73,7 +84,9 @@
 class Fleet:
     """Run engines and the controllers of hosts, on one side or on several."""
 
-    def __init__(self, sizes: tuple[int, ...]) -> None:
+    def __init__(self, sizes: tuple[int, ...], *, keeps_listening: bool = False) -> None:
+        self._keeps_listening = keeps_listening
+        self._restart_seconds = LONG_RESTART_SECONDS if keeps_listening else RESTART_SECONDS
         self.random = random.Random(30)
         self.engines = [Engine(InstanceId(f"e{number}")) for number in range(ENGINES)]
         self.sides = [Side() for _ in sizes]
@@ -133,15 +146,13 @@
         if host.find_block(request_id, MODEL, parts):
             side.refused += 1
             return
-        running = [engine for engine in self.engines if engine.server]
+        running = [engine for engine in self.engines if engine.is_running]
         if not running:
             return
         side.sent_at.append(self._loop.time())
         engine = self.random.choice(running)
         start = EngineStart(engine.instance, engine.started_at)
-        assert engine.server
-        engine.server.close()
-        engine.server = None
+        engine.end(keeps_listening=self._keeps_listening)
         host.record_broken(start, BrokenPrompt(request_id, MODEL, parts, True, 0.05))
         for number in range(NEIGHBOURS):
             other = self.random.choice(self.random.choice(self.sides).hosts)
@@ -151,7 +162,7 @@
         self._run(self._restart(engine))
 
     async def _restart(self, engine: Engine) -> None:
-        await asyncio.sleep(RESTART_SECONDS)
+        await asyncio.sleep(self._restart_seconds)
         engine.started_at += 1
         await engine.start()
         for side in self.sides:
@@ -190,12 +201,9 @@
         await asyncio.sleep(0.01)
 
 
-# Issue 30: no host sees five ends by itself, and the users' bound runs over all hosts, also over
-# those on each side of a cut.
-@pytest.mark.parametrize("sizes", [(195,), (98, 97), (4, 4), (7, 1)])
-def test_fleet_stops_sending_a_part_on_which_engines_end(sizes: tuple[int, ...]) -> None:
+def play_and_check(sizes: tuple[int, ...], *, keeps_listening: bool = False) -> None:
     async def run() -> Fleet:
-        fleet = Fleet(sizes)
+        fleet = Fleet(sizes, keeps_listening=keeps_listening)
         await fleet.start()
         await play(fleet)
         await fleet.close()
@@ -208,3 +216,15 @@
         assert sum(at > limit for at in sent) <= ALLOWED_REQUESTS
     assert all(side.refused for side in fleet.sides)
     assert not any(side.sound_refused for side in fleet.sides)
+
+
+# Issue 30: no host sees five ends by itself, and the users' bound runs over all hosts, also over
+# those on each side of a cut.
+@pytest.mark.parametrize("sizes", [(195,), (98, 97), (4, 4), (7, 1)])
+def test_fleet_stops_sending_a_part_on_which_engines_end(sizes: tuple[int, ...]) -> None:
+    play_and_check(sizes)
+
+
+# An engine whose address goes on accepting connections isn't seen to end before it is back.
+def test_fleet_stops_sending_a_part_though_ended_engines_accept_connections() -> None:
+    play_and_check((8,), keeps_listening=True)
