Count one end of an engine once at the own interface, however late its chats are probed

A chat that broke with an engine was recorded with the time of its last probe, by which ends of one engine are told apart: two chats broken by one end, one seen at once and one after it was resumed in vain, made two ends, and three block a message. The time at which an attempt broke is kept now. An attempt that a probe in the background has recorded counts as ended, too.

--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -88,6 +88,26 @@
         assert guard.check(MODEL, ["bad"]) is None
 
 
+# Chats that broke with one engine were found at different times, so that its end counted twice.
+def test_one_end_counts_once_however_late_its_chats_are_probed() -> None:
+    clock = Clock()
+    guard = create_guard(Links(), clock)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        listening = f"127.0.0.1:{server.getsockname()[1]}"
+        late = create_prompt(1, "bad")
+        assert not guard.record_broken(EngineName("e0"), listening, late)
+        assert guard.record_broken(EngineName("e0"), REFUSING, create_prompt(2, "bad"))
+        clock.now += 1.0
+        assert guard.record_broken(EngineName("e0"), listening, late, is_forgotten=True)
+        clock.now += 1.0
+        guard.record_broken(EngineName("e1"), REFUSING, create_prompt(3, "bad"))
+        assert guard.check(MODEL, ["bad"]) is None
+        assert guard.record_broken(EngineName("e0"), listening, late)
+    clock.now += 1.0
+    guard.record_broken(EngineName("e2"), REFUSING, create_prompt(4, "bad"))
+    assert guard.check(MODEL, ["bad"]) is not None
+
+
 def test_ends_that_peers_report_count_with_own_ones() -> None:
     clock, links = Clock(), Links()
     guard = create_guard(links, clock)
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -6,6 +6,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -42,8 +43,8 @@
 SAME_END_SECONDS = 0.25
 # Engines that are probed in the background at the same time.
 MAX_PROBED_ENGINES = 8
-# Attempts that are known to have broken with their engine; the oldest are dropped.
-MAX_RECORDED_ATTEMPTS = 1024
+# Broken attempts that are remembered; the oldest are dropped.
+MAX_BROKEN_ATTEMPTS = 1024
 DIGEST_BYTES = 8
 OWN_HOST = HostName("")
 
@@ -70,6 +71,14 @@
     return False
 
 
+@dataclass
+class _BrokenAttempt:
+    """Hold when an attempt broke, and whether it counts among those that broke with an engine."""
+
+    broken_at: float
+    is_recorded: bool = False
+
+
 class CrashGuard:
     """Add up the ends of engines that this host and its peers see; thread-safe.
 
@@ -92,7 +101,7 @@
         self._suspects = Suspects()
         self._blocks = BlockList()
         self._last_ends: dict[EngineName, EngineEnd] = {}
-        self._recorded: OrderedDict[RequestId, None] = OrderedDict()
+        self._broken: OrderedDict[RequestId, _BrokenAttempt] = OrderedDict()
         self._probes = threading.BoundedSemaphore(MAX_PROBED_ENGINES)
 
     def start(self) -> None:
@@ -136,36 +145,51 @@
     ) -> bool:
         """Record a prompt whose answer broke off; return whether its engine is known to have ended.
 
-        An engine that still listens is probed again in the background. ``is_forgotten`` tells that
-        the engine no longer knows the prompt, since it has started again.
+        An engine that still listens is probed again in the background, and the prompt may be
+        recorded once more, later. ``is_forgotten`` tells that the engine no longer knows the
+        prompt, since it has started again.
         """
-        broken_at = self._read_clock()
+        attempt = self._find_attempt(prompt)
+        if attempt.is_recorded:
+            return True
         if is_forgotten or is_refused(address):
-            self._record_end(engine, prompt, broken_at)
+            self._record_end(engine, prompt, attempt)
             return True
 
         def probe_later() -> None:
             for delay in LATER_PROBE_DELAYS:
                 time.sleep(delay)
                 if is_refused(address):
-                    self._record_end(engine, prompt, broken_at)
+                    self._record_end(engine, prompt, attempt)
                     return
 
         self._start_probe(probe_later)
         return False
 
-    def _record_end(self, engine: EngineName, prompt: BrokenPrompt, broken_at: float) -> None:
+    def _find_attempt(self, prompt: BrokenPrompt) -> _BrokenAttempt:
+        """Return the attempt of a prompt, which has broken just now if it isn't known."""
+        with self._lock:
+            attempt = self._broken.get(prompt.request_id)
+            if attempt is None:
+                attempt = self._broken[prompt.request_id] = _BrokenAttempt(self._read_clock())
+                if len(self._broken) > MAX_BROKEN_ATTEMPTS:
+                    self._broken.popitem(last=False)
+            return attempt
+
+    def _record_end(
+        self, engine: EngineName, prompt: BrokenPrompt, attempt: _BrokenAttempt
+    ) -> None:
         """Add a prompt that broke with its engine to the evidence, once, and tell the peers."""
         with self._lock:
-            if prompt.request_id in self._recorded:
+            if attempt.is_recorded:
                 return
-            self._recorded[prompt.request_id] = None
-            if len(self._recorded) > MAX_RECORDED_ATTEMPTS:
-                self._recorded.popitem(last=False)
+            attempt.is_recorded = True
             now = self._read_clock()
-            aged = prompt._replace(seconds=prompt.seconds + now - broken_at)
-            start = self._find_start(engine, broken_at)
-            report = EndReport(start, now - broken_at, (aged,), 1)
+            seconds = now - attempt.broken_at
+            # Attempts that broke with the same end are known by the time, not by that of a probe.
+            start = self._find_start(engine, attempt.broken_at)
+            aged = prompt._replace(seconds=prompt.seconds + seconds)
+            report = EndReport(start, seconds, (aged,), 1)
             end = self._add(engine, report, OWN_HOST, now)
             end.is_observed = True
             self._review(end)
