Send prompts on which engines end in the soak, and check the bound on them

From seed 500 on, engines end for 5.5 s when they begin an answer on one part, at ten such prompts a second to any host, beside all other faults. Checked: at most three of them reach engines later than 3 s after the fifth end, from hosts and with a store that were undisturbed for 3 s, and no sound prompt is refused for a part. Smaller seeds stay as they were.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,7 @@
 
 from tests.soak.history import ENGINE_SERVICE, PLAIN_SERVICE, Call, History, Kind
 from tests.soak.hosts import Host
-from tests.soak.servers import EVENTS_PER_STREAM
+from tests.soak.servers import CRASHING_PART, EVENTS_PER_STREAM
 from turmericproxy.edge import UpstreamCall
 from turmericproxy.edge.upstream import EndKind, NotConnected, open_connection
 
@@ -50,7 +50,7 @@
             else:
                 await self.send(kind)
 
-    async def send(self, kind: Kind) -> Call | None:
+    async def send(self, kind: Kind, *, ends_engines: bool = False) -> Call | None:
         """Send one request and record its answer; return ``None`` if the host is unreachable."""
         transport, self._transport = self._transport, None
         if transport is None or transport.is_closing():
@@ -60,6 +60,8 @@
             transport = opened
         loop = asyncio.get_running_loop()
         call = self._create_call(kind, loop.time())
+        call.ends_engines = ends_engines
+        call.host_disturbed_at = max(self._host.disrupted_at, self._host.started_at)
         self._history.calls.append(call)
         exchange = UpstreamCall.start(transport, self._render_request(call))
         try:
@@ -106,7 +108,8 @@
         lines += [f"X-Request-Deadline: {DEADLINE_MS[call.kind]}", f"Content-Length: {len(body)}"]
         if call.kind.service == ENGINE_SERVICE:
             lines += ["X-Model: m", "X-Token-Count: 60,5"]
-            lines += [f"X-Prompt-Prefix: aa:20,b{self._rng.randrange(4)}:20,{call.request_id}:20"]
+            part = CRASHING_PART if call.ends_engines else f"b{self._rng.randrange(4)}"
+            lines += [f"X-Prompt-Prefix: aa:20,{part}:20,{call.request_id}:20"]
         return "\r\n".join([*lines, "", ""]).encode() + body
 
 
@@ -115,6 +118,7 @@
     if head is None:
         return
     call.status, call.answer_id = head.status, head.headers.get("X-Attempt-Id")
+    call.result_code = head.headers.get("X-Result-Code")
     while isinstance(part := await exchange.read_part(), bytes):
         call.body += part
     call.is_complete = part is EndKind.COMPLETE
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,7 @@
     SILENT_SERVER = "silent_server"
     SILENT_SERVICE = "silent_service"
     SLOW_EVENTS = "slow_events"
+    CRASHING_PROMPTS = "crashing_prompts"
 
 
 # Relative frequencies other than 1: all hosts fail at once less often than single components.
@@ -44,6 +45,10 @@
     FaultKind.SILENT_SERVICE: (0.9, 1.6),
     FaultKind.SLOW_EVENTS: (2.0, 3.0),
 }
+# Prompts on which engines end come for this time, long enough for the users' bound to apply.
+CRASHING_SECONDS = 5.5
+# Smaller seeds are kept as they were when they found a failure.
+FIRST_CRASHING_SEED = 500
 CHANGES = (FaultKind.NEW_CONFIGURATION, FaultKind.RELOAD_HOST, FaultKind.STOP_HOST)
 SERIES_COUNT, SERIES_SECONDS = 3, 2.5
 SILENCES_PER_SERIES, CHANGES_PER_SERIES = 2, 4
@@ -68,7 +73,8 @@
     Faults and series may overlap.
     """
     rng = random.Random(seed)
-    kinds = [kind for kind in FaultKind if kind not in SILENCE_SECONDS]
+    drawn_apart = {*SILENCE_SECONDS, FaultKind.CRASHING_PROMPTS}
+    kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     chosen = rng.choices(kinds, [FREQUENCIES.get(kind, 1.0) for kind in kinds], k=count)
     faults = [
         Fault(
@@ -80,6 +86,7 @@
         for kind in chosen
     ]
     faults += _draw_series(seed, phase_seconds)
+    faults += _draw_crashing_prompts(seed, phase_seconds)
     return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
@@ -96,3 +103,12 @@
             seconds = rng.uniform(*SILENCE_SECONDS.get(kind, (0.0, 0.0)))
             faults.append(Fault(kind, start, seconds, rng.randrange(100)))
     return faults
+
+
+def _draw_crashing_prompts(seed: int, phase_seconds: float) -> Sequence[Fault]:
+    """Return the time from which prompts come on which engines end."""
+    if seed < FIRST_CRASHING_SEED:
+        return []
+    rng = random.Random(f"crashing {seed}")
+    start = rng.uniform(0, phase_seconds - CRASHING_SECONDS)
+    return [Fault(FaultKind.CRASHING_PROMPTS, start, CRASHING_SECONDS, rng.randrange(100))]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -22,6 +22,10 @@
 ANSWER_TOLERANCE_SECONDS = 1.0
 # Time after the registration of a drain from which a server must get no new request.
 DRAIN_PROPAGATION_SECONDS = 2.0
+# Prompts on which engines end may reach engines as often as this, later than so many seconds after
+# so many ends, if their host was undisturbed all the while.
+MAX_LATE_PROMPTS, UNDISTURBED_SECONDS, MIN_ENDS = 3, 3.0, 5
+PROMPT_BLOCKED = "305"
 # A drain is checked only if the store had no fault for this time before its registration.
 STORE_STABLE_SECONDS = 3.0
 
@@ -51,7 +55,8 @@
     """Record one request and what its caller received; times are of the event loop.
 
     ``status`` is ``None`` until the head of the answer arrives. ``was_host_disrupted`` is true if
-    the host was killed or paused between the request and its end.
+    the host was killed or paused between the request and its end; ``host_disturbed_at`` is when
+    it was last killed, paused, continued or started before the request.
     """
 
     request_id: str
@@ -66,6 +71,9 @@
     is_complete: bool = False
     ended_at: float | None = None
     was_host_disrupted: bool = False
+    ends_engines: bool = False
+    host_disturbed_at: float = -1.0
+    result_code: str | None = None
 
 
 @dataclass(frozen=True)
@@ -108,7 +116,7 @@
 
     ``drain_times`` maps a server to the time of its drain; ``store_faults`` lists the start and
     end time of each fault of the store, and ``break_offs`` the service of each server whose
-    connections were reset, with the time.
+    connections were reset, with the time; ``engine_ends`` when engines ended on prompts.
     """
 
     account: str
@@ -119,6 +127,7 @@
     store_faults: list[tuple[float, float]] = field(default_factory=list)
     break_offs: list[tuple[str, float]] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    engine_ends: list[float] = field(default_factory=list)
 
 
 def find_violations(history: History) -> list[str]:
@@ -132,6 +141,8 @@
         _find_lost_answers,
         _find_requests_after_drain,
         _find_conflicting_orders,
+        _find_late_crashing_prompts,
+        _find_blocked_prompts,
     )
     return [line for check in checks for line in check(history)]
 
@@ -274,3 +285,35 @@
         if order.fence < highest.get(order.server, 0):
             yield f"{order.server} got fence {order.fence} after {highest[order.server]}"
         highest[order.server] = max(order.fence, highest.get(order.server, 0))
+
+
+def _find_late_crashing_prompts(history: History) -> Iterator[str]:
+    """Find prompts that reached engines although enough others of their kind had ended some."""
+    if len(history.engine_ends) < MIN_ENDS:
+        return
+    calls = {call.request_id: call for call in history.calls if call.ends_engines}
+    limit = sorted(history.engine_ends)[MIN_ENDS - 1] + UNDISTURBED_SECONDS
+    late = [
+        request
+        for request in history.received
+        if (call := calls.get(request.request_id))
+        and request.started_at > limit
+        and not _was_disturbed(history, call)
+    ]
+    if len(late) > MAX_LATE_PROMPTS:
+        yield f"{len(late)} prompts on which engines end reached engines late"
+
+
+def _was_disturbed(history: History, call: Call) -> bool:
+    """Return whether the host or the store was disturbed shortly before a request."""
+    since = call.sent_at - UNDISTURBED_SECONDS
+    return call.host_disturbed_at > since or any(
+        began_at < call.sent_at and ended_at > since for began_at, ended_at in history.store_faults
+    )
+
+
+def _find_blocked_prompts(history: History) -> Iterator[str]:
+    """Find sound prompts that were refused since engines ended on others."""
+    for call in history.calls:
+        if call.result_code == PROMPT_BLOCKED and not call.ends_engines:
+            yield f"{call.request_id} was refused for a part of its prompt"
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import logging
+import random
 import signal
 import tempfile
 from collections.abc import Awaitable, Callable, Sequence
@@ -21,6 +22,7 @@
 # In domain a one host relays messages to the others; domains b and c have one host each.
 DOMAINS = ("a",) * 8 + ("b", "c")
 CALLERS_PER_HOST = 3
+CRASHING_INTERVAL_SECONDS = 0.1
 FAULT_COUNT, FAULT_PHASE_SECONDS = 14, 9.0
 # Required time within which hosts serve all kinds of request again after the last fault.
 RECOVERY_SECONDS = 12.0
@@ -259,6 +261,16 @@
             *(server.send_events_slowly(fault.duration_seconds) for server in self._servers)
         )
 
+    async def _send_crashing_prompts(self, fault: Fault) -> None:
+        rng, loop = random.Random(fault.pick), asyncio.get_running_loop()
+        ends_at, sending = loop.time() + fault.duration_seconds, []
+        while loop.time() < ends_at:
+            caller = Caller(rng.choice(self._hosts), KEY, self.history, rng.randrange(1000))
+            kind = rng.choice((Kind.STREAM, Kind.RESUMABLE_STREAM))
+            sending.append(asyncio.create_task(caller.send(kind, ends_engines=True)))
+            await asyncio.sleep(CRASHING_INTERVAL_SECONDS)
+        await asyncio.gather(*sending)
+
     async def _change_configuration(self, fault: Fault) -> None:
         content = self._configuration
         content["version"] += 1 + fault.pick % 3
@@ -312,6 +324,7 @@
     FaultKind.SILENT_SERVER: SoakRun._silence_server,
     FaultKind.SILENT_SERVICE: SoakRun._silence_service,
     FaultKind.SLOW_EVENTS: SoakRun._send_events_slowly,
+    FaultKind.CRASHING_PROMPTS: SoakRun._send_crashing_prompts,
     FaultKind.NEW_CONFIGURATION: SoakRun._change_configuration,
     FaultKind.NEW_WEIGHTS: SoakRun._change_wanted_version,
 }
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -12,6 +12,9 @@
 
 _INSTANCE_NUMBERS = itertools.count(1)
 EVENTS_PER_STREAM = 6
+# Engines end when they begin an answer on a prompt with this part.
+CRASHING_PART = "bad"
+ENGINE_RESTART_SECONDS = 1.0
 EVENT_INTERVAL_SECONDS, SLOW_EVENT_INTERVAL_SECONDS = 0.04, 1.2
 
 
@@ -41,14 +44,18 @@
             born=number,
         )
         self.wire.history = self.history
+        wire = self.wire
+        wire.crashing_parts = frozenset({CRASHING_PART})
+        wire.on_end = lambda: self._handle_end(wire)
         await self.wire.start()
         self.relay = Relay(self.wire.address)
         await self.relay.start()
+        self.address = self.relay.address
         self.register()
 
     def register(self, state: str = "ready") -> None:
         """Write the registration to the store if it has changed."""
-        registration = {**self.wire.describe(state), "address": self.relay.address}
+        registration = self.wire.describe_at(self.address, state)
         if registration != self.registration:
             self.registration = registration
             self.store.put("servers", self.wire.instance, registration)
@@ -72,6 +79,19 @@
             self.close()
         await self.start(version)
 
+    def _handle_end(self, wire: WireServer) -> None:
+        """Break all connections of a server that has ended, and start it again soon."""
+        loop = asyncio.get_running_loop()
+        self.history.engine_ends.append(loop.time())
+        self.reset()
+        self.relay.close()
+        self._restart = loop.create_task(self._start_again(wire))
+
+    async def _start_again(self, wire: WireServer) -> None:
+        await asyncio.sleep(ENGINE_RESTART_SECONDS)
+        if self.wire is wire:
+            await self.replace(is_crash=False)
+
     async def send_events_slowly(self, seconds: float) -> None:
         """Send the events of streams at long intervals for some seconds."""
         wire = self.wire
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -137,3 +137,42 @@
     history = create_history(call, REQUEST)
     history.stops.append(Stop(CALL.host, 5, 5 + GRACE_SECONDS))
     assert bool(find_violations(history)) is is_lost
+
+
+def create_crashing_history(
+    late_count: int, *, ends: int = 5, host_disturbed_at: float = 0.0
+) -> History:
+    """Return a history of engines that ended at 10 s, and of prompts that reach engines at 14 s."""
+    calls = [
+        replace(
+            CALL,
+            request_id=f"c{number}",
+            kind=Kind.STREAM,
+            sent_at=14.0,
+            ended_at=14.1,
+            status=502,
+            ends_engines=True,
+            host_disturbed_at=host_disturbed_at,
+        )
+        for number in range(late_count)
+    ]
+    received = [
+        replace(REQUEST, request_id=call.request_id, started_at=14.0, was_faulty=True)
+        for call in calls
+    ]
+    return History("acct", calls, received, engine_ends=[10.0] * ends)
+
+
+def test_prompts_on_which_engines_end_are_counted_after_the_fifth_end() -> None:
+    (line,) = find_violations(create_crashing_history(4))
+    assert line == "4 prompts on which engines end reached engines late"
+    assert find_violations(create_crashing_history(3)) == []
+    assert find_violations(create_crashing_history(4, ends=4)) == []
+    assert find_violations(create_crashing_history(4, host_disturbed_at=12.0)) == []
+
+
+def test_sound_prompt_that_is_refused_for_a_part_is_found() -> None:
+    call = replace(CALL, kind=Kind.STREAM, status=503, result_code="305", is_complete=True)
+    (line,) = find_violations(create_history(call))
+    assert "refused for a part" in line
+    assert find_violations(create_history(replace(call, ends_engines=True))) == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,7 @@
-"""Run seeds that once found a violation; ``python -m tests.soak`` runs new seeds."""
+"""Run seeds that once found a violation, and one with prompts on which engines end.
+
+``python -m tests.soak`` runs new seeds.
+"""
 
 import asyncio
 from pathlib import Path
@@ -7,10 +10,11 @@
 
 from tests.soak.runner import run_seed
 
-# Each seed with the failure that it found.
+# Each seed with the failure that it found, or with what it covers.
 SEEDS = {
     2: "a reload signal during the start ended the host",
     115: "streams of silent engines were closed since no retry was left",
+    500: "prompts on which engines end come beside other faults",
 }
 
 
