--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -19,6 +19,9 @@
 from turmericproxy.crashes.records import BLOCK_TABLE, encode_block
 from turmericproxy.routing.block_table import BlockTable
 from turmericproxy.routing.crash_guard import CrashGuard, list_message_parts
+from turmericproxy.settings.schema import PlatformSettings
+from turmericproxy.standins.platform import create_platform
+from turmericproxy.tables.client import PlatformClient
 from turmericproxy.tables.messages import AnswerLost, Committed, Row, Transaction
 
 MODEL = ModelName("notes")
@@ -197,6 +200,28 @@
     restarted.close()
 
 
+def test_blocks_outlast_a_restart_at_the_platforms_own_tables() -> None:
+    platform = create_platform("127.0.0.1:0")
+    platform.start()
+    client = PlatformClient(PlatformSettings(address=f"127.0.0.1:{platform.port}"), HostName("h1"))
+    clock = Clock()
+    guard = create_guard(Links(), clock, BlockTable(client, clock))
+    guard.start()
+    for number in range(3):
+        clock.now += 1.0
+        guard.record_broken(EngineName(f"e{number}"), REFUSING, create_prompt(number, "bad"))
+    ends_at = time.monotonic() + 5.0
+    while time.monotonic() < ends_at and not client.list_rows(BLOCK_TABLE):
+        time.sleep(0.02)
+    guard.close()
+    restarted = create_guard(Links(), clock, BlockTable(client, clock))
+    restarted.start()
+    assert wait_for_refusal(restarted, ["bad"]) is not None
+    restarted.close()
+    client.close()
+    platform.close()
+
+
 # Rows that other programs wrote must not keep a host from starting.
 def test_malformed_rows_block_nothing() -> None:
     clock, rows = Clock(), StoredRows()
