--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -266,7 +266,7 @@
     ) -> Generator[StreamItem, None, AttemptFailure | None]:
         """Let the engine of a broken attempt go on unless it has ended; return the last failure."""
         broken = self._describe_broken(attempt, failure)
-        if broken and self._has_ended(attempt.choice, broken):
+        if broken and self._record_broken(attempt.choice, broken):
             return failure
         if failure.outcome is not AttemptOutcome.FAILED:
             return failure
@@ -274,7 +274,7 @@
         last_failure = attempt.resume() or (yield from self._read_pieces(attempt))
         if last_failure and broken and self._next_index == next_index:
             # An engine may listen for a moment while it ends, or be back by now.
-            self._has_ended(attempt.choice, broken, is_forgotten=last_failure.is_forgotten)
+            self._record_broken(attempt.choice, broken, is_forgotten=last_failure.is_forgotten)
         return last_failure
 
     def _describe_broken(self, attempt: Attempt, failure: AttemptFailure) -> BrokenPrompt | None:
@@ -290,7 +290,7 @@
             attempt.measure_age(),
         )
 
-    def _has_ended(
+    def _record_broken(
         self, choice: EngineChoice, prompt: BrokenPrompt, *, is_forgotten: bool = False
     ) -> bool:
         """Record a broken prompt, and return whether its engine has ended."""
