--- a/turmericproxy/callers/streams.py
+++ b/turmericproxy/callers/streams.py
@@ -44,7 +44,7 @@
 from turmericproxy.settings.schema import UpstreamSettings
 
 MAX_ATTEMPTS_WITHOUT_PROGRESS = 4
-# Engines that end soon after they began to answer one chat, after which it isn't repeated.
+# Engines that end before the first piece of one chat, after which it isn't repeated.
 MAX_ENDED_ENGINES = 2
 STARTED_STREAM_WAIT_SECONDS = 10.0
 UNSTARTED_STREAM_WAIT_SECONDS = 1.5
@@ -166,7 +166,7 @@
                 return
             self._record_failure(choice, failure, has_progressed=self._next_index > start)
             has_attempt_left = self._attempts_without_progress < MAX_ATTEMPTS_WITHOUT_PROGRESS
-            if self._ended_engines >= MAX_ENDED_ENGINES or not has_attempt_left:
+            if self._ended_engines == MAX_ENDED_ENGINES or not has_attempt_left:
                 yield self._refuse_broken(failure.reason)
                 return
             choice = self._take_replacement() or self._choose_for_retry(failure)
@@ -264,17 +264,16 @@
     def _resume(
         self, attempt: Attempt, failure: AttemptFailure
     ) -> Generator[StreamItem, None, AttemptFailure | None]:
-        """Let the engine of a broken attempt go on unless it has ended; return the last failure."""
+        """Let the engine of a broken attempt go on if it still can; return the last failure."""
         broken = self._describe_broken(attempt, failure)
-        if broken and self._record_broken(attempt.choice, broken):
-            return failure
+        is_ended = broken is not None and self._record_broken(attempt, broken)
         if failure.outcome is not AttemptOutcome.FAILED:
             return failure
         next_index = self._next_index
         last_failure = attempt.resume() or (yield from self._read_pieces(attempt))
-        if last_failure and broken and self._next_index == next_index:
+        if last_failure and broken and not is_ended and self._next_index == next_index:
             # An engine may listen for a moment while it ends, or be back by now.
-            self._record_broken(attempt.choice, broken, is_forgotten=last_failure.is_forgotten)
+            self._record_broken(attempt, broken, is_forgotten=last_failure.is_forgotten)
         return last_failure
 
     def _describe_broken(self, attempt: Attempt, failure: AttemptFailure) -> BrokenPrompt | None:
@@ -291,14 +290,15 @@
         )
 
     def _record_broken(
-        self, choice: EngineChoice, prompt: BrokenPrompt, *, is_forgotten: bool = False
+        self, attempt: Attempt, prompt: BrokenPrompt, *, is_forgotten: bool = False
     ) -> bool:
         """Record a broken prompt, and return whether its engine has ended."""
-        crashes = self._dependencies.selector.crashes
+        choice, crashes = attempt.choice, self._dependencies.selector.crashes
         is_ended = crashes.record_broken(
             choice.engine, choice.address, prompt, is_forgotten=is_forgotten
         )
-        self._ended_engines += is_ended and prompt.has_begun
+        # A stream that has brought pieces goes on at other engines until its message is blocked.
+        self._ended_engines += is_ended and prompt.has_begun and not self._next_index
         return is_ended
 
     def _create_attempt(self, choice: EngineChoice, attempt_number: int) -> Attempt:
