Don't count an answer on a part as one without it when the end becomes known later

Cause: an answer clears its parts only if an end is known to speak against them. One that came after an end, but before its report, didn't, and was then counted, times the number of hosts, among the answers since that end of which none held the part; with a share near 1 that looks like proof. Usually a later answer clears the part; not if all engines are down. Mend: an end from before the last answer on a part doesn't speak against it, whenever it becomes known.

--- a/tests/crashes/test_controller.py
+++ b/tests/crashes/test_controller.py
@@ -387,3 +387,30 @@
         host.controller.close()
 
     run(scenario)
+
+
+# Soak seed 554: all engines had ended, and an answer on the part of all prompts came after the
+# first end, but before the host knew of it. It counted as an answer without the part, and all
+# prompts were refused.
+def test_part_of_all_prompts_is_not_blamed_for_an_end_known_after_a_later_answer() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.peers = [HostName(f"p{number}") for number in range(1, 10)]
+        for number in range(500):
+            host.answer("all", f"c{number}")
+        for number in range(4):
+            host.now += 1.0
+            if number == 0:
+                host.answer("all", "c")
+            host.registry.record_refused_connection(ENGINES[number].instance)
+            prompt = BrokenPrompt(RequestId(f"r{number}"), MODEL, ("all", f"d{number}"), True, 0.6)
+            for peer in ("p1", "p2"):
+                state = CrashState((EndReport(ENGINES[number], 0.5, (prompt,), 1),))
+                host.controller.receive(HostName(peer), state)
+            await host.settle()
+        host.now += 1.0
+        await host.settle()
+        assert not host.refuses("all", "x")
+        host.controller.close()
+
+    run(scenario)
--- a/turmericproxy/crashes/suspects.py
+++ b/turmericproxy/crashes/suspects.py
@@ -36,10 +36,17 @@
         told if one of them was on the part. Ends for which ``is_explained`` returns true have
         another cause.
         """
-        ends = [end for end in self.ledger.list_blamed(part) if not is_explained(part, end)]
+        answered = self._answered[part.model]
+        # An end may become known only after a later answer.
+        last_answer = answered.find_last(part)
+        ends = [
+            end
+            for end in self.ledger.list_blamed(part)
+            if end.at > last_answer and not is_explained(part, end)
+        ]
         if not ends:
             return None
-        answered, since = self._answered[part.model], ends[0].at
+        since = ends[0].at
         traffic = Traffic(
             share=answered.estimate_share(part),
             answers=hosts * answered.count_between(since, answered_until),
