Take a connection that is reset at once for one that was not established

In a host the request would end with an internal error, though nothing was sent. The test failed before by its error.

--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from turmericproxy.edge import PersistentConnection, call_upstream, fetch
+from turmericproxy.edge import PersistentConnection, call_upstream, fetch, upstream
 from turmericproxy.edge.upstream import TIMED_OUT, EndKind, NotConnected
 
 ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -102,6 +102,22 @@
     assert timed_out == TIMED_OUT
 
 
+# A connection that was reset right after it was established raised an error nobody expected.
+def test_connection_that_is_reset_at_once_is_not_connected(monkeypatch: pytest.MonkeyPatch) -> None:
+    def raise_closed(transport: asyncio.BaseTransport, milliseconds: int) -> None:
+        raise OSError(9, "Bad file descriptor")
+
+    monkeypatch.setattr(upstream, "set_user_timeout", raise_closed)
+
+    async def run() -> object:
+        async with await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            return await call_upstream(f"127.0.0.1:{port}", b"", connect_timeout=1.0)
+
+    called = asyncio.run(run())
+    assert isinstance(called, NotConnected) and not called.is_refused
+
+
 def test_persistent_connection_is_reused_and_reopened_after_a_close() -> None:
     connections = 0
 
--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -282,7 +282,11 @@
         return NotConnected(TIMED_OUT)
     except (OSError, ValueError) as error:
         return NotConnected(repr(error), isinstance(error, ConnectionRefusedError))
-    set_user_timeout(transport, USER_TIMEOUT_MS)
+    try:
+        set_user_timeout(transport, USER_TIMEOUT_MS)
+    except OSError as error:  # the connection was reset meanwhile
+        transport.abort()
+        return NotConnected(repr(error))
     return transport
 
 
