Don't count a host's first answers after an end for hosts that don't know of it yet

A part of half of the prompts was blocked after three ends and two answers without it, within 0.1 s of the first one, at a host with nine others: an answer counts once for each host, since each would have told of an answer on the part. In the first half second after an end the others may not know of it, and tell nothing. Such answers count for the host itself alone now.

--- a/tests/crashes/test_controller.py
+++ b/tests/crashes/test_controller.py
@@ -414,3 +414,25 @@
         host.controller.close()
 
     run(scenario)
+
+
+# Hosts that don't know of an end yet don't tell that a part was answered: answers of that moment
+# must not count for all hosts as answers without the part.
+def test_answers_before_others_know_of_an_end_do_not_count_for_them() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.peers = [HostName(f"p{number}") for number in range(1, 10)]
+        for number in range(500):
+            host.answer("half" if number % 2 else "other", f"c{number}")
+        for number in range(3):
+            await host.break_prompts(number, ("half", f"d{number}"))
+            if number == 0:
+                for _ in range(2):
+                    host.now += 0.05
+                    host.answer("other", "x")
+        host.now += 1.0
+        await host.settle()
+        assert not host.refuses("half", "x")
+        host.controller.close()
+
+    run(scenario)
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -298,7 +298,8 @@
         return self._suspects.assess(
             part,
             self._read_clock() - ANNOUNCEMENT_SECONDS,
-            1 + len(self.list_reachable()),
+            len(self.list_reachable()),
+            ANNOUNCEMENT_SECONDS,
             self._is_explained,
         )
 
--- a/turmericproxy/crashes/suspects.py
+++ b/turmericproxy/crashes/suspects.py
@@ -27,13 +27,15 @@
         self,
         part: ModelPart,
         answered_until: float,
-        hosts: int = 1,
+        other_hosts: int = 0,
+        told_delay: float = 0.0,
         is_explained: Callable[[ModelPart, EngineEnd], bool] = lambda _part, _end: False,
     ) -> Suspicion | None:
         """Return what speaks against a part, ``None`` if nothing does.
 
-        Each of ``hosts`` has had about as many answers as this one until a time, and would have
-        told if one of them was on the part. Ends for which ``is_explained`` returns true have
+        Each of ``other_hosts`` has had about as many answers as this one until a time, and would
+        have told if one of them was on the part, from ``told_delay`` seconds after the first end
+        on: before, it didn't know of the end. Ends for which ``is_explained`` returns true have
         another cause.
         """
         answered = self._answered[part.model]
@@ -49,7 +51,8 @@
         since = ends[0].at
         traffic = Traffic(
             share=answered.estimate_share(part),
-            answers=hosts * answered.count_between(since, answered_until),
+            answers=answered.count_between(since, answered_until)
+            + other_hosts * answered.count_between(since + told_delay, answered_until),
             other_ends=self.ledger.count_since(since) - len(ends),
         )
         return assess_part(part, ends, traffic)
