Give the time after which an answer is sound, and the reading of blocks, one place each

Both interfaces had the half second after which an answer shows that its prompt ends no engine, as two constants; and both commands on blocks read and checked the table with the same lines.

--- a/turmericproxy/callers/attempts.py
+++ b/turmericproxy/callers/attempts.py
@@ -15,6 +15,7 @@
 from turmericproxy.callers.calls import ChatCall
 from turmericproxy.callers.events import Event, Piece, parse_events
 from turmericproxy.core import RequestId, read_boottime
+from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS
 from turmericproxy.logs import Part, log_event
 from turmericproxy.routing import AttemptOutcome, EngineChoice
 from turmericproxy.settings.schema import UpstreamSettings
@@ -31,8 +32,6 @@
 SILENCE_CHECK_SECONDS = 0.5
 # Interval at which a probe checks whether data has arrived on the connection that was silent.
 PROBE_POLL_SECONDS = 0.05
-# An answer whose events came for longer than this has not ended its engine.
-BEGINNING_SECONDS = 0.5
 # An engine answers 503 while it loads the weights of the model.
 OUTCOME_BY_STATUS = {409: AttemptOutcome.WRONG_VERSION, 503: AttemptOutcome.WRONG_VERSION}
 
@@ -131,7 +130,7 @@
     def has_only_begun(self) -> bool:
         """Return whether the answer broke off soon enough to be what ended its engine."""
         begun_at = self._begun_at
-        return begun_at is not None and self._last_event_at < begun_at + BEGINNING_SECONDS
+        return begun_at is not None and self._last_event_at < begun_at + SOUND_ANSWER_SECONDS
 
     def dispatch(self) -> AttemptFailure | None:
         """Request the pieces from index ``start`` on; return a failure unless accepted."""
--- a/turmericproxy/cli/blocks.py
+++ b/turmericproxy/cli/blocks.py
@@ -22,9 +22,7 @@
 @blocks_app.command("list")
 def list_blocks(store: StoreOption) -> None:
     """Print the key, the model, the parts and the remaining seconds of each block."""
-    table = asyncio.run(PlatformStore(store).read_table(BLOCK_TABLE))
-    _check(table)
-    assert isinstance(table, TableState)
+    table = _read_table(PlatformStore(store))
     for row in table.rows:
         record = decode_block(row)
         if record is None:
@@ -41,9 +39,7 @@
 ) -> None:
     """Remove a block; all hosts send prompts with its parts again within some seconds."""
     client = PlatformStore(store)
-    table = asyncio.run(client.read_table(BLOCK_TABLE))
-    _check(table)
-    assert isinstance(table, TableState)
+    table = _read_table(client)
     if key not in {row.key for row in table.rows}:
         typer.echo(f"no block has the key {key}", err=True)
         raise typer.Exit(ExitCode.NOT_FOUND)
@@ -54,7 +50,10 @@
         raise typer.Exit(ExitCode.UNREACHABLE)
 
 
-def _check(table: TableState | Refusal) -> None:
+def _read_table(client: PlatformStore) -> TableState:
+    """Return the table of blocks; print the reason and exit if the store can't be read."""
+    table = asyncio.run(client.read_table(BLOCK_TABLE))
     if isinstance(table, Refusal):
         typer.echo(f"the store can't be read: {table.reason}", err=True)
         raise typer.Exit(ExitCode.UNREACHABLE)
+    return table
--- a/turmericproxy/crashes/evidence.py
+++ b/turmericproxy/crashes/evidence.py
@@ -5,6 +5,8 @@
 from turmericproxy.core import ModelName, RequestId
 from turmericproxy.core.ids import InstanceId
 
+# Time from the head of an answer after which its events show that the prompt ends no engine.
+SOUND_ANSWER_SECONDS = 0.5
 # Bounds of what one message holds; longer lists are cut when they are sent and rejected when they
 # are received.
 MAX_REPORTS = 32
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -7,7 +7,7 @@
 from turmericproxy.core import Refusal, RequestId, ResultCode, refuse
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController
-from turmericproxy.crashes.evidence import BrokenPrompt, EngineStart
+from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS, BrokenPrompt, EngineStart
 from turmericproxy.edge.upstream import TIMED_OUT
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
@@ -35,8 +35,6 @@
 # don't all retry at the same time.
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 0.8
-# Time from the head of an answer after which its events show that the prompt ends no engine.
-SOUND_ANSWER_SECONDS = 0.5
 # Requests are no longer sent to superseded weights after this share of the allowed time; the rest
 # covers queueing and transport.
 OLD_WEIGHTS_AGE_SHARE = 0.75
