Log the limits that upstreams name in their answers

Nothing could tell whether a host had seen the limit of an upstream. Each answer is decoded, each change logged; requests are placed as before.

--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -59,6 +59,7 @@
     work_by_peer: dict[HostName, Work] = field(default_factory=dict)
     total_peer_work: Work = NO_WORK
     versions: dict[ModelName, int] = field(default_factory=dict)
+    request_limit: float | None = None
     loading_until: float = 0.0
     is_superseded: bool = False
     is_leaving: bool = False
@@ -263,6 +264,15 @@
         if notice.is_leaving and not state.is_leaving:
             self._unsent_leaving[instance] = state.entry.started_at
             self.mark_leaving(instance, state.entry.started_at)
+        if notice.request_limit != state.request_limit:
+            state.request_limit = notice.request_limit
+            log_event(
+                Part.ROUTING,
+                "upstream names a limit",
+                upstream=instance,
+                per_second=notice.request_limit,
+                started_at=state.entry.started_at,
+            )
         if notice.pause_seconds:
             state.health = request_pause(state.health, notice.pause_seconds, now)
             log_event(
--- a/turmericproxy/platform/names.py
+++ b/turmericproxy/platform/names.py
@@ -21,6 +21,8 @@
 LEAVING = "Server-Leaving"
 # On a 503 answer of a server: seconds for which this host should send it nothing.
 RETRY_AFTER = "Retry-After"
+# On the answers of a server in need: the requests a second that it takes from all hosts together.
+REQUEST_LIMIT = "Server-Limit"
 # On every answer of the store: the number of times that it was restored from an older copy.
 STORE_ERA = "Store-Era"
 
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -59,7 +59,7 @@
 class WireServer:
     """Answer requests, reports and orders; ``events`` is the length of a stream.
 
-    While ``is_leaving``, all answers say so. While ``retry_after`` is set, all calls are answered
+    While ``is_leaving``, all answers say so, and while ``limit`` is set, all name it. While ``retry_after`` is set, all calls are answered
     with 503 and this Retry-After; ``calls`` counts all calls. Reports and orders are handled after
     ``silence_seconds``. An engine ends ``crash_seconds`` after it began an answer on a prompt with
     one of the ``crashing_parts``, but not for the last part; ``on_end`` is then called.
@@ -79,6 +79,7 @@
     born: int = 1000
     is_leaving: bool = False
     retry_after: str | None = None
+    limit: str | None = None
     calls: int = 0
     silence_seconds: float = 0.0
     crashing_parts: frozenset[str] = frozenset()
@@ -177,19 +178,19 @@
     async def _handle_order(self, request: ClientRequest, writer: AnswerWriter) -> None:
         order = json.loads(request.body)
         if request.headers.get("X-Expect-Instance") != self.instance:
-            writer.send(421, [("X-Instance-Id", self.instance)])
+            writer.send(421, [("X-Instance-Id", self.instance), *self._list_notice_fields()])
             return
         if self.faults.unanswered_orders:
             self.faults.unanswered_orders -= 1
             writer.abort()
             return
         if self._is_busy or order["expected"] != self._accepted_orders:
-            writer.send(409, ())
+            writer.send(409, self._list_notice_fields())
             return
         self.orders.append(order)
         self._accepted_orders += 1
         self._is_busy = True
-        writer.send(202, ())
+        writer.send(202, self._list_notice_fields())
         # The load continues even if the sender of the order disconnects.
         asyncio.get_running_loop().call_later(self.load_seconds, self._finish_load, order)
 
@@ -206,7 +207,7 @@
             writer.send(421, [("X-Instance-Id", self.instance), *self._list_notice_fields()])
             return
         if self._consume_fault(received, "refuse"):
-            writer.send(503, [("X-Not-Executed", "1")])
+            writer.send(503, [("X-Not-Executed", "1"), *self._list_notice_fields()])
             return
         received.was_executed = True
         await self._wait_while_silent()
@@ -265,7 +266,8 @@
         return headers + self._list_notice_fields()
 
     def _list_notice_fields(self) -> list[tuple[str, str]]:
-        return [("Server-Leaving", "1")] if self.is_leaving else []
+        fields = [("Server-Leaving", "1")] if self.is_leaving else []
+        return fields if self.limit is None else [*fields, ("Server-Limit", self.limit)]
 
     async def _wait_while_silent(self) -> None:
         while (seconds := self._silent_until - asyncio.get_running_loop().time()) > 0:
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -192,11 +192,11 @@
 
     def record_answer_head(self, placement: Placement, answer: ParsedAnswer) -> None:
         """Record what the upstream that answered announces about itself."""
-        if answer.notice == NO_NOTICE:
-            return
         answered_by = placement.instance
         if answer.verdict is Verdict.WRONG_INSTANCE and answer.instance is not None:
             answered_by = InstanceId(answer.instance)
+        if answer.notice == NO_NOTICE and answer.verdict is Verdict.FOREIGN:
+            return
         self._registry.record_notice(answered_by, answer.notice, self._read_clock())
 
     def set_kept_store_check(self, is_reachable: Callable[[], bool]) -> None:
