--- /dev/null
+++ b/tests/host/test_limits.py
@@ -0,0 +1,74 @@
+"""Check that a limit which an upstream names is kept and used by all hosts together."""
+
+import asyncio
+
+import pytest
+
+from tests.host.limited_servers import (
+    STABLE_SECONDS,
+    WINDOW_SECONDS,
+    Callers,
+    check_limit_is_kept,
+    check_limit_is_used,
+    check_refusals,
+    run_limit_scenario,
+)
+from tests.host.support import HostEnvironment
+
+SECONDS = STABLE_SECONDS + 2 * WINDOW_SECONDS
+
+
+# Incident 33: no host read the limit that a server named, so that it got requests as before.
+@pytest.mark.parametrize(("name", "limit"), [("p1", "2.0"), ("e1", "2.0"), ("p1", "0.4")])
+def test_limit_is_kept_while_another_upstream_has_room(name: str, limit: str) -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        is_prompt, limited = name.startswith("e"), environment.servers[name]
+        await Callers(environment, 2).send_steadily(1.0, is_prompt=is_prompt)
+        limited.limit, named_at = limit, asyncio.get_running_loop().time()
+        sent = await Callers(environment).send_steadily(SECONDS, is_prompt=is_prompt)
+        check_limit_is_kept(limited, float(limit), named_at)
+        assert all(s.is_served for s in sent)
+
+    run_limit_scenario(scenario)
+
+
+# Incident 33, the other half: a limit that is kept must also be used, by the hosts with the work.
+@pytest.mark.parametrize(
+    ("kind", "limit", "busy_hosts"),
+    [("p", 3.0, [0, 1, 2]), ("e", 3.0, [0, 1, 2]), ("p", 3.0, [1]), ("p", 1.1, [0, 1, 2])],
+)
+def test_limits_of_all_upstreams_are_kept_and_used(
+    kind: str, limit: float, busy_hosts: list[int]
+) -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        servers = [environment.servers[kind + n] for n in "12"]
+        for server in servers:
+            server.limit = str(limit)
+        loop, callers = asyncio.get_running_loop(), Callers(environment, hosts=busy_hosts)
+        named_at = loop.time()
+        sent = await callers.send_steadily(SECONDS, is_prompt=kind == "e")
+        for server in servers:
+            check_limit_is_kept(server, limit, named_at)
+            start = named_at + STABLE_SECONDS
+            check_limit_is_used(server, limit, start, start + 2 * WINDOW_SECONDS)
+        check_refusals(sent)
+
+    run_limit_scenario(scenario)
+
+
+# A host that starts has had no answer of the server yet.
+def test_host_that_starts_later_keeps_the_limit() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        servers = [environment.servers[name] for name in ("p1", "p2")]
+        for server in servers:
+            server.limit = "1"
+        named_at = asyncio.get_running_loop().time()
+        await Callers(environment).send_steadily(STABLE_SECONDS + 1)
+        await environment.add_host("late")
+        await asyncio.sleep(1.0)
+        sent = await Callers(environment, 2, hosts=[3]).send_steadily(WINDOW_SECONDS + 1)
+        for server in servers:
+            check_limit_is_kept(server, 1.0, named_at)
+        check_refusals(sent)
+
+    run_limit_scenario(scenario)
