Keep the limits that upstreams name over all hosts together

What callers saw: a server in need got up to nine times what it had named (LIMIT: 22 requests in 4 s at 1.7 a second, 15 allowed), and failed the sooner. Cause: nothing read Server-Limit; each host placed requests by its own view.

A limit is one number for all hosts, so its requests are counted out: one host, chosen by hash, grants single permits to the hosts with the work, by the reports that all hosts send with their batches. Permits of unreachable hosts are left to them. Requests without one go to another upstream, wait for a moment where one is due, or are refused with 503 and code 306. A limit that rises or ends is followed step by step.

--- a/turmericproxy/core/results.py
+++ b/turmericproxy/core/results.py
@@ -36,6 +36,7 @@
     DEADLINE_UNREACHABLE = 303
     DRAINING = 304
     PROMPT_BLOCKED = 305
+    UPSTREAMS_LIMITED = 306
 
     NO_UPSTREAM = 400
     UPSTREAM_FAILED = 401
@@ -79,6 +80,7 @@
     ResultCode.DEADLINE_UNREACHABLE: 503,
     ResultCode.DRAINING: 503,
     ResultCode.PROMPT_BLOCKED: 503,
+    ResultCode.UPSTREAMS_LIMITED: 503,
     ResultCode.NO_UPSTREAM: 503,
     ResultCode.UPSTREAM_FAILED: 502,
     ResultCode.UPSTREAM_TIMEOUT: 504,
--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -18,6 +18,15 @@
     decode_parts,
     decode_reports,
 )
+from turmericproxy.limits.messages import (
+    NO_REPORTS,
+    LimitNotice,
+    PermitGrant,
+    PermitReport,
+    decode_limit_notices,
+    decode_permit_grants,
+    decode_permit_reports,
+)
 from turmericproxy.placement.registry import Work
 
 _NO_WORK: Mapping[InstanceId, Work] = MappingProxyType({})
@@ -52,6 +61,9 @@
     hold, each with its cache space; ``kept_epoch`` changes when the kept store has restarted empty.
     ``ended`` are the engines whose end the sender has seen, ``answered_parts`` the parts that were
     suspicious after an end and have been answered, and ``blocks`` the parts that it refuses.
+    ``limits`` are limits of upstreams, all that the sender knows in an introduction,
+    ``permit_reports`` its totals at limited upstreams, and ``permit_grants`` what it allows hosts
+    to send there.
     """
 
     work: Mapping[InstanceId, Work] = _NO_WORK
@@ -72,6 +84,9 @@
     ended: tuple[EndReport, ...] = ()
     answered_parts: tuple[ModelPart, ...] = ()
     blocks: tuple[BlockNotice, ...] = ()
+    limits: tuple[LimitNotice, ...] | None = None
+    permit_reports: Mapping[InstanceId, PermitReport] = NO_REPORTS
+    permit_grants: tuple[PermitGrant, ...] = ()
 
 
 # Tells only that the sender is running.
@@ -102,9 +117,20 @@
         ended=first.ended + second.ended,
         answered_parts=first.answered_parts + second.answered_parts,
         blocks=first.blocks + second.blocks,
+        limits=_merge_limits(first.limits, second.limits),
+        permit_reports={**first.permit_reports, **second.permit_reports},
+        permit_grants=first.permit_grants + second.permit_grants,
     )
 
 
+def _merge_limits(
+    first: tuple[LimitNotice, ...] | None, second: tuple[LimitNotice, ...] | None
+) -> tuple[LimitNotice, ...] | None:
+    if first is None or second is None:
+        return first if second is None else second
+    return first + second
+
+
 def encode_batch(batch: Batch) -> dict[int, Any]:
     """Return the fields that are set, by their index in ``_DECODERS``, for packing."""
     fields: dict[int, Any] = {}
@@ -114,6 +140,8 @@
             fields[index] = value
     if batch.work:
         fields[_WORK_INDEX] = dict(batch.work)
+    if batch.permit_reports:
+        fields[_PERMIT_REPORTS_INDEX] = dict(batch.permit_reports)
     if batch.placed_prompts:
         fields[_PLACED_PROMPTS_INDEX] = [
             [p.instance, p.space, p.parts, p.seconds] for p in batch.placed_prompts
@@ -172,7 +200,10 @@
     ("ended", decode_reports),
     ("answered_parts", decode_parts),
     ("blocks", decode_notices),
+    ("limits", decode_limit_notices),
+    ("permit_reports", decode_permit_reports),
+    ("permit_grants", decode_permit_grants),
 )
 # Fields in which false and 0 differ from no value.
-_OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch"})
-_WORK_INDEX, _PLACED_PROMPTS_INDEX = 0, 1
+_OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch", "limits"})
+_WORK_INDEX, _PLACED_PROMPTS_INDEX, _PERMIT_REPORTS_INDEX = 0, 1, 19
--- a/turmericproxy/fleet/peers.py
+++ b/turmericproxy/fleet/peers.py
@@ -55,11 +55,11 @@
             self.last_received_at is not None and now - self.last_received_at < PEER_TIMEOUT_SECONDS
         )
 
-    def is_running(self, now: float) -> bool:
+    def is_running(self, now: float, expiry: float = PEER_EXPIRY_SECONDS) -> bool:
         """Return whether the peer may take requests, even if it is unreachable from here."""
         if self.is_leaving:
             return False
-        return now - (self.last_received_at or self.added_at) < PEER_EXPIRY_SECONDS
+        return now - (self.last_received_at or self.added_at) < expiry
 
     def is_likely_reachable(self, now: float) -> bool:
         """Return whether the peer is reachable, or may still be starting."""
@@ -139,6 +139,15 @@
         now = self._read_clock()
         return [name for name, peer in self._peers.items() if peer.is_reachable(now)]
 
+    def list_reachable_hosts(self) -> list[HostName]:
+        """Return the reachable peers that are not leaving."""
+        now = self._read_clock()
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.is_reachable(now) and not peer.is_leaving
+        ]
+
     def list_local_peers(self) -> list[HostName]:
         """Return the reachable peers of this failure domain that are not leaving."""
         now = self._read_clock()
@@ -170,10 +179,13 @@
         now = self._read_clock()
         return 1 + sum(peer.is_running(now) for peer in self._peers.values())
 
-    def measure_reachable_share(self) -> float:
-        """Return the share of running hosts that are reachable, including this host."""
+    def measure_reachable_share(self, expiry: float = PEER_EXPIRY_SECONDS) -> float:
+        """Return the share of running hosts that are reachable, including this host.
+
+        A host counts as running for ``expiry`` seconds after its last update.
+        """
         now = self._read_clock()
-        running = [peer for peer in self._peers.values() if peer.is_running(now)]
+        running = [peer for peer in self._peers.values() if peer.is_running(now, expiry)]
         reachable = sum(peer.is_reachable(now) for peer in running)
         return (1 + reachable) / (1 + len(running))
 
--- a/turmericproxy/host/cache_following.py
+++ b/turmericproxy/host/cache_following.py
@@ -13,6 +13,7 @@
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.logs import Part, log_event
 from turmericproxy.placement.cache_poller import CacheEventPoller, CacheEventSource, EventPage
+from turmericproxy.placement.notices import UpstreamNotice
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.store import LARGE_DOMAIN_HOSTS
@@ -126,13 +127,20 @@
             self._create_events(address),
             address,
             get_tracker,
-            lambda notice: self._registry.record_notice(instance, notice, clock()),
-            lambda: self._registry.measure_pause(instance, clock()),
+            lambda notice: self._record_answer(instance, poller, notice, clock()),
+            lambda: self._registry.measure_call_pause(instance, clock()),
             lambda page: self._record_evicted(instance, page),
         )
         poller.start()
         return poller
 
+    def _record_answer(
+        self, instance: InstanceId, poller: CacheEventPoller, notice: UpstreamNotice, now: float
+    ) -> None:
+        self._registry.record_notice(instance, notice, now, sent_at=poller.polled_at)
+        callers = 1 if self._is_shared else 1 + len(self._list_local_peers())
+        self._registry.record_call(instance, callers)
+
     def _record_evicted(self, instance: InstanceId, page: EventPage) -> None:
         """Keep the evicted parts for peers; those that only one request had concern nobody."""
         if self._is_shared:
--- a/turmericproxy/host/directory.py
+++ b/turmericproxy/host/directory.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
 
 from turmericproxy.core import HostName, Incarnation, Refusal
 from turmericproxy.core.documents import decode_json
@@ -24,9 +25,19 @@
 
 
 class HostDirectory:
-    """Register this host in the table and connect to the registered hosts."""
+    """Register this host in the table and connect to the registered hosts.
 
-    def __init__(self, store: TableStore, own: Hello, links: FleetLinks) -> None:
+    ``on_read`` is called with the number of other hosts each time the table has been read.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        own: Hello,
+        links: FleetLinks,
+        on_read: Callable[[int], None] = lambda _other_hosts: None,
+    ) -> None:
+        self._on_read = on_read
         self._store = store
         self._own = own
         self._links = links
@@ -89,6 +100,7 @@
         hosts = [hello for row in table.rows if (hello := _read_hello(row))]
         for hello in hosts:
             self._links.add_peer(hello)
+        self._on_read(sum(hello.host != self._own.host for hello in hosts))
         return hosts
 
 
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -10,6 +10,8 @@
 from turmericproxy.fleet.messages import Hello
 from turmericproxy.fleet.quotas import QuotaController
 from turmericproxy.host.cache_following import CachePollerManager
+from turmericproxy.limits.controller import LimitController
+from turmericproxy.limits.messages import LimitState
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.rollout.wanted import WantedVersions
@@ -30,6 +32,7 @@
         cache_pollers: CachePollerManager,
         wanted: WantedVersions,
         crashes: CrashController,
+        limits: LimitController,
     ) -> None:
         self._registry = registry
         self._dispatcher = dispatcher
@@ -37,6 +40,7 @@
         self._cache_pollers = cache_pollers
         self._wanted = wanted
         self._crashes = crashes
+        self._limits = limits
         self._sent_reachability: bool | None = None
         self._sent_kept_epoch: int | None = None
         self._loading: list[tuple[InstanceId, float]] = []
@@ -70,7 +74,8 @@
         """Return all of this host's work and quota spending."""
         work, spent = self._registry.list_own_work(), self._quotas.list_spent()
         crashes = _list_crash_fields(self._crashes.create_state(is_introduction=False))
-        return Batch(work=work, spent=spent, is_full_state=True, **crashes)
+        limits = _list_limit_fields(self._limits.create_state())
+        return Batch(work=work, spent=spent, is_full_state=True, **crashes, **limits)
 
     def create_update(self) -> Batch | None:
         """Return the changes since the last call, or ``None`` if there are none."""
@@ -81,13 +86,13 @@
         superseded, self._superseded = self._superseded, []
         leaving, evicted = self._registry.take_leaving(), self._cache_pollers.take_evicted()
         kept_epoch = self._cache_pollers.get_kept_epoch()
-        crashes = self._crashes.take_state()
+        crashes, limits = self._crashes.take_state(), self._limits.take_state()
         is_reachable = self._cache_pollers.get_own_reachability()
         has_changed = is_reachable is not self._sent_reachability
         is_restarted = kept_epoch != self._sent_kept_epoch
         self._sent_reachability, self._sent_kept_epoch = is_reachable, kept_epoch
         announced = (changing, versions, superseded, leaving, evicted, has_changed, is_restarted)
-        if not any((work, spent, placed, kept, crashes, *announced)):
+        if not any((work, spent, placed, kept, crashes, limits, *announced)):
             return None
         return Batch(
             work=work,
@@ -110,6 +115,7 @@
             evicted=tuple((instance, key.space, key.part_id) for instance, key in evicted),
             kept_epoch=kept_epoch if is_restarted else None,
             **_list_crash_fields(crashes or CrashState()),
+            **_list_limit_fields(limits or LimitState()),
         )
 
     def receive(self, hello: Hello, batch: Batch) -> None:
@@ -119,6 +125,9 @@
         self._crashes.receive(
             hello.host, CrashState(batch.ended, batch.answered_parts, batch.blocks)
         )
+        self._limits.receive(
+            hello.host, LimitState(batch.limits, batch.permit_reports, batch.permit_grants)
+        )
         if batch.is_full_state:
             self._registry.forget_peer(hello.host)
             self._crashes.record_complete_state(hello.host)
@@ -167,7 +176,16 @@
         """Discard the state received from a lost peer."""
         self._registry.forget_peer(host)
         self._quotas.forget_peer(host)
+        self._limits.forget_peer(host)
 
 
 def _list_crash_fields(state: CrashState) -> dict[str, Any]:
     return {"ended": state.reports, "answered_parts": state.answered, "blocks": state.blocks}
+
+
+def _list_limit_fields(state: LimitState) -> dict[str, Any]:
+    return {
+        "limits": state.notices,
+        "permit_reports": state.reports,
+        "permit_grants": state.grants,
+    }
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -16,6 +16,7 @@
 from turmericproxy.host.fleet_updates import FleetUpdates
 from turmericproxy.host.site_follower import SiteFollower
 from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.limits.controller import FleetView, LimitController
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.domains import DomainMonitor
@@ -37,6 +38,9 @@
 # Minimum number of hosts among which the retry reserve is divided, so that a host that knows no
 # peers doesn't use more than its portion.
 MIN_HOSTS = 6
+# Time for which a host that can't be reached counts as cut off rather than gone: it keeps its part
+# of the limits that upstreams name.
+CUT_HOST_EXPIRY_SECONDS = 300.0
 # Hexadecimal digits of an incarnation, which distinguishes the runs of one host. Short, since every
 # message to peers contains it.
 INCARNATION_DIGITS = 8
@@ -66,7 +70,8 @@
         self._is_draining = False
         incarnation = Incarnation(create_id()[:INCARNATION_DIGITS])
         own = Hello(settings.host, settings.links, settings.domain, incarnation, settings.link_mbps)
-        self._registry = UpstreamRegistry()
+        self._limits = LimitController(settings.host, self._describe_fleet, self._metrics)
+        self._registry = UpstreamRegistry(self._limits)
         self._wanted = WantedVersions()
         self._quotas = QuotaController(
             read_boottime,
@@ -85,6 +90,7 @@
             settings.version_seconds,
             loop.time,
             self._crashes,
+            self._limits,
         )
         self._cache_pollers = CachePollerManager(
             adapter.create_cache_events,
@@ -102,6 +108,7 @@
             self._cache_pollers,
             self._wanted,
             self._crashes,
+            self._limits,
         )
         self._links = FleetLinks(
             own,
@@ -116,7 +123,10 @@
             self._links.peers.list_local_peers,
             self._links.send_to_domain,
         )
-        self._directory = HostDirectory(self._relayed_store, own, self._links)
+        self._directory = HostDirectory(
+            self._relayed_store, own, self._links, self._limits.record_host_table
+        )
+        self._limits.start_learning()
         self._block_keeper = BlockKeeper(self._relayed_store, settings.host, self._crashes)
         self._crashes.is_loaded = False
         self._relayed_store.eras.add_listener(self._crashes.request_read)
@@ -248,6 +258,13 @@
     def _list_local_peers(self) -> list[HostName]:
         return self._links.peers.list_local_peers()
 
+    def _describe_fleet(self) -> FleetView:
+        peers = self._links.peers
+        return FleetView(
+            (self._settings.host, *peers.list_reachable_hosts()),
+            peers.measure_reachable_share(CUT_HOST_EXPIRY_SECONDS),
+        )
+
     def _list_reachable(self) -> list[HostName]:
         return self._links.peers.list_reachable()
 
@@ -279,7 +296,7 @@
         if request.path != self._adapter.ready_path:
             writer.send(404, ())
             return
-        is_loaded = self._follower.is_loaded and self._crashes.is_loaded
+        is_loaded = self._follower.is_loaded and self._crashes.is_loaded and self._limits.is_loaded
         is_ready = is_loaded and not self._is_draining
         writer.send(200 if is_ready else 503, ())
 
--- /dev/null
+++ b/turmericproxy/limits/controller.py
@@ -0,0 +1,365 @@
+"""Follow the limits that upstreams name, and decide which requests may be sent to them."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from turmericproxy.core import HostName, read_boottime
+from turmericproxy.core.hashing import choose_by_hash
+from turmericproxy.core.ids import InstanceId
+from turmericproxy.limits.allocation import Allocation
+from turmericproxy.limits.messages import LimitNotice, LimitState, PermitGrant, PermitReport
+from turmericproxy.limits.observation import NamedLimit, Observation, apply_observation
+from turmericproxy.limits.permits import Applicant, PermitPool
+from turmericproxy.logs import Part, log_event
+from turmericproxy.metrics import Metrics
+from turmericproxy.placement.notices import UpstreamNotice
+
+# Limits that are remembered; those named first are dropped.
+MAX_LIMITS = 4096
+# Interval of reports to the other hosts.
+REPORT_SECONDS = 0.12
+# Interval in which one limited upstream gets polls and queries of all hosts of its domain.
+CONTROL_CALL_SECONDS = 4.0
+# Time for which a host that has read the host table waits for what another one knows.
+LEARNING_SECONDS = 0.6
+# Bounds of Retry-After, and its random spread.
+MIN_RETRY_AFTER_SECONDS = 0.3
+MAX_RETRY_AFTER_SECONDS = 10.0
+RETRY_AFTER_SPREAD = 0.4
+
+
+class FleetView(NamedTuple):
+    """Hold the reachable hosts, with this one, and the share of all hosts that they are."""
+
+    hosts: tuple[HostName, ...]
+    share: float
+
+
+@dataclass
+class _LimitedUpstream:
+    """Hold the state of one start of an upstream that has named a limit."""
+
+    limit: NamedLimit
+    allocation: Allocation
+    pool: PermitPool = field(default_factory=PermitPool)
+    share: float = 1.0
+    call_at: float = 0.0
+    sent_report: PermitReport = PermitReport()
+
+    def compute_rate(self, now: float) -> float:
+        """Return the requests a second that the reachable hosts may send together."""
+        return self.limit.compute_rate(now) * self.share
+
+
+class LimitController:
+    """Keep the limits of upstreams for one host; ``describe_fleet`` returns the reachable hosts."""
+
+    def __init__(
+        self,
+        host: HostName,
+        describe_fleet: Callable[[], FleetView],
+        metrics: Metrics,
+        read_clock: Callable[[], float] = read_boottime,
+    ) -> None:
+        self._host = host
+        self._describe_fleet = describe_fleet
+        self._metrics = metrics
+        self._read_clock = read_clock
+        self._random = random.Random()
+        self._upstreams: dict[InstanceId, _LimitedUpstream] = {}
+        self._unsent_notices: list[InstanceId] = []
+        self._reported_at = 0.0
+        self._learning_until: float | None = None
+        self.is_loaded = True
+
+    # Learning
+
+    def start_learning(self) -> None:
+        """Wait for what other hosts know before requests are sent."""
+        self.is_loaded = False
+
+    def record_host_table(self, other_hosts: int) -> None:
+        """Record that the host table has been read; alone, there is nothing to learn."""
+        if not self.is_loaded and self._learning_until is None:
+            self._learning_until = self._read_clock() + (LEARNING_SECONDS if other_hosts else 0.0)
+            self._check_learning()
+
+    def _check_learning(self) -> None:
+        if self._learning_until is not None and self._read_clock() >= self._learning_until:
+            self.is_loaded = True
+
+    def record_notice(
+        self, instance: InstanceId, started_at: int, notice: UpstreamNotice, age: float
+    ) -> None:
+        """Record an answer of an upstream to a request that was sent ``age`` seconds ago."""
+        names_none = notice.request_limit is None and not notice.is_limit_unreadable
+        if names_none and instance not in self._upstreams:
+            return
+        observation = Observation(
+            started_at,
+            notice.request_limit,
+            self._read_clock() - age,
+            is_unreadable=notice.is_limit_unreadable,
+        )
+        if self._observe(instance, observation, "answer"):
+            self._unsent_notices.append(instance)
+
+    def _observe(self, instance: InstanceId, observation: Observation, source: str) -> bool:
+        """Apply an observation; return whether the limit has changed."""
+        now = self._read_clock()
+        upstream = self._upstreams.get(instance)
+        known = upstream.limit if upstream else None
+        limit = apply_observation(known, observation, now)
+        if limit is None:
+            self._upstreams.pop(instance, None)
+            return False
+        if upstream is None or upstream.limit.started_at != limit.started_at:
+            self._add(instance, limit, now)
+        else:
+            upstream.limit = limit
+        has_changed = known is None or known.changed_at != limit.changed_at
+        if has_changed:
+            log_event(
+                Part.ROUTING,
+                "upstream names a limit" if limit.per_second is not None else "limit has ended",
+                upstream=instance,
+                per_second=limit.per_second,
+                started_at=limit.started_at,
+                source=source,
+                rate=round(limit.compute_rate(now), 3),
+            )
+            self._metrics.count("limit_changes", upstream=instance)
+        return has_changed
+
+    def _add(self, instance: InstanceId, limit: NamedLimit, now: float) -> None:
+        allocation = Allocation(refilled_at=now)
+        call_at = now + self._random.uniform(0.0, CONTROL_CALL_SECONDS)
+        self._upstreams[instance] = _LimitedUpstream(limit, allocation, call_at=call_at)
+        if len(self._upstreams) > MAX_LIMITS:
+            del self._upstreams[next(iter(self._upstreams))]
+
+    def find_limit(self, instance: InstanceId, started_at: int) -> NamedLimit | None:
+        """Return the limit of a start of an upstream, if there is one."""
+        upstream = self._find(instance, started_at)
+        return upstream.limit if upstream else None
+
+    # Requests
+
+    def may_send(self, instance: InstanceId, started_at: int, applicant: Applicant) -> bool:
+        """Return whether a request may be sent to an upstream now."""
+        upstream = self._find(instance, started_at)
+        return upstream is None or upstream.pool.may_send(applicant, self._read_clock())
+
+    def record_sent(self, instance: InstanceId, started_at: int, applicant: Applicant) -> None:
+        """Record a request that is sent to an upstream."""
+        upstream = self._find(instance, started_at)
+        if upstream:
+            upstream.pool.use(applicant, self._read_clock())
+
+    def record_work(self, instance: InstanceId, started_at: int) -> None:
+        """Record that an upstream without a permit could have taken a request of this host."""
+        upstream = self._find(instance, started_at)
+        if upstream:
+            upstream.pool.wanted += 1
+
+    def turn_away(self, instance: InstanceId, started_at: int, applicant: Applicant) -> None:
+        """Record that a request for which an upstream was the best choice had no permit."""
+        upstream = self._find(instance, started_at)
+        if upstream:
+            upstream.pool.turn_away(applicant, self._read_clock())
+            self._metrics.count("limited_requests", upstream=instance)
+
+    async def wait_for_permit(
+        self, upstreams: Iterable[tuple[InstanceId, int]], applicant: Applicant, seconds: float
+    ) -> bool:
+        """Wait for a permit for the upstream that is expected to have one first.
+
+        Return at once if none is expected in time.
+        """
+        now = self._read_clock()
+        found = [u for key in upstreams if (u := self._find(*key))]
+        if not found or seconds <= 0:
+            return False
+        first = min(found, key=lambda upstream: self._estimate_wait(upstream, now))
+        if self._estimate_wait(first, now) > seconds:
+            return False
+        return await first.pool.wait(applicant, seconds, now)
+
+    def release(self, upstreams: Iterable[tuple[InstanceId, int]], applicant: Applicant) -> None:
+        """Make the permits kept for a request available to others."""
+        now = self._read_clock()
+        for key in upstreams:
+            if upstream := self._find(*key):
+                upstream.pool.release(applicant, now)
+
+    def estimate_retry_after(self, upstreams: Iterable[tuple[InstanceId, int]]) -> float:
+        """Return after how many seconds a refused request should come back.
+
+        The recent requests of all hosts are spread over the time that the limits need for them.
+        """
+        now = self._read_clock()
+        found = [u for key in upstreams if (u := self._find(*key))]
+        demand = max((u.allocation.measure_demand(now) for u in found), default=0.0)
+        rate = sum(u.compute_rate(now) for u in found)
+        seconds = demand / rate if rate > 0 else MAX_RETRY_AFTER_SECONDS
+        seconds *= self._random.uniform(1 - RETRY_AFTER_SPREAD, 1 + RETRY_AFTER_SPREAD)
+        return round(min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds)), 2)
+
+    def describe(self, instance: InstanceId, started_at: int) -> dict[str, object]:
+        """Return the terms of a decision on an upstream, for the log."""
+        upstream = self._find(instance, started_at)
+        if upstream is None:
+            return {}
+        now, pool = self._read_clock(), upstream.pool
+        upstream.allocation.refill(upstream.compute_rate(now), now)
+        return {
+            "per_second": upstream.limit.per_second,
+            "rate": round(upstream.compute_rate(now), 3),
+            "share": round(upstream.share, 3),
+            "age": round(now - upstream.limit.sent_at, 3),
+            "level": round(upstream.allocation.level, 2),
+            "held": pool.held,
+            "used": pool.used,
+            "waiting": upstream.allocation.count_waiting(),
+            "granted_by": self._choose_granter(instance),
+        }
+
+    def list_limits(self) -> list[tuple[InstanceId, float | None, float]]:
+        """Return the limited upstreams with their limits and current rates, for metrics."""
+        now = self._read_clock()
+        return [(i, u.limit.per_second, u.compute_rate(now)) for i, u in self._upstreams.items()]
+
+    # Control calls
+
+    def measure_call_pause(self, instance: InstanceId, started_at: int) -> float:
+        """Return for how many seconds an upstream should get no poll or query of this host."""
+        upstream = self._find(instance, started_at)
+        return max(0.0, upstream.call_at - self._read_clock()) if upstream else 0.0
+
+    def record_call(self, instance: InstanceId, started_at: int, callers: int) -> None:
+        """Record a poll or query; ``callers`` hosts call this upstream."""
+        upstream = self._find(instance, started_at)
+        if upstream:
+            upstream.call_at = self._read_clock() + CONTROL_CALL_SECONDS * callers
+
+    # Other hosts
+
+    def create_state(self) -> LimitState:
+        """Return the limits and totals for a host that may know none of them."""
+        return LimitState(self._create_notices(self._upstreams), self._create_reports())
+
+    def take_state(self) -> LimitState | None:
+        """Return what has changed since the last call, with the permits that this host grants."""
+        self._check_learning()
+        if not self._upstreams:
+            return None
+        now = self._read_clock()
+        self._drop_ended(now)
+        notices = self._create_notices(dict.fromkeys(self._unsent_notices))
+        self._unsent_notices.clear()
+        is_due = now >= self._reported_at + REPORT_SECONDS or self._has_new_waiters()
+        reports = self._take_changed_reports(now) if is_due else {}
+        grants = self._grant(now)
+        if not (notices or reports or grants):
+            return None
+        return LimitState(notices or None, reports, grants)
+
+    def receive(self, host: HostName, state: LimitState) -> None:
+        """Apply what another host knows."""
+        now = self._read_clock()
+        if state.notices is not None:
+            self.is_loaded = True
+        for notice in state.notices or ():
+            observation = Observation(notice.started_at, notice.per_second, now - notice.age)
+            known = self._upstreams.get(notice.instance)
+            if known or notice.per_second is not None:
+                self._observe(notice.instance, observation, host)
+        for instance, report in state.reports.items():
+            if upstream := self._upstreams.get(instance):
+                upstream.allocation.refill(upstream.compute_rate(now), now)
+                upstream.allocation.record_report(host, report, now)
+        for grant in state.grants:
+            upstream = self._find(grant.instance, grant.started_at)
+            if upstream:
+                upstream.allocation.refill(upstream.compute_rate(now), now)
+                upstream.allocation.record_grant(grant.host, grant.permits, now)
+                if grant.host == self._host and host == self._choose_granter(grant.instance):
+                    upstream.pool.add(grant.permits, now)
+
+    def forget_peer(self, host: HostName) -> None:
+        """Forget a lost host; its permits expire, and its share of the limits is left to it."""
+        for upstream in self._upstreams.values():
+            upstream.allocation.forget(host)
+
+    def _find(self, instance: InstanceId, started_at: int) -> _LimitedUpstream | None:
+        upstream = self._upstreams.get(instance)
+        return upstream if upstream and upstream.limit.started_at == started_at else None
+
+    def _choose_granter(self, instance: InstanceId) -> HostName:
+        return choose_by_hash(instance, self._describe_fleet().hosts)
+
+    def _drop_ended(self, now: float) -> None:
+        for instance, upstream in list(self._upstreams.items()):
+            if upstream.limit.is_over(now):
+                del self._upstreams[instance]
+
+    def _create_notices(self, instances: Iterable[InstanceId]) -> tuple[LimitNotice, ...]:
+        now = self._read_clock()
+        known = ((i, self._upstreams[i].limit) for i in instances if i in self._upstreams)
+        return tuple(
+            LimitNotice(i, limit.started_at, limit.per_second, round(now - limit.sent_at, 3))
+            for i, limit in known
+        )
+
+    def _create_reports(self) -> dict[InstanceId, PermitReport]:
+        return {i: upstream.pool.create_report() for i, upstream in self._upstreams.items()}
+
+    def _has_new_waiters(self) -> bool:
+        return any(u.pool.waiting > u.sent_report.waiting for u in self._upstreams.values())
+
+    def _take_changed_reports(self, now: float) -> dict[InstanceId, PermitReport]:
+        self._reported_at = now
+        changed = {}
+        for instance, upstream in self._upstreams.items():
+            upstream.pool.expire(now)
+            report = upstream.pool.create_report()
+            if report != upstream.sent_report:
+                changed[instance] = upstream.sent_report = report
+                upstream.allocation.refill(upstream.compute_rate(now), now)
+                upstream.allocation.record_report(self._host, report, now)
+        return changed
+
+    def _grant(self, now: float) -> tuple[PermitGrant, ...]:
+        """Grant permits for the upstreams for which this host is chosen."""
+        fleet, grants = self._describe_fleet(), []
+        for instance, upstream in self._upstreams.items():
+            if fleet.share != upstream.share:
+                log_event(
+                    Part.ROUTING,
+                    "share of a limit changed",
+                    upstream=instance,
+                    share=round(fleet.share, 3),
+                )
+                upstream.allocation.refill(upstream.compute_rate(now), now)
+                level, ratio = upstream.allocation.level, min(1.0, fleet.share / upstream.share)
+                upstream.allocation.level = level * ratio if level > 0 else level
+                upstream.share = fleet.share
+            rate = upstream.compute_rate(now)
+            upstream.allocation.refill(rate, now)
+            if choose_by_hash(instance, fleet.hosts) != self._host:
+                continue
+            for host, permits in upstream.allocation.choose_grants(rate, now).items():
+                grants.append(PermitGrant(instance, upstream.limit.started_at, host, permits))
+                if host == self._host:
+                    upstream.pool.add(permits, now)
+        return tuple(grants)
+
+    def _estimate_wait(self, upstream: _LimitedUpstream, now: float) -> float:
+        """Return the seconds until one more waiting request would get a permit."""
+        rate, allocation = upstream.compute_rate(now), upstream.allocation
+        allocation.refill(rate, now)
+        waiting = max(allocation.count_waiting(), upstream.pool.waiting)
+        missing = waiting + 1 - allocation.level
+        return max(0.0, missing) / rate if rate > 0 else float("inf")
--- a/turmericproxy/placement/cache_poller.py
+++ b/turmericproxy/placement/cache_poller.py
@@ -98,6 +98,8 @@
         self._task: asyncio.Task[None] | None = None
         self.address = address
         self.is_reachable = True
+        # Time of the event loop at which the newest poll was sent.
+        self.polled_at = 0.0
 
     def start(self) -> None:
         """Start polling."""
@@ -118,9 +120,10 @@
         if pause > 0:
             await asyncio.sleep(pause)
             return
+        self.polled_at = started
         wait = CONFIRMATION_WAIT_SECONDS if self._has_failed else LONG_POLL_SECONDS
         page = await self._source.read_events(self._next_event, wait)
-        if not isinstance(page, str) and page.notice != NO_NOTICE:
+        if not isinstance(page, str):
             self._record_notice(page.notice)
         if isinstance(page, PollRefused):
             await asyncio.sleep(max(REFUSED_RETRY_SECONDS, page.notice.pause_seconds))
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -15,6 +15,7 @@
     record_health_signal,
     request_pause,
 )
+from turmericproxy.placement.limits import LimitMonitor, UnlimitedMonitor
 from turmericproxy.placement.notices import UpstreamNotice
 from turmericproxy.placement.plain import DEFAULT_CALL_SECONDS
 from turmericproxy.placement.prefixes import PrefixTracker
@@ -59,7 +60,6 @@
     work_by_peer: dict[HostName, Work] = field(default_factory=dict)
     total_peer_work: Work = NO_WORK
     versions: dict[ModelName, int] = field(default_factory=dict)
-    request_limit: float | None = None
     loading_until: float = 0.0
     is_superseded: bool = False
     is_leaving: bool = False
@@ -111,7 +111,8 @@
 class UpstreamRegistry:
     """Hold the registered upstreams and the results of requests to them."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: LimitMonitor | None = None) -> None:
+        self._limits = limits or UnlimitedMonitor()
         self._states: dict[InstanceId, UpstreamState] = {}
         self._by_service: dict[ServiceName, list[UpstreamState]] = {}
         self._changed: set[InstanceId] = set()
@@ -256,23 +257,29 @@
             for model, version in state.versions.items()
         )
 
-    def record_notice(self, instance: InstanceId, notice: UpstreamNotice, now: float) -> None:
-        """Record what an upstream announced to this host about itself."""
+    def record_notice(
+        self,
+        instance: InstanceId,
+        notice: UpstreamNotice | None,
+        now: float,
+        *,
+        sent_at: float | None = None,
+        started_at: int | None = None,
+    ) -> None:
+        """Record what an upstream announced to this host about itself, ``None`` without an answer.
+
+        Its limit is that of the start at ``started_at`` or the registered one. It counts only if
+        ``sent_at`` tells when the request of the answer was sent.
+        """
         state = self._states.get(instance)
-        if state is None:
+        if state is None or notice is None:
             return
+        if sent_at is not None:
+            start = state.entry.started_at if started_at is None else started_at
+            self._limits.record_notice(instance, start, notice, now - sent_at)
         if notice.is_leaving and not state.is_leaving:
             self._unsent_leaving[instance] = state.entry.started_at
             self.mark_leaving(instance, state.entry.started_at)
-        if notice.request_limit != state.request_limit:
-            state.request_limit = notice.request_limit
-            log_event(
-                Part.ROUTING,
-                "upstream names a limit",
-                upstream=instance,
-                per_second=notice.request_limit,
-                started_at=state.entry.started_at,
-            )
         if notice.pause_seconds:
             state.health = request_pause(state.health, notice.pause_seconds, now)
             log_event(
@@ -287,6 +294,20 @@
         state = self._states.get(instance)
         return max(0.0, state.health.silent_until - now) if state else 0.0
 
+    def measure_call_pause(self, instance: InstanceId, now: float) -> float:
+        """Return for how many more seconds this host should not poll or query an upstream."""
+        state = self._states.get(instance)
+        if state is None:
+            return 0.0
+        limited = self._limits.measure_call_pause(instance, state.entry.started_at)
+        return max(limited, self.measure_pause(instance, now))
+
+    def record_call(self, instance: InstanceId, callers: int = 1) -> None:
+        """Record a poll or query of an upstream, which ``callers`` hosts call."""
+        state = self._states.get(instance)
+        if state:
+            self._limits.record_call(instance, state.entry.started_at, callers)
+
     def mark_leaving(self, instance: InstanceId, started_at: int) -> None:
         """Send no new requests to an upstream, whatever its registration says, until it restarts.
 
--- a/turmericproxy/rollout/controller.py
+++ b/turmericproxy/rollout/controller.py
@@ -271,9 +271,10 @@
             fence=self._lease_manager.fence,
             accepted_orders=report.accepted_orders,
         )
+        clock = asyncio.get_running_loop().time
+        sent_at = clock()
         result = await self._control.order_weights(state.entry.address, order)
-        now = asyncio.get_running_loop().time()
-        self._registry.record_notice(order.instance, result.notice, now)
+        self._registry.record_notice(order.instance, result.notice, clock(), sent_at=sent_at)
         log_event(
             Part.WEIGHTS,
             "load ordered",
--- a/turmericproxy/rollout/interfaces.py
+++ b/turmericproxy/rollout/interfaces.py
@@ -29,7 +29,7 @@
     """Represent a report that could not be read, and what the engine announced, if it answered."""
 
     reason: str
-    notice: UpstreamNotice = NO_NOTICE
+    notice: UpstreamNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
     """Represent the answer to an order, and what the engine announces about itself."""
 
     answer: OrderAnswer
-    notice: UpstreamNotice = NO_NOTICE
+    notice: UpstreamNotice | None = None
 
 
 class EngineControl(Protocol):
--- a/turmericproxy/rollout/reports.py
+++ b/turmericproxy/rollout/reports.py
@@ -15,8 +15,12 @@
 
     What the engine announces about itself is recorded for ``instance``.
     """
+    clock = asyncio.get_running_loop().time
+    sent_at = clock()
+    registry.record_call(instance)
     report = await control.read_report(address)
-    registry.record_notice(instance, report.notice, asyncio.get_running_loop().time())
+    started_at = report.started_at if isinstance(report, EngineReport) else None
+    registry.record_notice(instance, report.notice, clock(), sent_at=sent_at, started_at=started_at)
     if isinstance(report, ReportUnavailable):
         log_event(Part.WEIGHTS, "engine report unavailable", engine=instance, reason=report.reason)
         return None
--- a/turmericproxy/rollout/version_resolver.py
+++ b/turmericproxy/rollout/version_resolver.py
@@ -158,6 +158,6 @@
 
     async def _read_report(self, instance: InstanceId, address: str) -> EngineReport | None:
         """Return an engine's report, ``None`` if it can't be read or the engine wants no call."""
-        if self._registry.measure_pause(instance, asyncio.get_running_loop().time()) > 0:
+        if self._registry.measure_call_pause(instance, asyncio.get_running_loop().time()) > 0:
             return None
         return await read_engine_report(self._control, self._registry, instance, address)
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -61,8 +61,9 @@
 
     While ``is_leaving``, all answers say so, and while ``limit`` is set, all name it. While
     ``retry_after`` is set, all calls are answered with 503 and this Retry-After; ``calls`` counts
-    all calls. Reports and orders are handled after ``silence_seconds``. An engine ends ``crash_seconds`` after it began an answer on a prompt with
-    one of the ``crashing_parts``, but not for the last part; ``on_end`` is then called.
+    all calls. Reports and orders are handled after ``silence_seconds``. An engine ends
+    ``crash_seconds`` after it began an answer on a prompt with one of the ``crashing_parts``, but
+    not for the last part; ``on_end`` is then called.
     """
 
     instance: str
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -9,11 +9,12 @@
 from turmericproxy.crashes.controller import CrashController
 from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS, BrokenPrompt, EngineStart
 from turmericproxy.edge.upstream import TIMED_OUT
+from turmericproxy.limits.controller import LimitController
+from turmericproxy.limits.permits import Applicant
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
 from turmericproxy.placement.engines import EngineCandidate
 from turmericproxy.placement.health import HealthSignal
-from turmericproxy.placement.notices import NO_NOTICE
 from turmericproxy.placement.plain import choose_plain, estimate_seconds
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
 from turmericproxy.placement.registry import UpstreamRegistry, UpstreamState, Work
@@ -35,6 +36,13 @@
 # don't all retry at the same time.
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 0.8
+# Delay for which a limited upstream that takes one more request is preferred to others: what it
+# takes is lost if no request comes, and the others may need their room later.
+UNUSED_PERMIT_DELAY_SECONDS = 0.03
+# Wait for a permit of a limited upstream: at least the time in which hosts tell each other of a
+# waiting request and a permit, else a share of the target latency and of the time that is left.
+MIN_PERMIT_WAIT_SECONDS = 0.3
+PERMIT_WAIT_SHARE = 0.5
 # Requests are no longer sent to superseded weights after this share of the allowed time; the rest
 # covers queueing and transport.
 OLD_WEIGHTS_AGE_SHARE = 0.75
@@ -45,8 +53,8 @@
     """Upstream chosen for an attempt, with the expected time and work there.
 
     ``expected_seconds`` is the time to the first token, or of the whole call for a plain request.
-    ``queued_tokens`` are the prompt tokens that the engine had not prefilled at the time, and
-    ``started_at`` is its start time in Unix milliseconds.
+    ``queued_tokens`` are the prompt tokens that the engine had not prefilled at ``placed_at``, a
+    time of the event loop, and ``started_at`` is its start time in Unix milliseconds.
     """
 
     instance: InstanceId
@@ -59,6 +67,7 @@
     queued_tokens: float = 0.0
     started_at: int = 0
     request_id: RequestId = RequestId("")
+    placed_at: float = 0.0
 
     @property
     def engine(self) -> EngineStart:
@@ -82,7 +91,9 @@
         version_seconds: float,
         read_clock: Callable[[], float],
         crashes: CrashController,
+        limits: LimitController,
     ) -> None:
+        self._limits = limits
         self._registry = registry
         self._crashes = crashes
         self._wanted = wanted
@@ -110,11 +121,12 @@
         states = [state for state in ready if not state.health.must_be_silent(now)]
         if ready and not states:
             return self._refuse_silent(request, ready, now)
-        traits, prompt = request.service.engine, request.parsed.prompt
-        if traits is not None and prompt is not None:
-            placed = self._place_at_engine(request, states, traits, prompt, excluded, resume_after)
-        else:
-            placed = self._place_plain(request, states, excluded, resume_after)
+        if not self._limits.is_loaded:
+            reason = "the host has not heard yet which limits upstreams have named"
+            return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=self._choose_retry_after())
+        placed, limited = self._place_within_limits(request, states, excluded, resume_after)
+        if placed is None and limited:
+            return self._refuse_limited(request, limited)
         if placed is None:
             reason = f"no upstream of {request.service.name} is available"
             return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=self._choose_retry_after())
@@ -128,6 +140,110 @@
             )
         return placed
 
+    def _place_within_limits(
+        self,
+        request: RoutedRequest,
+        states: list[UpstreamState],
+        excluded: frozenset[InstanceId],
+        resume_after: str | None,
+    ) -> tuple[Placement | None, list[Placement]]:
+        """Choose the best upstream that takes one more request of this host.
+
+        Return also the better ones whose limit leaves no request for it.
+        """
+        applicant = create_applicant(request)
+        limited: list[Placement] = []
+        while True:
+            placed = self._choose(request, states, excluded, resume_after)
+            if placed is None:
+                return None, limited
+            if self._limits.may_send(placed.instance, placed.started_at, applicant):
+                permitted = self._place_with_permit(request, states, excluded, resume_after)
+                if permitted and permitted.expected_seconds <= (
+                    placed.expected_seconds + UNUSED_PERMIT_DELAY_SECONDS
+                ):
+                    return permitted, limited
+                return placed, limited
+            self._limits.turn_away(placed.instance, placed.started_at, applicant)
+            log_decision(
+                Part.ROUTING,
+                "limit reached",
+                request_id=request.parsed.request_id,
+                upstream=placed.instance,
+                **self._limits.describe(placed.instance, placed.started_at),
+            )
+            limited.append(placed)
+            excluded |= {placed.instance}
+
+    def _choose(
+        self,
+        request: RoutedRequest,
+        states: list[UpstreamState],
+        excluded: frozenset[InstanceId],
+        resume_after: str | None,
+    ) -> Placement | None:
+        """Choose the best upstream among ``states``, whatever their limits."""
+        traits, prompt = request.service.engine, request.parsed.prompt
+        if traits is not None and prompt is not None:
+            return self._place_at_engine(request, states, traits, prompt, excluded, resume_after)
+        return self._place_plain(request, states, excluded, resume_after)
+
+    def _place_with_permit(
+        self,
+        request: RoutedRequest,
+        states: list[UpstreamState],
+        excluded: frozenset[InstanceId],
+        resume_after: str | None,
+    ) -> Placement | None:
+        """Choose the best limited upstream for which this host holds a permit."""
+        applicant, now, permitted = create_applicant(request), self._read_clock(), []
+        for state in list_available(states, self._domains.is_unreachable, now):
+            instance, started_at = state.entry.instance, state.entry.started_at
+            if instance in excluded or self._limits.find_limit(instance, started_at) is None:
+                continue
+            if self._limits.may_send(instance, started_at, applicant):
+                permitted.append(state)
+            else:
+                self._limits.record_work(instance, started_at)
+        if not permitted:
+            return None
+        return self._choose(request, permitted, excluded, resume_after)
+
+    def _refuse_limited(self, request: RoutedRequest, limited: list[Placement]) -> Refusal:
+        """Refuse a request while the limits of all upstreams are reached."""
+        retry_after = self._limits.estimate_retry_after(
+            [(placement.instance, placement.started_at) for placement in limited]
+        )
+        reason = f"the limits of {len(limited)} upstreams of {request.service.name} are reached"
+        return refuse(ResultCode.UPSTREAMS_LIMITED, reason, retry_after=retry_after)
+
+    async def wait_for_permit(
+        self, request: RoutedRequest, excluded: frozenset[InstanceId]
+    ) -> bool:
+        """Wait for a short time for a limited upstream; return whether one takes the request."""
+        age = self._read_clock() - request.parsed.raw.received_at
+        seconds = min(
+            max(MIN_PERMIT_WAIT_SECONDS, PERMIT_WAIT_SHARE * request.route.target_latency - age),
+            PERMIT_WAIT_SHARE * (request.deadline - self._read_clock()),
+        )
+        upstreams = self._list_starts(request, excluded)
+        return await self._limits.wait_for_permit(upstreams, create_applicant(request), seconds)
+
+    def release_permit(self, request: RoutedRequest) -> None:
+        """Make the permit that was kept for a request available if it was not used."""
+        upstreams = self._list_starts(request, frozenset())
+        self._limits.release(upstreams, create_applicant(request))
+
+    def _list_starts(
+        self, request: RoutedRequest, excluded: frozenset[InstanceId]
+    ) -> list[tuple[InstanceId, int]]:
+        now = self._read_clock()
+        return [
+            (state.entry.instance, state.entry.started_at)
+            for state in self._registry.list_ready(request.service.name)
+            if state.entry.instance not in excluded and not state.health.must_be_silent(now)
+        ]
+
     def _refuse_blocked(self, request: RoutedRequest) -> Refusal | None:
         """Refuse a prompt with parts on which engines end."""
         prompt = request.parsed.prompt
@@ -192,12 +308,21 @@
 
     def record_answer_head(self, placement: Placement, answer: ParsedAnswer) -> None:
         """Record what the upstream that answered announces about itself."""
-        answered_by = placement.instance
-        if answer.verdict is Verdict.WRONG_INSTANCE and answer.instance is not None:
-            answered_by = InstanceId(answer.instance)
-        if answer.notice == NO_NOTICE and answer.verdict is Verdict.FOREIGN:
-            return
-        self._registry.record_notice(answered_by, answer.notice, self._read_clock())
+        answered_by, sent_at = placement.instance, placement.placed_at
+        started_at: int | None = placement.started_at
+        if answer.verdict is Verdict.WRONG_INSTANCE and answer.instance != answered_by:
+            if answer.instance is None:
+                return
+            answered_by, started_at = InstanceId(answer.instance), None
+        # An answer that belongs to another request may be older than it looks.
+        is_foreign = answer.verdict is Verdict.FOREIGN
+        self._registry.record_notice(
+            answered_by,
+            answer.notice,
+            self._read_clock(),
+            sent_at=None if is_foreign else sent_at,
+            started_at=started_at,
+        )
 
     def set_kept_store_check(self, is_reachable: Callable[[], bool]) -> None:
         """Use the kept store only while ``is_reachable`` returns true."""
@@ -205,6 +330,10 @@
 
     def record_start(self, placement: Placement) -> None:
         """Add the work of an attempt that is about to be sent."""
+        applicant = Applicant(
+            placement.request_id, placement.dispatch.priority, placement.dispatch.account
+        )
+        self._limits.record_sent(placement.instance, placement.started_at, applicant)
         self._registry.add_work(placement.instance, placement.work)
         state = self._registry.find(placement.instance)
         if state and placement.prompt and placement.keys:
@@ -337,7 +466,16 @@
             priority=request.priority,
             resume_after=resume_after,
         )
-        return Placement(view.instance, view.address, dispatch, expected, Work(1))
+        return Placement(
+            view.instance,
+            view.address,
+            dispatch,
+            expected,
+            Work(1),
+            started_at=self._find_start(view.instance),
+            request_id=request.parsed.request_id,
+            placed_at=now,
+        )
 
     def _place_at_engine(
         self,
@@ -387,6 +525,7 @@
             queued_tokens=view.pending_prefill_tokens,
             started_at=self._find_start(view.instance),
             request_id=request.parsed.request_id,
+            placed_at=context.now,
         )
 
     def _find_start(self, instance: InstanceId) -> int:
@@ -416,6 +555,12 @@
         return round(self._random.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS), 2)
 
 
+def create_applicant(request: RoutedRequest) -> Applicant:
+    """Return what decides when a request gets a permit for a limited upstream."""
+    account = request.account.name if request.account else None
+    return Applicant(request.parsed.request_id, request.priority, account)
+
+
 def _add_prefixes(
     tracker: PrefixTracker, keys: tuple[PartKey, ...], prompt: Prompt, ready_at: float
 ) -> None:
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -95,7 +95,7 @@
         budget.record_request()
         while True:
             replacement, self._replacement = self._replacement, None
-            placement = replacement.placement if replacement else self._place()
+            placement = replacement.placement if replacement else await self._place_or_wait()
             if isinstance(placement, Refusal):
                 return self._adjust_refusal(placement)
             attempt = await self._attempt(placement, replacement)
@@ -122,6 +122,19 @@
             return False
         return await self._dependencies.crashes.await_end(placement.engine)
 
+    async def _place_or_wait(self) -> Placement | Refusal:
+        """Choose the next upstream; wait for a short time if limits leave none for now."""
+        dispatcher, request = self._dependencies.dispatcher, self._request
+        placement = self._place()
+        if isinstance(placement, Refusal) and placement.code is ResultCode.UPSTREAMS_LIMITED:
+            try:
+                if await dispatcher.wait_for_permit(request, self._excluded):
+                    placement = self._place()
+            finally:
+                if not isinstance(placement, Placement):
+                    dispatcher.release_permit(request)
+        return placement
+
     def _place(self) -> Placement | Refusal:
         """Choose the next upstream; one that was only silent is the last choice."""
         dispatcher, request = self._dependencies.dispatcher, self._request
