Ignore registrations with an address or a number that no host can use

What callers saw: 500 for bookings while an entry of the server list had a port out of range: the entry counted as an upstream, and connecting to it raised an error that nothing expected. A host that started afterwards answered 500, too. The same belief elsewhere: a version of weights or an epoch above 64 bits could not be packed, so that hosts lost each other; the host table and resources of the own interface took any port. Addresses are read in one place now.

--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -137,3 +137,30 @@
         status = source.choice([200, 204, 421, 500, 503, 599])
         head = AnswerHead(status, Headers(fields.items()))
         codec.read_answer(parsed, Dispatch("i", 1.0, None, 0), head)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1:70000"},
+        {"address": "10.0.0.1:0"},
+        {"address": "nowhere:80"},
+        {"born": 2**60},
+        {"slots": 2**60},
+        {"service": "\ud800"},
+        {"models": [{"name": "m", "version": 2**60}]},
+    ],
+)
+def test_registration_that_no_host_can_use_is_ignored(change: dict[str, object]) -> None:
+    row = Row("i", json.dumps({**REGISTRATION, **change}).encode(), 1)
+    assert read_upstream_row(row) is None
+
+
+# Peers learn the epoch and evicted parts; a message with such values could not be packed.
+@pytest.mark.parametrize(
+    "change",
+    [{"epoch": 2**70}, {"next": -1}, {"events": [[1, "-", "s", "\ud800", 10, "m"]]}],
+)
+def test_cache_events_that_no_message_can_hold_are_refused(change: dict[str, object]) -> None:
+    with pytest.raises(EXPECTED):
+        read_page({**PAGE, **change})
--- a/turmericproxy/configuration/resources.py
+++ b/turmericproxy/configuration/resources.py
@@ -5,10 +5,30 @@
 from enum import Enum
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+)
+
+from turmericproxy.core.addresses import split_address
 
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+def _check_address(address: str) -> str:
+    split_address(address)
+    return address
+
+
+Address = Annotated[
+    str,
+    StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"),
+    AfterValidator(_check_address),
+]
 Digest = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 
 
--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from turmericproxy.core.addresses import split_address
 from turmericproxy.edge.messages import AnswerHead, Headers
 from turmericproxy.edge.sockets import set_user_timeout
 
@@ -272,11 +273,11 @@
 
 async def open_connection(address: str, connect_timeout: float) -> asyncio.Transport | NotConnected:
     """Open a connection to ``ip:port``; ``connect_timeout`` is in seconds."""
-    ip, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
+        ip, port = split_address(address)
         transport, _ = await asyncio.wait_for(
-            loop.create_connection(asyncio.Protocol, ip, int(port)), connect_timeout
+            loop.create_connection(asyncio.Protocol, ip, port), connect_timeout
         )
     except TimeoutError:
         return NotConnected(TIMED_OUT)
--- a/turmericproxy/host/directory.py
+++ b/turmericproxy/host/directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from turmericproxy.core import HostName, Incarnation, Refusal
+from turmericproxy.core.addresses import split_address
 from turmericproxy.core.documents import decode_json
 from turmericproxy.fleet import FleetLinks, Hello
 from turmericproxy.logs import Part, log_event
@@ -107,8 +108,9 @@
 def _read_hello(row: Row) -> Hello | None:
     try:
         address, domain, link_mbps = decode_json(row.value)
+        split_address(address)
         identity = (HostName(row.key), str(address), str(domain), Incarnation(""))
         return Hello(*identity, int(link_mbps))
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, AttributeError) as error:
         log_event(Part.PEERS, "invalid row in the host table", key=row.key, reason=repr(error))
         return None
--- a/turmericproxy/platform/cache_events.py
+++ b/turmericproxy/platform/cache_events.py
@@ -10,6 +10,7 @@
 from turmericproxy.platform import names
 from turmericproxy.platform.calls import encode_request
 from turmericproxy.platform.notices import read_notice
+from turmericproxy.platform.registrations import MAX_COUNT
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 # Time limit for an answer, including the wait that the request asks for. A sound endpoint may be
@@ -55,7 +56,17 @@
 def read_page(content: dict[str, Any], notice: UpstreamNotice = NO_NOTICE) -> EventPage:
     """Decode a page; raise ``ValueError``, ``KeyError`` or ``TypeError`` if it is invalid."""
     events = tuple(
-        CacheEvent(PartKey(str(space), str(part)), int(tokens), sign == ADDED_SIGN)
+        CacheEvent(_read_key(space, part), int(tokens), sign == ADDED_SIGN)
         for _, sign, space, part, tokens, _ in content["events"]
     )
-    return EventPage(int(content["epoch"]), int(content["next"]), events, notice)
+    epoch, next_event = int(content["epoch"]), int(content["next"])
+    if not 0 <= epoch <= MAX_COUNT or not 0 <= next_event <= MAX_COUNT:
+        raise ValueError("epoch or next event is out of range")
+    return EventPage(epoch, next_event, events, notice)
+
+
+def _read_key(space: object, part: object) -> PartKey:
+    key = PartKey(str(space), str(part))
+    # Fails for halves of surrogate pairs, which messages between hosts can't hold.
+    f"{key.space}{key.part_id}".encode()
+    return key
--- a/turmericproxy/platform/registrations.py
+++ b/turmericproxy/platform/registrations.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from turmericproxy.core import ModelName
+from turmericproxy.core.addresses import split_address
 from turmericproxy.core.documents import decode_json
 from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.logs import Part, log_event
@@ -11,6 +12,9 @@
 from turmericproxy.rollout.interfaces import EngineReport
 from turmericproxy.tables.messages import Row
 
+# Larger numbers are neither counts nor times, and messages between hosts can't hold them.
+MAX_COUNT = 2**53
+
 
 def read_upstream_row(row: Row) -> UpstreamEntry | None:
     """Return the registration in a row; log an incomplete or foreign one and return ``None``."""
@@ -52,19 +56,18 @@
     value = content[name]
     if not isinstance(value, str) or not value:
         raise ValueError(f"{name} is not a non-empty string")
+    value.encode()  # fails for halves of surrogate pairs, which messages between hosts can't hold
     return value
 
 
 def _read_count(content: dict[str, Any], name: str) -> int:
     value = content[name]
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"{name} is not a non-negative integer")
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"{name} is not an integer from 0 to {MAX_COUNT}")
     return value
 
 
 def _read_address(content: dict[str, Any]) -> str:
     address = _read_text(content, "address")
-    ip, _, port = address.rpartition(":")
-    if not ip or not port.isdigit():
-        raise ValueError("address is not IP:PORT")
+    split_address(address)
     return address
--- a/turmericproxy/platform/store.py
+++ b/turmericproxy/platform/store.py
@@ -1,7 +1,6 @@
 """Client for the platform's metadata store."""
 
 import base64
-import binascii
 import json
 from typing import Any
 from urllib.parse import urlencode
@@ -170,7 +169,7 @@
             is_deleted = bool(raw.get("deleted"))
             value = b"" if is_deleted else base64.b64decode(raw["value"], validate=True)
             row = Row(raw["key"], value, raw["row_version"])
-        except (KeyError, TypeError, AttributeError, binascii.Error) as error:
+        except (KeyError, TypeError, AttributeError, ValueError) as error:
             log_event(Part.PLATFORM, "invalid row ignored", reason=repr(error))
             continue
         changed.append(ChangedRow(row, is_deleted))
--- a/turmericproxy/routing/crash_guard.py
+++ b/turmericproxy/routing/crash_guard.py
@@ -20,6 +20,7 @@
     read_boottime,
     refuse,
 )
+from turmericproxy.core.addresses import split_address
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.blocks import Block, BlockList, compute_block_seconds
 from turmericproxy.crashes.evidence import (
@@ -61,9 +62,8 @@
 
 def is_refused(address: str) -> bool:
     """Return whether nothing listens at ``ip:port``."""
-    ip, _, port = address.rpartition(":")
     try:
-        socket.create_connection((ip, int(port)), CONNECT_TIMEOUT_SECONDS).close()
+        socket.create_connection(split_address(address), CONNECT_TIMEOUT_SECONDS).close()
     except ConnectionRefusedError:
         return True
     except (OSError, ValueError) as error:
