Don't take the refusal of another request for that of this one

What callers saw (another operator's report): 'not run, try again' for a request that its server had run or was running, or a second run at another server. Cause: 421 and X-Not-Executed were read before the id that the answer echoes, so that a refusal which a server wrote once more counted for the next request. Evidence: five cases in tests/host/test_odd_answers.py failed (a booking was sent to a second server, and its client got 200 from there); they pass now. Ruled out: kept connections, since requests use fresh ones; the id is what tells.

--- a/turmericproxy/platform/codec.py
+++ b/turmericproxy/platform/codec.py
@@ -113,12 +113,13 @@
 def _classify(parsed: ParsedRequest, head: AnswerHead) -> Verdict:
     headers = head.headers
     echoed = headers.get(names.REQUEST_ID)
+    if echoed is not None and echoed != parsed.request_id:
+        # Also a refusal: a server may have written one of another request once more.
+        return Verdict.FOREIGN
     if head.status == MISDIRECTED_REQUEST:
         return Verdict.WRONG_INSTANCE
     if headers.get(names.NOT_RUN) is not None:
         return Verdict.NOT_RUN
-    if echoed is not None and echoed != parsed.request_id:
-        return Verdict.FOREIGN
     if head.status in SUCCESS:
         is_matching = echoed == parsed.request_id and headers.get(names.SIGNATURE) is not None
         is_uncompressed = headers.get("content-encoding") in (None, "identity")
