Go on with a broken stream only where the answer continues it

What callers saw (another operator's report): the text of another server's answer in the middle of their stream, events twice, or an end as if it were complete. Cause: any signed 2xx answer to a resumed stream was relayed, whatever its status, type and event ids. Answers with 4xx or 5xx, without signature or of another request were refused before, too.

--- a/turmericproxy/traffic/events.py
+++ b/turmericproxy/traffic/events.py
@@ -9,10 +9,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Events:
-    """Complete events as received, and the last event id among them."""
+    """Complete events as received, the last event id among them, and the id of the first event."""
 
     data: bytes
     last_id: str | None
+    first_id: str | None = None
 
 
 class EventSplitter:
@@ -20,7 +21,7 @@
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2")
-    Events(data=b'id: 1\\ndata: a\\n\\n', last_id='1')
+    Events(data=b'id: 1\\ndata: a\\n\\n', last_id='1', first_id='1')
     >>> splitter.has_partial_event
     True
     """
@@ -43,7 +44,7 @@
         buffered = self._partial + data
         complete, end, self._partial = buffered.rpartition(EVENT_END)
         events = complete + end
-        return Events(events, _find_last_id(events))
+        return Events(events, _find_last_id(events), _find_last_id(events.partition(EVENT_END)[0]))
 
 
 def _find_last_id(events: bytes) -> str | None:
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -23,8 +23,9 @@
     decide_next_action,
     find_obstacle,
 )
+from turmericproxy.traffic.continuation import BegunStream, create_begun_stream, is_continued
 from turmericproxy.traffic.dispatching import Dispatcher, Placement
-from turmericproxy.traffic.events import EventSplitter
+from turmericproxy.traffic.events import Events, EventSplitter
 from turmericproxy.traffic.handover import OpenAttempt, open_replacement
 from turmericproxy.traffic.interfaces import MessageCodec, VersionResolver
 from turmericproxy.traffic.requests import ParsedAnswer, Verdict
@@ -80,6 +81,7 @@
         self._received_at = 0.0
         self._head_at: float | None = None
         self._is_blocked = False
+        self._begun: BegunStream | None = None
         self._gap_limits = compute_gap_limits(request.route)
 
     async def run(self) -> CompletedAnswer | Refusal:
@@ -244,6 +246,8 @@
         """Relay complete events as they arrive; the client's answer starts with the first one."""
         writer, started = self._request.writer, self._clock()
         splitter = EventSplitter()
+        if self._begun and (fault := self._begun.find_fault(answer.head)):
+            return Attempt(Outcome.BROKEN, answer, reason=fault)
         while isinstance(part := await call.read_part(), bytes):
             self._received_at = self._clock()
             events = splitter.feed(part)
@@ -251,16 +255,13 @@
                 return Attempt(Outcome.BROKEN, answer, reason="an event exceeds the size limit")
             if not events.data:
                 continue
-            self._event_parts += 1
-            if self._event_parts == 1:
+            if self._event_parts == 0:
+                if self._begun and not is_continued(self._last_id, events):
+                    reason = "the events don't continue the stream"
+                    return Attempt(Outcome.BROKEN, answer, reason=reason)
                 self._dependencies.dispatcher.record_first_event(placement, self._clock() - started)
-            if not writer.is_started:
-                writer.start(answer.head.status, _list_header_fields(answer), None)
-            self._last_id = events.last_id or self._last_id
-            writer.write(events.data)
-            await writer.drain()
-            if self._watch:
-                self._watch.record_progress(self._gap_limits)
+            self._event_parts += 1
+            await self._write_events(answer, events)
         if part is not EndKind.COMPLETE or splitter.has_partial_event:
             return Attempt(
                 Outcome.BROKEN, answer, reason=call.reason or "the stream ended within an event"
@@ -272,6 +273,17 @@
             writer.start(answer.head.status, _list_header_fields(answer), None)
         return Attempt(Outcome.ANSWERED, answer)
 
+    async def _write_events(self, answer: ParsedAnswer, events: Events) -> None:
+        writer = self._request.writer
+        if not writer.is_started:
+            self._begun = create_begun_stream(answer.head)
+            writer.start(answer.head.status, _list_header_fields(answer), None)
+        self._last_id = events.last_id or self._last_id
+        writer.write(events.data)
+        await writer.drain()
+        if self._watch:
+            self._watch.record_progress(self._gap_limits)
+
     def _start_watch(self, placement: Placement, call: UpstreamCall) -> SilenceWatch | None:
         """Watch a call whose request may be sent once more."""
         if not self._request.route.is_repeatable or not self._may_run_again():
