Count each host for one granter of a limit, and bound the wait for what others know

Two hosts that don't see each other, but are both seen by the others, would each have granted nearly the whole limit; hosts now report whose grants they use, and a granter's part is that of these hosts. A host that reads its configuration but can't write its row would have waited for ever before it served; it waits for three seconds now. Reports are sent the less often the more hosts there are.

--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -12,8 +12,9 @@
 import pytest
 
 from turmericproxy.core import HostName, RequestId
+from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.limits.controller import FleetView, LimitController
+from turmericproxy.limits.controller import MAX_LEARNING_SECONDS, FleetView, LimitController
 from turmericproxy.limits.messages import LimitState
 from turmericproxy.limits.permits import Applicant
 from turmericproxy.metrics import Metrics
@@ -34,13 +35,14 @@
     seed: int = 1
     now: float = 100.0
     arrivals: list[float] = field(default_factory=list)
+    severed: list[set[HostName]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._random = random.Random(self.seed)
         self._numbers = itertools.count()
         self.names = [HostName(f"h{n}") for n in range(self.size)]
-        self.sides = [set(self.names)]
-        self._known_sides = [set(self.names)]
+        self.sides = [list(self.names)]
+        self._known_sides = self.sides
         self._detected_at = 0.0
         self.hosts = {name: self._create(name) for name in self.names}
         self._sent: list[tuple[float, HostName, LimitState]] = []
@@ -48,12 +50,22 @@
     def _create(self, name: HostName) -> LimitController:
         def describe() -> FleetView:
             side = next(s for s in self._known_sides if name in s)
-            return FleetView(tuple(sorted(side)), len(side) / self.size)
+            if self.severed:
+                side = [other for other in side if not self._is_severed(name, other)]
+            return FleetView(tuple(side), self.size)
 
         return LimitController(name, describe, Metrics(), lambda: self.now)
 
+    def _is_severed(self, one: HostName, other: HostName) -> bool:
+        return {one, other} in self.severed and self.now >= self._detected_at
+
+    def sever(self, one: HostName, other: HostName) -> None:
+        """Cut two hosts off from each other; all others go on to see both."""
+        self.severed.append({one, other})
+        self._detected_at = self.now + DETECTION_SECONDS
+
     def cut(self, *sides: Iterable[HostName]) -> None:
-        self.sides = [set(side) for side in sides]
+        self.sides = [list(side) for side in sides]
         self._detected_at = self.now + DETECTION_SECONDS
 
     def answer(self, name: HostName, per_second: float | None, age: float = 0.0) -> None:
@@ -97,7 +109,7 @@
             self._known_sides = self.sides
             for side in self.sides:
                 for name in side:
-                    for other in set(self.names) - side:
+                    for other in set(self.names) - set(side):
                         self.hosts[name].forget_peer(other)
         for name, host in self.hosts.items():
             if state := host.take_state():
@@ -106,7 +118,7 @@
         self._sent = [entry for entry in self._sent if entry[0] > self.now]
         for _, sender, state in due:
             for name in next(side for side in self.sides if sender in side):
-                if name != sender:
+                if name != sender and {name, sender} not in self.severed:
                     self.hosts[name].receive(sender, state)
 
     def count_most(self, start: float) -> int:
@@ -167,6 +179,20 @@
     assert sent >= 0.5 * 2.0 * 12.0
 
 
+# Both of two hosts that don't see each other may grant permits.
+def test_hosts_that_see_different_parts_of_the_fleet_keep_the_limit() -> None:
+    fleet = Fleet(8)
+    named_at = fleet.now
+    fleet.answer(fleet.names[0], 2.0)
+    fleet.play(4.0, 60)
+    granter = choose_by_hash(UPSTREAM, fleet.names)
+    for other in [name for name in fleet.names if name != granter][:3]:
+        fleet.sever(granter, other)
+    _, sent = fleet.play(15.0, 60)
+    check(fleet, 2.0, named_at)
+    assert sent >= 0.5 * 2.0 * 15.0
+
+
 # Each host may be the one that grants permits.
 def test_limit_is_kept_while_hosts_restart_in_turn() -> None:
     fleet = Fleet(8)
@@ -208,6 +234,16 @@
     assert sent == asked
 
 
+# Another writer's calls may keep a host from the store in part; it must not wait for ever.
+def test_host_that_learns_nothing_serves_after_some_seconds() -> None:
+    fleet = Fleet(1)
+    host = fleet.hosts[fleet.names[0]]
+    host.start_learning()
+    assert not host.is_loaded
+    fleet.play(MAX_LEARNING_SECONDS + 0.1, 0)
+    assert host.is_loaded
+
+
 def test_nothing_is_told_while_nobody_names_a_limit() -> None:
     fleet = Fleet(8)
     fleet.answer(fleet.names[0], None)
--- a/tests/limits/test_permits.py
+++ b/tests/limits/test_permits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from turmericproxy.core import AccountName, RequestId
+from turmericproxy.core import AccountName, HostName, RequestId
 from turmericproxy.limits.allocation import PERMIT_SECONDS
 from turmericproxy.limits.permits import KEPT_SECONDS, Applicant, PermitPool
 
@@ -17,7 +17,7 @@
     assert pool.may_send(apply("r1"), 0.0)
     pool.use(apply("r1"), 0.0)
     assert not pool.may_send(apply("r2"), 0.0)
-    assert pool.create_report()[:4] == (1, 1, 0, 0)
+    assert pool.create_report(HostName("h"))[:4] == (1, 1, 0, 0)
 
 
 def test_request_without_permit_counts_as_debt() -> None:
--- a/turmericproxy/fleet/peers.py
+++ b/turmericproxy/fleet/peers.py
@@ -174,18 +174,18 @@
         ]
         return min(ages, default=None)
 
-    def count_hosts(self) -> int:
-        """Return the number of hosts that may take requests, including this one."""
-        now = self._read_clock()
-        return 1 + sum(peer.is_running(now) for peer in self._peers.values())
-
-    def measure_reachable_share(self, expiry: float = PEER_EXPIRY_SECONDS) -> float:
-        """Return the share of running hosts that are reachable, including this host.
+    def count_hosts(self, expiry: float = PEER_EXPIRY_SECONDS) -> int:
+        """Return the number of hosts that may take requests, including this one.
 
-        A host counts as running for ``expiry`` seconds after its last update.
+        A host counts for ``expiry`` seconds after its last update.
         """
         now = self._read_clock()
-        running = [peer for peer in self._peers.values() if peer.is_running(now, expiry)]
+        return 1 + sum(peer.is_running(now, expiry) for peer in self._peers.values())
+
+    def measure_reachable_share(self) -> float:
+        """Return the share of running hosts that are reachable, including this host."""
+        now = self._read_clock()
+        running = [peer for peer in self._peers.values() if peer.is_running(now)]
         reachable = sum(peer.is_reachable(now) for peer in running)
         return (1 + reachable) / (1 + len(running))
 
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -262,7 +262,7 @@
         peers = self._links.peers
         return FleetView(
             (self._settings.host, *peers.list_reachable_hosts()),
-            peers.measure_reachable_share(CUT_HOST_EXPIRY_SECONDS),
+            peers.count_hosts(CUT_HOST_EXPIRY_SECONDS),
         )
 
     def _list_reachable(self) -> list[HostName]:
--- a/turmericproxy/limits/allocation.py
+++ b/turmericproxy/limits/allocation.py
@@ -74,7 +74,7 @@
 
     def record_report(self, host: HostName, report: PermitReport, now: float) -> None:
         """Record the totals of a host; lower ones are those of a host that has restarted."""
-        use = self.uses.setdefault(host, HostUse(turn=self._find_first_turn()))
+        use = self._get_use(host)
         before = use.report
         if before is None:
             # Its totals may be those of hours.
@@ -90,7 +90,7 @@
 
     def record_grant(self, host: HostName, permits: int, now: float) -> None:
         """Record permits that a host has been granted, by whichever host."""
-        use = self.uses.setdefault(host, HostUse(turn=self._find_first_turn()))
+        use = self._get_use(host)
         use.held += permits
         use.granted_at = now
         use.turn += permits / max(MIN_DEMAND, use.measure_demand(now))
@@ -100,6 +100,14 @@
         """Forget a host that is lost; its permits expire."""
         self.uses.pop(host, None)
 
+    def count_followers(self, granter: HostName) -> int:
+        """Return the number of other hosts that use the grants of a host."""
+        return sum(
+            use.report is not None and use.report.granted_by == granter
+            for host, use in self.uses.items()
+            if host != granter
+        )
+
     def count_waiting(self) -> int:
         """Return the requests of all hosts that wait for a permit."""
         return sum(max(0, use.waiting - use.held) for use in self.uses.values())
@@ -133,8 +141,12 @@
         demand = use.measure_demand(now)
         return math.ceil(demand) if demand >= MIN_DEMAND else 0
 
-    def _find_first_turn(self) -> float:
-        return min((use.turn for use in self.uses.values()), default=0.0)
+    def _get_use(self, host: HostName) -> HostUse:
+        use = self.uses.get(host)
+        if use is None:
+            first_turn = min((use.turn for use in self.uses.values()), default=0.0)
+            use = self.uses[host] = HostUse(turn=first_turn)
+        return use
 
     def _expire(self, now: float) -> None:
         for use in self.uses.values():
--- a/turmericproxy/limits/controller.py
+++ b/turmericproxy/limits/controller.py
@@ -18,12 +18,16 @@
 
 # Limits that are remembered; those named first are dropped.
 MAX_LIMITS = 4096
-# Interval of reports to the other hosts.
+# Interval of reports to the other hosts: the shortest one, and what each host adds to it, since all
+# hosts receive the reports of all.
 REPORT_SECONDS = 0.12
+REPORT_SECONDS_PER_HOST = 0.004
 # Interval in which one limited upstream gets polls and queries of all hosts of its domain.
 CONTROL_CALL_SECONDS = 4.0
-# Time for which a host that has read the host table waits for what another one knows.
+# Time for which a host that has read the host table waits for what another one knows, and the time
+# after its start from which it doesn't wait for the table either.
 LEARNING_SECONDS = 0.6
+MAX_LEARNING_SECONDS = 3.0
 # Bounds of Retry-After, and its random spread.
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 10.0
@@ -31,10 +35,10 @@
 
 
 class FleetView(NamedTuple):
-    """Hold the reachable hosts, with this one, and the share of all hosts that they are."""
+    """Hold the reachable hosts, with this one, and the number of all running hosts."""
 
     hosts: tuple[HostName, ...]
-    share: float
+    running: int
 
 
 @dataclass
@@ -46,7 +50,12 @@
     pool: PermitPool = field(default_factory=PermitPool)
     share: float = 1.0
     call_at: float = 0.0
-    sent_report: PermitReport = PermitReport()
+    sent_report: PermitReport | None = None
+
+    @property
+    def reported_waiting(self) -> int:
+        """Return the waiting requests of this host that the others know of."""
+        return self.sent_report.waiting if self.sent_report else 0
 
     def compute_rate(self, now: float) -> float:
         """Return the requests a second that the reachable hosts may send together."""
@@ -71,7 +80,7 @@
         self._upstreams: dict[InstanceId, _LimitedUpstream] = {}
         self._unsent_notices: list[InstanceId] = []
         self._reported_at = 0.0
-        self._learning_until: float | None = None
+        self._learning_until = 0.0
         self.is_loaded = True
 
     # Learning
@@ -79,15 +88,17 @@
     def start_learning(self) -> None:
         """Wait for what other hosts know before requests are sent."""
         self.is_loaded = False
+        self._learning_until = self._read_clock() + MAX_LEARNING_SECONDS
 
     def record_host_table(self, other_hosts: int) -> None:
         """Record that the host table has been read; alone, there is nothing to learn."""
-        if not self.is_loaded and self._learning_until is None:
-            self._learning_until = self._read_clock() + (LEARNING_SECONDS if other_hosts else 0.0)
+        if not self.is_loaded:
+            until = self._read_clock() + (LEARNING_SECONDS if other_hosts else 0.0)
+            self._learning_until = min(self._learning_until, until)
             self._check_learning()
 
     def _check_learning(self) -> None:
-        if self._learning_until is not None and self._read_clock() >= self._learning_until:
+        if not self.is_loaded and self._read_clock() >= self._learning_until:
             self.is_loaded = True
 
     def record_notice(
@@ -259,7 +270,9 @@
         self._drop_ended(now)
         notices = self._create_notices(dict.fromkeys(self._unsent_notices))
         self._unsent_notices.clear()
-        is_due = now >= self._reported_at + REPORT_SECONDS or self._has_new_waiters()
+        interval = REPORT_SECONDS_PER_HOST * len(self._describe_fleet().hosts)
+        due_at = self._reported_at + max(REPORT_SECONDS, interval)
+        is_due = now >= due_at or self._has_new_waiters()
         reports = self._take_changed_reports(now) if is_due else {}
         grants = self._grant(now)
         if not (notices or reports or grants):
@@ -314,17 +327,22 @@
         )
 
     def _create_reports(self) -> dict[InstanceId, PermitReport]:
-        return {i: upstream.pool.create_report() for i, upstream in self._upstreams.items()}
+        hosts = self._describe_fleet().hosts
+        return {
+            instance: upstream.pool.create_report(choose_by_hash(instance, hosts))
+            for instance, upstream in self._upstreams.items()
+        }
 
     def _has_new_waiters(self) -> bool:
-        return any(u.pool.waiting > u.sent_report.waiting for u in self._upstreams.values())
+        return any(u.pool.waiting > u.reported_waiting for u in self._upstreams.values())
 
     def _take_changed_reports(self, now: float) -> dict[InstanceId, PermitReport]:
         self._reported_at = now
         changed = {}
-        for instance, upstream in self._upstreams.items():
+        for upstream in self._upstreams.values():
             upstream.pool.expire(now)
-            report = upstream.pool.create_report()
+        for instance, report in self._create_reports().items():
+            upstream = self._upstreams[instance]
             if report != upstream.sent_report:
                 changed[instance] = upstream.sent_report = report
                 upstream.allocation.refill(upstream.compute_rate(now), now)
@@ -335,20 +353,13 @@
         """Grant permits for the upstreams for which this host is chosen."""
         fleet, grants = self._describe_fleet(), []
         for instance, upstream in self._upstreams.items():
-            if fleet.share != upstream.share:
-                log_event(
-                    Part.ROUTING,
-                    "share of a limit changed",
-                    upstream=instance,
-                    share=round(fleet.share, 3),
-                )
-                upstream.allocation.refill(upstream.compute_rate(now), now)
-                level, ratio = upstream.allocation.level, min(1.0, fleet.share / upstream.share)
-                upstream.allocation.level = level * ratio if level > 0 else level
-                upstream.share = fleet.share
+            granter = choose_by_hash(instance, fleet.hosts)
+            # Hosts may see different parts of the fleet; each counts for one granter at a time.
+            followers = 1 + upstream.allocation.count_followers(granter)
+            self._set_share(instance, upstream, min(1.0, followers / fleet.running), now)
             rate = upstream.compute_rate(now)
             upstream.allocation.refill(rate, now)
-            if choose_by_hash(instance, fleet.hosts) != self._host:
+            if granter != self._host:
                 continue
             for host, permits in upstream.allocation.choose_grants(rate, now).items():
                 grants.append(PermitGrant(instance, upstream.limit.started_at, host, permits))
@@ -356,6 +367,19 @@
                     upstream.pool.add(permits, now)
         return tuple(grants)
 
+    def _set_share(
+        self, instance: InstanceId, upstream: _LimitedUpstream, share: float, now: float
+    ) -> None:
+        if share == upstream.share:
+            return
+        log_event(
+            Part.ROUTING, "share of a limit changed", upstream=instance, share=round(share, 3)
+        )
+        upstream.allocation.refill(upstream.compute_rate(now), now)
+        level, ratio = upstream.allocation.level, min(1.0, share / upstream.share)
+        upstream.allocation.level = level * ratio if level > 0 else level
+        upstream.share = share
+
     def _estimate_wait(self, upstream: _LimitedUpstream, now: float) -> float:
         """Return the seconds until one more waiting request would get a permit."""
         rate, allocation = upstream.compute_rate(now), upstream.allocation
--- a/turmericproxy/limits/messages.py
+++ b/turmericproxy/limits/messages.py
@@ -24,7 +24,8 @@
     """Count what a host did at a limited upstream since the host's start.
 
     ``wanted`` counts the requests for which the upstream was the best choice, ``used`` the permits
-    that were used, ``returned`` those that expired. ``waiting`` requests wait for a permit now.
+    that were used, ``returned`` those that expired, and ``unpermitted`` requests without one.
+    ``waiting`` requests wait for a permit now. The host uses the grants of ``granted_by``.
     """
 
     wanted: int = 0
@@ -32,6 +33,7 @@
     returned: int = 0
     unpermitted: int = 0
     waiting: int = 0
+    granted_by: HostName = HostName("")
 
 
 class PermitGrant(NamedTuple):
@@ -70,8 +72,15 @@
 def decode_permit_reports(value: Any) -> dict[InstanceId, PermitReport]:
     """Return reports from their packed values; errors of malformed ones are passed on."""
     return {
-        InstanceId(str(instance)): PermitReport(*(int(count) for count in counts))
-        for instance, counts in value.items()
+        InstanceId(str(instance)): PermitReport(
+            int(wanted),
+            int(used),
+            int(returned),
+            int(unpermitted),
+            int(waiting),
+            HostName(str(granted_by)),
+        )
+        for instance, (wanted, used, returned, unpermitted, waiting, granted_by) in value.items()
     }
 
 
--- a/turmericproxy/limits/permits.py
+++ b/turmericproxy/limits/permits.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from turmericproxy.core import AccountName, RequestId
+from turmericproxy.core import AccountName, HostName, RequestId
 from turmericproxy.limits.allocation import PERMIT_SECONDS
 from turmericproxy.limits.messages import PermitReport
 
@@ -66,9 +66,11 @@
         """Return the number of requests that wait for a permit."""
         return len(self._waiters)
 
-    def create_report(self) -> PermitReport:
-        """Return the totals for the other hosts."""
-        return PermitReport(self.wanted, self.used, self.returned, self.unpermitted, self.waiting)
+    def create_report(self, granted_by: HostName) -> PermitReport:
+        """Return the totals for the other hosts, and whose grants this host uses."""
+        return PermitReport(
+            self.wanted, self.used, self.returned, self.unpermitted, self.waiting, granted_by
+        )
 
     def add(self, permits: int, now: float) -> None:
         """Add permits, of which waiting requests get the first ones."""
