--- a/tests/host/test_limits.py
+++ b/tests/host/test_limits.py
@@ -56,6 +56,26 @@
     run_limit_scenario(scenario)
 
 
+# On call, an operator has to see which upstream is limited and what was decided for a request.
+def test_limits_are_visible_to_operators() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        for name in ("p1", "p2"):
+            environment.servers[name].limit = "1.5"
+        sent = await Callers(environment).send_steadily(2.0)
+        refused = [s for s in sent if s.is_refused]
+        assert refused
+        assert {s.answer.fields["x-result-code"] for s in refused} == {"306"}
+        ip, _, port = environment.settings[0].metrics.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        text = (await reader.read(-1)).decode()
+        writer.close()
+        assert 'turmericproxy_upstream_limit{upstream="p1"} 1.5' in text
+        assert 'turmericproxy_limited_requests_total{upstream="p1"}' in text
+
+    run_limit_scenario(scenario)
+
+
 # A host that starts has had no answer of the server yet.
 def test_host_that_starts_later_keeps_the_limit() -> None:
     async def scenario(environment: HostEnvironment) -> None:
--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -14,7 +14,12 @@
 from turmericproxy.core import HostName, RequestId
 from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.limits.controller import MAX_LEARNING_SECONDS, FleetView, LimitController
+from turmericproxy.limits.controller import (
+    GONE_SECONDS,
+    MAX_LEARNING_SECONDS,
+    FleetView,
+    LimitController,
+)
 from turmericproxy.limits.messages import LimitState
 from turmericproxy.limits.permits import Applicant
 from turmericproxy.metrics import Metrics
@@ -244,6 +249,18 @@
     assert host.is_loaded
 
 
+def test_limit_of_an_upstream_that_is_gone_is_forgotten() -> None:
+    fleet = Fleet(2)
+    fleet.answer(fleet.names[0], 2.0)
+    fleet.play(1.0, 1)
+    for host in fleet.hosts.values():
+        host.is_registered = lambda _instance: False
+    fleet.play(GONE_SECONDS - 1.0, 1)
+    assert fleet.hosts[fleet.names[1]].find_limit(UPSTREAM, START)
+    fleet.play(2.0, 1)
+    assert all(host.find_limit(UPSTREAM, START) is None for host in fleet.hosts.values())
+
+
 def test_nothing_is_told_while_nobody_names_a_limit() -> None:
     fleet = Fleet(8)
     fleet.answer(fleet.names[0], None)
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -72,6 +72,7 @@
         own = Hello(settings.host, settings.links, settings.domain, incarnation, settings.link_mbps)
         self._limits = LimitController(settings.host, self._describe_fleet, self._metrics)
         self._registry = UpstreamRegistry(self._limits)
+        self._limits.is_registered = self._registry.is_registered
         self._wanted = WantedVersions()
         self._quotas = QuotaController(
             read_boottime,
@@ -301,6 +302,11 @@
         writer.send(200 if is_ready else 503, ())
 
     async def _answer_metrics(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        limits = self._limits.list_limits()
+        named = {str(i): limit for i, limit, _ in limits if limit is not None}
+        self._metrics.set_gauges("upstream_limit", "upstream", named)
+        rates = {str(i): rate for i, _, rate in limits}
+        self._metrics.set_gauges("upstream_rate", "upstream", rates)
         text = self._metrics.render_text().encode()
         writer.send(200, [("Content-Type", "text/plain; version=0.0.4")], text)
 
--- a/turmericproxy/limits/controller.py
+++ b/turmericproxy/limits/controller.py
@@ -18,6 +18,9 @@
 
 # Limits that are remembered; those named first are dropped.
 MAX_LIMITS = 4096
+# Time after which the limit of an upstream that isn't registered is forgotten. Registrations may be
+# missing for some seconds around an outage of the store.
+GONE_SECONDS = 60.0
 # Interval of reports to the other hosts: the shortest one, and what each host adds to it, since all
 # hosts receive the reports of all.
 REPORT_SECONDS = 0.12
@@ -50,6 +53,7 @@
     pool: PermitPool = field(default_factory=PermitPool)
     share: float = 1.0
     call_at: float = 0.0
+    registered_at: float = 0.0
     sent_report: PermitReport | None = None
 
     @property
@@ -63,7 +67,10 @@
 
 
 class LimitController:
-    """Keep the limits of upstreams for one host; ``describe_fleet`` returns the reachable hosts."""
+    """Keep the limits of upstreams for one host; ``describe_fleet`` returns the reachable hosts.
+
+    ``is_registered`` tells whether there is such an upstream.
+    """
 
     def __init__(
         self,
@@ -82,6 +89,7 @@
         self._reported_at = 0.0
         self._learning_until = 0.0
         self.is_loaded = True
+        self.is_registered: Callable[[InstanceId], bool] = lambda _instance: True
 
     # Learning
 
@@ -147,7 +155,9 @@
     def _add(self, instance: InstanceId, limit: NamedLimit, now: float) -> None:
         allocation = Allocation(refilled_at=now)
         call_at = now + self._random.uniform(0.0, CONTROL_CALL_SECONDS)
-        self._upstreams[instance] = _LimitedUpstream(limit, allocation, call_at=call_at)
+        self._upstreams[instance] = _LimitedUpstream(
+            limit, allocation, call_at=call_at, registered_at=now
+        )
         if len(self._upstreams) > MAX_LIMITS:
             del self._upstreams[next(iter(self._upstreams))]
 
@@ -238,7 +248,7 @@
         }
 
     def list_limits(self) -> list[tuple[InstanceId, float | None, float]]:
-        """Return the limited upstreams with their limits and current rates, for metrics."""
+        """Return the limited upstreams with their limits and the hosts' rates, for metrics."""
         now = self._read_clock()
         return [(i, u.limit.per_second, u.compute_rate(now)) for i, u in self._upstreams.items()]
 
@@ -315,7 +325,10 @@
 
     def _drop_ended(self, now: float) -> None:
         for instance, upstream in list(self._upstreams.items()):
-            if upstream.limit.is_over(now):
+            if self.is_registered(instance):
+                upstream.registered_at = now
+            is_gone = now >= upstream.registered_at + GONE_SECONDS
+            if is_gone or upstream.limit.is_over(now):
                 del self._upstreams[instance]
 
     def _create_notices(self, instances: Iterable[InstanceId]) -> tuple[LimitNotice, ...]:
--- a/turmericproxy/metrics/registry.py
+++ b/turmericproxy/metrics/registry.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import Counter
+from collections.abc import Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -26,12 +27,23 @@
         self._lock = threading.Lock()
         self._counters: Counter[CounterKey] = Counter()
         self._latencies: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, tuple[str, dict[str, float]]] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add ``amount`` to the counter with this name and these labels."""
         with self._lock:
             self._counters[(name, tuple(sorted(labels.items())))] += amount
 
+    def set_gauges(self, name: str, label: str, values: Mapping[str, float]) -> None:
+        """Replace the values of a gauge, one for each value of a label."""
+        with self._lock:
+            self._gauges[name] = (label, dict(values))
+
+    def list_gauges(self) -> dict[str, tuple[str, dict[str, float]]]:
+        """Return the label and the values of each gauge, by name."""
+        with self._lock:
+            return dict(self._gauges)
+
     def record_latency(self, name: str, seconds: float) -> None:
         """Add one duration to the latency histogram with this name."""
         value = min(max(int(seconds * 1e6), MIN_MICROSECONDS), MAX_MICROSECONDS)
--- a/turmericproxy/metrics/text.py
+++ b/turmericproxy/metrics/text.py
@@ -42,4 +42,11 @@
             for quantile, seconds in summary:
                 gauge.add_metric([quantile], seconds)
             families[f"{name}_seconds"] = gauge
+        for name, (label, values) in self._metrics.list_gauges().items():
+            current = GaugeMetricFamily(
+                f"turmericproxy_{name}", f"Current values of {name}.", labels=[label]
+            )
+            for label_value, level in values.items():
+                current.add_metric([label_value], level)
+            families[name] = current
         return families.values()
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -166,6 +166,10 @@
         """Return the state of an upstream, or ``None`` if it isn't registered."""
         return self._states.get(instance)
 
+    def is_registered(self, instance: InstanceId) -> bool:
+        """Return whether there is an upstream of this name."""
+        return instance in self._states
+
     def list_states(self) -> list[UpstreamState]:
         """Return the states of all upstreams."""
         return list(self._states.values())
