--- a/tests/host/test_limits.py
+++ b/tests/host/test_limits.py
@@ -11,6 +11,8 @@
     check_limit_is_kept,
     check_limit_is_used,
     check_refusals,
+    compute_allowed,
+    list_arrivals,
     run_limit_scenario,
 )
 from tests.host.support import HostEnvironment
@@ -92,3 +94,86 @@
         check_refusals(sent)
 
     run_limit_scenario(scenario)
+
+
+# The first answer with the limit may be that to a poll for cache events, before any request.
+def test_limit_named_in_an_answer_to_a_poll_is_kept_from_the_first_request() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        engines = [environment.servers[name] for name in ("e1", "e2")]
+        for engine in engines:
+            engine.limit = "1"
+        await asyncio.sleep(2.5)
+        sent = await Callers(environment).send_steadily(WINDOW_SECONDS, is_prompt=True)
+        for engine in engines:
+            assert len(list_arrivals(engine)) <= compute_allowed(1.0)
+        check_refusals(sent)
+
+    run_limit_scenario(scenario)
+
+
+# A refusal tells the limit, too, and the request may run elsewhere.
+def test_limit_named_in_a_refusal_is_kept() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        limited = environment.servers["p1"]
+        limited.limit, limited.faults.refuse = "1", 1000
+        named_at = asyncio.get_running_loop().time()
+        sent = await Callers(environment).send_steadily(SECONDS)
+        check_limit_is_kept(limited, 1.0, named_at)
+        assert all(s.is_served for s in sent)
+
+    run_limit_scenario(scenario)
+
+
+# Decided: a server that takes nothing, or names what can't be read, still gets trials.
+@pytest.mark.parametrize(("value", "limit"), [("0", 0.0), ("0.01", 0.01), ("soon", 1.0)])
+def test_servers_that_take_nearly_nothing_get_trials(value: str, limit: float) -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        servers = [environment.servers[name] for name in ("p1", "p2")]
+        for server in servers:
+            server.limit = value
+        named_at = asyncio.get_running_loop().time()
+        sent = await Callers(environment).send_steadily(SECONDS)
+        for server in servers:
+            check_limit_is_kept(server, limit, named_at)
+        check_refusals(sent)
+
+    run_limit_scenario(scenario)
+
+
+# With the end of a limit, the requests that were refused must not all arrive in one moment.
+def test_end_of_a_limit_is_followed_step_by_step() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        servers = [environment.servers[name] for name in ("p1", "p2")]
+        for server in servers:
+            server.limit = "2"
+        loop, callers = asyncio.get_running_loop(), Callers(environment)
+        await callers.send_steadily(STABLE_SECONDS)
+        for server in servers:
+            server.limit = None
+        ended_at = loop.time()
+        sent = await callers.send_steadily(12.0)
+        for server in servers:
+            first = [at for at in list_arrivals(server) if ended_at <= at < ended_at + 1.0]
+            assert len(first) <= 10
+        late = [s for s in sent if s.at >= ended_at + 10.0]
+        assert all(s.is_served for s in late)
+
+    run_limit_scenario(scenario)
+
+
+# A server that starts again has named nothing, whatever its predecessor said.
+def test_restarted_server_is_not_limited() -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        servers = [environment.servers[name] for name in ("p1", "p2")]
+        for server in servers:
+            server.limit = "1"
+        callers = Callers(environment)
+        await callers.send_steadily(2.0)
+        for server in servers:
+            server.limit, server.born = None, server.born + 1
+            environment.store.put("servers", server.instance, server.describe())
+        await asyncio.sleep(0.5)
+        sent = await callers.send_steadily(2.0)
+        assert all(s.is_served for s in sent)
+
+    run_limit_scenario(scenario)
