--- a/tests/core/test_addresses.py
+++ b/tests/core/test_addresses.py
@@ -11,6 +11,12 @@
     assert f"{ip}:{port}" == address
 
 
+def test_port_0_is_valid_only_where_the_system_chooses_one() -> None:
+    assert split_address("127.0.0.1:0", may_choose_port=True) == ("127.0.0.1", 0)
+    with pytest.raises(ValueError):
+        split_address("127.0.0.1:0")
+
+
 @pytest.mark.parametrize(
     "address",
     ["", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:-1"]
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -2,9 +2,18 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints
 
 from turmericproxy.configuration.resources import Address, Digest, Name
+from turmericproxy.core.addresses import split_address
+
+
+def _check_listen_address(address: str) -> str:
+    split_address(address, may_choose_port=True)
+    return address
+
+
+ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
 
 
 class Section(BaseModel):
@@ -24,9 +33,9 @@
 class ListenSettings(Section):
     """Addresses that the host listens on."""
 
-    callers: Address
-    operators: Address
-    peers: Address
+    callers: ListenAddress
+    operators: ListenAddress
+    peers: ListenAddress
 
 
 class PlatformSettings(Section):
