--- a/tests/host/limited_servers.py
+++ b/tests/host/limited_servers.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from tests.host.support import Answer, HostEnvironment
+from tests.host.support import Answer, HostEnvironment, run_scenario
 from turmericproxy.standins.platform_wire_server import WireServer
 
 PER_SECOND = 33.0
@@ -123,22 +123,5 @@
 def run_limit_scenario(
     scenario: Callable[[HostEnvironment], Awaitable[None]], *, hosts: int = 3, domains: int = 1
 ) -> None:
-    """Run a scenario with two engines, two plain upstreams and some hosts."""
-
-    async def run() -> None:
-        environment = HostEnvironment()
-        await environment.store.start()
-        environment.configure()
-        for name in ("e1", "e2"):
-            await environment.add_server(name, "huvo11a", "m")
-        for name in ("p1", "p2"):
-            await environment.add_server(name, "kafi81c")
-        for number in range(hosts):
-            await environment.add_host(f"h{number}", chr(ord("a") + number % domains))
-        await asyncio.sleep(0.5)
-        try:
-            await scenario(environment)
-        finally:
-            await environment.close()
-
-    asyncio.run(run())
+    """Run a scenario with two engines, two plain upstreams and some hosts that know each other."""
+    run_scenario(scenario, hosts=hosts, domains=domains, start_seconds=0.5)
--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -143,7 +143,13 @@
     return Answer(status, fields, body, is_complete=False)
 
 
-def run_scenario(scenario: Callable[[HostEnvironment], Awaitable[None]], *, hosts: int = 1) -> None:
+def run_scenario(
+    scenario: Callable[[HostEnvironment], Awaitable[None]],
+    *,
+    hosts: int = 1,
+    domains: int = 1,
+    start_seconds: float = 0.2,
+) -> None:
     """Run a scenario with two engines, two plain upstreams and ``hosts`` hosts."""
 
     async def run() -> None:
@@ -155,8 +161,8 @@
         for name in ("p1", "p2"):
             await environment.add_server(name, "kafi81c")
         for n in range(hosts):
-            await environment.add_host(f"h{n}")
-        await asyncio.sleep(0.2)
+            await environment.add_host(f"h{n}", chr(ord("a") + n % domains))
+        await asyncio.sleep(start_seconds)
         try:
             await scenario(environment)
         finally:
--- a/turmericproxy/limits/controller.py
+++ b/turmericproxy/limits/controller.py
@@ -65,6 +65,12 @@
         """Return the requests a second that the reachable hosts may send together."""
         return self.limit.compute_rate(now) * self.share
 
+    def refill(self, now: float) -> float:
+        """Add to the allocation what the upstream takes since the last call; return the rate."""
+        rate = self.compute_rate(now)
+        self.allocation.refill(rate, now)
+        return rate
+
 
 class LimitController:
     """Keep the limits of upstreams for one host; ``describe_fleet`` returns the reachable hosts.
@@ -161,6 +167,11 @@
         if len(self._upstreams) > MAX_LIMITS:
             del self._upstreams[next(iter(self._upstreams))]
 
+    @property
+    def has_limits(self) -> bool:
+        """Return whether any upstream has named a limit."""
+        return bool(self._upstreams)
+
     def find_limit(self, instance: InstanceId, started_at: int) -> NamedLimit | None:
         """Return the limit of a start of an upstream, if there is one."""
         upstream = self._find(instance, started_at)
@@ -234,10 +245,10 @@
         if upstream is None:
             return {}
         now, pool = self._read_clock(), upstream.pool
-        upstream.allocation.refill(upstream.compute_rate(now), now)
+        rate = upstream.refill(now)
         return {
             "per_second": upstream.limit.per_second,
-            "rate": round(upstream.compute_rate(now), 3),
+            "rate": round(rate, 3),
             "share": round(upstream.share, 3),
             "age": round(now - upstream.limit.sent_at, 3),
             "level": round(upstream.allocation.level, 2),
@@ -269,7 +280,8 @@
 
     def create_state(self) -> LimitState:
         """Return the limits and totals for a host that may know none of them."""
-        return LimitState(self._create_notices(self._upstreams), self._create_reports())
+        reports = self._create_reports(self._describe_fleet())
+        return LimitState(self._create_notices(self._upstreams), reports)
 
     def take_state(self) -> LimitState | None:
         """Return what has changed since the last call, with the permits that this host grants."""
@@ -280,11 +292,12 @@
         self._drop_ended(now)
         notices = self._create_notices(dict.fromkeys(self._unsent_notices))
         self._unsent_notices.clear()
-        interval = REPORT_SECONDS_PER_HOST * len(self._describe_fleet().hosts)
+        fleet = self._describe_fleet()
+        interval = REPORT_SECONDS_PER_HOST * len(fleet.hosts)
         due_at = self._reported_at + max(REPORT_SECONDS, interval)
         is_due = now >= due_at or self._has_new_waiters()
-        reports = self._take_changed_reports(now) if is_due else {}
-        grants = self._grant(now)
+        reports = self._take_changed_reports(fleet, now) if is_due else {}
+        grants = self._grant(fleet, now)
         if not (notices or reports or grants):
             return None
         return LimitState(notices or None, reports, grants)
@@ -301,12 +314,12 @@
                 self._observe(notice.instance, observation, host)
         for instance, report in state.reports.items():
             if upstream := self._upstreams.get(instance):
-                upstream.allocation.refill(upstream.compute_rate(now), now)
+                upstream.refill(now)
                 upstream.allocation.record_report(host, report, now)
         for grant in state.grants:
             upstream = self._find(grant.instance, grant.started_at)
             if upstream:
-                upstream.allocation.refill(upstream.compute_rate(now), now)
+                upstream.refill(now)
                 upstream.allocation.record_grant(grant.host, grant.permits, now)
                 if grant.host == self._host and host == self._choose_granter(grant.instance):
                     upstream.pool.add(grant.permits, now)
@@ -339,39 +352,37 @@
             for i, limit in known
         )
 
-    def _create_reports(self) -> dict[InstanceId, PermitReport]:
-        hosts = self._describe_fleet().hosts
+    def _create_reports(self, fleet: FleetView) -> dict[InstanceId, PermitReport]:
         return {
-            instance: upstream.pool.create_report(choose_by_hash(instance, hosts))
+            instance: upstream.pool.create_report(choose_by_hash(instance, fleet.hosts))
             for instance, upstream in self._upstreams.items()
         }
 
     def _has_new_waiters(self) -> bool:
         return any(u.pool.waiting > u.reported_waiting for u in self._upstreams.values())
 
-    def _take_changed_reports(self, now: float) -> dict[InstanceId, PermitReport]:
+    def _take_changed_reports(self, fleet: FleetView, now: float) -> dict[InstanceId, PermitReport]:
         self._reported_at = now
         changed = {}
         for upstream in self._upstreams.values():
             upstream.pool.expire(now)
-        for instance, report in self._create_reports().items():
+        for instance, report in self._create_reports(fleet).items():
             upstream = self._upstreams[instance]
             if report != upstream.sent_report:
                 changed[instance] = upstream.sent_report = report
-                upstream.allocation.refill(upstream.compute_rate(now), now)
+                upstream.refill(now)
                 upstream.allocation.record_report(self._host, report, now)
         return changed
 
-    def _grant(self, now: float) -> tuple[PermitGrant, ...]:
+    def _grant(self, fleet: FleetView, now: float) -> tuple[PermitGrant, ...]:
         """Grant permits for the upstreams for which this host is chosen."""
-        fleet, grants = self._describe_fleet(), []
+        grants = []
         for instance, upstream in self._upstreams.items():
             granter = choose_by_hash(instance, fleet.hosts)
             # Hosts may see different parts of the fleet; each counts for one granter at a time.
             followers = 1 + upstream.allocation.count_followers(granter)
             self._set_share(instance, upstream, min(1.0, followers / fleet.running), now)
-            rate = upstream.compute_rate(now)
-            upstream.allocation.refill(rate, now)
+            rate = upstream.refill(now)
             if granter != self._host:
                 continue
             for host, permits in upstream.allocation.choose_grants(rate, now).items():
@@ -388,15 +399,14 @@
         log_event(
             Part.ROUTING, "share of a limit changed", upstream=instance, share=round(share, 3)
         )
-        upstream.allocation.refill(upstream.compute_rate(now), now)
+        upstream.refill(now)
         level, ratio = upstream.allocation.level, min(1.0, share / upstream.share)
         upstream.allocation.level = level * ratio if level > 0 else level
         upstream.share = share
 
     def _estimate_wait(self, upstream: _LimitedUpstream, now: float) -> float:
         """Return the seconds until one more waiting request would get a permit."""
-        rate, allocation = upstream.compute_rate(now), upstream.allocation
-        allocation.refill(rate, now)
+        rate, allocation = upstream.refill(now), upstream.allocation
         waiting = max(allocation.count_waiting(), upstream.pool.waiting)
         missing = waiting + 1 - allocation.level
         return max(0.0, missing) / rate if rate > 0 else float("inf")
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -196,6 +196,8 @@
         resume_after: str | None,
     ) -> Placement | None:
         """Choose the best limited upstream for which this host holds a permit."""
+        if not self._limits.has_limits:
+            return None
         applicant, now, permitted = create_applicant(request), self._read_clock(), []
         for state in list_available(states, self._domains.is_unreachable, now):
             instance, started_at = state.entry.instance, state.entry.started_at
