--- a/review/2/case.py
+++ b/review/2/case.py
@@ -95,9 +95,14 @@
 
 def _crosses_wall(use: PartUse) -> bool:
     is_sent_after = use.attempt.startswith("second-")
-    return is_sent_after and use.tenant != use.made.tenant and ISOLATED in (
-        use.tenant,
-        use.made.tenant,
+    return (
+        is_sent_after
+        and use.tenant != use.made.tenant
+        and ISOLATED
+        in (
+            use.tenant,
+            use.made.tenant,
+        )
     )
 
 
--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -54,8 +54,15 @@
 class EngineStandIn:
     """A model server with one model; parts are never evicted, as few are used."""
 
-    def __init__(self, name: str, zone: str, born: int, write: Callable[[str], None]) -> None:
-        self.name, self.zone, self.born = name, zone, born
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        born: int,
+        write: Callable[[str], None],
+        service: str = LLM,
+    ) -> None:
+        self.name, self.zone, self.born, self.service = name, zone, born, service
         self._write = write
         self.http = HttpServer(self._handle)
         self.version = 1
@@ -65,13 +72,13 @@
         self.events: list[tuple[float, list[object]]] = []
         self.uses: list[PartUse] = []
         self.orders: list[ReceivedOrder] = []
-        self.runs = 0
+        self.runs: list[str] = []
         self._prefill = asyncio.Lock()
 
     def describe(self) -> dict[str, object]:
         """Return the registration."""
         return {
-            "service": LLM,
+            "service": self.service,
             "address": self.http.address,
             "zone": self.zone,
             "version": "v1",
@@ -167,7 +174,7 @@
         if self.is_busy:
             connection.send(503, [*echo, ("X-Not-Executed", "1")])
             return
-        self.runs += 1
+        self.runs.append(attempt)
         salt = request.get("X-Cache-Salt") or ""
         parts = [
             (part_id, int(tokens))
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -80,21 +80,25 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+    async def start(self, address: str = "127.0.0.1:0") -> None:
+        """Listen on an address; port 0 lets the system choose."""
+        ip, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening, and reset all connections, as the end of a process does."""
         if self._server:
             self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader, writer)
+        self._writers.add(writer)
         try:
             while request := await read_message(reader):
                 await self._handler(request, connection)
@@ -104,12 +108,13 @@
             pass
         finally:
             connection.is_open = False
+            self._writers.discard(writer)
             writer.close()
 
 
-async def read_message(reader: asyncio.StreamReader, *, may_lack_length: bool = False) -> (
-    Message | None
-):
+async def read_message(
+    reader: asyncio.StreamReader, *, may_lack_length: bool = False
+) -> Message | None:
     """Read a message with its body, ``None`` if the connection ends before it."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
