--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,9 +28,10 @@
 async def ask(
     deployment: Deployment, record: Record, tenant: str, subject: int, attempt: str
 ) -> int:
-    """Send a prompt: rules that all share, the notes of a subject, and an own question."""
+    """Send a prompt: rules that both tenants share, own notes on a subject, and a question."""
     host = deployment.hosts[subject % len(deployment.hosts)]
-    parts = f"{RULES},91bd{subject:04x}:4200,{sum(attempt.encode()):x}e4{subject:04x}:400"
+    own = sum(tenant.encode())
+    parts = f"{RULES},{own:04x}91bd{subject:04x}:4200,{own:04x}e440{subject:04x}:400"
     fields = [
         ("Host", STREAM_HOST),
         ("X-Attempt-Id", attempt),
