--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
 export PYTHONPATH=target/deps:.
 export PYTHONDONTWRITEBYTECODE=1
-exec python3 review/2/case.py
+exec python3 "$folder/case.py"
