Keep refusal statuses of upstreams that may have run a request from callers

Cause: Exchange._finish passed each complete answer's status on. Only the codec knew which statuses promise, and was asked for the host's own refusals alone.

Evidence: such a request's log line has outcome answered, status 503, tries 1, step answer, and the answer bears the server's signature. Ruled out: an untrue refusal of the host (has a signature), a retry at a second server (tries 1).

The codec now marks such answers, and attempts that have one are not relayed: the client gets 502 with run unknown. Retries and pauses stay as they were. The own interface passed statuses of plain services on in the same way and answers outcome_unknown now.

--- a/tests/callers/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -1,6 +1,7 @@
 """Check that a claim's dispatch is recorded once a byte of its call may have been sent."""
 
 import socket
+import threading
 from dataclasses import replace
 from typing import Any
 
@@ -9,7 +10,14 @@
 from tests.callers.test_filters import EXCHANGE
 from turmericproxy.callers.clients import UpstreamClients
 from turmericproxy.callers.plain import PlainDependencies, PlainRelay
-from turmericproxy.core import DomainName, Refusal, RunState, UpstreamName, read_boottime
+from turmericproxy.core import (
+    DomainName,
+    Refusal,
+    ResultCode,
+    RunState,
+    UpstreamName,
+    read_boottime,
+)
 from turmericproxy.metrics import Metrics
 from turmericproxy.routing import RetryBudget, UpstreamChoice
 from turmericproxy.settings.schema import UpstreamSettings
@@ -62,6 +70,34 @@
     assert claims.dispatched == ([CLAIM] if is_listening else [])
 
 
+def answer_once(listener: socket.socket, data: bytes) -> None:
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65536)
+        connection.sendall(data)
+
+
+# Guards against calls repeated after they ran: callers take 408, 421, 429 and 503 for the host's
+# refusals, but a service may send them after it has run the call.
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_refusal_status_of_a_service_says_that_the_outcome_is_unknown(status: int) -> None:
+    claims: Any = RecordingClaims()
+    keys: Any = type("Keys", (), {"check": lambda *_: None})()
+    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=1.0))
+    data = f"HTTP/1.1 {status} No\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n".encode()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        selector: Any = FixedSelector(f"127.0.0.1:{listener.getsockname()[1]}")
+        dependencies = PlainDependencies(
+            selector, keys, claims, clients, RetryBudget(1.0, 9.0), Metrics()
+        )
+        service = threading.Thread(target=answer_once, args=(listener, data))
+        service.start()
+        answer = PlainRelay(dependencies)(_create_exchange())
+        service.join()
+    assert isinstance(answer, Refusal)
+    assert (answer.code, answer.run) == (ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+
+
 def _create_exchange() -> Any:
     call: Any = EXCHANGE.call
     short_call = replace(call, route=call.route.model_copy(update={"timeout": 0.2}))
--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -19,6 +19,8 @@
 MAX_ATTEMPTS = 3
 RETRY_AFTER_SECONDS = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Callers take these statuses for the host's own refusals, which say that the call has not run.
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
@@ -139,6 +141,9 @@
     if answered_id is not None and answered_id != exchange.request_id:
         answer.close()
         return _Failure(AttemptOutcome.MISMATCHED, "the upstream's answer has another request ID")
+    if answer.status in REFUSAL_STATUSES:
+        reason = f"the upstream answered with status {answer.status}, and may have run the call"
+        return _Failure(AttemptOutcome.FAILED, reason)
     headers = {n: v for n, v in answer.headers.items() if n.lower() not in HOP_BY_HOP}
     headers.pop("X-Request-Id", None)
     return HttpResponse(answer.status, body, headers)
--- a/turmericproxy/platform/codec.py
+++ b/turmericproxy/platform/codec.py
@@ -62,13 +62,14 @@
         self, parsed: ParsedRequest, dispatch: Dispatch, head: AnswerHead
     ) -> ParsedAnswer:
         """Classify an answer by its head and parse its header fields."""
-        headers = head.headers
+        headers, verdict = head.headers, _classify(parsed, head)
         return ParsedAnswer(
-            verdict=_classify(parsed, head),
+            verdict=verdict,
             head=head,
             instance=headers.get(names.INSTANCE),
             version=_read_version(headers.get(names.VERSIONS)),
             notice=read_notice(head),
+            has_refusal_status=verdict is Verdict.FAILURE and head.status in NOT_RUN_STATUSES,
         )
 
     def write_refusal(
--- a/turmericproxy/traffic/attempts.py
+++ b/turmericproxy/traffic/attempts.py
@@ -76,6 +76,12 @@
         """Return whether the upstream itself answered with a failure status."""
         return self.answer is not None and self.answer.verdict is Verdict.FAILURE
 
+    @property
+    def is_relayable(self) -> bool:
+        """Return whether the client may get the upstream's answer as it is."""
+        is_answered = self.outcome is Outcome.ANSWERED
+        return is_answered and not (self.answer and self.answer.has_refusal_status)
+
     @property
     def health_signal(self) -> HealthSignal:
         """Return what the attempt indicates about the health of the upstream."""
@@ -150,4 +156,4 @@
     """Return what to do after an attempt, given what prevents a further one."""
     if obstacle is None:
         return NextAction.RETRY
-    return NextAction.ANSWER if attempt.outcome is Outcome.ANSWERED else NextAction.GIVE_UP
+    return NextAction.ANSWER if attempt.is_relayable else NextAction.GIVE_UP
--- a/turmericproxy/traffic/requests.py
+++ b/turmericproxy/traffic/requests.py
@@ -85,7 +85,8 @@
     """Parsed head of an upstream's answer.
 
     ``instance`` is the upstream that answered, ``version`` the version of its weights, and
-    ``notice`` what it announces about itself.
+    ``notice`` what it announces about itself. With ``has_refusal_status``, the status tells callers
+    that the request has not run, although the upstream doesn't state that.
     """
 
     verdict: Verdict
@@ -93,3 +94,4 @@
     instance: str | None = None
     version: int | None = None
     notice: UpstreamNotice = NO_NOTICE
+    has_refusal_status: bool = False
--- a/turmericproxy/traffic/sending.py
+++ b/turmericproxy/traffic/sending.py
@@ -47,7 +47,10 @@
 
 
 async def read_answer(call: UpstreamCall, answer: ParsedAnswer) -> Attempt:
-    """Read the body of an answer that isn't streamed to the client."""
+    """Read the body of an answer that isn't streamed to the client, if the client may get it."""
+    if answer.has_refusal_status:
+        reason = f"status {answer.head.status}, but the upstream may have executed the request"
+        return Attempt(Outcome.ANSWERED, answer, reason=reason)
     body = await call.read_body()
     if isinstance(body, str):
         return Attempt(Outcome.BROKEN, answer, reason=body)
