Register upstreams only from the store's table

Cause: a host that could not read the store took whoever answered 421 at the address of a lost engine for its successor, if it had the same models and the host knew no engine of them in another service. An answer says who is there, never for which service; a service without engines, or one of a newer configuration, was taken for absent.

Evidence: 'upstream found' with the lost engine's service between 'upstream superseded' and the next answer of the store. Ruled out: stale registrations (no table was read), peers (they name only upstreams that the receiver knows).

Given up: the use of engines that restarted under a new id while no host can read the store.

test_restarted_engine_is_used_during_a_store_outage is replaced: it expected requests at engines under new ids that no registration had named, which is the fault. tests/host/test_reused_addresses.py asks that no request reaches such a server before its registration is read, that all are served meanwhile or refused at once with a time to come back, and that it is used afterwards.

--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -1,6 +1,6 @@
 """Maintain this host's state of each upstream."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -178,13 +178,6 @@
         """Return the upstreams of a service that accept new requests."""
         return self._by_service.get(service, [])
 
-    def count_services(self, models: Iterable[ModelName]) -> int:
-        """Return the number of services with an engine that serves any of the models."""
-        wanted = set(models)
-        return len(
-            {s.entry.service for s in self._states.values() if wanted & set(s.entry.versions)}
-        )
-
     def record_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
         """Record a newer version of an engine's weights; loading weights empties its cache."""
         state = self._states.get(instance)
--- a/turmericproxy/rollout/version_resolver.py
+++ b/turmericproxy/rollout/version_resolver.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Coroutine
-from dataclasses import replace
+from collections.abc import Callable
 
 from turmericproxy.core import HostName
 from turmericproxy.core.hashing import choose_by_hash
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.logs import Part, log_event
-from turmericproxy.placement.entries import UpstreamEntry
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.rollout.interfaces import Announcer, EngineControl, EngineReport
 from turmericproxy.rollout.reports import read_engine_report
@@ -68,59 +66,26 @@
 
         Concurrent calls share one query.
         """
-        await self._query_briefly(instance, functools.partial(self._query_versions, instance))
-
-    async def replace_upstream(
-        self, instance: InstanceId, address: str, successor: InstanceId
-    ) -> None:
-        """Mark an upstream as superseded at its address, and register its successor if possible.
-
-        The successor is registered only while the store is unreachable, and only if it has the
-        same models and no other service has engines of them.
-        """
-        state = self._registry.find(instance)
-        if self._registry.supersede(instance, address):
-            self._announcer.announce_superseded(instance, address)
-        if state is None or self._registry.find(successor) or not self._is_store_unreachable():
-            return
-        await self._query_briefly(
-            successor, functools.partial(self._register_successor, state.entry, successor)
-        )
-
-    async def _query_briefly(
-        self, instance: InstanceId, query: Callable[[], Coroutine[None, None, None]]
-    ) -> None:
-        """Start a query for an engine, unless one runs, and wait for a short time for its end."""
         task = self._queries.get(instance)
         if task is None:
-            task = asyncio.get_running_loop().create_task(query())
+            task = asyncio.get_running_loop().create_task(self._query_versions(instance))
             self._queries[instance] = task
             task.add_done_callback(functools.partial(self._end_query, instance))
         await asyncio.wait([task], timeout=MAX_REQUEST_WAIT_SECONDS)
 
+    def supersede_upstream(self, instance: InstanceId, address: str) -> None:
+        """Mark an upstream as superseded at its address, here and at the other hosts.
+
+        The one that answers there may belong to any service: only its registration tells which.
+        """
+        if self._registry.supersede(instance, address):
+            self._announcer.announce_superseded(instance, address)
+
     def _end_query(self, instance: InstanceId, task: asyncio.Task[None]) -> None:
         self._queries.pop(instance, None)
         if not task.cancelled() and (error := task.exception()):
             log_event(Part.WEIGHTS, "query failed", engine=instance, reason=repr(error))
 
-    async def _register_successor(self, entry: UpstreamEntry, successor: InstanceId) -> None:
-        """Register an upstream that has taken the address of another one."""
-        report = await self._read_report(entry.instance, entry.address)
-        if report is None or not report.versions or self._registry.find(successor):
-            return
-        if set(report.versions) != set(entry.versions):
-            return
-        if self._registry.count_services(report.versions) != 1:
-            return
-        self._registry.update(
-            replace(
-                entry,
-                instance=successor,
-                started_at=report.started_at,
-                versions=report.versions,
-            )
-        )
-
     async def _query_engines(self) -> None:
         await asyncio.sleep(POLL_SECONDS)
         if self._is_store_unreachable():
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -413,10 +413,7 @@
             return
         self._excluded |= {sent_to}
         if answered_by and answered_by != sent_to:
-            successor = InstanceId(answered_by)
-            await self._dependencies.version_resolver.replace_upstream(
-                sent_to, placement.address, successor
-            )
+            self._dependencies.version_resolver.supersede_upstream(sent_to, placement.address)
 
     def _adjust_refusal(self, refusal: Refusal) -> Refusal:
         """Change a refusal to "may have run" if an earlier attempt may have run."""
--- a/turmericproxy/traffic/interfaces.py
+++ b/turmericproxy/traffic/interfaces.py
@@ -14,10 +14,8 @@
     async def refresh_versions(self, instance: InstanceId) -> None:
         """Read the weight versions of an engine from the engine itself."""
 
-    async def replace_upstream(
-        self, instance: InstanceId, address: str, successor: InstanceId
-    ) -> None:
-        """Record that ``successor`` answered at the address of ``instance``."""
+    def supersede_upstream(self, instance: InstanceId, address: str) -> None:
+        """Record that another upstream answered at the address of ``instance``."""
 
 
 class MessageCodec(Protocol):
