Take a version of weights only from the upstream that was asked

Cause: a 421 by another server at a reused address carries the versions of that server. They were recorded for the lost engine, and reached hosts that started later in a peer's introduction, where each version counts as asked for by the operator: all engines were held for outdated after 4.5 s.

Evidence: tests/host/test_reused_addresses.py, version 9 in a 421, statuses {502} at the later host before, {200} after; the same for an answer that names another request's id.

--- a/tests/host/test_reused_addresses.py
+++ b/tests/host/test_reused_addresses.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.host.raw_servers import RawServer, build
 from tests.host.support import HostEnvironment, run_scenario
 from tests.platform.support import CONFIGURATION
 from turmericproxy.standins.platform_wire_server import WireServer
@@ -125,3 +126,28 @@
         assert list_runs(environment, "p1") == []
 
     run_scenario(scenario)
+
+
+# Guards against a refusal of all requests: a version named by a server of another service was taken
+# for one of the lost engine, and hosts that started later took all engines for outdated.
+@pytest.mark.parametrize("request_id", ["s1", "other"])
+def test_version_in_a_refusal_of_another_server_is_not_taken_for_the_lost_one(
+    request_id: str,
+) -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        fields = {"X_Attempt_Id": request_id, "X_Instance_Id": "x-new", "X_Weight_Versions": "9"}
+        server = RawServer(lambda _id, _count: build("421 Other", b"", **fields))
+        await server.start(environment, "e1", "x1")
+        for name in ("e1", "e2"):
+            environment.store.delete("servers", name)
+        await asyncio.sleep(1.5)
+        await environment.send_stream_request(request_id="s1")
+        assert server.received == ["s1"]
+        for name in ("e1", "e2"):
+            environment.store.put("servers", name, environment.servers[name].describe())
+        await environment.add_host("late")
+        await asyncio.sleep(6.0)  # outdated weights are no longer used by then
+        assert await stream(environment, 4, "b", index=1) == {200}
+        server.close()
+
+    run_scenario(scenario)
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -432,7 +432,7 @@
 
     def _record_version(self, placement: Placement, attempt: Attempt) -> None:
         answer, prompt = attempt.answer, placement.prompt
-        if answer is None or prompt is None:
+        if answer is None or prompt is None or not answer.is_from(placement.instance):
             return
         if answer.version is not None:
             self._registry.record_version(placement.instance, prompt.model, answer.version)
--- a/turmericproxy/traffic/requests.py
+++ b/turmericproxy/traffic/requests.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from turmericproxy.core import AccountName, ModelName, RequestId
+from turmericproxy.core.ids import InstanceId
 from turmericproxy.edge import AnswerHead, ClientRequest
 from turmericproxy.placement.notices import NO_NOTICE, UpstreamNotice
 
@@ -95,3 +96,9 @@
     version: int | None = None
     notice: UpstreamNotice = NO_NOTICE
     has_refusal_status: bool = False
+
+    def is_from(self, instance: InstanceId) -> bool:
+        """Return whether an upstream gave this answer to the request that was sent to it."""
+        if self.verdict is Verdict.WRONG_INSTANCE:
+            return self.instance == instance
+        return self.verdict is not Verdict.FOREIGN
