Change the salt of what accounts share with the set of isolated accounts

Cause: the salt parted isolated accounts from the others, but was the same for the others before and after an account left them.

Evidence: uses under the salt /MODEL/VERSION before and after, while the isolated account's own salt had changed. Ruled out: hosts that apply the change late (all had logged the revision), the kept store (uses were in the engines).

The shared key is now a digest of the names of the isolated accounts, empty while there are none: the same on all hosts without a message, and after a restart. It is that of the newest configuration at each attempt, so that streams that go on elsewhere after the change have the new one too.

--- a/tests/host/raw_servers.py
+++ b/tests/host/raw_servers.py
@@ -24,6 +24,9 @@
             environment.store.put("servers", name, registration)
         await asyncio.sleep(0.2)
 
+    async def prepare(self, fields: dict[str, str]) -> None:
+        """Do nothing; a subclass may wait before the answer to a request with these fields."""
+
     def close(self) -> None:
         if self._server:
             self._server.close()
@@ -38,6 +41,7 @@
         request_id = fields.get("X-Attempt-Id", "")
         if request_id:
             self.received.append(request_id)
+            await self.prepare(fields)
             writer.write(self._answer(request_id, self.received.count(request_id)))
             await writer.drain()
         writer.close()
--- a/turmericproxy/host/site_follower.py
+++ b/turmericproxy/host/site_follower.py
@@ -16,6 +16,7 @@
 from turmericproxy.store import ChangedRow, TableFollower, TableState, TableStore
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.dispatching import Dispatcher
+from turmericproxy.traffic.isolation import create_isolation
 from turmericproxy.traffic.site import Site
 
 # Time for which a long poll waits for changes to the configuration.
@@ -127,6 +128,7 @@
                 self._registry.set_capacity(service.name, service.engine.capacity_tokens)
         if site.kept_store:
             self._dispatcher.kept_prefixes.set_capacity(site.kept_store.capacity_tokens)
+        self._apply_isolation(site)
         self._quotas.apply_site(site)
         log_event(
             Part.CONFIGURATION,
@@ -137,6 +139,20 @@
             last_answer_seconds=round(self._answer_gap, 2),
         )
 
+    def _apply_isolation(self, site: Site) -> None:
+        isolation = create_isolation(site.accounts)
+        if isolation == self._dispatcher.isolation:
+            return
+        self._dispatcher.isolation = isolation
+        self._metrics.count("isolation_changes")
+        log_event(
+            Part.CACHE,
+            "isolated accounts changed",
+            revision=site.revision,
+            accounts=len(isolation.accounts),
+            shared_key=isolation.shared_key,
+        )
+
     def _record_wanted(self, wanted: ModelVersion, *, is_new: bool) -> None:
         now = asyncio.get_running_loop().time()
         if self._wanted.record(
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -28,6 +28,7 @@
 )
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
+from turmericproxy.traffic.isolation import NO_ISOLATION
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.site import EngineTraits
@@ -104,6 +105,8 @@
         self._read_clock = read_clock
         self._random = random.Random()
         self.kept_prefixes = PrefixTracker(0)
+        # That of the newest configuration, also for requests that arrived before it.
+        self.isolation = NO_ISOLATION
         self._placements: list[PromptPlacement] = []
         self._saved_parts: list[PartKey] = []
 
@@ -538,12 +541,11 @@
         self, request: RoutedRequest, traits: EngineTraits, prompt: Prompt
     ) -> SelectionContext:
         now = self._read_clock()
-        account = request.account
         return SelectionContext(
             traits=traits,
             model=prompt.model,
             domain=self._domain,
-            isolation_key=account.name if account and account.is_isolated else "",
+            isolation_key=self.isolation.find_key(request.account),
             kept_store=request.site.kept_store if self._is_store_reachable() else None,
             kept_prefixes=self.kept_prefixes,
             is_unreachable=self._domains.is_unreachable,
