Give prompts that aren't described a cache space of their own

Callers saw: nothing; requests to an engine without counts of tokens or a model were sent without a salt, and engines take no salt for one text that all share, so isolated accounts shared parts with others, and old weights with new ones.

Cause: such a request is placed like a plain one, whose salt was left out.

Evidence: tests/host/test_isolated_accounts.py, three cases, salts {None} before, two different ones for two requests after.

--- a/tests/host/test_isolated_accounts.py
+++ b/tests/host/test_isolated_accounts.py
@@ -3,6 +3,8 @@
 import asyncio
 import copy
 
+import pytest
+
 from tests.host.raw_servers import RawServer
 from tests.host.support import HostEnvironment, run_scenario
 from tests.host.test_odd_answers import EVENTS, begin_stream, end_stream
@@ -104,3 +106,20 @@
         server.close()
 
     run_scenario(scenario)
+
+
+# Guards against parts shared by isolated accounts and by versions of the weights: an engine shares
+# the parts of all requests without a salt, and those without counts of tokens had none.
+@pytest.mark.parametrize("field", ["X-Token-Count: 60,5", "X-Model: m", "X-Prompt-Prefix: aa:20"])
+def test_prompt_that_is_not_described_shares_no_part(field: str) -> None:
+    async def scenario(environment: HostEnvironment) -> None:
+        for number in range(2):
+            answer = await environment.send_request(
+                "/lepu270/2f", field, host="jepu9.example", request_id=f"r{number}"
+            )
+            assert answer.status == 200
+        received = [r for n in ("e1", "e2") for r in environment.servers[n].received_requests]
+        salts = {r.get("X-Cache-Salt") for r in received if r.was_executed}
+        assert len(salts) == 2 and None not in salts
+
+    run_scenario(scenario)
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -469,6 +469,7 @@
             seconds_left=request.deadline - now,
             account=request.account.name if request.account else None,
             priority=request.priority,
+            cache_space=_build_private_space(request),
             resume_after=resume_after,
         )
         return Placement(
@@ -565,6 +566,16 @@
     return Applicant(request.parsed.request_id, request.priority, account)
 
 
+def _build_private_space(request: RoutedRequest) -> str | None:
+    """Return a cache space of its own for a request to an engine whose prompt isn't described.
+
+    Without one, engines share its parts with all such requests, whatever their account and version.
+    """
+    if request.service.engine is None:
+        return None
+    return f"request-{request.parsed.request_id}"
+
+
 def _add_prefixes(
     tracker: PrefixTracker, keys: tuple[PartKey, ...], prompt: Prompt, ready_at: float
 ) -> None:
