Refuse answers that break off within their head at the own interface

Cause: http.client takes the end of the connection for the end of the head, and an answer without a length for one that ends with its connection.

Hosts' calls on the platform are read by another parser, which reports such an answer as broken.

--- a/tests/callers/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -75,6 +75,9 @@
     with connection:
         connection.recv(65536)
         connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(65536):  # unread bytes would reset the connection
+            pass
 
 
 # Guards against calls repeated after they ran: callers take 408, 421, 429 and 503 for the host's
@@ -98,6 +101,29 @@
     assert (answer.code, answer.run) == (ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n"
+
+
+# Guards against a broken answer that looks complete: a service stops within the head of its answer
+# and closes, and the caller gets 200 with an empty or short body.
+@pytest.mark.parametrize("length", range(len(HEAD) + 1))
+def test_answer_that_breaks_off_within_its_head_is_no_success(length: int) -> None:
+    claims: Any = RecordingClaims()
+    keys: Any = type("Keys", (), {"check": lambda *_: None})()
+    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=1.0))
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        selector: Any = FixedSelector(f"127.0.0.1:{listener.getsockname()[1]}")
+        dependencies = PlainDependencies(
+            selector, keys, claims, clients, RetryBudget(1.0, 9.0), Metrics()
+        )
+        service = threading.Thread(target=answer_once, args=(listener, HEAD[:length]))
+        service.start()
+        answer = PlainRelay(dependencies)(_create_exchange())
+        service.join()
+    assert isinstance(answer, Refusal)
+    assert answer.run is RunState.UNKNOWN
+
+
 def _create_exchange() -> Any:
     call: Any = EXCHANGE.call
     short_call = replace(call, route=call.route.model_copy(update={"timeout": 0.2}))
--- a/turmericproxy/web/client.py
+++ b/turmericproxy/web/client.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -18,6 +17,8 @@
     ReadTimeoutError,
 )
 
+from turmericproxy.web.heads import StrictConnection, StrictPool
+
 HasData = Callable[[], bool]
 # Decides whether to go on waiting for a silent service: returns the seconds to wait, or ``None``
 # to end the call as timed out. Its argument tells whether data has arrived in the meantime.
@@ -94,7 +95,7 @@
         self._timeout = urllib3.Timeout(connect=connect_timeout, read=read_timeout)
         self._connect_timeout = connect_timeout
         self._endpoint = (host, int(port))
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictPool(
             host,
             int(port),
             maxsize=connections,
@@ -153,7 +154,7 @@
     ) -> urllib3.BaseHTTPResponse | CallFailure:
         """Send a request on a new connection, which is closed with the answer."""
         host, port = self._endpoint
-        connection = HTTPConnection(host, port, timeout=self._connect_timeout)
+        connection = StrictConnection(host, port, timeout=self._connect_timeout)
         try:
             connection.connect()
             if on_silence:
