Bound what a host keeps of bodies and answers together

Cause: each buffer had a limit, 8 MB for an answer's body, and their sum none. Ruled out: heads and bytes that are no answer, limited to 256 KB each.

One account of bytes, a quarter of limits.memory_mb, is asked before a body or an incomplete event grows. Connections to upstreams read 32 KB at a time into a common buffer.

--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from turmericproxy.core.memory import HeldKind, MemoryAccount, open_unlimited
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import ClientRequest, Headers
 from turmericproxy.edge.writer import AnswerWriter
@@ -26,7 +27,10 @@
 # A body must not be silent for longer than the idle timeout, and must be complete within this many
 # of them, however little is sent at a time.
 MAX_BODY_TIME_FACTOR = 4.0
-WRITE_BUFFER_BYTES = 256 * 1024
+WRITE_BUFFER_BYTES = 64 * 1024
+# Copies of a body at the same time: as received, as the request has it, and in the message that is
+# sent to an upstream.
+BODY_COPIES = 3
 # Fields that determine route, account or identity. A request that repeats one is ambiguous, since
 # two programs may use different values.
 SINGLETON_FIELDS = ("host", "authorization", "content-type")
@@ -56,7 +60,10 @@
         is_draining: Callable[[], bool],
         singleton_fields: tuple[str, ...] = (),
         build_refusal: RefusalBuilder = build_empty_refusal,
+        memory: MemoryAccount | None = None,
     ) -> None:
+        self._memory = memory or MemoryAccount()
+        self._holding = open_unlimited()
         self._handler = handler
         self._get_limits = get_limits
         self._is_draining = is_draining
@@ -92,6 +99,9 @@
         """Cancel the running handler, whose answer can no longer be delivered."""
         self._is_lost = True
         self._set_timer(0.0, None)
+        self._holding.close()
+        for request in self._queue:
+            request.holding.close()
         self._queue.clear()
         if self._task:
             self._task.cancel()
@@ -166,6 +176,8 @@
             self._refuse(400)
         elif int(self._headers.get("content-length") or 0) > limits.body_bytes:
             self._refuse(413)
+        else:
+            self._hold_body()
         if self._is_input_ignored:
             return  # the timer that closes the refused connection stays
         self._is_continue_due = (self._headers.get("expect") or "").lower() == "100-continue"
@@ -176,9 +188,25 @@
         self._body += body
         if len(self._body) > self._get_limits().body_bytes:
             self._refuse(413)
+        elif BODY_COPIES * len(self._body) > self._holding.size and not self._is_input_ignored:
+            self._resize_holding(len(self._body))
         if not self._is_input_ignored:
             self._set_body_timer()
 
+    def _hold_body(self) -> None:
+        """Reserve memory for the body whose size is announced, or refuse the request."""
+        caller = self._headers.get("authorization") or self._read_peer()
+        self._holding = self._memory.open(HeldKind.BODIES, caller)
+        self._resize_holding(int(self._headers.get("content-length") or 0))
+
+    def _resize_holding(self, body_bytes: int) -> None:
+        if not self._holding.resize(BODY_COPIES * body_bytes):
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _read_peer(self) -> str:
+        address = self._transport.get_extra_info("peername") if self._transport else None
+        return str(address[0]) if address else ""
+
     def on_message_complete(self) -> None:
         """Queue the request and handle it if no other one is running."""
         if self._is_input_ignored:
@@ -191,7 +219,9 @@
             body=bytes(self._body),
             received_at=self._loop.time(),
             is_http_10=self._parser.get_http_version() == "1.0",
+            holding=self._holding,
         )
+        self._holding = open_unlimited()
         self._start_message()
         self._queue.append(request)
         self._keep_alive = self._parser.should_keep_alive()
@@ -325,6 +355,7 @@
             reason = repr(error)
         finally:
             self._task = None
+            request.holding.close()
             if not writer.is_finished and self._transport and not self._transport.is_closing():
                 self._answer_failure(request, writer, reason)
             self._end_answer(writer)
@@ -383,6 +414,8 @@
         if self._is_input_ignored or self._transport is None:
             return
         self._is_input_ignored = True
+        self._holding.close()
+        self._body = bytearray()
         self._set_timer(0.0, None)
         self._refusal_status = status
         if self._task is None:
--- a/turmericproxy/edge/messages.py
+++ b/turmericproxy/edge/messages.py
@@ -1,7 +1,9 @@
 """Define parsed HTTP requests and response heads; the order and case of header fields is kept."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from turmericproxy.core.memory import Holding, open_unlimited
 
 HOP_BY_HOP = frozenset(
     {
@@ -60,7 +62,8 @@
 class ClientRequest:
     """Describe a complete client request; ``target`` is as sent, decoded as Latin-1.
 
-    ``received_at`` is the event loop's time at which the last byte was read, in seconds.
+    ``received_at`` is the event loop's time at which the last byte was read, in seconds, and
+    ``holding`` is what the host keeps of the body until the request is answered.
     """
 
     method: str
@@ -69,6 +72,7 @@
     body: bytes
     received_at: float
     is_http_10: bool = False
+    holding: Holding = field(default_factory=open_unlimited, compare=False, repr=False)
 
     @property
     def path(self) -> str:
--- a/turmericproxy/edge/server.py
+++ b/turmericproxy/edge/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from weakref import WeakSet
 
+from turmericproxy.core.memory import MemoryAccount
 from turmericproxy.edge.connection import (
     ClientConnection,
     Handler,
@@ -26,8 +27,8 @@
 
     ``address`` is ``ip:port``; port 0 lets the system choose. ``get_limits`` returns the limits
     that currently apply, ``singleton_fields`` names further header fields that may occur only
-    once, and ``build_refusal`` returns the answer to a request that can't be read. ``active`` is
-    the number of running handlers.
+    once, and ``build_refusal`` returns the answer to a request that can't be read. Bodies that
+    ``memory`` has no room for are refused. ``active`` is the number of running handlers.
     """
 
     def __init__(
@@ -37,7 +38,9 @@
         get_limits: Callable[[], EdgeLimits] = EdgeLimits,
         singleton_fields: tuple[str, ...] = (),
         build_refusal: RefusalBuilder = build_empty_refusal,
+        memory: MemoryAccount | None = None,
     ) -> None:
+        self._memory = memory or MemoryAccount()
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._handler = handler
@@ -123,6 +126,7 @@
             lambda: self._is_draining,
             self._singleton_fields,
             self._build_refusal,
+            self._memory,
         )
         self._connections.add(connection)
         return connection
--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -1,6 +1,7 @@
 """Send requests to upstreams and read their answers as they arrive."""
 
 import asyncio
+import threading
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
@@ -9,11 +10,14 @@
 import httptools
 
 from turmericproxy.core.addresses import split_address
+from turmericproxy.core.memory import Holding, open_unlimited
 from turmericproxy.edge.messages import AnswerHead, Headers
 from turmericproxy.edge.sockets import set_user_timeout
 
 # Size of the buffered body at which reading from the connection is paused.
-MAX_BUFFERED_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 32 * 1024
+# Bytes that are read from a connection at once.
+RECEIVE_BYTES = 32 * 1024
 # Time for which sent data may stay unacknowledged before the kernel closes the connection.
 USER_TIMEOUT_MS = 3000
 # Status codes below this one belong to interim answers.
@@ -23,6 +27,8 @@
 MAX_HEAD_BYTES = 256 * 1024
 # Limit of a body that is buffered whole: more than a page of rows, which has 1 MB before encoding.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Copies of a body at the same time: its parts while they are joined, then the connection's buffer.
+BODY_COPIES = 2
 # Reason of a ``NotConnected`` whose connection was neither accepted nor refused in time.
 TIMED_OUT = "connection timed out"
 
@@ -46,7 +52,17 @@
     is_refused: bool = False
 
 
-class _AnswerReader(asyncio.Protocol):
+class _ReceiveBuffer(threading.local):
+    """Hold what is read from a connection until it is parsed, at once; one for each event loop."""
+
+    def __init__(self) -> None:
+        self.data = memoryview(bytearray(RECEIVE_BYTES))
+
+
+_receive_buffer = _ReceiveBuffer()
+
+
+class _AnswerReader(asyncio.BufferedProtocol):
     """Parse one answer; close the connection if bytes follow it, which belong to no request."""
 
     def __init__(self, *, has_body: bool) -> None:
@@ -69,14 +85,17 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _receive_buffer.data
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.end:
             self.has_extra_bytes = True
             self._abort()
             return
-        self._bytes_without_body += len(data)
+        self._bytes_without_body += nbytes
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(_receive_buffer.data[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # After the end of the answer, it is the bytes that follow which can't be read.
             self.has_extra_bytes = self.end is not None
@@ -198,14 +217,22 @@
                 return self._reader.end
             await self._reader.wait()
 
-    async def read_body(self) -> bytes | str:
-        """Return the whole body, or why it is incomplete or too long."""
-        body = bytearray()
+    async def read_body(self, holding: Holding | None = None) -> bytes | str:
+        """Return the whole body, or why it is incomplete or too long.
+
+        ``holding`` grows with the body and is left to the caller.
+        """
+        holding = holding or open_unlimited()
+        parts: list[bytes] = []
+        size = 0
         while isinstance(part := await self.read_part(), bytes):
-            body += part
-            if len(body) > MAX_BODY_BYTES:
+            size += len(part)
+            if size > MAX_BODY_BYTES:
                 return "the answer exceeds the size limit"
-        return bytes(body) if part is EndKind.COMPLETE else self.reason or "answer broke off"
+            if not holding.resize(BODY_COPIES * size):
+                return f"no room for the answer: {holding.describe()}"
+            parts.append(part)
+        return b"".join(parts) if part is EndKind.COMPLETE else self.reason or "answer broke off"
 
     def release(self) -> asyncio.Transport | None:
         """Return the connection if it can be reused for another request, else ``None``."""
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -1,11 +1,21 @@
 """Run a host that reads its configuration and upstreams from tables of a store."""
 
 import asyncio
+import random
 import signal
+from http import HTTPStatus
 
-from turmericproxy.core import HostName, Incarnation, create_id, read_boottime
+from turmericproxy.core import (
+    HostName,
+    Incarnation,
+    ResultCode,
+    create_id,
+    read_boottime,
+    refuse,
+)
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import ServiceName
+from turmericproxy.core.memory import MemoryAccount
 from turmericproxy.crashes.controller import CrashController
 from turmericproxy.crashes.persistence import BlockKeeper
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
@@ -56,6 +66,11 @@
 # Fraction of the grace period within which the answers to the other requests are sent.
 SEND_GRACE_FRACTION = 0.97
 DRAIN_POLL_SECONDS = 0.05
+# Range of Retry-After for a body without room; random, so that refused clients come one by one.
+NO_ROOM_RETRY_AFTER_SECONDS = (0.3, 1.2)
+# Share of the process's memory for bodies and answers of requests. The rest is for the program, its
+# state, the buffers of connections, and what allocation leaves unused.
+HELD_MEMORY_SHARE = 0.25
 
 
 class SiteHost:
@@ -68,6 +83,7 @@
         self._metrics = Metrics()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._is_draining = False
+        self._memory = MemoryAccount(HELD_MEMORY_SHARE * settings.memory_mb * 1e6)
         incarnation = Incarnation(create_id()[:INCARNATION_DIGITS])
         own = Hello(settings.host, settings.links, settings.domain, incarnation, settings.link_mbps)
         self._limits = LimitController(settings.host, self._describe_fleet, self._metrics)
@@ -160,6 +176,7 @@
             self._get_budget,
             self._metrics,
             self._crashes,
+            self._memory,
         )
         self._router = Router(
             dependencies,
@@ -174,6 +191,7 @@
             self._get_limits,
             adapter.singleton_fields,
             self._answer_unreadable,
+            self._memory,
         )
         self._readiness = EdgeServer(settings.readiness, self._answer_readiness)
         self._metrics_server = EdgeServer(settings.metrics, self._answer_metrics)
@@ -273,10 +291,23 @@
         return self._links.peers.measure_contact_age(domain)
 
     def _answer_unreadable(self, status: int) -> tuple[list[tuple[str, str]], bytes]:
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            return self._answer_without_room(), b""
         self._metrics.count("unreadable_requests", status=str(status))
         log_decision(Part.CALLERS, "request can't be read", status=status)
         return [], b""
 
+    def _answer_without_room(self) -> list[tuple[str, str]]:
+        """Return the header fields of the refusal of a body that the host has no room for."""
+        reason = f"no room for the body: {self._memory.describe()}"
+        seconds = round(random.uniform(*NO_ROOM_RETRY_AFTER_SECONDS), 2)
+        refusal = refuse(ResultCode.OVERLOADED, reason, retry_after=seconds)
+        self._metrics.count("refusals", code=refusal.code.name.lower())
+        log_decision(
+            Part.CALLERS, "refused", code=int(refusal.code), reason=reason, run=refusal.run.value
+        )
+        return self._adapter.codec.write_refusal(None, refusal)[1]
+
     def _get_limits(self) -> EdgeLimits:
         site = self._follower.site
         return site.limits if site else EdgeLimits()
@@ -307,6 +338,7 @@
         self._metrics.set_gauges("upstream_limit", "upstream", named)
         rates = {str(i): rate for i, _, rate in limits}
         self._metrics.set_gauges("upstream_rate", "upstream", rates)
+        self._metrics.set_gauges("held_bytes", "kind", self._memory.list_held())
         text = self._metrics.render_text().encode()
         writer.send(200, [("Content-Type", "text/plain; version=0.0.4")], text)
 
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -1,5 +1,6 @@
 """Settings of a host that reads its configuration from a table store."""
 
+import math
 from dataclasses import dataclass
 
 from turmericproxy.core import HostName
@@ -16,7 +17,7 @@
     the requests plus a fixed number. ``grace`` is the time from SIGTERM to the end of the process,
     ``quota_tolerance`` the excess that users allow because hosts count separately. ``link_mbps`` is
     the bandwidth of the machine's network link in Mbit/s; hosts with high bandwidth relay the
-    batches of others.
+    batches of others. A process that exceeds ``memory_mb``, in MB, is ended.
     """
 
     host: HostName
@@ -34,9 +35,12 @@
     grace: float
     quota_tolerance: QuotaTolerance
     link_mbps: int = 0
+    memory_mb: float = math.inf
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
             raise ValueError("order_guard, version_seconds and grace must be positive")
         if min(self.retry_share, self.retry_reserve, self.link_mbps) < 0:
             raise ValueError("retry_share, retry_reserve and link_mbps must not be negative")
+        if self.memory_mb <= 0:
+            raise ValueError("memory_mb must be positive")
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -54,6 +54,7 @@
                 slack=reader.read_number("bounds.quota_slack"),
             ),
             link_mbps=int(reader.read_number("limits.link_mbps", default="0")),
+            memory_mb=reader.read_number("limits.memory_mb", default="inf"),
         )
     except _SettingError as error:
         return error.fault
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from turmericproxy.core import Refusal, ResultCode, RunState, refuse
 from turmericproxy.core.budget import RetryBudget
 from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.core.memory import HeldKind, MemoryAccount
 from turmericproxy.crashes.controller import CrashController
 from turmericproxy.edge import UpstreamCall
 from turmericproxy.edge.upstream import EndKind
@@ -52,6 +53,7 @@
     get_budget: Callable[[ServiceName], RetryBudget]
     metrics: Metrics
     crashes: CrashController
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
 
 
 @dataclass(frozen=True)
@@ -163,6 +165,8 @@
         self._head_at = None
         self._watch = None
         attempt: Attempt | None = None
+        memory = self._dependencies.memory
+        self._request.hold(memory.open(HeldKind.ANSWERS, placement.instance))
         if replacement is None:
             dispatcher.record_start(placement)
         try:
@@ -234,7 +238,7 @@
             return answer
         if self._request.route.is_stream and answer.verdict is Verdict.SUCCESS:
             return await self._relay(placement, call, answer)
-        return await read_answer(call, answer)
+        return await read_answer(call, answer, self._request.holding)
 
     def _record_answer_head(self, placement: Placement, answer: ParsedAnswer | None) -> None:
         if answer is not None:
@@ -245,14 +249,14 @@
     ) -> Attempt:
         """Relay complete events as they arrive; the client's answer starts with the first one."""
         writer, started = self._request.writer, self._clock()
-        splitter = EventSplitter()
+        splitter = EventSplitter(self._request.holding)
         if self._begun and (fault := self._begun.find_fault(answer.head)):
             return Attempt(Outcome.BROKEN, answer, reason=fault)
         while isinstance(part := await call.read_part(), bytes):
             self._received_at = self._clock()
             events = splitter.feed(part)
-            if splitter.is_event_too_long:
-                return Attempt(Outcome.BROKEN, answer, reason="an event exceeds the size limit")
+            if fault := splitter.find_fault():
+                return Attempt(Outcome.BROKEN, answer, reason=fault)
             if not events.data:
                 continue
             if self._event_parts == 0:
--- a/turmericproxy/traffic/routed_request.py
+++ b/turmericproxy/traffic/routed_request.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from turmericproxy.core.memory import Holding, open_unlimited
 from turmericproxy.edge import AnswerWriter
 from turmericproxy.traffic.attempts import AttemptCounts
 from turmericproxy.traffic.requests import ParsedRequest
@@ -13,7 +14,7 @@
     """A parsed request with its route, service and account, and its attempts so far.
 
     ``cost`` is what the account has been charged, in tokens or requests. ``deadline`` is a time of
-    the event loop, in seconds.
+    the event loop, in seconds. ``holding`` is what the host keeps of the answer.
     """
 
     parsed: ParsedRequest
@@ -25,6 +26,20 @@
     cost: int = 0
     deadline: float = 0.0
     attempt_counts: AttemptCounts = field(default_factory=AttemptCounts)
+    holding: Holding = field(default_factory=open_unlimited)
+
+    def hold(self, holding: Holding) -> None:
+        """Release what is held of the last attempt's answer, and use a holding for the next."""
+        self.holding.close()
+        self.holding = holding
+
+    async def release(self) -> None:
+        """Hold nothing any more once the client's connection has taken the answer."""
+        try:
+            if self.holding.size:
+                await self.writer.drain()
+        finally:
+            self.holding.close()
 
     @property
     def priority(self) -> int:
--- a/turmericproxy/traffic/router.py
+++ b/turmericproxy/traffic/router.py
@@ -64,7 +64,10 @@
         if refusal := self._admit(request):
             return refusal
         started = asyncio.get_running_loop().time()
-        result = await self._exchange(request)
+        try:
+            result = await self._exchange(request)
+        finally:
+            await request.release()
         seconds = asyncio.get_running_loop().time() - started
         self._metrics.record_latency("exchange", seconds)
         if isinstance(result, Refusal):
--- a/turmericproxy/traffic/sending.py
+++ b/turmericproxy/traffic/sending.py
@@ -1,5 +1,6 @@
 """Send one attempt to an upstream and read its answer."""
 
+from turmericproxy.core.memory import Holding
 from turmericproxy.edge import UpstreamCall, call_upstream
 from turmericproxy.edge.upstream import NotConnected
 from turmericproxy.traffic.attempts import Attempt, Outcome
@@ -46,12 +47,12 @@
     return answer
 
 
-async def read_answer(call: UpstreamCall, answer: ParsedAnswer) -> Attempt:
+async def read_answer(call: UpstreamCall, answer: ParsedAnswer, holding: Holding) -> Attempt:
     """Read the body of an answer that isn't streamed to the client, if the client may get it."""
     if answer.has_refusal_status:
         reason = f"status {answer.head.status}, but the upstream may have executed the request"
         return Attempt(Outcome.ANSWERED, answer, reason=reason)
-    body = await call.read_body()
+    body = await call.read_body(holding)
     if isinstance(body, str):
         return Attempt(Outcome.BROKEN, answer, reason=body)
     return Attempt(Outcome.ANSWERED, answer, body)
