Hold an answer only until it is finished, and name the refusal statuses once

Read once more after the mends: a stream past its deadline, whose client reads nothing and whose last event is incomplete, would have waited for that client before it was broken off. The statuses that say that nothing has run stood in two places.

--- a/turmericproxy/callers/plain.py
+++ b/turmericproxy/callers/plain.py
@@ -11,6 +11,7 @@
 from turmericproxy.callers.exchange import Answer, Exchange
 from turmericproxy.callers.secrets import HOP_BY_HOP, select_headers
 from turmericproxy.core import Refusal, ResultCode, RunState, UpstreamName, read_boottime, refuse
+from turmericproxy.core.results import NOT_RUN_STATUSES
 from turmericproxy.keys import KeyController
 from turmericproxy.metrics import Metrics
 from turmericproxy.routing import AttemptOutcome, RetryBudget, Selector, UpstreamChoice
@@ -19,8 +20,6 @@
 MAX_ATTEMPTS = 3
 RETRY_AFTER_SECONDS = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Callers take these statuses for the host's own refusals, which say that the call has not run.
-REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
@@ -141,7 +140,7 @@
     if answered_id is not None and answered_id != exchange.request_id:
         answer.close()
         return _Failure(AttemptOutcome.MISMATCHED, "the upstream's answer has another request ID")
-    if answer.status in REFUSAL_STATUSES:
+    if answer.status in NOT_RUN_STATUSES:
         reason = f"the upstream answered with status {answer.status}, and may have run the call"
         return _Failure(AttemptOutcome.FAILED, reason)
     headers = {n: v for n, v in answer.headers.items() if n.lower() not in HOP_BY_HOP}
--- a/turmericproxy/core/memory.py
+++ b/turmericproxy/core/memory.py
@@ -97,6 +97,9 @@
         self.close()
 
 
+_UNLIMITED = MemoryAccount()
+
+
 def open_unlimited() -> Holding:
-    """Return a holding without a limit, for answers that no client waits for."""
-    return MemoryAccount().open(HeldKind.ANSWERS, "")
+    """Return a holding without a limit, for what isn't held for a client."""
+    return _UNLIMITED.open(HeldKind.ANSWERS, "")
--- a/turmericproxy/core/results.py
+++ b/turmericproxy/core/results.py
@@ -100,6 +100,10 @@
 }
 
 
+# Statuses that tell callers that their request has not run and will not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 @dataclass(frozen=True)
 class Refusal:
     """Reason why a request was not answered, and whether it may have run.
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -70,7 +70,7 @@
 NO_ROOM_RETRY_AFTER_SECONDS = (0.3, 1.2)
 # Share of the process's memory for bodies and answers of requests. The rest is for the program, its
 # state, the buffers of connections, and what allocation leaves unused.
-HELD_MEMORY_SHARE = 0.25
+HELD_MEMORY_SHARE = 0.4
 
 
 class SiteHost:
--- a/turmericproxy/platform/codec.py
+++ b/turmericproxy/platform/codec.py
@@ -1,6 +1,7 @@
 """Convert between the platform's HTTP messages and the types of the request path."""
 
 from turmericproxy.core import ModelName, Refusal, RequestId, ResultCode, RunState, refuse
+from turmericproxy.core.results import NOT_RUN_STATUSES
 from turmericproxy.edge import AnswerHead, ClientRequest, Headers
 from turmericproxy.platform import names
 from turmericproxy.platform.notices import read_notice
@@ -18,8 +19,6 @@
 MAX_TIME_LIMIT_SECONDS = 600.0
 MAX_PRIORITY = 9
 SUCCESS = range(200, 300)
-# Statuses that guarantee to the client that the request has not run and will not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_REQUEST = 421
 
 
--- a/turmericproxy/traffic/routed_request.py
+++ b/turmericproxy/traffic/routed_request.py
@@ -34,9 +34,9 @@
         self.holding = holding
 
     async def release(self) -> None:
-        """Hold nothing any more once the client's connection has taken the answer."""
+        """Hold nothing any more once the client's connection has taken a finished answer."""
         try:
-            if self.holding.size:
+            if self.holding.size and self.writer.is_finished:
                 await self.writer.drain()
         finally:
             self.holding.close()
