--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -68,7 +68,7 @@
         return host
 
     def configure(self, **changes: object) -> None:
-        content = {**copy.deepcopy(CONFIGURATION), **changes}
+        content = copy.deepcopy({**CONFIGURATION, **changes})
         content["services"] = [s for s in content["services"] if "kv_store_addr" not in s]
         for route in content["routes"]:
             if route["name"] == "r-stream":
