--- a/tests/callers/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -50,22 +50,28 @@
         self.dispatched.append(claim)
 
 
+def create_relay(
+    listener: socket.socket, claims: Any, first_byte_timeout: float = 1.0
+) -> PlainRelay:
+    """Return a relay that calls the service at a listener."""
+    keys: Any = type("Keys", (), {"check": lambda *_: None})()
+    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=first_byte_timeout))
+    selector: Any = FixedSelector(f"127.0.0.1:{listener.getsockname()[1]}")
+    budget = RetryBudget(1.0, 9.0)
+    return PlainRelay(PlainDependencies(selector, keys, claims, clients, budget, Metrics()))
+
+
 @pytest.mark.parametrize(
     ("is_listening", "run"), [(True, RunState.UNKNOWN), (False, RunState.NOT_RUN)]
 )
 def test_dispatch_is_recorded_unless_nothing_was_sent(is_listening: bool, run: RunState) -> None:
     claims: Any = RecordingClaims()
-    keys: Any = type("Keys", (), {"check": lambda *_: None})()
-    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=0.2))
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        selector: Any = FixedSelector(f"127.0.0.1:{listener.getsockname()[1]}")
-        dependencies = PlainDependencies(
-            selector, keys, claims, clients, RetryBudget(1.0, 9.0), Metrics()
-        )
+        relay = create_relay(listener, claims, first_byte_timeout=0.2)
         if not is_listening:
             listener.close()
         exchange = _create_exchange()
-        answer = PlainRelay(dependencies)(exchange)
+        answer = relay(exchange)
     assert isinstance(answer, Refusal) and answer.run is run
     assert claims.dispatched == ([CLAIM] if is_listening else [])
 
@@ -84,18 +90,12 @@
 # refusals, but a service may send them after it has run the call.
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 def test_refusal_status_of_a_service_says_that_the_outcome_is_unknown(status: int) -> None:
-    claims: Any = RecordingClaims()
-    keys: Any = type("Keys", (), {"check": lambda *_: None})()
-    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=1.0))
     data = f"HTTP/1.1 {status} No\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n".encode()
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        selector: Any = FixedSelector(f"127.0.0.1:{listener.getsockname()[1]}")
-        dependencies = PlainDependencies(
-            selector, keys, claims, clients, RetryBudget(1.0, 9.0), Metrics()
-        )
+        relay = create_relay(listener, RecordingClaims())
         service = threading.Thread(target=answer_once, args=(listener, data))
         service.start()
-        answer = PlainRelay(dependencies)(_create_exchange())
+        answer = relay(_create_exchange())
         service.join()
     assert isinstance(answer, Refusal)
     assert (answer.code, answer.run) == (ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
@@ -108,17 +108,11 @@
 # and closes, and the caller gets 200 with an empty or short body.
 @pytest.mark.parametrize("length", range(len(HEAD) + 1))
 def test_answer_that_breaks_off_within_its_head_is_no_success(length: int) -> None:
-    claims: Any = RecordingClaims()
-    keys: Any = type("Keys", (), {"check": lambda *_: None})()
-    clients = UpstreamClients(UpstreamSettings(first_byte_timeout=1.0))
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        selector: Any = FixedSelector(f"127.0.0.1:{listener.getsockname()[1]}")
-        dependencies = PlainDependencies(
-            selector, keys, claims, clients, RetryBudget(1.0, 9.0), Metrics()
-        )
+        relay = create_relay(listener, RecordingClaims())
         service = threading.Thread(target=answer_once, args=(listener, HEAD[:length]))
         service.start()
-        answer = PlainRelay(dependencies)(_create_exchange())
+        answer = relay(_create_exchange())
         service.join()
     assert isinstance(answer, Refusal)
     assert answer.run is RunState.UNKNOWN
--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -143,6 +143,18 @@
     return Answer(status, fields, body, is_complete=False)
 
 
+async def start_environment() -> HostEnvironment:
+    """Return an environment with two engines, two plain upstreams and no host."""
+    environment = HostEnvironment()
+    await environment.store.start()
+    environment.configure()
+    for name in ("e1", "e2"):
+        await environment.add_server(name, "huvo11a", "m")
+    for name in ("p1", "p2"):
+        await environment.add_server(name, "kafi81c")
+    return environment
+
+
 def run_scenario(
     scenario: Callable[[HostEnvironment], Awaitable[None]],
     *,
@@ -153,13 +165,7 @@
     """Run a scenario with two engines, two plain upstreams and ``hosts`` hosts."""
 
     async def run() -> None:
-        environment = HostEnvironment()
-        await environment.store.start()
-        environment.configure()
-        for name in ("e1", "e2"):
-            await environment.add_server(name, "huvo11a", "m")
-        for name in ("p1", "p2"):
-            await environment.add_server(name, "kafi81c")
+        environment = await start_environment()
         for n in range(hosts):
             await environment.add_host(f"h{n}", chr(ord("a") + n % domains))
         await asyncio.sleep(start_seconds)
--- a/tests/host/test_memory.py
+++ b/tests/host/test_memory.py
@@ -13,7 +13,7 @@
 
 from tests.host.host_process import HostProcess, get
 from tests.host.raw_servers import RawServer
-from tests.host.support import Answer, HostEnvironment, read_answer
+from tests.host.support import Answer, HostEnvironment, read_answer, start_environment
 
 # What the smallest machines of the platform give a process.
 MEMORY_MB = 150
@@ -67,13 +67,7 @@
     """
 
     async def run() -> None:
-        environment = HostEnvironment()
-        await environment.store.start()
-        environment.configure()
-        for name in ("e1", "e2"):
-            await environment.add_server(name, "huvo11a", "m")
-        for name in ("p1", "p2"):
-            await environment.add_server(name, "kafi81c")
+        environment = await start_environment()
         host = HostProcess(folder, environment.store.address, memory_mb=MEMORY_MB)
         try:
             await host.start()
