--- a/turmericproxy/core/memory.py
+++ b/turmericproxy/core/memory.py
@@ -3,7 +3,6 @@
 import math
 from collections import Counter
 from enum import Enum
-from typing import Self
 
 # Holdings up to this size may use all of the limit, larger ones a share of it: requests and
 # answers of the usual size go on while others flood.
@@ -90,12 +89,6 @@
         """Hold nothing any more."""
         self.resize(0)
 
-    def __enter__(self) -> Self:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.close()
-
 
 _UNLIMITED = MemoryAccount()
 
