Take a limit that can't be read for none, unless one is known

Cause: an unreadable first value counted as 1 request a second. The limit that was known still holds, since the upstream has not said that it ended; without one there is nothing to keep to.

--- a/turmericproxy/limits/controller.py
+++ b/turmericproxy/limits/controller.py
@@ -92,6 +92,8 @@
         self._random = random.Random()
         self._upstreams: dict[InstanceId, _LimitedUpstream] = {}
         self._unsent_notices: list[InstanceId] = []
+        # Starts whose unreadable limit has been logged.
+        self._unreadable: dict[InstanceId, int] = {}
         self._reported_at = 0.0
         self._learning_until = 0.0
         self.is_loaded = True
@@ -119,8 +121,9 @@
         self, instance: InstanceId, started_at: int, notice: UpstreamNotice, age: float
     ) -> None:
         """Record an answer of an upstream to a request that was sent ``age`` seconds ago."""
-        names_none = notice.request_limit is None and not notice.is_limit_unreadable
-        if names_none and instance not in self._upstreams:
+        if notice.is_limit_unreadable:
+            self._log_unreadable(instance, started_at)
+        if notice.request_limit is None and instance not in self._upstreams:
             return
         observation = Observation(
             started_at,
@@ -131,6 +134,13 @@
         if self._observe(instance, observation, "answer"):
             self._unsent_notices.append(instance)
 
+    def _log_unreadable(self, instance: InstanceId, started_at: int) -> None:
+        """Log once for each start of an upstream that its limit can't be read."""
+        if self._unreadable.get(instance) != started_at:
+            self._unreadable = {i: s for i, s in self._unreadable.items() if self.is_registered(i)}
+            self._unreadable[instance] = started_at
+            log_event(Part.ROUTING, "unreadable limit of an upstream", upstream=instance)
+
     def _observe(self, instance: InstanceId, observation: Observation, source: str) -> bool:
         """Apply an observation; return whether the limit has changed."""
         now = self._read_clock()
--- a/turmericproxy/limits/observation.py
+++ b/turmericproxy/limits/observation.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass, replace
 
-# Limit of an upstream whose first value can't be read, in requests a second.
-UNREADABLE_LIMIT = 1.0
 # A higher limit, in requests a second, is none for the hosts of a fleet.
 MAX_LIMIT = 10_000.0
 # Rate for an upstream that takes less, in requests a second: only its answers tell when that ends.
@@ -91,7 +89,7 @@
 
 def _read_rate(observation: Observation, known: float | None) -> float | None:
     if observation.is_unreadable:
-        return UNREADABLE_LIMIT if known is None else known
+        return known
     if observation.per_second is None or observation.per_second > MAX_LIMIT:
         return None
     return observation.per_second
--- a/turmericproxy/platform/notices.py
+++ b/turmericproxy/platform/notices.py
@@ -46,7 +46,6 @@
     text = text.strip()
     if len(text) <= MAX_LIMIT_LENGTH and _DECIMAL.fullmatch(text):
         return float(text)
-    log_event(Part.PLATFORM, "unreadable limit of a server", requested=text[:MAX_LIMIT_LENGTH])
     return None
 
 
