Keep the pause that an upstream asked for while its registration is away

Cause: the pause was part of the state that remove() drops, while a leaving is remembered by start. The pause is now remembered in the same way; a new start has asked for nothing. The test failed before.

--- a/tests/placement/test_registry.py
+++ b/tests/placement/test_registry.py
@@ -6,6 +6,7 @@
 from turmericproxy.core import HostName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.placement import EntryState
+from turmericproxy.placement.notices import UpstreamNotice
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.placement.registry import Work
 
@@ -64,6 +65,19 @@
     assert len(registry.list_ready(SERVICE)) == 1
 
 
+# Guards against requests to an upstream that still wants none: its registration lapses while the
+# store is away, and the pause was forgotten with it.
+def test_pause_lasts_while_the_registration_of_an_upstream_is_away() -> None:
+    registry = create_registry(create_entry("one"))
+    registry.record_notice(ONE, UpstreamNotice(pause_seconds=5.0), 1.0)
+    registry.remove(ONE)
+    registry.update(create_entry("one"))
+    assert registry.measure_pause(ONE, 2.0) >= 4.0
+    registry.remove(ONE)
+    registry.update(create_entry("one", started_at=2))
+    assert registry.measure_pause(ONE, 2.0) == 0.0
+
+
 def test_total_peer_work_is_updated_with_each_change() -> None:
     registry = create_registry(create_entry("one"))
     for host, work in (("h", Work(3, 30, 300)), ("i", Work(1, 5, 9)), ("h", Work(1, 0, 100))):
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -19,6 +19,7 @@
 from turmericproxy.placement.notices import UpstreamNotice
 from turmericproxy.placement.plain import DEFAULT_CALL_SECONDS
 from turmericproxy.placement.prefixes import PrefixTracker
+from turmericproxy.placement.requested_pauses import RequestedPauses
 from turmericproxy.placement.starts import RememberedStarts
 
 # Share of an engine's memory that running requests leave to cached prompt parts at a usual load.
@@ -119,6 +120,7 @@
         self._sent_work: dict[InstanceId, Work] = {}
         self._capacities: dict[ServiceName, int] = {}
         self._leaving = RememberedStarts()
+        self._pauses = RequestedPauses()
         self._unsent_leaving: dict[InstanceId, int] = {}
         self.is_loaded = False
 
@@ -145,7 +147,9 @@
     def remove(self, instance: InstanceId) -> None:
         """Remove an upstream whose registration is gone."""
         self._sent_work.pop(instance, None)
-        if self._states.pop(instance, None):
+        state = self._states.pop(instance, None)
+        if state:
+            self._pauses.record(state.entry, state.health)
             log_event(Part.ROUTING, "upstream gone", upstream=instance)
             self._rebuild_service_index()
 
@@ -390,6 +394,7 @@
         prefixes = PrefixTracker(self._capacities.get(entry.service, 0))
         state = UpstreamState(entry, prefixes, versions=dict(entry.versions))
         state.is_leaving = self._leaving.holds(entry.instance, entry.started_at)
+        state.health = self._pauses.restore(entry)
         if previous:
             state.own_work, state.work_by_peer, state.total_peer_work = (
                 previous.own_work,
