--- a/tests/host/host_process.py
+++ b/tests/host/host_process.py
@@ -3,9 +3,11 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 
 from turmericproxy.bench.processes import pick_addresses
@@ -25,22 +27,33 @@
 
 
 class HostProcess:
-    """A host process; ``callers`` and ``metrics`` are its addresses."""
+    """A host process; ``callers``, ``readiness``, ``links`` and ``metrics`` are its addresses.
 
-    def __init__(self, folder: Path, store: str, *, memory_mb: int) -> None:
+    ``settings`` are added to its settings file.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        store: str,
+        *,
+        memory_mb: int,
+        settings: Mapping[str, object] | None = None,
+    ) -> None:
         self.memory_mb = memory_mb
-        self.callers, self.readiness, links, self.metrics = pick_addresses(4)
+        self.callers, self.readiness, self.links, self.metrics = pick_addresses(4)
         values: dict[str, object] = {
             "node": "h0",
             "zone": "a",
-            "ip": links.rpartition(":")[0],
+            "ip": self.links.rpartition(":")[0],
             "listen.front": self.callers,
             "listen.ready": self.readiness,
-            "port_range": f"{links.rpartition(':')[2]},{self.metrics.rpartition(':')[2]}",
+            "port_range": f"{self.links.rpartition(':')[2]},{self.metrics.rpartition(':')[2]}",
             "platform.address": store,
             "bootstrap": "true",
             "limits.memory_mb": memory_mb,
             **{f"bounds.{name}": value for name, value in BOUNDS.items()},
+            **(settings or {}),
         }
         self._settings = folder / "boot.conf"
         self._settings.write_text("".join(f"{n}={v}\n" for n, v in values.items()))
@@ -78,11 +91,32 @@
 
     def read_peak_mb(self) -> float:
         """Return the largest size of the process's memory so far, in MB."""
+        return self._read_status_mb("VmHWM:")
+
+    def read_memory_mb(self) -> float:
+        """Return the size of the process's memory, in MB."""
+        return self._read_status_mb("VmRSS:")
+
+    def _read_status_mb(self, name: str) -> float:
         assert self._process is not None
         status = Path(f"/proc/{self._process.pid}/status").read_text()
-        (line,) = [text for text in status.splitlines() if text.startswith("VmHWM:")]
+        (line,) = [text for text in status.splitlines() if text.startswith(name)]
         return int(line.split()[1]) * 1024 / 1e6
 
+    def count_descriptors(self) -> int:
+        """Return the number of the process's open descriptors."""
+        assert self._process is not None
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
+    def limit_descriptors(self, number: int) -> None:
+        """Limit the descriptors that the process may have open from now on."""
+        assert self._process is not None
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, (number, number))
+
+    def count_log_lines(self) -> int:
+        """Return the number of lines that the process has logged."""
+        return self._log.read_bytes().count(b"\n")
+
     async def wait_for_upstreams(self, found: str, *gone: str) -> None:
         """Wait until the host has found one upstream and others are gone."""
         wanted = {
