Bound what clients make a host hold before it is accounted for

Clients that send heads or trailers without end, requests ahead whose answers they never read, or nothing, made a host's process exceed its memory, or left it no descriptor: 17 of the 21 tests of test_untrusted_clients.py failed.

Causes: limits were checked only after a block of up to 256 KB was parsed into objects of up to a hundred times its size; reading was paused, but parsing went on; answers were written whether or not they were read; asyncio tried to accept again and again when descriptors had run out; a stranger's message to the address for other hosts could have 4 MB at once.

An unfinished head now stays in bytes, is counted before it is parsed, and the rest of a block waits until the request before is answered and sent. Heads, unsent answers and messages of other hosts are in the one memory account, by owner. Requests sent ahead take turns, four in an iteration of the event loop. Connections are bounded by limits.max_fds; at the bound, an idle one of the peer with the most connections is closed. A stream of another host has to introduce itself first, within 1 KB.

All 21 tests passed in one run (0.8 to 20.5 MB more at the peak; the bound is 40), as did tests/edge, tests/web and the tests of planned and overlapping stops.

--- a/turmericproxy/core/memory.py
+++ b/turmericproxy/core/memory.py
@@ -10,6 +10,10 @@
 LARGE_SHARE = 0.8
 # Share of the limit for the large holdings of one owner.
 OWNER_SHARE = 0.5
+# Share of the limit for what one peer address has sent of heads, and for its large heads: one of
+# 4,096 lines takes 1.7 MB once it is parsed, so that a few fit on the smallest machine.
+PEER_HEADS_SHARE = 0.25
+PEER_LARGE_HEADS_SHARE = 0.1
 
 
 class HeldKind(Enum):
@@ -17,12 +21,15 @@
 
     ANSWERS = "answers"
     BODIES = "bodies"
+    HEADS = "heads"
+    LINKS = "links"
+    UNSENT = "unsent"
 
 
 class MemoryAccount:
     """Count the bytes that are held by kind and owner; ``limit`` is in bytes.
 
-    An owner is an upstream or a caller.
+    An owner is an upstream, a caller, or a peer address while the caller is not known.
     """
 
     def __init__(self, limit: float = math.inf) -> None:
@@ -48,9 +55,13 @@
         if new <= old:
             return True
         held = self.held + new - old
-        if new <= SMALL_BYTES:
+        is_small = new <= SMALL_BYTES
+        if is_small and kind is not HeldKind.HEADS:
             return held <= self.limit
         of_owner = self._by_owner[kind, owner] + new - old
+        if kind is HeldKind.HEADS:
+            share = PEER_HEADS_SHARE if is_small else PEER_LARGE_HEADS_SHARE
+            return held <= self.limit and of_owner <= share * self.limit
         return held <= LARGE_SHARE * self.limit and of_owner <= OWNER_SHARE * self.limit
 
     def change(self, kind: HeldKind, owner: str, change: int) -> None:
--- a/turmericproxy/edge/__init__.py
+++ b/turmericproxy/edge/__init__.py
@@ -2,6 +2,7 @@
 
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import AnswerHead, ClientRequest, Headers
+from turmericproxy.edge.resources import EdgeResources
 from turmericproxy.edge.server import EdgeServer
 from turmericproxy.edge.upstream import PersistentConnection, UpstreamCall, call_upstream, fetch
 from turmericproxy.edge.writer import AnswerWriter
@@ -11,6 +12,7 @@
     "AnswerWriter",
     "ClientRequest",
     "EdgeLimits",
+    "EdgeResources",
     "EdgeServer",
     "Headers",
     "PersistentConnection",
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -8,9 +8,14 @@
 
 import httptools
 
-from turmericproxy.core.memory import HeldKind, MemoryAccount, open_unlimited
+from turmericproxy.core.memory import HeldKind, open_unlimited
+from turmericproxy.edge.causes import Cause
+from turmericproxy.edge.input_buffer import InputBuffer, InputTooLargeError
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import ClientRequest, Headers
+from turmericproxy.edge.receiving import get_receive_buffer
+from turmericproxy.edge.resources import EdgeResources
+from turmericproxy.edge.unsent import UnsentWatch
 from turmericproxy.edge.writer import AnswerWriter
 from turmericproxy.logs import Part, log_decision
 
@@ -18,6 +23,15 @@
 
 # Queued pipelined requests at which reading from the connection is paused.
 MAX_QUEUED_REQUESTS = 4
+# Estimated size of the heads that are parsed before it is their turn. Larger ones stay in bytes,
+# which take a fraction of the space; four of ordinary requests fit.
+MAX_PARSED_AHEAD_BYTES = 48 * 1024
+# Bytes behind a request that waits for its turn at which reading is paused. Up to there it goes
+# on, so that the end of the connection is noticed.
+MAX_UNPARSED_BYTES = 16 * 1024
+# Seconds after which an answer that isn't read makes its connection one that may be closed for
+# another; far above a round trip and some retransmitted packets.
+STALLED_SECONDS = 5.0
 # Time between the last answer and closing the connection. Input that arrives is discarded:
 # closing with unread input sends a reset, which can destroy the answer before it is read.
 LINGER_SECONDS = 1.0
@@ -41,11 +55,21 @@
 
 
 def build_empty_refusal(status: int) -> tuple[list[tuple[str, str]], bytes]:
-    """Return no header fields and an empty body."""
-    return [], b""
+    """Return an empty body, and after which time to repeat what was refused for lack of room."""
+    is_temporary = status == HTTPStatus.SERVICE_UNAVAILABLE
+    return [("Retry-After", "1")] if is_temporary else [], b""
 
 
-class ClientConnection(asyncio.Protocol):
+_CAUSES = {
+    HTTPStatus.BAD_REQUEST: Cause.UNREADABLE,
+    HTTPStatus.REQUEST_TIMEOUT: Cause.SLOW_REQUEST,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: Cause.BODY_TOO_LARGE,
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: Cause.HEAD_TOO_LARGE,
+    HTTPStatus.SERVICE_UNAVAILABLE: Cause.NO_ROOM,
+}
+
+
+class ClientConnection(asyncio.BufferedProtocol):
     """Parse the requests of a client connection and handle them one at a time.
 
     ``get_limits`` returns the limits that currently apply; once ``is_draining`` returns true, the
@@ -60,17 +84,21 @@
         is_draining: Callable[[], bool],
         singleton_fields: tuple[str, ...] = (),
         build_refusal: RefusalBuilder = build_empty_refusal,
-        memory: MemoryAccount | None = None,
+        resources: EdgeResources | None = None,
     ) -> None:
-        self._memory = memory or MemoryAccount()
-        self._holding = open_unlimited()
+        self._resources = resources or EdgeResources()
+        self._holding = self._heads = open_unlimited()
+        # Estimated sizes of the parsed heads whose requests are not answered, in order.
+        self._head_costs: deque[int] = deque()
+        self._parsed_bytes = 0
         self._handler = handler
         self._get_limits = get_limits
         self._is_draining = is_draining
         self._singleton_fields = SINGLETON_FIELDS + singleton_fields
         self._build_refusal = build_refusal
         self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
+        self._input = InputBuffer(self)
+        self._unsent: UnsentWatch | None = None
         self._queue: deque[ClientRequest] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
@@ -79,6 +107,8 @@
         self._is_lost = False
         self._is_ending = False
         self._is_input_ignored = False
+        self._is_lingering = False
+        self._is_turn_due = False
         self._refusal_status: int | None = None
         self._is_receiving = False
         self._keep_alive = True
@@ -92,68 +122,124 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._heads = self._resources.memory.open(HeldKind.HEADS, self._read_peer())
         self._first_request_due_at = self._loop.time() + FIRST_REQUEST_SECONDS
         self._set_limit_timer(_get_idle_seconds, self._close_silent)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running handler, whose answer can no longer be delivered."""
         self._is_lost = True
+        self._resources.connections.remove(self)
         self._set_timer(0.0, None)
         self._holding.close()
+        self._input.close()
+        self._head_costs.clear()
+        self._heads.close()
         for request in self._queue:
             request.holding.close()
         self._queue.clear()
+        if self._unsent:
+            self._unsent.stop()
         if self._task:
             self._task.cancel()
         if self._answer_writer:
             self._answer_writer.resume()
 
     def pause_writing(self) -> None:
-        """Pause the answer while the write buffer is full."""
+        """Pause the answer and watch its client while the write buffer is full."""
+        if self._is_lost or self._transport is None:
+            return
+        if self._unsent is None:
+            self._unsent = UnsentWatch(
+                self._resources.memory.open(HeldKind.UNSENT, self._read_peer()),
+                self._resources.unread_seconds,
+                lambda: self._end_unread(Cause.UNREAD_ANSWER),
+                lambda: self._end_unread(Cause.NO_ROOM_FOR_ANSWER),
+            )
+        self._unsent.start(self._transport)
         if self._answer_writer:
             self._answer_writer.pause()
 
     def resume_writing(self) -> None:
-        """Resume the answer."""
+        """Resume the answer, or continue with the next request after it."""
+        if self._unsent:
+            self._unsent.stop()
+        if self._transport and not self._transport.is_closing() and not self._is_lingering:
+            self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         if self._answer_writer:
             self._answer_writer.resume()
+        self._continue_in_turn()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the event loop's thread, of which a head uses a small part."""
+        return get_receive_buffer(is_body=self._input.is_in_body)
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process received bytes before the buffer is used again."""
+        self.data_received(get_receive_buffer(is_body=True)[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes; refuse malformed or ambiguous input and close the connection."""
-        if self._is_input_ignored:
-            return
-        if not self._is_head_complete:
-            self._head_size += len(data)
-        try:
+        if not self._is_input_ignored:
             self._parse(data)
-        except httptools.HttpParserError:
-            self._refuse(400)
-        if not self._is_head_complete and self._head_size > self._get_limits().head_bytes:
-            self._refuse(431)
 
     def eof_received(self) -> bool:
         """Close a half-closed connection; clients that wait for an answer keep both halves open."""
+        self._watch_unsent()
         return False
 
-    def _parse(self, data: bytes) -> None:
-        """Parse bytes; no upgrade is accepted, so that HTTP follows a request that offers one."""
-        while data and not self._is_input_ignored:
-            try:
-                self._parser.feed_data(data)
-                return
-            except httptools.HttpParserUpgrade as upgrade:
-                self._parser = httptools.HttpRequestParser(self)
-                data = data[upgrade.args[0] :]
+    def _parse(self, data: bytes | memoryview = b"") -> None:
+        """Parse received bytes and what waits before them, as far as it may begin."""
+        limit = self._get_limits().head_bytes
+        try:
+            if data:
+                self._input.add(data, limit)
+            while not self._is_input_ignored and self._input.advance(limit, self._may_begin):
+                pass
+        except httptools.HttpParserError:
+            self._refuse(400)
+        except InputTooLargeError:
+            self._refuse(431)
+        if self._input.size:
+            self._hold_input()
+
+    def _may_begin(self, cost: int) -> bool:
+        """Return whether a head with this estimated size is parsed now; refuse one without room."""
+        is_ahead = self._task is not None or bool(self._queue)
+        is_ahead = is_ahead or self._is_turn_due or self._is_blocked()
+        if is_ahead:
+            is_over = self._parsed_bytes + cost > MAX_PARSED_AHEAD_BYTES
+            if is_over or len(self._queue) >= MAX_QUEUED_REQUESTS:
+                return False
+        if not self._heads.resize(self._parsed_bytes + cost):
+            if not is_ahead:
+                self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            return False
+        self._parsed_bytes += cost
+        self._head_costs.append(cost)
+        return True
+
+    def _hold_input(self) -> None:
+        """Account for input that is not parsed, and time its head or pause reading."""
+        if not self._heads.resize(self._parsed_bytes + self._input.size):
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        if not self._is_receiving:
+            self._is_receiving = True
+            self._first_request_due_at = None
+            if self._task is None and not self._input.is_head_waiting:
+                self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
+        is_full = self._input.is_head_waiting and self._input.size >= MAX_UNPARSED_BYTES
+        if is_full and self._transport:
+            self._transport.pause_reading()
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        """Reset the state for a new request, and time its head if no answer is due before it."""
+        """Reset the state for a new request."""
         self._start_message()
         self._is_receiving = True
         self._first_request_due_at = None
-        if self._task is None and not self._is_input_ignored:
-            self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -174,17 +260,20 @@
             self._refuse(431)
         elif not self._is_head_valid():
             self._refuse(400)
-        elif int(self._headers.get("content-length") or 0) > limits.body_bytes:
+        elif self._read_length() > limits.body_bytes:
             self._refuse(413)
         else:
             self._hold_body()
         if self._is_input_ignored:
             return  # the timer that closes the refused connection stays
+        is_chunked = self._headers.get("transfer-encoding") is not None
+        self._input.begin_body(None if is_chunked else self._read_length())
         self._is_continue_due = (self._headers.get("expect") or "").lower() == "100-continue"
         self._begin_body()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._input.record_body()
         self._body += body
         if len(self._body) > self._get_limits().body_bytes:
             self._refuse(413)
@@ -196,8 +285,11 @@
     def _hold_body(self) -> None:
         """Reserve memory for the body whose size is announced, or refuse the request."""
         caller = self._headers.get("authorization") or self._read_peer()
-        self._holding = self._memory.open(HeldKind.BODIES, caller)
-        self._resize_holding(int(self._headers.get("content-length") or 0))
+        self._holding = self._resources.memory.open(HeldKind.BODIES, caller)
+        self._resize_holding(self._read_length())
+
+    def _read_length(self) -> int:
+        return int(self._headers.get("content-length") or 0)
 
     def _resize_holding(self, body_bytes: int) -> None:
         if not self._holding.resize(BODY_COPIES * body_bytes):
@@ -209,22 +301,25 @@
 
     def on_message_complete(self) -> None:
         """Queue the request and handle it if no other one is running."""
+        self._input.end_message()
         if self._is_input_ignored:
             return
         self._set_timer(0.0, None)
+        parser = self._input.parser
         request = ClientRequest(
-            method=self._parser.get_method().decode("latin-1"),
+            method=parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
             headers=self._headers,
             body=bytes(self._body),
             received_at=self._loop.time(),
-            is_http_10=self._parser.get_http_version() == "1.0",
+            is_http_10=parser.get_http_version() == "1.0",
             holding=self._holding,
         )
         self._holding = open_unlimited()
         self._start_message()
         self._queue.append(request)
-        self._keep_alive = self._parser.should_keep_alive()
+        self._keep_alive = parser.should_keep_alive()
+        self._resources.connections.record_request(self)
         if len(self._queue) >= MAX_QUEUED_REQUESTS and self._transport:
             self._transport.pause_reading()
         self._run_next()
@@ -249,8 +344,8 @@
             return False
         if self._transport is None or self._is_draining():
             return True  # without a transport it is accepted, but not set up yet
-        is_waited_for = self._is_receiving or self._is_first_request_due()
-        return is_waited_for or self._task is not None or self._is_answer_unsent()
+        is_waited_for = self._is_receiving or self._queue or self._is_first_request_due()
+        return bool(is_waited_for) or self._task is not None or self._is_answer_unsent()
 
     def _is_first_request_due(self) -> bool:
         due_at = self._first_request_due_at
@@ -276,10 +371,37 @@
 
     def _is_idle(self) -> bool:
         is_reading = self._is_receiving or self._is_input_ignored
-        return self._task is None and not is_reading
+        return self._task is None and not self._queue and not is_reading
+
+    @property
+    def is_evictable(self) -> bool:
+        """Return whether no whole request is received, and no answer sent to a client that reads.
+
+        Closing such a connection tells its client that the request has not run.
+        """
+        if self._transport is None or self._is_lost or self._is_lingering or self._task:
+            return False
+        if self._unsent and self._unsent.is_active:
+            return self._unsent.measure_seconds() > STALLED_SECONDS
+        return not self._queue and not self._input.is_head_waiting
+
+    def _is_blocked(self) -> bool:
+        """Return whether an answer has still to be passed to the kernel."""
+        return self._unsent is not None and self._unsent.is_active
+
+    def _watch_unsent(self) -> None:
+        """Make the transport call ``resume_writing`` once all answers are passed to the kernel."""
+        if self._transport:
+            self._transport.set_write_buffer_limits(high=0)
+
+    def _end_unread(self, cause: Cause) -> None:
+        if self._is_blocked() and self._transport:
+            self._resources.reporter.report(cause, peer=self._read_peer())
+            self._transport.abort()
 
     def _close_silent(self) -> None:
         if self._transport and self._is_idle():
+            self._watch_unsent()
             self._transport.close()
 
     def _begin_body(self) -> None:
@@ -306,12 +428,12 @@
 
     def _is_head_valid(self) -> bool:
         headers = self._headers
-        is_http_11 = self._parser.get_http_version() == "1.1"
+        is_http_11 = self._input.parser.get_http_version() == "1.1"
         if headers.count("host") != 1 and is_http_11:
             return False
         if not self._target.startswith(b"/"):
             return False
-        if self._parser.should_upgrade() and self._is_body_announced():
+        if self._input.parser.should_upgrade() and self._is_body_announced():
             return False  # the parser would not read the body
         return all(headers.count(name) <= 1 for name in self._singleton_fields)
 
@@ -321,7 +443,8 @@
         return has_length or headers.get("transfer-encoding") is not None
 
     def _run_next(self) -> None:
-        if self._task is None and self._queue and self._transport:
+        may_run = self._is_ending or not (self._is_blocked() or self._is_turn_due)
+        if self._task is None and self._queue and self._transport and may_run:
             request = self._queue.popleft()
             self._answer_writer = AnswerWriter(
                 self._transport,
@@ -356,10 +479,17 @@
         finally:
             self._task = None
             request.holding.close()
+            self._release_head()
             if not writer.is_finished and self._transport and not self._transport.is_closing():
                 self._answer_failure(request, writer, reason)
             self._end_answer(writer)
 
+    def _release_head(self) -> None:
+        """Release the account of the head whose request is answered."""
+        if self._head_costs:  # none after the connection is lost
+            self._parsed_bytes -= self._head_costs.popleft()
+            self._heads.resize(self._parsed_bytes + self._input.size)
+
     def _refuse_unhandled(self, request: ClientRequest, writer: AnswerWriter) -> None:
         log_decision(
             Part.CALLERS,
@@ -396,12 +526,36 @@
             # started before the drain without "Connection: close".
             self._log_dropped(len(self._queue), "the answer before them closes the connection")
             self._linger()
-        elif not self._queue and self._refusal_status is not None:
+            return
+        if transport.get_write_buffer_size():
+            self._watch_unsent()
+        self._continue_in_turn()
+
+    def _continue_in_turn(self) -> None:
+        """Continue at once, or when it is the connection's turn if it has sent requests ahead."""
+        if not self._queue and not self._input.size:
+            self._continue()
+        elif not self._is_turn_due:
+            self._is_turn_due = True
+            self._resources.turns.add(self._continue)
+
+    def _continue(self) -> None:
+        """Continue with the next request, or with the refusal of what follows the last one."""
+        self._is_turn_due = False
+        transport = self._transport
+        is_over = transport is None or transport.is_closing() or self._is_lingering
+        if transport is None or is_over or self._task is not None:
+            return
+        if not self._queue and self._refusal_status is not None:
             self._send_refusal(self._refusal_status)
-        else:
+            return
+        if not self._is_input_ignored:
             transport.resume_reading()
-            self._set_input_timer()
-            self._run_next()
+            if not self._input.is_head_waiting:
+                self._set_input_timer()
+        self._run_next()
+        if self._input.size and not self._is_input_ignored:
+            self._parse()
 
     def _log_dropped(self, requests: int, reason: str) -> None:
         if requests:
@@ -414,11 +568,14 @@
         if self._is_input_ignored or self._transport is None:
             return
         self._is_input_ignored = True
+        self._resources.reporter.report(_CAUSES[HTTPStatus(status)], peer=self._read_peer())
+        self._input.close()
         self._holding.close()
+        self._heads.resize(self._parsed_bytes)
         self._body = bytearray()
         self._set_timer(0.0, None)
         self._refusal_status = status
-        if self._task is None:
+        if self._task is None and not self._queue:
             self._send_refusal(status)
 
     def _send_refusal(self, status: int) -> None:
@@ -432,7 +589,9 @@
 
     def _linger(self) -> None:
         """Send EOF now and close the connection ``LINGER_SECONDS`` later."""
-        self._is_input_ignored = True
+        self._is_input_ignored = self._is_lingering = True
+        self._input.close()
+        self._watch_unsent()
         if self._transport:
             if self._transport.can_write_eof():
                 # Fails if the client has already reset the connection.
--- a/turmericproxy/fleet/links.py
+++ b/turmericproxy/fleet/links.py
@@ -5,11 +5,9 @@
 from typing import Protocol
 
 from turmericproxy.core import HostName, read_boottime
-from turmericproxy.edge.sockets import set_user_timeout
 from turmericproxy.fleet.batches import HEARTBEAT, Batch, merge_batches
+from turmericproxy.fleet.incoming import IncomingStreams
 from turmericproxy.fleet.messages import (
-    LENGTH_BYTES,
-    MAX_MESSAGE_BYTES,
     ForwardScope,
     Hello,
     HostUpdate,
@@ -18,13 +16,12 @@
     pack_bundle,
     pack_hello,
     pack_update,
-    unpack_message,
     unpack_update,
 )
 from turmericproxy.fleet.outbox import HUB_HEARTBEAT_INTERVAL_SECONDS, Outbox
 from turmericproxy.fleet.peers import Peer, PeerTable
 from turmericproxy.fleet.routes import Routes, plan_routes
-from turmericproxy.fleet.streams import USER_TIMEOUT_MS, FleetStreams
+from turmericproxy.fleet.streams import FleetStreams
 from turmericproxy.logs import Part, log_event
 from turmericproxy.store import ReaderUpdate
 from turmericproxy.tasks import repeat
@@ -71,6 +68,10 @@
         """Return the state that a newly started host needs."""
 
 
+# Returns what accepts the streams of other hosts, given the own address and the receiver.
+CreateIncoming = Callable[[str, Callable[[Hello, Hello | UpdateBundle], None]], IncomingStreams]
+
+
 class FleetLinks:
     """Exchange updates with the other hosts, directly or through hubs.
 
@@ -86,6 +87,7 @@
         on_peer_lost: Callable[[HostName], None],
         receive_update: Callable[[HostName, ReaderUpdate], None] = lambda _host, _update: None,
         read_clock: Callable[[], float] = read_boottime,
+        create_incoming: CreateIncoming = IncomingStreams,
     ) -> None:
         self._own = own
         self._source = source
@@ -107,15 +109,13 @@
         self._local_outbox, self._remote_outbox = Outbox(1), Outbox(MERGED_BATCHES)
         self._local_queue: list[bytes] = []
         self._remote_queue: list[bytes] = []
-        self._server: asyncio.Server | None = None
+        self._incoming = create_incoming(own.address, self._receive_message)
         self._task: asyncio.Task[None] | None = None
-        self._incoming: set[asyncio.StreamWriter] = set()
         self._is_closing = False
 
     async def start(self) -> None:
         """Listen for peers, and start to send updates."""
-        ip, _, port = self._own.address.rpartition(":")
-        self._server = await asyncio.start_server(self._accept, ip, int(port))
+        self._incoming.start()
         self._task = asyncio.get_running_loop().create_task(
             repeat(Part.PEERS, "send updates", self._send_updates)
         )
@@ -129,10 +129,7 @@
         if self._task:
             self._task.cancel()
         self._streams.close()
-        for writer in self._incoming:
-            writer.close()
-        if self._server:
-            self._server.close()
+        self._incoming.close()
 
     def add_peer(self, hello: Hello) -> None:
         """Add a host, or update its address, and retry a failed connection to it at once."""
@@ -268,26 +265,11 @@
             UpdateBundle(ForwardScope.NOBODY, (introduction,))
         )
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        set_user_timeout(writer.transport, USER_TIMEOUT_MS)
-        self._incoming.add(writer)
-        hello: Hello | None = None
-        try:
-            while True:
-                message = await _read_message(reader)
-                if isinstance(message, Hello):
-                    hello = message
-                    self.add_peer(hello)
-                elif hello:
-                    self._receive_bundle(hello, message)
-        except asyncio.IncompleteReadError:
-            pass
-        except (OSError, MessageError) as error:
-            host = hello.host if hello else None
-            log_event(Part.PEERS, "incoming stream failed", peer=host, reason=repr(error))
-        finally:
-            self._incoming.discard(writer)
-            writer.close()
+    def _receive_message(self, hello: Hello, message: Hello | UpdateBundle) -> None:
+        if isinstance(message, Hello):
+            self.add_peer(message)
+        else:
+            self._receive_bundle(hello, message)
 
     def _receive_bundle(self, hello: Hello, bundle: UpdateBundle) -> None:
         now = self._read_clock()
@@ -327,10 +309,3 @@
             self.peers.record_alive(content.alive)
         if content is not HEARTBEAT:
             self._receive_batch(sender, content)
-
-
-async def _read_message(reader: asyncio.StreamReader) -> Hello | UpdateBundle:
-    size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-    if size > MAX_MESSAGE_BYTES:
-        raise MessageError(f"message of {size} bytes exceeds the limit")
-    return unpack_message(await reader.readexactly(size))
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Callable
 from http import HTTPStatus
 
 from turmericproxy.core import (
@@ -18,8 +19,13 @@
 from turmericproxy.core.memory import MemoryAccount
 from turmericproxy.crashes.controller import CrashController
 from turmericproxy.crashes.persistence import BlockKeeper
-from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeResources, EdgeServer
+from turmericproxy.edge.causes import CauseReporter
+from turmericproxy.edge.connection_table import ConnectionTable
+from turmericproxy.edge.resources import compute_client_connections, compute_incoming_streams
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
+from turmericproxy.fleet.incoming import IncomingStreams
+from turmericproxy.fleet.messages import UpdateBundle
 from turmericproxy.host.adapter import SiteAdapter
 from turmericproxy.host.cache_following import CachePollerManager
 from turmericproxy.host.directory import HostDirectory
@@ -84,6 +90,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._is_draining = False
         self._memory = MemoryAccount(HELD_MEMORY_SHARE * settings.memory_mb * 1e6)
+        self._edge = self._create_edge_resources()
         incarnation = Incarnation(create_id()[:INCARNATION_DIGITS])
         own = Hello(settings.host, settings.links, settings.domain, incarnation, settings.link_mbps)
         self._limits = LimitController(settings.host, self._describe_fleet, self._metrics)
@@ -133,6 +140,7 @@
             self._updates.receive,
             self._updates.forget_peer,
             self._receive_reader_update,
+            create_incoming=self._create_incoming_streams,
         )
         self._relayed_store = RelayedStore(
             adapter.store,
@@ -191,10 +199,14 @@
             self._get_limits,
             adapter.singleton_fields,
             self._answer_unreadable,
-            self._memory,
+            self._edge,
+        )
+        self._readiness = EdgeServer(
+            settings.readiness, self._answer_readiness, resources=self._edge
+        )
+        self._metrics_server = EdgeServer(
+            settings.metrics, self._answer_metrics, resources=self._edge
         )
-        self._readiness = EdgeServer(settings.readiness, self._answer_readiness)
-        self._metrics_server = EdgeServer(settings.metrics, self._answer_metrics)
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -250,6 +262,29 @@
         await self._links.close()
         log_event(Part.HOST, "stopped", unfinished=self._callers.active)
 
+    def _create_edge_resources(self) -> EdgeResources:
+        settings = self._settings
+        reporter = CauseReporter(
+            lambda cause: self._metrics.count("limited_clients", cause=cause.value)
+        )
+        limit = settings.client_connections or compute_client_connections(settings.max_descriptors)
+        connections = ConnectionTable(limit, reporter)
+        return EdgeResources(self._memory, connections, reporter, settings.unread_seconds)
+
+    def _create_incoming_streams(
+        self, address: str, receive: Callable[[Hello, Hello | UpdateBundle], None]
+    ) -> IncomingStreams:
+        settings = self._settings
+        limit = settings.incoming_links or compute_incoming_streams(settings.max_descriptors)
+        return IncomingStreams(
+            address,
+            receive,
+            self._memory,
+            self._edge.reporter,
+            limit,
+            settings.introduction_seconds,
+        )
+
     def _create_rollout(self) -> RolloutController:
         settings, adapter = self._settings, self._adapter
         # The holder is a machine, not a process: a restarted host still holds its lease.
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -1,9 +1,11 @@
 """Settings of a host that reads its configuration from a table store."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from turmericproxy.core import HostName
+from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
+from turmericproxy.fleet.incoming import INTRODUCTION_SECONDS
 from turmericproxy.fleet.quotas import QuotaTolerance
 
 
@@ -17,7 +19,11 @@
     the requests plus a fixed number. ``grace`` is the time from SIGTERM to the end of the process,
     ``quota_tolerance`` the excess that users allow because hosts count separately. ``link_mbps`` is
     the bandwidth of the machine's network link in Mbit/s; hosts with high bandwidth relay the
-    batches of others. A process that exceeds ``memory_mb``, in MB, is ended.
+    batches of others. A process that exceeds ``memory_mb``, in MB, is ended; one that has
+    ``max_descriptors`` open gets no more, of which ``client_connections`` may be connections of
+    clients and ``incoming_links`` those of other hosts. An answer of which nothing is read for
+    ``unread_seconds`` ends its connection, a stream that has not introduced its host within
+    ``introduction_seconds`` is closed.
     """
 
     host: HostName
@@ -36,6 +42,11 @@
     quota_tolerance: QuotaTolerance
     link_mbps: int = 0
     memory_mb: float = math.inf
+    max_descriptors: float = field(default_factory=read_descriptor_limit)
+    client_connections: float = 0
+    incoming_links: float = 0
+    unread_seconds: float = UNREAD_ANSWER_SECONDS
+    introduction_seconds: float = INTRODUCTION_SECONDS
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
@@ -44,3 +55,9 @@
             raise ValueError("retry_share, retry_reserve and link_mbps must not be negative")
         if self.memory_mb <= 0:
             raise ValueError("memory_mb must be positive")
+        if min(self.max_descriptors, self.unread_seconds, self.introduction_seconds) <= 0:
+            raise ValueError(
+                "max_descriptors, unread_seconds and introduction_seconds must be positive"
+            )
+        if min(self.client_connections, self.incoming_links) < 0:
+            raise ValueError("client_connections and incoming_links must not be negative")
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 
 from turmericproxy.core import HostName
+from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
+from turmericproxy.fleet.incoming import INTRODUCTION_SECONDS
 from turmericproxy.fleet.quotas import QuotaTolerance
 from turmericproxy.host.site_settings import SiteHostSettings
 
@@ -55,6 +57,19 @@
             ),
             link_mbps=int(reader.read_number("limits.link_mbps", default="0")),
             memory_mb=reader.read_number("limits.memory_mb", default="inf"),
+            max_descriptors=reader.read_number(
+                "limits.max_fds", default=str(read_descriptor_limit())
+            ),
+            client_connections=reader.read_number("limits.client_connections", default="0"),
+            incoming_links=reader.read_number("limits.incoming_links", default="0"),
+            unread_seconds=reader.read_number(
+                "limits.unread_answer_ms", default=str(UNREAD_ANSWER_SECONDS * 1000)
+            )
+            / 1000,
+            introduction_seconds=reader.read_number(
+                "limits.introduction_ms", default=str(INTRODUCTION_SECONDS * 1000)
+            )
+            / 1000,
         )
     except _SettingError as error:
         return error.fault
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -15,7 +15,7 @@
 from urllib.parse import parse_qsl, unquote
 
 from turmericproxy.core import ResultCode, create_id, refuse
-from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeServer
+from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits, EdgeResources, EdgeServer
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.web.error_bodies import describe_refusal
 
@@ -106,7 +106,7 @@
 
     An event loop in a separate thread reads the requests, so that slow clients occupy no thread of
     the pool. ``timeout`` bounds, in seconds, the time for a head, the time for a body and the time
-    between two requests.
+    between two requests. ``resources`` bound memory and connections.
     """
 
     def __init__(
@@ -117,13 +117,18 @@
         threads: int = 32,
         timeout: int = 30,
         body_bytes: int = MAX_BODY_BYTES,
+        resources: EdgeResources | None = None,
     ) -> None:
         self._handler = handler
         limits = EdgeLimits(
             body_bytes=body_bytes, head_seconds=float(timeout), idle_seconds=float(timeout)
         )
         self._server = EdgeServer(
-            address, self._answer, lambda: limits, build_refusal=_build_refusal
+            address,
+            self._answer,
+            lambda: limits,
+            build_refusal=_build_refusal,
+            resources=resources,
         )
         self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
         self._loop = asyncio.new_event_loop()
@@ -299,6 +304,7 @@
 _REFUSAL_CODES = {
     408: ResultCode.REQUEST_TIMEOUT,
     413: ResultCode.BODY_TOO_LARGE,
+    503: ResultCode.OVERLOADED,
 }
 
 
