Refuse at once what engines under pressure can't answer in time

With the entry `pressure` in `contracts`, a host measures the wait at the best engines of a service. Under pressure it refuses a request that would miss its target, and less urgent ones while the queue is longer than what the tightest more urgent target leaves. Accounts above their max-min fair share give way first, and no engine gets more than its memory holds. Without the entry no controller is created.

`Placement` moves to a module of its own, which the new package needs too.

--- /dev/null
+++ b/turmericproxy/admission/controller.py
@@ -0,0 +1,297 @@
+"""Keep the inputs of admission decisions and refuse what can't be answered in time."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from turmericproxy.admission.decision import (
+    AdmissionInputs,
+    Reason,
+    compute_position,
+    compute_retry_after,
+    decide,
+)
+from turmericproxy.admission.memory import LostWorkMonitor, find_full_engines
+from turmericproxy.admission.pressure import (
+    NO_PRESSURE,
+    Pressure,
+    find_best_wait,
+    update_pressure,
+)
+from turmericproxy.admission.priorities import ServiceBounds, compute_bounds, list_classes
+from turmericproxy.admission.shares import (
+    DecayedSum,
+    Demand,
+    DemandMeter,
+    compute_account_share,
+    compute_level,
+)
+from turmericproxy.core import AccountName, HostName, Refusal, ResultCode, refuse
+from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.logs import Part, log_decision, log_event
+from turmericproxy.metrics import Metrics
+from turmericproxy.placement.registry import UpstreamRegistry, UpstreamState
+from turmericproxy.placement.selection import list_available
+from turmericproxy.traffic.placements import Placement
+from turmericproxy.traffic.routed_request import RoutedRequest
+from turmericproxy.traffic.site import Site
+
+# Minimum interval between two measurements of a service's waits, which look at all its engines.
+# Hosts hear of each other's work every 40 ms.
+MEASURE_INTERVAL_SECONDS = 0.02
+# Interval between two updates of the fair shares.
+SHARES_INTERVAL_SECONDS = 0.1
+# Weight of the newest prompt in the smoothed duration of the prompts of a priority.
+OWN_SECONDS_SMOOTHING = 0.1
+
+
+@dataclass
+class _ServiceState:
+    """State of one service; ``admitted`` holds the admitted prefill tokens by priority."""
+
+    bounds: ServiceBounds
+    site: Site
+    pressure: Pressure = NO_PRESSURE
+    best_wait: float = 0.0
+    own_seconds: dict[int, float] = field(default_factory=dict)
+    admitted: dict[int, DecayedSum] = field(default_factory=dict)
+
+
+class AdmissionController:
+    """Admit or refuse requests to engines.
+
+    ``read_totals`` returns what each account has spent at all hosts so far, in its unit, and
+    ``is_unreachable`` whether a failure domain can't be reached.
+    """
+
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        read_totals: Callable[[], Mapping[AccountName, int]],
+        is_unreachable: Callable[[str], bool],
+        read_clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._registry = registry
+        self._read_totals = read_totals
+        self._is_unreachable = is_unreachable
+        self._read_clock = read_clock
+        self._metrics = metrics
+        self._lost_work = LostWorkMonitor()
+        self._meter = DemandMeter()
+        self._services: dict[ServiceName, _ServiceState] = {}
+        self._demands: dict[AccountName, Demand] = {}
+        self._levels: dict[bool, float] = {}
+        self._shares_at = 0.0
+
+    def find_full(
+        self, request: RoutedRequest, states: Sequence[UpstreamState]
+    ) -> frozenset[InstanceId]:
+        """Return the engines whose memory the request would exceed."""
+        traits, prompt = request.service.engine, request.parsed.prompt
+        if traits is None or prompt is None:
+            return frozenset()
+        now = self._read_clock()
+        lost = {s.entry.instance: self._lost_work.count_tokens(s, now) for s in states}
+        needed = prompt.prompt_tokens + prompt.output_tokens
+        return find_full_engines(states, needed, traits.capacity_tokens, lost)
+
+    def refuse_full(self, request: RoutedRequest, full: int) -> Refusal:
+        """Refuse a request that no engine has memory for."""
+        reason = f"{full} engines of {request.service.name} have no memory left for the prompt"
+        return self._refuse(request, Reason.MEMORY, reason, 0.0, {"full": full})
+
+    def judge(
+        self, request: RoutedRequest, placed: Placement, states: Sequence[UpstreamState]
+    ) -> Refusal | None:
+        """Return a refusal unless the request is admitted to the engine that was chosen for it."""
+        if placed.prompt is None:
+            return None
+        now = self._read_clock()
+        service = self._measure(request, states, now)
+        queue_seconds = self._estimate_queue(placed)
+        self._record_own_seconds(service, request.priority, placed, queue_seconds)
+        is_first = request.attempt_counts.total == 0
+        if is_first and request.account:
+            self._meter.record_offered(request.account.name, request.priority, request.cost, now)
+        if request.attempt_counts.possible_runs or request.writer.is_started:
+            # Its client can't be told any more that it has not run.
+            return None
+        inputs = AdmissionInputs(
+            position=compute_position(request.parsed.request_id, "account"),
+            is_under_pressure=service.pressure.is_high,
+            age=now - request.parsed.raw.received_at,
+            expected_seconds=placed.expected_seconds,
+            queue_seconds=queue_seconds,
+            ahead_share=_compute_ahead_share(service, request.priority, now),
+            target=request.route.target_latency,
+            best_wait=service.best_wait,
+            bound=service.bounds.find(request.priority),
+            account_share=self._find_account_share(request, service, now),
+        )
+        reason = decide(inputs)
+        if reason is Reason.ADMITTED:
+            self._record_admitted(service, request.priority, placed, now)
+            return None
+        if is_first and request.account:
+            self._meter.record_refused(request.account.name, request.cost, now)
+        backlog = service.best_wait - (inputs.bound or service.bounds.base)
+        terms = {
+            "pressure": round(service.pressure.ratio, 3),
+            "age": round(inputs.age, 3),
+            "expected": round(inputs.expected_seconds, 3),
+            "queue": round(queue_seconds, 3),
+            "ahead_share": round(inputs.ahead_share, 2),
+            "target": inputs.target,
+            "best_wait": round(inputs.best_wait, 3),
+            "bound": None if inputs.bound is None else round(inputs.bound, 3),
+            "account_share": round(inputs.account_share, 3),
+        }
+        text = f"{request.service.name} is under pressure: {reason.value}"
+        return self._refuse(request, reason, text, backlog, terms)
+
+    def record_lost_peer(self, host: HostName) -> None:
+        """Remember what a lost peer has at engines; call this before its work is forgotten."""
+        self._lost_work.record_lost(host, self._registry.list_states(), self._read_clock())
+
+    def record_peer_state(self, host: HostName) -> None:
+        """Forget what a peer had at engines when it was lost: it has reported its current work."""
+        self._lost_work.record_returned(host)
+
+    def update(self, site: Site | None) -> None:
+        """Sample the demand of accounts; call this several times a second."""
+        now = self._read_clock()
+        self._meter.record_totals(self._read_totals(), now)
+        for name, service in self._services.items():
+            if site is not None and service.site is not site:
+                service.site = site
+                service.bounds = compute_bounds(list_classes(site, name), service.own_seconds)
+        if site is not None:
+            self._meter.retain({a.name: a.rate for a in site.accounts})
+
+    def export_gauges(self) -> None:
+        """Set the gauge of the pressure by service."""
+        ratios = {str(name): state.pressure.ratio for name, state in self._services.items()}
+        self._metrics.set_gauges("admission_pressure", "service", ratios)
+
+    def _measure(
+        self, request: RoutedRequest, states: Sequence[UpstreamState], now: float
+    ) -> _ServiceState:
+        name, site = request.service.name, request.site
+        service = self._services.get(name)
+        if service is None:
+            service = _ServiceState(compute_bounds(list_classes(site, name), {}), site)
+            self._services[name] = service
+        elif now - service.pressure.measured_at < MEASURE_INTERVAL_SECONDS:
+            return service
+        available = list_available(states, self._is_unreachable, now)
+        service.best_wait = find_best_wait(
+            [
+                s.pending_prefill_tokens / s.tokens_per_second + max(0.0, s.loading_until - now)
+                for s in available
+            ]
+        )
+        service.bounds = compute_bounds(list_classes(service.site, name), service.own_seconds)
+        previous = service.pressure
+        sample = service.best_wait / service.bounds.base
+        service.pressure = update_pressure(previous, sample, now)
+        if service.pressure.is_high is not previous.is_high:
+            log_event(
+                Part.ROUTING,
+                "pressure began" if service.pressure.is_high else "pressure ended",
+                service=name,
+                ratio=round(service.pressure.ratio, 3),
+                best_wait=round(service.best_wait, 3),
+                bound=round(service.bounds.base, 3),
+                engines=len(available),
+            )
+        return service
+
+    def _estimate_queue(self, placed: Placement) -> float:
+        state = self._registry.find(placed.instance)
+        seconds = placed.queued_tokens / state.tokens_per_second if state else 0.0
+        return min(placed.expected_seconds, seconds)
+
+    def _record_own_seconds(
+        self, service: _ServiceState, priority: int, placed: Placement, queue_seconds: float
+    ) -> None:
+        seconds = placed.expected_seconds - queue_seconds
+        known = service.own_seconds.get(priority, seconds)
+        service.own_seconds[priority] = known + OWN_SECONDS_SMOOTHING * (seconds - known)
+
+    def _record_admitted(
+        self, service: _ServiceState, priority: int, placed: Placement, now: float
+    ) -> None:
+        admitted = service.admitted.get(priority)
+        if admitted is None:
+            admitted = service.admitted[priority] = DecayedSum()
+        admitted.add(placed.work.pending_prefill_tokens, now)
+        self._metrics.count("admissions", priority=str(priority))
+
+    def _find_account_share(
+        self, request: RoutedRequest, service: _ServiceState, now: float
+    ) -> float:
+        account = request.account
+        if account is None or not service.pressure.is_high:
+            return 1.0
+        self._update_shares(request.site, now)
+        demand = self._demands.get(account.name)
+        if demand is None:
+            return 1.0
+        more_urgent, same = self._meter.split_offered(account.name, request.priority, now)
+        fair = self._levels[account.is_counted_in_tokens] * demand.weight
+        return compute_account_share(fair, more_urgent * demand.offered, same * demand.offered)
+
+    def _update_shares(self, site: Site, now: float) -> None:
+        """Update the fair levels; accounts that count tokens don't compete with the others."""
+        if now - self._shares_at < SHARES_INTERVAL_SECONDS:
+            return
+        self._shares_at = now
+        self._demands = {}
+        for is_counted_in_tokens in (False, True):
+            weights = {
+                a.name: a.rate
+                for a in site.accounts
+                if a.is_counted_in_tokens is is_counted_in_tokens
+            }
+            demands = self._meter.estimate_demands(weights, now)
+            self._levels[is_counted_in_tokens] = compute_level(demands)
+            self._demands.update(demands)
+
+    def _refuse(
+        self,
+        request: RoutedRequest,
+        reason: Reason,
+        text: str,
+        backlog_seconds: float,
+        terms: Mapping[str, object],
+    ) -> Refusal:
+        self._metrics.count(
+            "admission_refusals", priority=str(request.priority), reason=reason.value
+        )
+        retry_after = compute_retry_after(
+            backlog_seconds,
+            request.deadline - self._read_clock(),
+            compute_position(request.parsed.request_id, "retry"),
+        )
+        log_decision(
+            Part.ROUTING,
+            "admission refused",
+            request_id=request.parsed.request_id,
+            service=request.service.name,
+            priority=request.priority,
+            account=request.account.name if request.account else None,
+            cause=reason.value,
+            retry_after=retry_after,
+            **terms,
+        )
+        return refuse(ResultCode.OVERLOADED, text, retry_after=retry_after)
+
+
+def _compute_ahead_share(service: _ServiceState, priority: int, now: float) -> float:
+    """Return the share of the admitted prompts that engines serve before one of a priority."""
+    ahead = total = 0.0
+    for other, admitted in service.admitted.items():
+        tokens = admitted.read(now)
+        total += tokens
+        ahead += tokens if other <= priority else 0.0
+    return ahead / total if total > 0.0 else 1.0
--- /dev/null
+++ b/turmericproxy/admission/decision.py
@@ -0,0 +1,83 @@
+"""Decide whether one request is admitted, and when a refused one may return."""
+
+import zlib
+from dataclasses import dataclass
+from enum import Enum
+
+from turmericproxy.core import RequestId
+
+# Share of the time between an urgent prompt's own duration and its target that less urgent prompts
+# may fill. The rest is for what hosts admit before they hear of each other's requests.
+HEADROOM_SHARE = 0.5
+# Factor of the bound for accounts within their fair share, so that others give way first.
+WITHIN_SHARE_FACTOR = 1.5
+# Range of the spread of Retry-After, from 0.
+SPREAD_SECONDS = 0.4
+MIN_RETRY_AFTER_SECONDS = 0.05
+MAX_RETRY_AFTER_SECONDS = 3.0
+# Largest share of a request's remaining time for Retry-After: clients wait for up to a third of it.
+RETRY_AFTER_SHARE = 0.3
+CRC32_RANGE = 2**32
+
+
+class Reason(Enum):
+    """Reason of a decision."""
+
+    ADMITTED = "admitted"
+    LATE = "late"
+    HEADROOM = "headroom"
+    ACCOUNT_SHARE = "account_share"
+    MEMORY = "memory"
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionInputs:
+    """Inputs of the decision on one request; times are in seconds.
+
+    ``position`` is a fixed position of the request from 0 to 1. ``expected_seconds`` is the time to
+    the first token, of which ``queue_seconds`` are spent behind other prompts; ``ahead_share`` is
+    the share of them that engines serve before this one. ``best_wait`` is the wait at the service's
+    best engines and ``bound`` the one up to which prompts of this priority are admitted, ``None``
+    for the most urgent. ``account_share`` is the share of such requests of the account that its
+    fair share has room for.
+    """
+
+    position: float
+    is_under_pressure: bool
+    age: float
+    expected_seconds: float
+    queue_seconds: float
+    ahead_share: float
+    target: float
+    best_wait: float
+    bound: float | None
+    account_share: float = 1.0
+
+
+def decide(inputs: AdmissionInputs) -> Reason:
+    """Return ``ADMITTED``, or the reason to refuse the request."""
+    if not inputs.is_under_pressure:
+        return Reason.ADMITTED
+    if inputs.position >= inputs.account_share:
+        return Reason.ACCOUNT_SHARE
+    queue_seconds = inputs.queue_seconds * inputs.ahead_share
+    if inputs.age + inputs.expected_seconds - inputs.queue_seconds + queue_seconds > inputs.target:
+        return Reason.LATE
+    if inputs.bound is None:
+        return Reason.ADMITTED
+    factor = WITHIN_SHARE_FACTOR if inputs.account_share >= 1.0 else 1.0
+    if inputs.best_wait > factor * inputs.bound:
+        return Reason.HEADROOM
+    return Reason.ADMITTED
+
+
+def compute_position(request_id: RequestId, purpose: str) -> float:
+    """Return a fixed position of a request from 0 to 1, independent for each purpose."""
+    return zlib.crc32(f"{purpose}/{request_id}".encode()) / CRC32_RANGE
+
+
+def compute_retry_after(backlog_seconds: float, seconds_left: float, position: float) -> float:
+    """Return the seconds until the backlog is prefilled, plus a spread, within what is useful."""
+    seconds = max(0.0, backlog_seconds) + position * SPREAD_SECONDS
+    limit = min(MAX_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * seconds_left)
+    return round(max(MIN_RETRY_AFTER_SECONDS, min(limit, seconds)), 2)
--- a/turmericproxy/fleet/quotas.py
+++ b/turmericproxy/fleet/quotas.py
@@ -93,6 +93,7 @@
         self._changed: set[AccountName] = set()
         self._peers: dict[HostName, _PeerSpending] = {}
         self._inherited: dict[AccountName, int] = {}
+        self._spent_by_peers: dict[AccountName, int] = {}
         self._share = 1.0
 
     def apply_site(self, site: Site) -> None:
@@ -171,6 +172,8 @@
         now = self._read_microseconds()
         for name, total in spent.items():
             change = known.record(name, total)
+            if change:
+                self._spent_by_peers[name] = self._spent_by_peers.get(name, 0) + change
             bucket = self._buckets.get(name)
             if bucket is not None and change:
                 self._buckets[name] = charge_up_to_depth(bucket, change * MICRO, now)
@@ -204,6 +207,16 @@
         """Return the tokens spent on this host since its start, by account."""
         return dict(self._spent)
 
+    def list_fleet_spent(self) -> dict[AccountName, int]:
+        """Return the tokens spent by account, on this host and as far as known on its peers.
+
+        Spending of peers counts from the first report in which its increase is known.
+        """
+        spent = self.list_spent()
+        for name, total in self._spent_by_peers.items():
+            spent[name] = spent.get(name, 0) + total
+        return spent
+
     def list_levels(self) -> dict[AccountName, int]:
         """Return the levels of all buckets in micro-tokens, for a newly started host."""
         now = self._read_microseconds()
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from turmericproxy.admission import AdmissionController
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController, CrashState
@@ -41,6 +42,8 @@
         self._wanted = wanted
         self._crashes = crashes
         self._limits = limits
+        # Set where the deployment asks for admission control.
+        self.admission: AdmissionController | None = None
         self._sent_reachability: bool | None = None
         self._sent_kept_epoch: int | None = None
         self._loading: list[tuple[InstanceId, float]] = []
@@ -129,8 +132,7 @@
             hello.host, LimitState(batch.limits, batch.permit_reports, batch.permit_grants)
         )
         if batch.is_full_state:
-            self._registry.forget_peer(hello.host)
-            self._crashes.record_complete_state(hello.host)
+            self._begin_full_state(hello.host)
         self._registry.set_peer_work(hello.host, batch.work)
         for prompt in batch.placed_prompts:
             state = self._registry.find(prompt.instance)
@@ -156,6 +158,13 @@
                 hello.host, hello.incarnation, batch.spent, is_complete=batch.is_full_state
             )
 
+    def _begin_full_state(self, host: HostName) -> None:
+        """Discard what a peer reported before the full state that it has sent."""
+        self._registry.forget_peer(host)
+        if self.admission:
+            self.admission.record_peer_state(host)
+        self._crashes.record_complete_state(host)
+
     def _apply_upstream_changes(self, batch: Batch, now: float) -> None:
         """Apply what a peer has learnt about upstreams.
 
@@ -174,6 +183,8 @@
 
     def forget_peer(self, host: HostName) -> None:
         """Discard the state received from a lost peer."""
+        if self.admission:
+            self.admission.record_lost_peer(host)
         self._registry.forget_peer(host)
         self._quotas.forget_peer(host)
         self._limits.forget_peer(host)
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -5,6 +5,7 @@
 import signal
 from http import HTTPStatus
 
+from turmericproxy.admission import AdmissionController
 from turmericproxy.core import (
     HostName,
     Incarnation,
@@ -127,6 +128,7 @@
             self._crashes,
             self._limits,
         )
+        self._admission = self._create_admission()
         self._links = FleetLinks(
             own,
             self._updates,
@@ -250,6 +252,20 @@
         await self._links.close()
         log_event(Part.HOST, "stopped", unfinished=self._callers.active)
 
+    def _create_admission(self) -> AdmissionController | None:
+        """Return the admission control where the settings ask for it."""
+        if not self._settings.has_admission_control:
+            return None
+        admission = AdmissionController(
+            self._registry,
+            self._quotas.list_fleet_spent,
+            self._domains.is_unreachable,
+            asyncio.get_running_loop().time,
+            self._metrics,
+        )
+        self._dispatcher.admission = self._updates.admission = admission
+        return admission
+
     def _create_rollout(self) -> RolloutController:
         settings, adapter = self._settings, self._adapter
         # The holder is a machine, not a process: a restarted host still holds its lease.
@@ -339,6 +355,8 @@
         rates = {str(i): rate for i, _, rate in limits}
         self._metrics.set_gauges("upstream_rate", "upstream", rates)
         self._metrics.set_gauges("held_bytes", "kind", self._memory.list_held())
+        if self._admission:
+            self._admission.export_gauges()
         text = self._metrics.render_text().encode()
         writer.send(200, [("Content-Type", "text/plain; version=0.0.4")], text)
 
@@ -348,6 +366,8 @@
         reserve = self._compute_reserve()
         for budget in self._budgets.values():
             budget.set_reserve(reserve)
+        if self._admission:
+            self._admission.update(self._follower.site)
 
     async def _update_cache_pollers(self) -> None:
         await asyncio.sleep(POLLER_UPDATE_INTERVAL_SECONDS)
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -17,7 +17,8 @@
     the requests plus a fixed number. ``grace`` is the time from SIGTERM to the end of the process,
     ``quota_tolerance`` the excess that users allow because hosts count separately. ``link_mbps`` is
     the bandwidth of the machine's network link in Mbit/s; hosts with high bandwidth relay the
-    batches of others. A process that exceeds ``memory_mb``, in MB, is ended.
+    batches of others. A process that exceeds ``memory_mb``, in MB, is ended. With
+    ``has_admission_control``, requests that can't be answered in time under load are refused.
     """
 
     host: HostName
@@ -36,6 +37,7 @@
     quota_tolerance: QuotaTolerance
     link_mbps: int = 0
     memory_mb: float = math.inf
+    has_admission_control: bool = False
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -9,6 +9,8 @@
 from turmericproxy.host.site_settings import SiteHostSettings
 
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
+# Entry of ``contracts`` that asks for admission control.
+PRESSURE_CONTRACT = "pressure"
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
             ),
             link_mbps=int(reader.read_number("limits.link_mbps", default="0")),
             memory_mb=reader.read_number("limits.memory_mb", default="inf"),
+            has_admission_control=PRESSURE_CONTRACT in reader.list_contracts(),
         )
     except _SettingError as error:
         return error.fault
@@ -85,6 +88,10 @@
     def read_list(self, name: str) -> list[str]:
         return self.read_text(name).split(",")
 
+    def list_contracts(self) -> list[str]:
+        """Return the entries of ``contracts``, a list that may be missing or empty."""
+        return [entry.strip() for entry in self._values.get("contracts", "").split(",")]
+
     def read_number(self, name: str, default: str = "") -> float:
         try:
             return float(self.read_text(name, default))
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -2,12 +2,12 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from turmericproxy.core import Refusal, RequestId, ResultCode, refuse
+from turmericproxy.admission.controller import AdmissionController
+from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController
-from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS, BrokenPrompt, EngineStart
+from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS, BrokenPrompt
 from turmericproxy.edge.upstream import TIMED_OUT
 from turmericproxy.limits.controller import LimitController
 from turmericproxy.limits.permits import Applicant
@@ -29,6 +29,7 @@
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
 from turmericproxy.traffic.isolation import NO_ISOLATION
+from turmericproxy.traffic.placements import Placement, PromptPlacement
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.site import EngineTraits
@@ -49,37 +50,6 @@
 OLD_WEIGHTS_AGE_SHARE = 0.75
 
 
-@dataclass(frozen=True)
-class Placement:
-    """Upstream chosen for an attempt, with the expected time and work there.
-
-    ``expected_seconds`` is the time to the first token, or of the whole call for a plain request.
-    ``queued_tokens`` are the prompt tokens that the engine had not prefilled at ``placed_at``, a
-    time of the event loop, and ``started_at`` is its start time in Unix milliseconds.
-    """
-
-    instance: InstanceId
-    address: str
-    dispatch: Dispatch
-    expected_seconds: float
-    work: Work
-    prompt: Prompt | None = None
-    keys: tuple[PartKey, ...] = ()
-    queued_tokens: float = 0.0
-    started_at: int = 0
-    request_id: RequestId = RequestId("")
-    placed_at: float = 0.0
-
-    @property
-    def engine(self) -> EngineStart:
-        """Return the start of the engine that was chosen."""
-        return EngineStart(self.instance, self.started_at)
-
-
-# Instance, keys of the shared parts, prompt, and expected seconds until its parts can be fetched.
-PromptPlacement = tuple[InstanceId, tuple[PartKey, ...], Prompt, float]
-
-
 class Dispatcher:
     """Choose upstreams; ``version_seconds`` is how long superseded weights may be used."""
 
@@ -107,6 +77,8 @@
         self.kept_prefixes = PrefixTracker(0)
         # That of the newest configuration, also for requests that arrived before it.
         self.isolation = NO_ISOLATION
+        # Set where the deployment asks for admission control.
+        self.admission: AdmissionController | None = None
         self._placements: list[PromptPlacement] = []
         self._saved_parts: list[PartKey] = []
 
@@ -127,9 +99,12 @@
         if not self._limits.is_loaded:
             reason = "the host has not heard yet which limits upstreams have named"
             return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=self._choose_retry_after())
-        placed, limited = self._place_within_limits(request, states, excluded, resume_after)
+        full = self.admission.find_full(request, states) if self.admission else frozenset()
+        placed, limited = self._place_within_limits(request, states, excluded | full, resume_after)
         if placed is None and limited:
             return self._refuse_limited(request, limited)
+        if placed is None and self.admission and full - excluded:
+            return self.admission.refuse_full(request, len(full))
         if placed is None:
             reason = f"no upstream of {request.service.name} is available"
             return refuse(ResultCode.NO_UPSTREAM, reason, retry_after=self._choose_retry_after())
@@ -141,7 +116,8 @@
             return refuse(
                 ResultCode.DEADLINE_UNREACHABLE, reason, retry_after=self._choose_retry_after()
             )
-        return placed
+        refusal = self.admission.judge(request, placed, states) if self.admission else None
+        return refusal or placed
 
     def _place_within_limits(
         self,
--- a/turmericproxy/traffic/handover.py
+++ b/turmericproxy/traffic/handover.py
@@ -5,8 +5,8 @@
 
 from turmericproxy.edge import UpstreamCall
 from turmericproxy.traffic.attempts import Attempt, Outcome
-from turmericproxy.traffic.dispatching import Placement
 from turmericproxy.traffic.interfaces import MessageCodec
+from turmericproxy.traffic.placements import Placement
 from turmericproxy.traffic.requests import Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.sending import open_call, read_head
--- a/turmericproxy/traffic/sending.py
+++ b/turmericproxy/traffic/sending.py
@@ -4,8 +4,8 @@
 from turmericproxy.edge import UpstreamCall, call_upstream
 from turmericproxy.edge.upstream import NotConnected
 from turmericproxy.traffic.attempts import Attempt, Outcome
-from turmericproxy.traffic.dispatching import Placement
 from turmericproxy.traffic.interfaces import MessageCodec
+from turmericproxy.traffic.placements import Placement
 from turmericproxy.traffic.requests import ParsedAnswer, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 
