--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -117,7 +117,8 @@
             # Its client can't be told any more that it has not run.
             return None
         inputs = AdmissionInputs(
-            position=compute_position(request.parsed.request_id, "account"),
+            account_position=compute_position(request.parsed.request_id, "account"),
+            queue_position=compute_position(request.parsed.request_id, "queue"),
             is_under_pressure=service.pressure.is_high,
             age=now - request.parsed.raw.received_at,
             expected_seconds=placed.expected_seconds,
@@ -168,6 +169,11 @@
         if site is not None:
             self._meter.retain({a.name: a.rate for a in site.accounts})
 
+    def is_under_pressure(self, service: ServiceName) -> bool:
+        """Return whether a service is under pressure, as last measured."""
+        state = self._services.get(service)
+        return state is not None and state.pressure.is_high
+
     def export_gauges(self) -> None:
         """Set the gauge of the pressure by service."""
         ratios = {str(name): state.pressure.ratio for name, state in self._services.items()}
--- a/turmericproxy/admission/decision.py
+++ b/turmericproxy/admission/decision.py
@@ -8,9 +8,15 @@
 
 # Share of the time between an urgent prompt's own duration and its target that less urgent prompts
 # may fill. The rest is for what hosts admit before they hear of each other's requests.
-HEADROOM_SHARE = 0.5
+HEADROOM_SHARE = 0.45
+# Range of factors of the bound, by a request's position. All hosts see the same waits some time
+# later, so a single threshold would make all of them refuse everything or nothing in turn.
+MIN_BOUND_FACTOR = 0.25
+MAX_BOUND_FACTOR = 1.75
+# Smallest share, by a request's position, of the time left for the queue that the queue may take.
+MIN_ROOM_SHARE = 0.3
 # Factor of the bound for accounts within their fair share, so that others give way first.
-WITHIN_SHARE_FACTOR = 1.5
+WITHIN_SHARE_FACTOR = 1.25
 # Range of the spread of Retry-After, from 0.
 SPREAD_SECONDS = 0.4
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -34,15 +40,16 @@
 class AdmissionInputs:
     """Inputs of the decision on one request; times are in seconds.
 
-    ``position`` is a fixed position of the request from 0 to 1. ``expected_seconds`` is the time to
-    the first token, of which ``queue_seconds`` are spent behind other prompts; ``ahead_share`` is
-    the share of them that engines serve before this one. ``best_wait`` is the wait at the service's
-    best engines and ``bound`` the one up to which prompts of this priority are admitted, ``None``
-    for the most urgent. ``account_share`` is the share of such requests of the account that its
-    fair share has room for.
+    ``account_position`` and ``queue_position`` are fixed positions of the request from 0 to 1.
+    ``expected_seconds`` is the time to the first token, of which ``queue_seconds`` are spent behind
+    other prompts; ``ahead_share`` is the share of them that engines serve before this one.
+    ``best_wait`` is the wait at the service's best engines and ``bound`` the one up to which
+    prompts of this priority are admitted, ``None`` for the most urgent. ``account_share`` is the
+    share of such requests of the account that its fair share has room for.
     """
 
-    position: float
+    account_position: float
+    queue_position: float
     is_under_pressure: bool
     age: float
     expected_seconds: float
@@ -58,14 +65,17 @@
     """Return ``ADMITTED``, or the reason to refuse the request."""
     if not inputs.is_under_pressure:
         return Reason.ADMITTED
-    if inputs.position >= inputs.account_share:
+    if inputs.account_position >= inputs.account_share:
         return Reason.ACCOUNT_SHARE
-    queue_seconds = inputs.queue_seconds * inputs.ahead_share
-    if inputs.age + inputs.expected_seconds - inputs.queue_seconds + queue_seconds > inputs.target:
+    own_seconds = inputs.expected_seconds - inputs.queue_seconds
+    room = inputs.target - inputs.age - own_seconds
+    room *= MIN_ROOM_SHARE + inputs.queue_position * (1.0 - MIN_ROOM_SHARE)
+    if inputs.queue_seconds * inputs.ahead_share > room:
         return Reason.LATE
     if inputs.bound is None:
         return Reason.ADMITTED
     factor = WITHIN_SHARE_FACTOR if inputs.account_share >= 1.0 else 1.0
+    factor *= MIN_BOUND_FACTOR + inputs.queue_position * (MAX_BOUND_FACTOR - MIN_BOUND_FACTOR)
     if inputs.best_wait > factor * inputs.bound:
         return Reason.HEADROOM
     return Reason.ADMITTED
--- a/turmericproxy/admission/pressure.py
+++ b/turmericproxy/admission/pressure.py
@@ -9,9 +9,9 @@
 # single clients.
 SMOOTHING_SECONDS = 0.1
 # Ratios of wait to bound from which a service is under pressure, and below which it isn't any more.
-# Refusals keep the ratio near 1, so pressure must not end there.
+# Refusals keep the ratio between 0.25 and 1.75, so pressure ends only below that.
 ENTER_RATIO = 1.0
-LEAVE_RATIO = 0.5
+LEAVE_RATIO = 0.25
 # Largest ratio that a single sample counts as, so that pressure ends soon after a short peak.
 MAX_SAMPLE_RATIO = 4.0
 # Share of a service's engines that must be better than the one whose wait counts. Single engines
