--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -43,7 +43,14 @@
         self.store.put("servers", name, server.describe())
         return server
 
-    async def add_host(self, name: str, domain: str = "a", store: str | None = None) -> SiteHost:
+    async def add_host(
+        self,
+        name: str,
+        domain: str = "a",
+        store: str | None = None,
+        *,
+        has_admission_control: bool = False,
+    ) -> SiteHost:
         callers, readiness, links, metrics = pick_addresses(4)
         settings = SiteHostSettings(
             host=HostName(name),
@@ -60,6 +67,7 @@
             retry_reserve=56.0,
             grace=3.0,
             quota_tolerance=NO_TOLERANCE,
+            has_admission_control=has_admission_control,
         )
         host = SiteHost(settings, create_adapter(settings.store))
         await host.start()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("contracts", "expected"),
+    [
+        (None, False),
+        ("", False),
+        ("rollout,pressured", False),
+        ("pressure", True),
+        ("rollout, pressure", True),
+    ],
+)
+def test_admission_control_is_on_only_if_contracts_ask_for_it(
+    contracts: str | None, expected: bool
+) -> None:
+    values = VALUES if contracts is None else {**VALUES, "contracts": contracts}
+    settings = decode_settings(values)
+    assert isinstance(settings, SiteHostSettings)
+    assert settings.has_admission_control is expected
+
+
 @pytest.mark.parametrize("name", sorted(set(VALUES) - {"a.new.field"}))
 def test_missing_setting_is_named(name: str) -> None:
     fault = decode_settings({n: v for n, v in VALUES.items() if n != name})
