--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -159,3 +159,21 @@
     quotas.record_peer_spending(peer, incarnation, {}, is_complete=True)
     quotas.record_peer_spending(peer, incarnation, {ACCOUNT.name: int(BURST)})
     assert isinstance(quotas.admit(ACCOUNT, COST), Refusal)
+
+
+def test_fleet_spending_counts_what_peers_report_once() -> None:
+    """Guards against a demand that jumps when a peer reports its totals for the first time."""
+    fleet = Fleet(2)
+    own, peer = fleet.hosts
+    own.admit(ACCOUNT, COST)
+    peer.admit(ACCOUNT, COST)
+    fleet.exchange_spending()
+    fleet.exchange_spending()
+    assert own.list_fleet_spent() == {ACCOUNT.name: 2 * COST}
+    peer.refund(ACCOUNT, COST)
+    fleet.exchange_spending()
+    assert own.list_fleet_spent() == {ACCOUNT.name: COST}
+    own.record_peer_spending(HostName("9"), Incarnation("x"), {ACCOUNT.name: 70_000})
+    assert own.list_fleet_spent() == {ACCOUNT.name: COST}
+    own.record_peer_spending(HostName("9"), Incarnation("x"), {ACCOUNT.name: 70_050})
+    assert own.list_fleet_spent() == {ACCOUNT.name: 2 * COST}
--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -236,7 +236,7 @@
         if service.pressure.is_high or queue_seconds >= LEAVE_RATIO * service.bounds.base:
             available = self._list_available(states, now)
             service.best_wait = find_best_wait(
-                [_estimate_wait(state, service.hold_seconds, now) for state in available]
+                [_estimate_wait(state, service.hold_seconds) for state in available]
             )
         service.bounds = compute_bounds(service.classes, service.own_seconds)
         previous = service.pressure
@@ -256,11 +256,16 @@
     def _list_available(
         self, states: Sequence[UpstreamState], now: float
     ) -> Sequence[UpstreamState]:
-        """Return the upstreams that are likely to answer, or all if there is none."""
+        """Return the engines that are likely to answer now, or all if there is none.
+
+        The time to load weights isn't pressure, so loading engines are left out.
+        """
         domains = {state.entry.domain for state in states}
         reachable = {domain for domain in domains if not self._is_unreachable(domain)}
         return [
-            s for s in states if s.entry.domain in reachable and not s.is_suspended(now)
+            s
+            for s in states
+            if s.entry.domain in reachable and s.loading_until <= now and not s.is_suspended(now)
         ] or states
 
     def _split_expected(self, service: _ServiceState, placed: Placement) -> tuple[float, float]:
@@ -346,11 +351,11 @@
         return refuse(ResultCode.OVERLOADED, text, retry_after=retry_after)
 
 
-def _estimate_wait(state: UpstreamState, hold_seconds: float, now: float) -> float:
+def _estimate_wait(state: UpstreamState, hold_seconds: float) -> float:
     """Return the time until an engine begins one more prompt."""
     queue = state.pending_prefill_tokens / state.tokens_per_second
     slots = estimate_slot_wait(state.requests, state.entry.slots, hold_seconds)
-    return max(queue, slots) + max(0.0, state.loading_until - now)
+    return max(queue, slots)
 
 
 def _compute_ahead_share(service: _ServiceState, priority: int, now: float) -> float:
--- a/turmericproxy/admission/memory.py
+++ b/turmericproxy/admission/memory.py
@@ -7,8 +7,8 @@
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.placement.registry import UpstreamState
 
-# Time after which the requests of a lost peer have ended: the longest streams that were observed
-# under load, from their dispatch, with some margin.
+# Time after which most requests of a lost peer have ended. Others can't use the memory until then,
+# so it isn't much longer than usual streams under load.
 LOST_WORK_SECONDS = 6.0
 
 
