--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -23,7 +23,8 @@
     ``max_descriptors`` open gets no more, of which ``client_connections`` may be connections of
     clients and ``incoming_links`` those of other hosts. An answer of which nothing is read for
     ``unread_seconds`` ends its connection, a stream that has not introduced its host within
-    ``introduction_seconds`` is closed.
+    ``introduction_seconds`` is closed. With ``has_admission_control``, requests that can't be
+    answered in time under load are refused.
     """
 
     host: HostName
@@ -47,6 +48,7 @@
     incoming_links: float = 0
     unread_seconds: float = UNREAD_ANSWER_SECONDS
     introduction_seconds: float = INTRODUCTION_SECONDS
+    has_admission_control: bool = False
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -11,6 +11,8 @@
 from turmericproxy.host.site_settings import SiteHostSettings
 
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
+# Entry of ``contracts`` that asks for admission control.
+PRESSURE_CONTRACT = "pressure"
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,7 @@
                 "limits.introduction_ms", default=str(INTRODUCTION_SECONDS * 1000)
             )
             / 1000,
+            has_admission_control=PRESSURE_CONTRACT in reader.list_contracts(),
         )
     except _SettingError as error:
         return error.fault
@@ -100,6 +103,10 @@
     def read_list(self, name: str) -> list[str]:
         return self.read_text(name).split(",")
 
+    def list_contracts(self) -> list[str]:
+        """Return the entries of ``contracts``, a list that may be missing or empty."""
+        return [entry.strip() for entry in self._values.get("contracts", "").split(",")]
+
     def read_number(self, name: str, default: str = "") -> float:
         try:
             return float(self.read_text(name, default))
