Let leases of other tables be held, and read the software version of registrations

Rollouts of software need one deciding host, as loads of weights do: LeaseManager takes the table and key of its row, and the part that its log lines have. Registrations carry the version of an upstream's software; one that isn't text leaves the upstream without a version instead of dropping it, since it was ignored before.

--- a/turmericproxy/placement/entries.py
+++ b/turmericproxy/placement/entries.py
@@ -21,7 +21,7 @@
 
     ``started_at`` is the start time that the upstream reports, in Unix milliseconds; it
     distinguishes a restarted upstream from its predecessor with the same id. ``versions`` holds the
-    version of each model's weights.
+    version of each model's weights, ``software`` the version of the upstream's own software.
     """
 
     instance: InstanceId
@@ -32,3 +32,4 @@
     state: EntryState
     started_at: int = 0
     versions: Mapping[ModelName, int] = field(default_factory=dict)
+    software: str = ""
--- a/turmericproxy/platform/registrations.py
+++ b/turmericproxy/platform/registrations.py
@@ -29,6 +29,7 @@
             state=EntryState(content["state"]),
             started_at=_read_count(content, "born") if "born" in content else 0,
             versions=_read_versions(content.get("models", [])),
+            software=_read_software(content),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         log_event(Part.ROUTING, "invalid registration ignored", key=row.key, reason=repr(error))
@@ -60,6 +61,12 @@
     return value
 
 
+def _read_software(content: dict[str, Any]) -> str:
+    """Return the version of the software; an unusable one leaves the upstream without any."""
+    value = content.get("version")
+    return value if isinstance(value, str) else ""
+
+
 def _read_count(content: dict[str, Any], name: str) -> int:
     value = content[name]
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= MAX_COUNT:
--- a/turmericproxy/rollout/lease_manager.py
+++ b/turmericproxy/rollout/lease_manager.py
@@ -38,7 +38,7 @@
 
     ``guard_seconds`` is the minimum time between the orders of two holders. ``is_first_start``
     means that the whole fleet starts for the first time, so a missing lease was never written
-    unless the store's era has changed in ``eras``.
+    unless the store's era has changed in ``eras``. ``table`` and ``key`` name the lease's row.
     """
 
     def __init__(
@@ -50,8 +50,12 @@
         eras: StoreEras,
         *,
         is_first_start: bool,
+        table: str = LEASE_TABLE,
+        key: str = LEASE_KEY,
+        part: Part = Part.WEIGHTS,
     ) -> None:
         self._store = store
+        self._table, self._key, self._part = table, key, part
         self._eras = eras
         self._is_first_start = is_first_start
         self._unclear: tuple[int, int] | None = None
@@ -75,11 +79,11 @@
         # Counted from before the store's clock was read, so that the lease ends here no later than
         # in the store.
         started = self._read_clock()
-        state = await self._store.read_table(LEASE_TABLE)
+        state = await self._store.read_table(self._table)
         if isinstance(state, Refusal):
-            log_event(Part.WEIGHTS, "lease can't be read", reason=state.reason)
+            log_event(self._part, "lease can't be read", reason=state.reason)
             return EXTENSION_SECONDS / 2
-        row = _find_row(state)
+        row = _find_row(state, self._key)
         view = self._create_view(state, row)
         decision = decide_claim(view, self._holder, self._guard_seconds)
         if isinstance(decision, Wait):
@@ -88,12 +92,12 @@
 
     async def observe(self) -> None:
         """Read the lease, so that a wait for an unknown holder begins now."""
-        state = await self._store.read_table(LEASE_TABLE)
+        state = await self._store.read_table(self._table)
         if isinstance(state, TableState):
-            self._create_view(state, _find_row(state))
+            self._create_view(state, _find_row(state, self._key))
 
     def _create_view(self, state: TableState, row: Row | None) -> LeaseView:
-        current = _read_lease(row)
+        current = _read_lease(row, self._part)
         is_known = current is not None and current.era == state.era
         return LeaseView(
             current=current,
@@ -123,31 +127,31 @@
     async def _write_lease(self, claim: Claim, row: Row | None, started: float) -> float:
         lease = claim.lease
         value = json.dumps([lease.holder, lease.fence, lease.until, lease.era]).encode()
-        condition = Condition(LEASE_TABLE, LEASE_KEY, row.version if row else None)
+        condition = Condition(self._table, self._key, row.version if row else None)
         result = await self._store.commit(
-            Transaction((condition,), (Write(LEASE_TABLE, LEASE_KEY, value),))
+            Transaction((condition,), (Write(self._table, self._key, value),))
         )
         if isinstance(result, Committed) and result.era == lease.era:
             if lease.fence != self.fence:
-                log_event(Part.WEIGHTS, "lease acquired", fence=lease.fence, until=lease.until)
+                log_event(self._part, "lease acquired", fence=lease.fence, until=lease.until)
             self._held_until = started + LEASE_SECONDS
             self.fence = lease.fence
             return 0.0
         if isinstance(result, AnswerLost | Refusal):
-            log_event(Part.WEIGHTS, "lease not acquired", reason=result.reason)
+            log_event(self._part, "lease not acquired", reason=result.reason)
         return EXTENSION_SECONDS / 4
 
 
-def _find_row(state: TableState) -> Row | None:
-    return next((row for row in state.rows if row.key == LEASE_KEY), None)
+def _find_row(state: TableState, key: str) -> Row | None:
+    return next((row for row in state.rows if row.key == key), None)
 
 
-def _read_lease(row: Row | None) -> OrderLease | None:
+def _read_lease(row: Row | None, part: Part = Part.WEIGHTS) -> OrderLease | None:
     if row is None:
         return None
     try:
         holder, fence, until, era = decode_json(row.value)
         return OrderLease(str(holder), int(fence), float(until), int(era))
     except (ValueError, TypeError) as error:
-        log_event(Part.WEIGHTS, "invalid lease", reason=repr(error))
+        log_event(part, "invalid lease", reason=repr(error))
         return None
