Move a service step by step to another software version

Operators order it by a row; the host with a lease decides by counts that all hosts send each other, and the others send the new version its share only while they hear the decider. A version is judged on each route against the old ones' answers at the same time, and slow answers against theirs at the same load. Shares before the last sum up to less than a tenth of the order's time. Without the entry in contracts, or without an order, nothing changes.

--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -28,6 +28,12 @@
     decode_permit_reports,
 )
 from turmericproxy.placement.registry import Work
+from turmericproxy.releases.messages import (
+    ReleaseNotice,
+    ReleaseReport,
+    decode_release_notices,
+    decode_release_reports,
+)
 
 _NO_WORK: Mapping[InstanceId, Work] = MappingProxyType({})
 _NO_TOTALS: Mapping[AccountName, int] = MappingProxyType({})
@@ -63,7 +69,8 @@
     suspicious after an end and have been answered, and ``blocks`` the parts that it refuses.
     ``limits`` are limits of upstreams, all that the sender knows in an introduction,
     ``permit_reports`` its totals at limited upstreams, and ``permit_grants`` what it allows hosts
-    to send there.
+    to send there. ``release_notices`` are decisions on rollouts of software, and
+    ``release_reports`` what the sender has counted for them since their orders.
     """
 
     work: Mapping[InstanceId, Work] = _NO_WORK
@@ -87,6 +94,8 @@
     limits: tuple[LimitNotice, ...] | None = None
     permit_reports: Mapping[InstanceId, PermitReport] = NO_REPORTS
     permit_grants: tuple[PermitGrant, ...] = ()
+    release_notices: tuple[ReleaseNotice, ...] = ()
+    release_reports: tuple[ReleaseReport, ...] = ()
 
 
 # Tells only that the sender is running.
@@ -120,6 +129,8 @@
         limits=_merge_limits(first.limits, second.limits),
         permit_reports={**first.permit_reports, **second.permit_reports},
         permit_grants=first.permit_grants + second.permit_grants,
+        release_notices=first.release_notices + second.release_notices,
+        release_reports=first.release_reports + second.release_reports,
     )
 
 
@@ -203,6 +214,8 @@
     ("limits", decode_limit_notices),
     ("permit_reports", decode_permit_reports),
     ("permit_grants", decode_permit_grants),
+    ("release_notices", decode_release_notices),
+    ("release_reports", decode_release_reports),
 )
 # Fields in which false and 0 differ from no value.
 _OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch", "limits"})
--- a/turmericproxy/fleet/peers.py
+++ b/turmericproxy/fleet/peers.py
@@ -148,6 +148,18 @@
             if peer.is_reachable(now) and not peer.is_leaving
         ]
 
+    def list_recent(self, seconds: float) -> list[HostName]:
+        """Return the peers that were heard, or added, within the last seconds.
+
+        Those that are leaving are among them, since their last requests may still be open.
+        """
+        now = self._read_clock()
+        return [
+            name
+            for name, peer in self._peers.items()
+            if now - (peer.last_received_at or peer.added_at) < seconds
+        ]
+
     def list_local_peers(self) -> list[HostName]:
         """Return the reachable peers of this failure domain that are not leaving."""
         now = self._read_clock()
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -14,6 +14,7 @@
 from turmericproxy.limits.messages import LimitState
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.placement.registry import UpstreamRegistry
+from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.dispatching import Dispatcher
 
@@ -41,6 +42,8 @@
         self._wanted = wanted
         self._crashes = crashes
         self._limits = limits
+        # Set where rollouts of software are in force.
+        self.releases: ReleaseController | None = None
         self._sent_reachability: bool | None = None
         self._sent_kept_epoch: int | None = None
         self._loading: list[tuple[InstanceId, float]] = []
@@ -67,6 +70,7 @@
             is_kept_store_reachable=self._cache_pollers.get_own_reachability(),
             leaving=self._registry.list_leaving(),
             kept_epoch=self._cache_pollers.get_kept_epoch(),
+            release_notices=self.releases.list_known() if self.releases else (),
             **_list_crash_fields(self._crashes.create_state(is_introduction=True)),
         )
 
@@ -91,7 +95,9 @@
         has_changed = is_reachable is not self._sent_reachability
         is_restarted = kept_epoch != self._sent_kept_epoch
         self._sent_reachability, self._sent_kept_epoch = is_reachable, kept_epoch
-        announced = (changing, versions, superseded, leaving, evicted, has_changed, is_restarted)
+        notices, reports = self.releases.take_messages() if self.releases else ((), ())
+        upstreams = (changing, versions, superseded, leaving, evicted)
+        announced = (*upstreams, has_changed, is_restarted, notices, reports)
         if not any((work, spent, placed, kept, crashes, limits, *announced)):
             return None
         return Batch(
@@ -114,6 +120,8 @@
             leaving=leaving,
             evicted=tuple((instance, key.space, key.part_id) for instance, key in evicted),
             kept_epoch=kept_epoch if is_restarted else None,
+            release_notices=notices,
+            release_reports=reports,
             **_list_crash_fields(crashes or CrashState()),
             **_list_limit_fields(limits or LimitState()),
         )
@@ -122,12 +130,7 @@
         """Apply a batch from a peer."""
         now = asyncio.get_running_loop().time()
         self._apply_upstream_changes(batch, now)
-        self._crashes.receive(
-            hello.host, CrashState(batch.ended, batch.answered_parts, batch.blocks)
-        )
-        self._limits.receive(
-            hello.host, LimitState(batch.limits, batch.permit_reports, batch.permit_grants)
-        )
+        self._pass_on(hello, batch)
         if batch.is_full_state:
             self._registry.forget_peer(hello.host)
             self._crashes.record_complete_state(hello.host)
@@ -156,6 +159,19 @@
                 hello.host, hello.incarnation, batch.spent, is_complete=batch.is_full_state
             )
 
+    def _pass_on(self, hello: Hello, batch: Batch) -> None:
+        """Pass on what belongs to crashes, limits and rollouts of software."""
+        self._crashes.receive(
+            hello.host, CrashState(batch.ended, batch.answered_parts, batch.blocks)
+        )
+        self._limits.receive(
+            hello.host, LimitState(batch.limits, batch.permit_reports, batch.permit_grants)
+        )
+        if self.releases and (batch.release_notices or batch.release_reports):
+            self.releases.receive(
+                hello.host, hello.incarnation, batch.release_notices, batch.release_reports
+            )
+
     def _apply_upstream_changes(self, batch: Batch, now: float) -> None:
         """Apply what a peer has learnt about upstreams.
 
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -31,6 +31,15 @@
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.domains import DomainMonitor
 from turmericproxy.placement.registry import UpstreamRegistry
+from turmericproxy.releases.controller import ReleaseController
+from turmericproxy.releases.decider import (
+    LEASE_GUARD_SECONDS,
+    LEASE_KEY,
+    LEASE_TABLE,
+    ReleaseDecider,
+)
+from turmericproxy.releases.orders import ReleaseBounds
+from turmericproxy.releases.service import ReleaseService
 from turmericproxy.rollout.controller import RolloutController
 from turmericproxy.rollout.lease_manager import LeaseManager
 from turmericproxy.rollout.version_resolver import EngineVersionResolver
@@ -160,6 +169,7 @@
             self._rollout.wake,
             self._metrics,
         )
+        self._releases = self._create_releases(settings.releases)
         self._version_resolver = EngineVersionResolver(
             self._registry,
             self._wanted,
@@ -221,6 +231,8 @@
         self._directory.start()
         self._block_keeper.start()
         self._rollout.start()
+        if self._releases:
+            self._releases.start()
         if not self._settings.is_first_start:
             self._rollout.observe_lease()
         self._version_resolver.start()
@@ -238,6 +250,8 @@
     async def close(self) -> None:
         """Close all components."""
         await self._rollout.close()
+        if self._releases:
+            await self._releases.close()
         await self._version_resolver.close()
         self._cache_pollers.close()
         await self._block_keeper.close()
@@ -271,6 +285,46 @@
             self._updates,
         )
 
+    def _create_releases(self, bounds: ReleaseBounds | None) -> ReleaseService | None:
+        """Create what rollouts of software need, where they are in force."""
+        if bounds is None:
+            return None
+        settings, peers, store = self._settings, self._links.peers, self._relayed_store
+        controller = ReleaseController(
+            self._registry,
+            read_boottime,
+            lambda: peers.measure_reachable_share() > 0.5,
+            self._metrics,
+        )
+        lease = LeaseManager(
+            store,
+            settings.links,
+            LEASE_GUARD_SECONDS,
+            read_boottime,
+            store.eras,
+            is_first_start=settings.is_first_start,
+            table=LEASE_TABLE,
+            key=LEASE_KEY,
+            part=Part.RELEASES,
+        )
+        decider = ReleaseDecider(
+            controller,
+            bounds,
+            store,
+            lease,
+            settings.host,
+            peers.list_reachable,
+            peers.list_recent,
+            self._adapter.create_release_status,
+            read_boottime,
+            self._metrics,
+        )
+        service = ReleaseService(controller, decider, store)
+        store.eras.add_listener(service.verify)
+        self._dispatcher.releases = self._updates.releases = controller
+        self._follower.releases = controller
+        return service
+
     def _receive_reader_update(self, host: HostName, update: ReaderUpdate) -> None:
         self._relayed_store.receive_update(host, update)
 
@@ -329,6 +383,8 @@
             writer.send(404, ())
             return
         is_loaded = self._follower.is_loaded and self._crashes.is_loaded and self._limits.is_loaded
+        if self._releases:
+            is_loaded = is_loaded and self._releases.controller.is_loaded
         is_ready = is_loaded and not self._is_draining
         writer.send(200 if is_ready else 503, ())
 
--- a/turmericproxy/host/site_follower.py
+++ b/turmericproxy/host/site_follower.py
@@ -12,6 +12,8 @@
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.placement.removals import RemovalScheduler
 from turmericproxy.placement.restoration import RESTORATION_SECONDS, RestorationGuard
+from turmericproxy.releases.controller import ReleaseController
+from turmericproxy.releases.orders import ReleaseOrder
 from turmericproxy.rollout.wanted import INITIAL_AGE_SECONDS, ModelVersion, WantedVersions
 from turmericproxy.store import ChangedRow, TableFollower, TableState, TableStore
 from turmericproxy.tables.messages import Row
@@ -57,6 +59,8 @@
         self._removals = RemovalScheduler(self._remove_upstream)
         self._upstream_era: int | None = None
         self.site: Site | None = None
+        # Set where rollouts of software are in force.
+        self.releases: ReleaseController | None = None
         self._upstream_follower = TableFollower(
             store,
             adapter.upstream_table,
@@ -116,6 +120,9 @@
         decoded = self._adapter.read_configuration_row(row)
         if isinstance(decoded, Site):
             self._apply_site(decoded)
+        elif isinstance(decoded, ReleaseOrder):
+            if self.releases:
+                self.releases.record_order(decoded, is_new=is_new)
         elif decoded is not None:
             self._record_wanted(decoded, is_new=is_new)
 
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -5,6 +5,7 @@
 
 from turmericproxy.core import HostName
 from turmericproxy.fleet.quotas import QuotaTolerance
+from turmericproxy.releases.orders import ReleaseBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,7 @@
     ``quota_tolerance`` the excess that users allow because hosts count separately. ``link_mbps`` is
     the bandwidth of the machine's network link in Mbit/s; hosts with high bandwidth relay the
     batches of others. A process that exceeds ``memory_mb``, in MB, is ended.
+    ``releases`` bounds rollouts of software; ``None`` means that orders for them are ignored.
     """
 
     host: HostName
@@ -36,6 +38,7 @@
     quota_tolerance: QuotaTolerance
     link_mbps: int = 0
     memory_mb: float = math.inf
+    releases: ReleaseBounds | None = None
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/logs/lines.py
+++ b/turmericproxy/logs/lines.py
@@ -28,6 +28,7 @@
     CACHE = "cache"
     ROUTING = "routing"
     WEIGHTS = "weights"
+    RELEASES = "releases"
     STAND_IN = "stand-in"
 
 
--- a/turmericproxy/platform/program.py
+++ b/turmericproxy/platform/program.py
@@ -16,7 +16,7 @@
 from turmericproxy.platform.engines import PlatformEngineControl
 from turmericproxy.platform.registrations import read_upstream_row
 from turmericproxy.platform.settings import SETTINGS_VARIABLE, SettingsFault, read_settings
-from turmericproxy.platform.site import read_configuration_row
+from turmericproxy.platform.site import create_release_status, read_configuration_row
 from turmericproxy.platform.store import PlatformStore
 
 
@@ -33,6 +33,7 @@
         singleton_fields=names.SINGLE_FIELDS,
         read_configuration_row=read_configuration_row,
         read_upstream_row=read_upstream_row,
+        create_release_status=create_release_status,
     )
 
 
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -7,7 +7,10 @@
 from turmericproxy.core import HostName
 from turmericproxy.fleet.quotas import QuotaTolerance
 from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.releases.orders import ReleaseBounds
 
+# Entry of ``contracts`` where rollouts between versions of a service's software are in force.
+RELEASE_CONTRACT = "rollout"
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
 
 
@@ -55,6 +58,7 @@
             ),
             link_mbps=int(reader.read_number("limits.link_mbps", default="0")),
             memory_mb=reader.read_number("limits.memory_mb", default="inf"),
+            releases=_read_release_bounds(reader),
         )
     except _SettingError as error:
         return error.fault
@@ -62,6 +66,18 @@
         return SettingsFault("port_range", str(error))
 
 
+def _read_release_bounds(reader: "_SettingsReader") -> ReleaseBounds | None:
+    """Return the bounds of rollouts of software, ``None`` where they are not in force."""
+    contracts = [name.strip() for name in reader.read_text("contracts", ",").split(",")]
+    if RELEASE_CONTRACT not in contracts:
+        return None
+    return ReleaseBounds(
+        exposure_share=reader.read_number("bounds.exposure_share"),
+        exposure_slack=reader.read_number("bounds.exposure_slack"),
+        rollback_seconds=reader.read_number("bounds.rollback_ms") / 1000,
+    )
+
+
 class _SettingError(Exception):
     """Report an invalid or missing setting."""
 
--- a/turmericproxy/platform/site.py
+++ b/turmericproxy/platform/site.py
@@ -1,5 +1,7 @@
 """Decode the operator's configuration and model versions from rows."""
 
+import json
+import math
 from typing import Any
 
 from turmericproxy.core import AccountName, ModelName, Revision, RouteName
@@ -8,8 +10,9 @@
 from turmericproxy.edge import EdgeLimits
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import names
+from turmericproxy.releases.orders import ReleaseOrder, ReleaseStatus
 from turmericproxy.rollout.wanted import ModelVersion
-from turmericproxy.tables.messages import Row
+from turmericproxy.tables.messages import Row, Write
 from turmericproxy.traffic.site import (
     Account,
     EngineTraits,
@@ -26,7 +29,7 @@
 TOKEN_UNIT = "token_accounting"
 
 
-def read_configuration_row(row: Row) -> Site | ModelVersion | None:
+def read_configuration_row(row: Row) -> Site | ModelVersion | ReleaseOrder | None:
     """Decode a row of the operator's table.
 
     Log an invalid row and return ``None``; return ``None`` also for a row with another key.
@@ -37,6 +40,8 @@
             return read_site(content)
         if row.key.startswith(names.MODEL_VERSION_KEY_PREFIX):
             return ModelVersion(ModelName(content["model"]), int(content["version"]))
+        if row.key.startswith(names.RELEASE_KEY_PREFIX):
+            return _read_release_order(content, row.version)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         log_event(
             Part.CONFIGURATION,
@@ -48,6 +53,34 @@
     return None
 
 
+def create_release_status(status: ReleaseStatus) -> Write:
+    """Return the row that shows operators how far the rollout of a service is."""
+    state = status.state
+    content = {
+        "state": "in_progress" if not state.phase.is_final else state.phase.value,
+        "to": state.version,
+        "step": state.step,
+        "share": state.share,
+        "reason": state.reason,
+        "answers": status.answers,
+        "failures": status.failures,
+        "requests": status.requests,
+        "sent": status.sent,
+    }
+    key = f"{names.RELEASE_KEY_PREFIX}{state.service}"
+    return Write(names.STATUS_TABLE, key, json.dumps(content).encode())
+
+
+def _read_release_order(content: dict[str, Any], row_version: int) -> ReleaseOrder:
+    service, version = content["service"], content["to"]
+    if not isinstance(service, str) or not isinstance(version, str) or not service or not version:
+        raise ValueError("service or to is not a non-empty string")
+    duration = float(content["duration_s"])
+    if not 0 < duration < math.inf:
+        raise ValueError("duration_s is not positive")
+    return ReleaseOrder(ServiceName(service), version, duration, row_version)
+
+
 def read_site(content: dict[str, Any]) -> Site:
     """Decode a configuration document.
 
--- /dev/null
+++ b/turmericproxy/releases/exposure.py
@@ -0,0 +1,68 @@
+"""Choose which requests of a host go to a new version, so that all hosts keep to its share.
+
+Each host sends its own requests at the share in force, from a random offset on: the sum over hosts
+then deviates from the share by the square root of their number, whatever each knows of the others.
+A host that no longer hears the decider sends nothing to the new version.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+
+from turmericproxy.releases.orders import ReleasePhase, ReleaseState
+
+# Time without a message of the decider after which a host stops sending to the new version: four
+# messages, and below half of the time in which a rollback must be in force at all hosts.
+DECIDER_TIMEOUT_SECONDS = 2.0
+
+
+class VersionChoice(Enum):
+    """Name the versions that an attempt may use, the preferred ones first."""
+
+    NEW_ONLY = "new_only"
+    NEW_FIRST = "new_first"
+    OLD_ONLY = "old_only"
+
+
+def find_share(state: ReleaseState | None, silence: float) -> float:
+    """Return the share of requests for the new version, ``silence`` seconds after the decider."""
+    if state is None or state.phase is ReleasePhase.ROLLED_BACK:
+        return 0.0
+    if state.phase is not ReleasePhase.STEPPING:
+        return 1.0
+    return state.share if silence < DECIDER_TIMEOUT_SECONDS else 0.0
+
+
+class ShareGate:
+    """Draw which requests go to the new version; ``offset`` from 0 to 1 is the host's own."""
+
+    def __init__(self, offset: float) -> None:
+        self._credit = offset
+
+    def draw(self, share: float) -> bool:
+        """Return whether the next request goes to the new version.
+
+        >>> gate = ShareGate(0.5)
+        >>> [gate.draw(0.25) for _ in range(8)].count(True)
+        2
+        """
+        self._credit += share
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
+
+def choose_versions(
+    state: ReleaseState | None, silence: float, draw: Callable[[float], bool], *, is_retry: bool
+) -> VersionChoice:
+    """Return which versions an attempt may use; ``draw`` tells whether its request is in a share.
+
+    A retry gets no share of its own: it goes to old versions until all requests go to the new one.
+    Once old versions may be about to stop, nothing returns to them.
+    """
+    if state and state.phase in (ReleasePhase.FINISHING, ReleasePhase.COMPLETED):
+        return VersionChoice.NEW_ONLY
+    share = find_share(state, silence)
+    if share >= 1.0 or (share > 0 and not is_retry and draw(share)):
+        return VersionChoice.NEW_FIRST
+    return VersionChoice.OLD_ONLY
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from turmericproxy.core import Refusal, RequestId, ResultCode, refuse
+from turmericproxy.core import Refusal, RequestId, ResultCode, RouteName, refuse
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController
 from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS, BrokenPrompt, EngineStart
@@ -13,7 +13,6 @@
 from turmericproxy.limits.permits import Applicant
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
-from turmericproxy.placement.engines import EngineCandidate
 from turmericproxy.placement.health import HealthSignal
 from turmericproxy.placement.plain import choose_plain, estimate_seconds
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
@@ -26,8 +25,10 @@
     list_keys,
     select_engine,
 )
+from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
+from turmericproxy.traffic.choice_log import log_engine
 from turmericproxy.traffic.isolation import NO_ISOLATION
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
@@ -69,6 +70,7 @@
     started_at: int = 0
     request_id: RequestId = RequestId("")
     placed_at: float = 0.0
+    route: RouteName = RouteName("")
 
     @property
     def engine(self) -> EngineStart:
@@ -107,6 +109,8 @@
         self.kept_prefixes = PrefixTracker(0)
         # That of the newest configuration, also for requests that arrived before it.
         self.isolation = NO_ISOLATION
+        # Set where rollouts of software are in force.
+        self.releases: ReleaseController | None = None
         self._placements: list[PromptPlacement] = []
         self._saved_parts: list[PartKey] = []
 
@@ -120,6 +124,8 @@
         if refusal := self._refuse_blocked(request):
             return refusal
         ready = self._registry.list_ready(request.service.name)
+        if self.releases:
+            ready = self.releases.select(request, ready, excluded)
         now = self._read_clock()
         states = [state for state in ready if not state.health.must_be_silent(now)]
         if ready and not states:
@@ -340,6 +346,8 @@
         )
         self._limits.record_sent(placement.instance, placement.started_at, applicant)
         self._registry.add_work(placement.instance, placement.work)
+        if self.releases:
+            self.releases.record_start(placement.instance)
         state = self._registry.find(placement.instance)
         if state and placement.prompt and placement.keys:
             seconds = placement.expected_seconds
@@ -374,6 +382,8 @@
         been recorded.
         """
         work = placement.work
+        if self.releases:
+            self.releases.record_end(placement.instance, placement.route, attempt, seconds)
         self._record_crash_evidence(placement, attempt, seconds, phase, head_seconds)
         prefill_change = 0 if phase is AnswerPhase.STREAMING else -work.pending_prefill_tokens
         self._registry.add_work(placement.instance, Work(-1, prefill_change, -work.reserved_tokens))
@@ -481,6 +491,7 @@
             started_at=self._find_start(view.instance),
             request_id=request.parsed.request_id,
             placed_at=now,
+            route=request.route.name,
         )
 
     def _place_at_engine(
@@ -499,7 +510,7 @@
         view = chosen.view
         space = build_cache_space(context.isolation_key, prompt.model, view.version)
         keys = list_keys(space, prompt)
-        _log_engine(request, chosen, context, len(states))
+        log_engine(request, chosen, context, len(states))
         store = context.kept_store
         if store and view.domain != store.domain and self._domains.is_unreachable(store.domain):
             store = None
@@ -532,6 +543,7 @@
             started_at=self._find_start(view.instance),
             request_id=request.parsed.request_id,
             placed_at=context.now,
+            route=request.route.name,
         )
 
     def _find_start(self, instance: InstanceId) -> int:
@@ -581,27 +593,3 @@
 ) -> None:
     parts = [(key, part.tokens) for key, part in zip(keys, prompt.shared_parts, strict=True)]
     tracker.add(parts, ready_at)
-
-
-def _log_engine(
-    request: RoutedRequest, chosen: EngineCandidate, context: SelectionContext, candidates: int
-) -> None:
-    view, prompt = chosen.view, request.parsed.prompt
-    assert prompt is not None
-    log_decision(
-        Part.ROUTING,
-        "engine chosen",
-        request_id=request.parsed.request_id,
-        engine=view.instance,
-        version=view.version,
-        wanted_version=context.wanted_version,
-        expected=round(chosen.expected_seconds, 4),
-        queue=round(chosen.queue_seconds, 4),
-        read=round(chosen.prefill_seconds, 4),
-        memory=round(chosen.memory_seconds, 4),
-        shared=[f"{p.part_id}:{p.tokens}" for p in prompt.shared_parts],
-        cached_parts=view.cached_parts,
-        source_parts=view.source.held_parts if view.source else 0,
-        fetch_from=chosen.fetch_from,
-        candidates=candidates,
-    )
--- a/turmericproxy/traffic/routed_request.py
+++ b/turmericproxy/traffic/routed_request.py
@@ -15,6 +15,8 @@
 
     ``cost`` is what the account has been charged, in tokens or requests. ``deadline`` is a time of
     the event loop, in seconds. ``holding`` is what the host keeps of the answer.
+    ``is_for_new_version`` tells whether it was drawn for a new version of the service's software,
+    ``None`` before that.
     """
 
     parsed: ParsedRequest
@@ -26,6 +28,7 @@
     cost: int = 0
     deadline: float = 0.0
     attempt_counts: AttemptCounts = field(default_factory=AttemptCounts)
+    is_for_new_version: bool | None = None
     holding: Holding = field(default_factory=open_unlimited)
 
     def hold(self, holding: Holding) -> None:
