Carry a verdict to the store when its decider ends before writing it

Hosts that heard a verdict stopped taking part, so nobody wrote it after the decider was killed between telling and writing. An order now needs a decider until its verdict has been seen in the store; after a restore it is doubted again.

--- a/turmericproxy/releases/controller.py
+++ b/turmericproxy/releases/controller.py
@@ -52,7 +52,7 @@
     """Hold this host's view of one service's order; times are of the given clock.
 
     ``previous`` is the last state of the order before this one, and ``heard_at`` the time of the
-    decider's last message.
+    decider's last message. ``is_written`` tells that the store has been seen to hold the verdict.
     """
 
     order: ReleaseOrder
@@ -62,6 +62,7 @@
     state: ReleaseState | None = None
     heard_at: float = field(default=-1e9)
     clear_since: float | None = None
+    is_written: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -107,6 +108,11 @@
         """Return all orders, with and without a verdict."""
         return list(self._releases.values())
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether any order has no verdict, or one that may be missing in the store."""
+        return any(r.is_open or not r.is_written for r in self._releases.values())
+
     @property
     def has_open(self) -> bool:
         """Return whether any order has no verdict yet."""
@@ -138,8 +144,16 @@
         if pending := self._pending.pop(order.service, None):
             self.adopt(pending)
 
-    def adopt(self, state: ReleaseState) -> None:
-        """Take over a state that the decider announced or wrote, unless a later one is known."""
+    def doubt_store(self) -> None:
+        """Assume that the store may lack the verdicts, after it was restored from a copy."""
+        for release in self._releases.values():
+            release.is_written = False
+
+    def adopt(self, state: ReleaseState, *, is_written: bool = False) -> None:
+        """Take over a state that was announced, or ``is_written`` in the store.
+
+        A later state that is known already stays in force.
+        """
         release = self._releases.get(state.service)
         if release is None or not state.is_of(release.order):
             # The order may arrive after the first message on it.
@@ -148,8 +162,9 @@
                 release.previous = state
             return
         if release.state and not state.is_after(release.state):
+            release.is_written |= is_written and state.phase is release.state.phase
             return
-        release.state = state
+        release.state, release.is_written = state, is_written
         log_event(
             Part.RELEASES,
             "state in force",
--- a/turmericproxy/releases/decider.py
+++ b/turmericproxy/releases/decider.py
@@ -51,9 +51,6 @@
 RECENT_SECONDS = 5.0
 # Interval between two writes of an unchanged status, so that operators see the counts grow.
 STATUS_SECONDS = 5.0
-# Time after a start or a restoration of the store in which the verdicts in it are compared with
-# those that hosts know.
-VERIFICATION_SECONDS = 10.0
 
 STATES_AFTER = {
     Decision.FINISH: ReleasePhase.FINISHING,
@@ -111,7 +108,6 @@
         self._is_current = False
         self._known_fence = -1
         self._clock_offset = 0.0
-        self._verify_until = read_clock() + VERIFICATION_SECONDS
         self._idle_since = read_clock()
         self._task: asyncio.Task[None] | None = None
 
@@ -129,7 +125,7 @@
     def verify(self) -> None:
         """Compare the verdicts in the store with the known ones, after a restoration."""
         self._is_current = False
-        self._verify_until = self._read_clock() + VERIFICATION_SECONDS
+        self._controller.doubt_store()
 
     async def _run(self) -> None:
         await asyncio.sleep(await self.check())
@@ -137,8 +133,7 @@
     async def check(self) -> float:
         """Decide once on each order if it is up to this host; return the seconds to wait."""
         now = self._read_clock()
-        is_due = self._controller.releases and now < self._verify_until
-        if not self._controller.has_open and not is_due:
+        if not self._controller.has_work:
             self._idle_since = now
             return CHECK_SECONDS
         if not self._lease.is_held() and not self._is_turn(now):
@@ -155,8 +150,6 @@
             return CHECK_SECONDS
         for release in self._controller.releases:
             await self._advance(release)
-        if self._is_current and not self._controller.has_open:
-            self._verify_until = 0.0
         return CHECK_SECONDS
 
     def _is_turn(self, now: float) -> bool:
@@ -179,7 +172,7 @@
             course = self._courses.setdefault(ServiceName(row.key), _Course())
             course.row_version, course.written = row.version, state
             if state:
-                self._controller.adopt(state)
+                self._controller.adopt(state, is_written=True)
         self._controller.is_loaded = self._is_current = True
         return True
 
@@ -297,7 +290,7 @@
         course.row_version = result.get_version(RELEASE_TABLE, state.service)
         course.written, course.noticed_at = state, 0.0
         course.status_at = self._read_clock()
-        self._controller.adopt(state)
+        self._controller.adopt(state, is_written=True)
 
     def _notify(self, release: Release, course: _Course, now: float) -> None:
         """Tell the other hosts the state in force, and that the decider runs."""
--- a/turmericproxy/releases/samples.py
+++ b/turmericproxy/releases/samples.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections import Counter
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -75,9 +74,11 @@
 
 
 def _combine(first: Samples, second: Samples, sign: int) -> Samples:
-    latencies = Counter(first.latencies)
+    if second is NO_SAMPLES:
+        return first
+    latencies = dict(first.latencies)
     for key, count in second.latencies.items():
-        latencies[key] += sign * count
+        latencies[key] = latencies.get(key, 0) + sign * count
     return Samples(
         first.answers + sign * second.answers,
         first.failures + sign * second.failures,
--- a/turmericproxy/releases/service.py
+++ b/turmericproxy/releases/service.py
@@ -15,7 +15,8 @@
 
 
 class ReleaseService:
-    """Start and close the parts; the table of verdicts is followed only while an order is open."""
+    """Start and close the parts; the table of verdicts is followed only while an order is open
+    or its verdict has not been seen in the store."""
 
     def __init__(
         self, controller: ReleaseController, decider: ReleaseDecider, store: TableStore
@@ -46,7 +47,7 @@
         self._decider.verify()
 
     async def _run(self) -> None:
-        is_needed = self.controller.has_open or not self.controller.is_loaded
+        is_needed = self.controller.has_work or not self.controller.is_loaded
         if is_needed and self._follower is None:
             self._follower = TableFollower(
                 self._store,
@@ -69,4 +70,4 @@
 
     def _apply_row(self, row: Row) -> None:
         if state := read_row(row):
-            self.controller.adopt(state)
+            self.controller.adopt(state, is_written=True)
--- a/turmericproxy/releases/verdict.py
+++ b/turmericproxy/releases/verdict.py
@@ -15,8 +15,8 @@
 )
 from turmericproxy.releases.steps import LAST_STEP, STEPS, is_step_over
 
-# Chance from which on as many bad answers of the new version are no coincidence. A rollout is judged
-# some thousand times over its routes and windows, and a good version should never be rolled back.
+# Chance from which on as many bad answers of the new version are no coincidence. A rollout is
+# judged some thousand times over its routes and windows, and a good version should always complete.
 MAX_COINCIDENCE = 1e-6
 # Fewer bad answers than this may be chance whatever the shares.
 MIN_BAD_ANSWERS = 5
