Keep a rollout's share at hosts that have not read the order, and check it end to end

A host whose call for orders was late sent the new version an old one's part of the requests; it now takes the order from the decider's state. States in messages are checked as they are decoded.

The stand-in of an upstream learns a software version and a share of bad answers.

--- a/tests/fleet/test_batches.py
+++ b/tests/fleet/test_batches.py
@@ -1,9 +1,13 @@
 """Check that a merged batch is equivalent to the batches that it replaces."""
 
-from turmericproxy.core import AccountName
-from turmericproxy.core.ids import InstanceId
-from turmericproxy.fleet.batches import Batch, merge_batches
+import msgpack
+import pytest
+
+from turmericproxy.core import AccountName, RouteName
+from turmericproxy.core.ids import InstanceId, ServiceName
+from turmericproxy.fleet.batches import Batch, decode_batch, encode_batch, merge_batches
 from turmericproxy.placement.registry import Work
+from turmericproxy.releases.messages import ReleaseNotice, ReleaseReport
 
 ONE, TWO = InstanceId("one"), InstanceId("two")
 A = AccountName("a")
@@ -27,3 +31,24 @@
     )
     assert merge_batches(unreachable, unknown).is_kept_store_reachable is False
     assert merge_batches(unreachable, reachable).is_kept_store_reachable is True
+
+
+def test_messages_on_rollouts_survive_encoding_and_merging() -> None:
+    """Guard against counts or decisions that change or get lost on the way between hosts."""
+    state = ["s", "v2", 3, 60.0, "stepping", 1, 0.05, 1.0, 2.0, "", [], ["v1"]]
+    samples = ((True, RouteName("r"), 5, 1, ((0, 12, 4),)),)
+    report = ReleaseReport(ServiceName("s"), "v2", 3, 9, 4, False, samples, None)
+    first = Batch(release_notices=(ReleaseNotice(7, state),), release_reports=(report,))
+    merged = merge_batches(first, Batch(release_reports=(report._replace(requests=10),)))
+    decoded = decode_batch(
+        msgpack.unpackb(msgpack.packb(encode_batch(merged)), strict_map_key=False)
+    )
+    assert decoded == merged
+    assert [r.requests for r in decoded.release_reports] == [9, 10]
+    assert encode_batch(Batch()) == {}
+
+
+def test_malformed_state_of_a_rollout_is_no_message() -> None:
+    """Guard against an error in the middle of a batch of which a part was applied."""
+    with pytest.raises((ValueError, TypeError)):
+        decode_batch({21: [[7, ["s", "v2"]]]})
--- a/tests/host/support.py
+++ b/tests/host/support.py
@@ -13,6 +13,7 @@
 from turmericproxy.host.site_daemon import SiteHost
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.platform.program import create_adapter
+from turmericproxy.releases.orders import ReleaseBounds
 from turmericproxy.standins.platform_wire_server import WireServer
 from turmericproxy.standins.platform_wire_store import WireStore
 
@@ -35,9 +36,12 @@
     servers: dict[str, WireServer] = field(default_factory=dict)
     hosts: list[SiteHost] = field(default_factory=list)
     settings: list[SiteHostSettings] = field(default_factory=list)
+    releases: ReleaseBounds | None = None
 
-    async def add_server(self, name: str, service: str, model: str | None = None) -> WireServer:
-        server = WireServer(name, service, model)
+    async def add_server(
+        self, name: str, service: str, model: str | None = None, software: str = "v1"
+    ) -> WireServer:
+        server = WireServer(name, service, model, software=software)
         await server.start()
         self.servers[name] = server
         self.store.put("servers", name, server.describe())
@@ -60,6 +64,7 @@
             retry_reserve=56.0,
             grace=3.0,
             quota_tolerance=NO_TOLERANCE,
+            releases=self.releases,
         )
         host = SiteHost(settings, create_adapter(settings.store))
         await host.start()
@@ -161,11 +166,13 @@
     hosts: int = 1,
     domains: int = 1,
     start_seconds: float = 0.2,
+    releases: ReleaseBounds | None = None,
 ) -> None:
     """Run a scenario with two engines, two plain upstreams and ``hosts`` hosts."""
 
     async def run() -> None:
         environment = await start_environment()
+        environment.releases = releases
         for n in range(hosts):
             await environment.add_host(f"h{n}", chr(ord("a") + n % domains))
         await asyncio.sleep(start_seconds)
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -21,6 +21,7 @@
 from turmericproxy.platform.registrations import read_report, read_upstream_row
 from turmericproxy.platform.site import read_configuration_row
 from turmericproxy.platform.store import _decode_object, _read_rows
+from turmericproxy.releases.decider import read_row
 from turmericproxy.rollout.lease_manager import _read_lease
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.requests import Dispatch
@@ -63,6 +64,14 @@
         {"model": "m", "version": 2},
         lambda data: read_configuration_row(Row(names.MODEL_VERSION_KEY_PREFIX + "m", data, 1)),
     ),
+    "order": (
+        {"service": "s", "to": "v2", "duration_s": 60},
+        lambda data: read_configuration_row(Row(names.RELEASE_KEY_PREFIX + "s", data, 1)),
+    ),
+    "release state": (
+        ["s", "v2", 3, 60.0, "stepping", 1, 0.05, 1.0, 2.0, "", [], ["v1"]],
+        lambda data: read_row(Row("s", data, 1)),
+    ),
     "registration": (REGISTRATION, lambda data: read_upstream_row(Row("i", data, 1))),
     "host": (["10.0.0.1:1", "a", 100], lambda data: _read_hello(Row("h", data, 1))),
     "lease": (["h", 3, 4.5, 1], lambda data: _read_lease(Row("weights", data, 1))),
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -6,9 +6,16 @@
 import pytest
 
 from tests.platform.support import CONFIGURATION, REGISTRATION
+from turmericproxy.core.ids import ServiceName
 from turmericproxy.placement import EntryState
 from turmericproxy.platform.registrations import read_upstream_row
-from turmericproxy.platform.site import read_configuration_row
+from turmericproxy.platform.site import create_release_status, read_configuration_row
+from turmericproxy.releases.orders import (
+    ReleaseOrder,
+    ReleasePhase,
+    ReleaseState,
+    ReleaseStatus,
+)
 from turmericproxy.rollout.wanted import ModelVersion
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.site import Repeatability, Site, choose_service
@@ -101,3 +108,43 @@
 def test_registration_with_a_missing_field_is_ignored(name: str) -> None:
     incomplete = {n: value for n, value in REGISTRATION.items() if n != name}
     assert read_upstream_row(create_row("i-1", incomplete)) is None
+
+
+def test_orders_for_rollouts_of_software_are_decoded() -> None:
+    """Guard against orders that no host understands, and rows of one that can't be told apart."""
+    content = {"service": "kafi81c", "to": "v2", "duration_s": 60}
+    order = read_configuration_row(create_row("rollout/kafi81c", content))
+    assert order == ReleaseOrder(ServiceName("kafi81c"), "v2", 60.0, 1)
+    for change in (
+        {"to": ""},
+        {"to": 2},
+        {"service": None},
+        {"duration_s": 0},
+        {"duration_s": "x"},
+    ):
+        assert read_configuration_row(create_row("rollout/kafi81c", {**content, **change})) is None
+
+
+@pytest.mark.parametrize(
+    ("phase", "text"),
+    [
+        (ReleasePhase.STEPPING, "in_progress"),
+        (ReleasePhase.FINISHING, "in_progress"),
+        (ReleasePhase.COMPLETED, "completed"),
+        (ReleasePhase.ROLLED_BACK, "rolled_back"),
+    ],
+)
+def test_status_is_written_in_the_terms_of_operators(phase: ReleasePhase, text: str) -> None:
+    """Guard against phases that only hosts know in the row that operators read."""
+    state = ReleaseState(ServiceName("kafi81c"), "v2", 1, 60.0, phase, 2, 0.1, 0.0, 0.0, "why")
+    write = create_release_status(ReleaseStatus(state, 40, 1, 400, 41))
+    assert (write.table, write.key) == ("status", "rollout/kafi81c")
+    content = json.loads(write.value)
+    assert (content["state"], content["to"], content["reason"]) == (text, "v2", "why")
+
+
+def test_software_version_of_a_registration_is_optional() -> None:
+    """Guard against upstreams that are lost for a version that isn't text."""
+    for value, expected in (("v2", "v2"), (3, ""), (None, "")):
+        entry = read_upstream_row(create_row("i", {**REGISTRATION, "version": value}))
+        assert entry is not None and entry.software == expected
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,6 +6,7 @@
 
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.platform.settings import SettingsFault, decode_settings, read_settings
+from turmericproxy.releases.orders import ReleaseBounds
 
 VALUES = {
     "node": "edge-a-1",
@@ -71,3 +72,28 @@
     path = tmp_path / "boot.conf"
     path.write_text("".join(f"{name}={value}\n" for name, value in VALUES.items()))
     assert isinstance(read_settings(path), SiteHostSettings)
+
+
+RELEASE_VALUES = {
+    "contracts": "weights, rollout",
+    "bounds.exposure_share": "0.1",
+    "bounds.exposure_slack": "50",
+    "bounds.rollback_ms": "5000",
+}
+
+
+def test_rollouts_of_software_are_in_force_only_where_the_contracts_say_so() -> None:
+    """Guard against orders that take effect where the deployment has not asked for them."""
+    for values in (VALUES, {**VALUES, **RELEASE_VALUES, "contracts": "weights"}):
+        settings = decode_settings(values)
+        assert isinstance(settings, SiteHostSettings) and settings.releases is None
+    settings = decode_settings({**VALUES, **RELEASE_VALUES})
+    assert isinstance(settings, SiteHostSettings)
+    assert settings.releases == ReleaseBounds(0.1, 50, 5.0)
+
+
+@pytest.mark.parametrize("name", sorted(set(RELEASE_VALUES) - {"contracts"}))
+def test_missing_bound_of_rollouts_is_named(name: str) -> None:
+    """Guard against rollouts without a bound."""
+    values = {n: v for n, v in {**VALUES, **RELEASE_VALUES}.items() if n != name}
+    assert decode_settings(values) == SettingsFault(name, "is missing")
--- a/tests/releases/test_failures.py
+++ b/tests/releases/test_failures.py
@@ -488,3 +488,32 @@
     fleet.run(25.0)
     assert not fleet.refused
     assert fleet.find_phase() is not ReleasePhase.ROLLED_BACK
+
+
+def test_host_that_has_not_read_the_order_keeps_to_the_share() -> None:
+    """Guard against a host that uses all versions alike, since its call for orders is late."""
+    fleet = Fleet()
+    late = fleet.hosts[HostName("h05")]
+    record_order = late.controller.record_order
+    late.controller.record_order = lambda order, *, is_new: None  # type: ignore[method-assign]
+    late.link.is_up = False
+    fleet.order(duration=DURATION)
+    fleet.run(1.5)
+    late.controller.record_order = record_order  # type: ignore[method-assign]
+    fleet.run(1.5)
+    known_at = fleet.now
+    fleet.run(5.0)
+    visits = [v for v in fleet.visits if v.host == late.name and v.at > known_at]
+    assert sum(visit.version == "v2" for visit in visits) < 0.15 * len(visits)
+
+
+def test_retries_get_no_share_of_their_own() -> None:
+    """Guard against a bad version that gets more than its share by repeated requests."""
+    fleet = Fleet()
+    fleet.serve = lambda _version, _route, _share: Served(is_failure=True)
+    fleet.order(duration=DURATION)
+    fleet.run(1.5)
+    started_at = fleet.now
+    fleet.run(7.0)
+    requests = 7.0 * fleet.rate
+    assert fleet.count("v2", since=started_at) <= 0.05 * requests + 8
--- a/turmericproxy/releases/controller.py
+++ b/turmericproxy/releases/controller.py
@@ -94,7 +94,6 @@
         self._metrics = metrics
         self._releases: dict[ServiceName, Release] = {}
         self._replaced: set[tuple[ServiceName, str, int]] = set()
-        self._pending: dict[ServiceName, ReleaseState] = {}
         self._notices: list[ReleaseNotice] = []
         self._reported_at = 0.0
         self._contact_at = read_clock()
@@ -141,8 +140,6 @@
             row_version=order.row_version,
             replaces=known.order.version if known else None,
         )
-        if pending := self._pending.pop(order.service, None):
-            self.adopt(pending)
 
     def doubt_store(self) -> None:
         """Assume that the store may lack the verdicts, after it was restored from a copy."""
@@ -154,12 +151,8 @@
 
         A later state that is known already stays in force.
         """
-        release = self._releases.get(state.service)
-        if release is None or not state.is_of(release.order):
-            # The order may arrive after the first message on it.
-            self._pending[state.service] = state
-            if release and release.previous is None and release.state is None:
-                release.previous = state
+        release = self._find_release(state)
+        if release is None:
             return
         if release.state and not state.is_after(release.state):
             release.is_written |= is_written and state.phase is release.state.phase
@@ -176,6 +169,23 @@
             reason=state.reason,
         )
 
+    def _find_release(self, state: ReleaseState) -> Release | None:
+        """Return what a state belongs to, ``None`` if that is an earlier order.
+
+        The state may arrive before the row of its order. Until then this host would send the new
+        version an old one's part of the requests.
+        """
+        release = self._releases.get(state.service)
+        if release and state.is_of(release.order):
+            return release
+        if release is None or state.order > release.order.row_version:
+            self.record_order(state.create_order(), is_new=True)
+            release = self._releases.get(state.service)
+            return release if release and state.is_of(release.order) else None
+        if release.previous is None and release.state is None:
+            release.previous = state
+        return None
+
     def record_contact(self) -> None:
         """Record that the store has just confirmed the verdicts that this host knows."""
         self._contact_at = self._read_clock()
@@ -192,10 +202,11 @@
             return states
         if not self.is_loaded:
             return []
-        new, old, has_old = self._split(release, states)
-        if release.state and release.state.phase is ReleasePhase.ROLLED_BACK:
-            self._draw(request, release, 0.0)
-            return old
+        version = release.order.version
+        new = [state for state in states if state.entry.software == version]
+        if release.state and release.state.phase is ReleasePhase.COMPLETED:
+            return new
+        old = [state for state in states if _is_old(state, release)]
         now = self._read_clock()
         choice = choose_versions(
             release.state,
@@ -205,7 +216,10 @@
         )
         if request.is_for_new_version is None:
             self._draw(request, release, 0.0)
-        if choice is VersionChoice.NEW_ONLY or not has_old:
+        if choice is VersionChoice.NEW_ONLY:
+            return new
+        if release.is_open and not old and not self._has_old(release):
+            # Nothing but the new version can serve.
             return new
         if choice is VersionChoice.NEW_FIRST and any(
             state.entry.instance not in excluded and not state.is_suspended(now) for state in new
@@ -220,25 +234,9 @@
             request.is_for_new_version = release.gate.draw(share)
         return request.is_for_new_version
 
-    def _split(
-        self, release: Release, states: list[UpstreamState]
-    ) -> tuple[list[UpstreamState], list[UpstreamState], bool]:
-        """Return the upstreams of the new and of old versions, and whether old ones exist at all.
-
-        Where none is registered in any state, nothing but the new version can serve.
-        """
-        version, withdrawn = release.order.version, release.withdrawn
-        new = [state for state in states if state.entry.software == version]
-        old = [
-            state
-            for state in states
-            if state.entry.software != version and state.entry.software not in withdrawn
-        ]
-        has_old = bool(old) or any(
-            state.entry.software != version and state.entry.software not in withdrawn
-            for state in self._list_registered(release.order.service)
-        )
-        return new, old, has_old
+    def _has_old(self, release: Release) -> bool:
+        """Return whether an upstream of an old version is registered, in any state."""
+        return any(_is_old(s, release) for s in self._list_registered(release.order.service))
 
     def _is_lonely(self, release: Release, now: float) -> bool:
         """Return whether the rollout may have been completed without this host's knowledge."""
@@ -363,3 +361,9 @@
             identity = (report.version, report.order)
             if release and (release.order.version, release.order.row_version) == identity:
                 release.counts.receive((host, incarnation), report, self._read_clock())
+
+
+def _is_old(state: UpstreamState, release: Release) -> bool:
+    """Return whether an upstream has one of the versions in force before the order."""
+    software = state.entry.software
+    return software != release.order.version and software not in release.withdrawn
--- a/turmericproxy/releases/decider.py
+++ b/turmericproxy/releases/decider.py
@@ -9,6 +9,7 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.releases.controller import HOST_EXPIRY_SECONDS, Release, ReleaseController
+from turmericproxy.releases.exposure import limit_share
 from turmericproxy.releases.orders import (
     ReleaseBounds,
     ReleasePhase,
@@ -19,7 +20,6 @@
     write_state,
 )
 from turmericproxy.releases.samples import Totals, subtract_totals
-from turmericproxy.releases.steps import STEPS
 from turmericproxy.releases.verdict import (
     Decision,
     Evidence,
@@ -203,8 +203,8 @@
         self, release: Release, course: _Course, state: ReleaseState, now: float
     ) -> None:
         evidence = self._collect(release, course, state, now)
-        verdict = decide(evidence, self._bounds)
-        following = self._follow(state, verdict, now)
+        verdict = decide(evidence)
+        following = self._follow(state, verdict, evidence, now)
         self._log(release, course, verdict, following)
         if verdict.decision is Decision.ROLL_BACK and self._lease.is_held():
             # Before it is written, since each moment costs requests.
@@ -247,13 +247,24 @@
             and counts.are_clear(self._list_recent(HOST_EXPIRY_SECONDS)),
         )
 
-    def _follow(self, state: ReleaseState, verdict: Verdict, now: float) -> ReleaseState:
+    def _follow(
+        self, state: ReleaseState, verdict: Verdict, evidence: Evidence, now: float
+    ) -> ReleaseState:
         if verdict.decision is Decision.HOLD:
             return state
         stepped_at = now + self._clock_offset
         if verdict.decision is Decision.PROCEED:
             step = state.step + 1
-            share, phase = STEPS[step].share, state.phase
+            phase = state.phase
+            share = limit_share(
+                step,
+                state.share,
+                self._bounds,
+                requests=evidence.requests,
+                sent=evidence.sent,
+                elapsed=evidence.elapsed,
+                duration=evidence.duration,
+            )
         else:
             step, phase = state.step, STATES_AFTER[verdict.decision]
             share = 0.0 if phase is ReleasePhase.ROLLED_BACK else 1.0
--- a/turmericproxy/releases/exposure.py
+++ b/turmericproxy/releases/exposure.py
@@ -8,13 +8,50 @@
 from collections.abc import Callable
 from enum import Enum
 
-from turmericproxy.releases.orders import ReleasePhase, ReleaseState
+from turmericproxy.releases.orders import ReleaseBounds, ReleasePhase, ReleaseState
+from turmericproxy.releases.steps import LAST_STEP, STEPS
 
 # Time without a message of the decider after which a host stops sending to the new version: four
 # messages, and below half of the time in which a rollback must be in force at all hosts.
 DECIDER_TIMEOUT_SECONDS = 2.0
 
 
+# Seconds in which a version that turns bad at a step is found, and has ended at all hosts.
+DETECTION_SECONDS = 3.0
+
+
+def limit_share(
+    step: int,
+    current: float,
+    bounds: ReleaseBounds,
+    *,
+    requests: int,
+    sent: int,
+    elapsed: float,
+    duration: float,
+) -> float:
+    """Return the share of a step, lowered so that the version may turn bad there.
+
+    ``requests`` of the service and those ``sent`` to the version count since the order, ``elapsed``
+    seconds ago. The requests until the deadline are estimated by their rate so far. The share never
+    falls below the ``current`` one, since more time there is exposure, too. The last step has all
+    traffic: it follows only once the version has been good with most of it, and no good version
+    could complete within the bound.
+
+    >>> bounds = ReleaseBounds(0.1, 50, 5.0)
+    >>> limit_share(5, 0.35, bounds, requests=800, sent=91, elapsed=10.0, duration=20.0)
+    0.5
+    """
+    share = STEPS[step].share
+    if step == LAST_STEP:
+        return share
+    rate = requests / max(elapsed, 1.0)
+    expected = requests + rate * max(0.0, duration - elapsed)
+    allowed = bounds.exposure_share * expected + bounds.exposure_slack
+    limit = (allowed - sent) / max(1.0, rate * DETECTION_SECONDS)
+    return round(max(current, min(share, limit)), 2)
+
+
 class VersionChoice(Enum):
     """Name the versions that an attempt may use, the preferred ones first."""
 
--- a/turmericproxy/releases/messages.py
+++ b/turmericproxy/releases/messages.py
@@ -4,6 +4,7 @@
 
 from turmericproxy.core import RouteName
 from turmericproxy.core.ids import ServiceName
+from turmericproxy.releases.orders import decode_state, encode_state
 from turmericproxy.releases.samples import SampleKey, Samples, Totals
 
 # A sample key, its answers and failures, and lists of a load class, a bucket and its count.
@@ -65,7 +66,7 @@
 
 def decode_release_notices(value: Any) -> tuple[ReleaseNotice, ...]:
     """Decode notices; errors of malformed values are passed on."""
-    return tuple(ReleaseNotice(int(fence), list(state)) for fence, state in value)
+    return tuple(ReleaseNotice(int(fence), _check_state(state)) for fence, state in value)
 
 
 def decode_release_reports(value: Any) -> tuple[ReleaseReport, ...]:
@@ -82,7 +83,7 @@
                 (bool(is_new), RouteName(str(route)), int(answers), int(failures), _read(latencies))
                 for is_new, route, answers, failures, latencies in samples
             ),
-            None if state is None else list(state),
+            None if state is None else _check_state(state),
         )
         for service, version, order, requests, sent, is_clear, samples, state in value
     )
@@ -90,3 +91,8 @@
 
 def _read(latencies: Any) -> tuple[tuple[int, int, int], ...]:
     return tuple((int(load), int(bucket), int(count)) for load, bucket, count in latencies)
+
+
+def _check_state(state: Any) -> list[object]:
+    """Return an encoded state that can be decoded."""
+    return encode_state(decode_state(state))
--- a/turmericproxy/releases/orders.py
+++ b/turmericproxy/releases/orders.py
@@ -63,15 +63,17 @@
 class ReleaseState:
     """Hold the decider's last decision on an order.
 
-    ``order`` is the version of the order's row. ``started_at`` is the time of the first step and
-    ``stepped_at`` that of this one, by the store's clock in seconds. ``withdrawn`` are the versions
-    of earlier orders that did not complete; they get no requests. ``previous`` are the other
+    ``order`` is the version of the order's row, and ``duration`` its time in seconds.
+    ``started_at`` is the time of the first step and ``stepped_at`` that of this one, by the store's
+    clock in seconds. ``withdrawn`` are the versions of earlier orders that did not complete; they
+    get no requests. ``previous`` are the other
     versions that were registered when the order was first seen.
     """
 
     service: ServiceName
     version: str
     order: int
+    duration: float
     phase: ReleasePhase
     step: int
     share: float
@@ -85,6 +87,10 @@
         """Return whether this state belongs to an order."""
         return (self.version, self.order) == (order.version, order.row_version)
 
+    def create_order(self) -> ReleaseOrder:
+        """Return the order that this state belongs to."""
+        return ReleaseOrder(self.service, self.version, self.duration, self.order)
+
     def is_after(self, other: "ReleaseState") -> bool:
         """Return whether this is a later state of the same order."""
         return (self.phase.rank, self.step) > (other.phase.rank, other.step)
@@ -139,6 +145,7 @@
         service=order.service,
         version=order.version,
         order=order.row_version,
+        duration=order.duration,
         phase=phase,
         step=step,
         share=STEPS[step].share,
@@ -156,6 +163,7 @@
         state.service,
         state.version,
         state.order,
+        state.duration,
         state.phase.value,
         state.step,
         state.share,
@@ -171,12 +179,13 @@
     """Return an encoded state; raise ``ValueError`` or ``TypeError`` if it is malformed."""
     if not isinstance(values, list | tuple):
         raise TypeError("a state is a list")
-    service, version, order, phase, step, share, *times, reason, withdrawn, previous = values
-    started_at, stepped_at = times
+    service, version, order, duration, phase, step, share, *rest = values
+    started_at, stepped_at, reason, withdrawn, previous = rest
     return ReleaseState(
         ServiceName(str(service)),
         str(version),
         int(order),
+        float(duration),
         ReleasePhase(phase),
         int(step),
         float(share),
--- a/turmericproxy/releases/verdict.py
+++ b/turmericproxy/releases/verdict.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from turmericproxy.core import RouteName
-from turmericproxy.releases.orders import ReleaseBounds, ReleasePhase
+from turmericproxy.releases.orders import ReleasePhase
 from turmericproxy.releases.samples import (
     BUCKETS_PER_OCTAVE,
     NO_SAMPLES,
@@ -13,7 +13,7 @@
     Samples,
     Totals,
 )
-from turmericproxy.releases.steps import LAST_STEP, STEPS, is_step_over
+from turmericproxy.releases.steps import LAST_STEP, is_step_over
 
 # Chance from which on as many bad answers of the new version are no coincidence. A rollout is
 # judged some thousand times over its routes and windows, and a good version should always complete.
@@ -32,8 +32,6 @@
 SLOW_QUANTILE = 0.9
 # Old latencies of a class of load from which on the quantile is known.
 MIN_OLD_LATENCIES = 30
-# Seconds in which a bad step is found and has ended at all hosts, with a margin.
-DETECTION_SECONDS = 3.0
 
 
 class Decision(Enum):
@@ -77,7 +75,7 @@
     reason: str
 
 
-def decide(evidence: Evidence, bounds: ReleaseBounds) -> Verdict:
+def decide(evidence: Evidence) -> Verdict:
     """Return what to do next with an order that has not ended."""
     if fault := _find_any_fault(evidence):
         if evidence.has_old_upstreams:
@@ -98,8 +96,6 @@
         return Verdict(Decision.HOLD, "the step is not over")
     if evidence.step == LAST_STEP:
         return Verdict(Decision.FINISH, "the version is good with all traffic")
-    if not _is_affordable(evidence, bounds):
-        return Verdict(Decision.HOLD, "the next step could exceed the allowed exposure")
     return Verdict(Decision.PROCEED, f"{answers} answers without a fault")
 
 
@@ -209,18 +205,3 @@
         if remaining <= 0:
             return bucket
     return max(counts)
-
-
-def _is_affordable(evidence: Evidence, bounds: ReleaseBounds) -> bool:
-    """Return whether the version may turn bad at the next step and stay within its bound.
-
-    The last step is not bounded: it follows only once the version has been good with most of the
-    traffic, and no good version could complete within the bound.
-    """
-    following = STEPS[evidence.step + 1]
-    if evidence.step + 1 == LAST_STEP:
-        return True
-    rate = evidence.requests / max(evidence.elapsed, 1.0)
-    remaining = max(0.0, evidence.duration - evidence.elapsed)
-    allowed = bounds.exposure_share * (evidence.requests + rate * remaining) + bounds.exposure_slack
-    return evidence.sent + following.share * rate * DETECTION_SECONDS <= allowed
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -63,7 +63,8 @@
     ``retry_after`` is set, all calls are answered with 503 and this Retry-After; ``calls`` counts
     all calls. Reports and orders are handled after ``silence_seconds``. An engine ends
     ``crash_seconds`` after it began an answer on a prompt with one of the ``crashing_parts``, but
-    not for the last part; ``on_end`` is then called.
+    not for the last part; ``on_end`` is then called. ``software`` is the version in the
+    registration; ``bad_share`` of the requests are answered with a failure.
     """
 
     instance: str
@@ -87,6 +88,8 @@
     crash_seconds: float = 0.02
     on_end: Callable[[], None] = lambda: None
     listen_on: str = "127.0.0.1:0"
+    software: str = "v1"
+    bad_share: float = 0.0
 
     def __post_init__(self) -> None:
         self._server = EdgeServer(self.listen_on, self._answer)
@@ -94,6 +97,7 @@
         self._accepted_orders = 0
         self._is_busy = False
         self._silent_until = 0.0
+        self._bad_credit = 0.0
 
     @property
     def address(self) -> str:
@@ -131,7 +135,7 @@
             "service": self.service,
             "address": address,
             "zone": self.domain,
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
@@ -218,6 +222,10 @@
             writer.abort()
             return
         headers = self._build_headers(received)
+        self._bad_credit += self.bad_share
+        if self._bad_credit >= 1.0:
+            self._bad_credit -= 1.0
+            self.faults.fail += 1
         if self._consume_fault(received, "fail"):
             writer.send(500, headers, b"failed")
         elif self._consume_fault(received, "truncate"):
