--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -7,6 +7,7 @@
 from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
 from turmericproxy.fleet.incoming import INTRODUCTION_SECONDS
 from turmericproxy.fleet.quotas import QuotaTolerance
+from turmericproxy.releases.orders import ReleaseBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +25,8 @@
     clients and ``incoming_links`` those of other hosts. An answer of which nothing is read for
     ``unread_seconds`` ends its connection, a stream that has not introduced its host within
     ``introduction_seconds`` is closed. With ``has_admission_control``, requests that can't be
-    answered in time under load are refused.
+    answered in time under load are refused. ``releases`` bounds rollouts of software; ``None``
+    means that orders for them are ignored.
     """
 
     host: HostName
@@ -49,6 +51,7 @@
     unread_seconds: float = UNREAD_ANSWER_SECONDS
     introduction_seconds: float = INTRODUCTION_SECONDS
     has_admission_control: bool = False
+    releases: ReleaseBounds | None = None
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -9,7 +9,10 @@
 from turmericproxy.fleet.incoming import INTRODUCTION_SECONDS
 from turmericproxy.fleet.quotas import QuotaTolerance
 from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.releases.orders import ReleaseBounds
 
+# Entry of ``contracts`` where rollouts between versions of a service's software are in force.
+RELEASE_CONTRACT = "rollout"
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
 # Entry of ``contracts`` that asks for admission control.
 PRESSURE_CONTRACT = "pressure"
@@ -73,6 +76,7 @@
             )
             / 1000,
             has_admission_control=PRESSURE_CONTRACT in reader.list_contracts(),
+            releases=_read_release_bounds(reader),
         )
     except _SettingError as error:
         return error.fault
@@ -80,6 +84,18 @@
         return SettingsFault("port_range", str(error))
 
 
+def _read_release_bounds(reader: "_SettingsReader") -> ReleaseBounds | None:
+    """Return the bounds of rollouts of software, ``None`` where they are not in force."""
+    contracts = [name.strip() for name in reader.read_text("contracts", ",").split(",")]
+    if RELEASE_CONTRACT not in contracts:
+        return None
+    return ReleaseBounds(
+        exposure_share=reader.read_number("bounds.exposure_share"),
+        exposure_slack=reader.read_number("bounds.exposure_slack"),
+        rollback_seconds=reader.read_number("bounds.rollback_ms") / 1000,
+    )
+
+
 class _SettingError(Exception):
     """Report an invalid or missing setting."""
 
--- a/turmericproxy/traffic/placements.py
+++ b/turmericproxy/traffic/placements.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from turmericproxy.core import RequestId
+from turmericproxy.core import RequestId, RouteName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.evidence import EngineStart
 from turmericproxy.placement.prefixes import PartKey
@@ -30,6 +30,7 @@
     started_at: int = 0
     request_id: RequestId = RequestId("")
     placed_at: float = 0.0
+    route: RouteName = RouteName("")
 
     @property
     def engine(self) -> EngineStart:
