Place requests by the speeds that engines report

Callers of a service on unequal machines got late first events and late gaps: engines are compared by fixed constants, so one that needs 1.67 times the usual time gets as many requests as one that needs 0.6 of it.

Some upstreams report in X-Server-Load how long work takes there at this moment. The field is now decoded, the lasting and the momentary slowdown of each engine are derived from it and bounded by the service's median, hosts tell each other what changes by a tenth or more, and the score of an engine is scaled by its slowdown. The prefill rate, the gap between events and its increase with running requests are learned for each service at the usual speed. The score adds the cost of gaps that are expected to be late, of the stream itself and of those beside it, and a wait for a slot. Candidates within 5 ms of the best are chosen from by a hash of request and engine, since hosts learn of each other's choices only with the next batch.

--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -27,7 +27,7 @@
     decode_permit_grants,
     decode_permit_reports,
 )
-from turmericproxy.placement.registry import Work
+from turmericproxy.placement.registry import SpeedReport, Work
 
 _NO_WORK: Mapping[InstanceId, Work] = MappingProxyType({})
 _NO_TOTALS: Mapping[AccountName, int] = MappingProxyType({})
@@ -63,7 +63,7 @@
     suspicious after an end and have been answered, and ``blocks`` the parts that it refuses.
     ``limits`` are limits of upstreams, all that the sender knows in an introduction,
     ``permit_reports`` its totals at limited upstreams, and ``permit_grants`` what it allows hosts
-    to send there.
+    to send there. ``speeds`` are slowdowns that engines report.
     """
 
     work: Mapping[InstanceId, Work] = _NO_WORK
@@ -87,6 +87,7 @@
     limits: tuple[LimitNotice, ...] | None = None
     permit_reports: Mapping[InstanceId, PermitReport] = NO_REPORTS
     permit_grants: tuple[PermitGrant, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 # Tells only that the sender is running.
@@ -120,6 +121,7 @@
         limits=_merge_limits(first.limits, second.limits),
         permit_reports={**first.permit_reports, **second.permit_reports},
         permit_grants=first.permit_grants + second.permit_grants,
+        speeds=first.speeds + second.speeds,
     )
 
 
@@ -203,6 +205,7 @@
     ("limits", decode_limit_notices),
     ("permit_reports", decode_permit_reports),
     ("permit_grants", decode_permit_grants),
+    ("speeds", lambda v: tuple(SpeedReport(InstanceId(i), int(t), int(p)) for i, t, p in v)),
 )
 # Fields in which false and 0 differ from no value.
 _OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch", "limits"})
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -67,6 +67,7 @@
             is_kept_store_reachable=self._cache_pollers.get_own_reachability(),
             leaving=self._registry.list_leaving(),
             kept_epoch=self._cache_pollers.get_kept_epoch(),
+            speeds=self._registry.list_speeds(),
             **_list_crash_fields(self._crashes.create_state(is_introduction=True)),
         )
 
@@ -91,8 +92,9 @@
         has_changed = is_reachable is not self._sent_reachability
         is_restarted = kept_epoch != self._sent_kept_epoch
         self._sent_reachability, self._sent_kept_epoch = is_reachable, kept_epoch
+        speeds = self._registry.take_speeds()
         announced = (changing, versions, superseded, leaving, evicted, has_changed, is_restarted)
-        if not any((work, spent, placed, kept, crashes, limits, *announced)):
+        if not any((work, spent, placed, kept, crashes, limits, speeds, *announced)):
             return None
         return Batch(
             work=work,
@@ -114,6 +116,7 @@
             leaving=leaving,
             evicted=tuple((instance, key.space, key.part_id) for instance, key in evicted),
             kept_epoch=kept_epoch if is_restarted else None,
+            speeds=speeds,
             **_list_crash_fields(crashes or CrashState()),
             **_list_limit_fields(limits or LimitState()),
         )
@@ -171,6 +174,7 @@
             self._registry.supersede(instance, address)
         for instance, started_at in batch.leaving:
             self._registry.mark_leaving(instance, started_at)
+        self._registry.receive_speeds(batch.speeds, now)
 
     def forget_peer(self, host: HostName) -> None:
         """Discard the state received from a lost peer."""
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -26,6 +26,7 @@
 from turmericproxy.host.fleet_updates import FleetUpdates
 from turmericproxy.host.site_follower import SiteFollower
 from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.host.speed_gauges import set_speed_gauges
 from turmericproxy.limits.controller import FleetView, LimitController
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
@@ -338,6 +339,7 @@
         self._metrics.set_gauges("upstream_limit", "upstream", named)
         rates = {str(i): rate for i, _, rate in limits}
         self._metrics.set_gauges("upstream_rate", "upstream", rates)
+        set_speed_gauges(self._metrics, self._registry)
         self._metrics.set_gauges("held_bytes", "kind", self._memory.list_held())
         text = self._metrics.render_text().encode()
         writer.send(200, [("Content-Type", "text/plain; version=0.0.4")], text)
--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -1,10 +1,16 @@
-"""Estimate the time to the first token at each engine and choose the engine with the lowest."""
+"""Estimate the time to the first token at each engine and choose the engine with the lowest.
+
+Views and candidates are named tuples: each selection creates one of each engine, and other classes
+take several times as long to create.
+"""
 
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.placement.pauses import StreamRequirements, estimate_pause_cost
 from turmericproxy.traffic.requests import PromptPart
 
 # Prefill rate assumed for an engine until its own rate is known; typical for a 70B model on current
@@ -29,6 +35,11 @@
 FETCH_OVERHEAD_SECONDS = 0.002
 # Transfers between failure domains take this many times as long as local ones.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
+# Engines that are expected to answer within this time of the best one share requests where engines
+# report their speed: hosts learn of each other's choices 40 ms later, and would all make the same.
+SPREAD_SECONDS = 0.005
+# An engine counts as slowed by neighbours if its slowdown exceeds the lasting one by this factor.
+SLOWED_FACTOR = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,22 +55,25 @@
 class PromptRequirements:
     """Describe the resources that a prompt needs from an engine.
 
-    Prompts with the same shared prefix have the same ``affinity_key``.
+    Prompts with the same shared prefix have the same ``affinity_key``. ``stream`` is set if engines
+    of the service report their speed.
     """
 
     prompt_tokens: int
     output_tokens: int
     shared_parts: tuple[PromptPart, ...]
     affinity_key: str
+    stream: StreamRequirements | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EngineView:
+class EngineView(NamedTuple):
     """Describe the state of one engine, as known to this host, when a request is placed.
 
     ``pending_prefill_tokens`` counts the prompt tokens of requests without a first token,
     ``reserved_tokens`` is the memory of all running requests. ``weights_delay_seconds`` is the time
-    until the engine has loaded new weights, plus the penalty for older weights.
+    until the engine has loaded new weights, plus the penalty for older weights. ``slowdown`` is the
+    expected one and ``lasting_slowdown`` that without momentary load of the machine; the default
+    applies where no engine reports its speed.
     """
 
     instance: InstanceId
@@ -76,11 +90,15 @@
     failure_share: float
     weights_delay_seconds: float = 0.0
     source: FetchSource | None = None
+    slowdown: float = 1.0
+    lasting_slowdown: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class EngineCandidate:
-    """Hold an engine and the terms of its score, in seconds."""
+class EngineCandidate(NamedTuple):
+    """Hold an engine and the terms of its score, in seconds.
+
+    ``pause_cost_seconds`` is what late gaps between events cost, of the request and of others.
+    """
 
     view: EngineView
     queue_seconds: float
@@ -89,6 +107,12 @@
     other_seconds: float
     pending_prefill_tokens: int
     fetch_from: str | None
+    pause_cost_seconds: float = 0.0
+
+    @property
+    def score(self) -> float:
+        """Return the figure by which engines are compared, in seconds."""
+        return self.expected_seconds + self.pause_cost_seconds
 
     @property
     def expected_seconds(self) -> float:
@@ -134,6 +158,11 @@
         + recomputed_tokens / view.tokens_per_second,
         pending_prefill_tokens=prefill_tokens,
         fetch_from=fetch_from,
+        pause_cost_seconds=(
+            _estimate_pause_cost(view, requirements.stream, prefill_tokens)
+            if requirements.stream
+            else 0.0
+        ),
     )
 
 
@@ -147,6 +176,8 @@
     While no engine has any part of the prompt cached, near ties go to the preferred engine, which
     rendezvous hashing of the affinity key selects.
     """
+    if requirements.stream:
+        return _choose_spread(candidates, requirements, requirements.stream, max_cached_parts)
     if max_cached_parts:
         return min(candidates, key=lambda c: c.expected_seconds)
     preferred = max(
@@ -159,6 +190,44 @@
     )
 
 
+def _choose_spread(
+    candidates: Sequence[EngineCandidate],
+    requirements: PromptRequirements,
+    stream: StreamRequirements,
+    max_cached_parts: int,
+) -> EngineCandidate:
+    """Return one of the best candidates; each request adds its own small time to each engine's."""
+    scores = [candidate.score for candidate in candidates]
+    if not max_cached_parts:
+        weights = [
+            _compute_rendezvous_weight(requirements.affinity_key, c.view.instance)
+            for c in candidates
+        ]
+        scores[weights.index(max(weights))] -= AFFINITY_BONUS_SECONDS
+    limit = min(scores) + SPREAD_SECONDS
+    near = [(s, c) for s, c in zip(scores, candidates, strict=True) if s <= limit]
+    scale = SPREAD_SECONDS / 2**32
+    return min(
+        near,
+        key=lambda n: (
+            n[0] + scale * _compute_rendezvous_weight(stream.spread_key, n[1].view.instance)
+        ),
+    )[1]
+
+
+def _estimate_pause_cost(
+    view: EngineView, stream: StreamRequirements, prefill_tokens: int
+) -> float:
+    return estimate_pause_cost(
+        stream,
+        view.lasting_slowdown,
+        view.requests,
+        view.pending_prefill_tokens,
+        prefill_tokens,
+        is_slowed=view.slowdown > SLOWED_FACTOR * view.lasting_slowdown,
+    )
+
+
 def _compute_rendezvous_weight(affinity_key: str, instance: InstanceId) -> int:
     return zlib.crc32(f"{affinity_key}/{instance}".encode())
 
@@ -184,6 +253,12 @@
     seconds = DECODE_STEP_SECONDS + view.requests * DECODE_STEP_SECONDS_PER_REQUEST * max(
         1, requirements.output_tokens
     )
+    if stream := requirements.stream:
+        seconds += stream.step_seconds - DECODE_STEP_SECONDS
+        taken = view.requests - stream.slots
+        if taken >= 0:
+            seconds += (taken + 1) / stream.slots * stream.stream_seconds
+        seconds *= view.slowdown
     seconds += view.failure_share * FAILURE_COST_SECONDS
     seconds += view.weights_delay_seconds
     return seconds if view.is_local else seconds + CROSS_DOMAIN_RTT_SECONDS
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -1,12 +1,21 @@
 """Maintain this host's state of each upstream."""
 
-from collections.abc import Mapping
+import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.logs import Part, log_event
+from turmericproxy.placement.engine_speeds import (
+    EngineSpeed,
+    compute_usual_slowdown,
+    estimate_lasting_slowdown,
+    estimate_slowdown,
+    is_news,
+    record_slowdown,
+)
 from turmericproxy.placement.engines import DEFAULT_TOKENS_PER_SECOND
 from turmericproxy.placement.entries import EntryState, UpstreamEntry
 from turmericproxy.placement.health import (
@@ -16,20 +25,33 @@
     request_pause,
 )
 from turmericproxy.placement.limits import LimitMonitor, UnlimitedMonitor
+from turmericproxy.placement.load_reports import LoadReport
 from turmericproxy.placement.notices import UpstreamNotice
 from turmericproxy.placement.plain import DEFAULT_CALL_SECONDS
 from turmericproxy.placement.prefixes import PrefixTracker
+from turmericproxy.placement.service_speeds import ServiceSpeeds
 from turmericproxy.placement.starts import RememberedStarts
+from turmericproxy.placement.stream_gaps import UNOBSERVED, StreamGaps
 
 # Share of an engine's memory that running requests leave to cached prompt parts at a usual load.
 CACHE_SHARE = 0.5
 # Weight of the newest sample in the moving averages of call durations and prefill rates.
 SMOOTHING = 0.1
+# Least time between two log lines on the lasting speed of an engine.
+SPEED_LOG_SECONDS = 10.0
 # Bounds of a measured prefill rate, as factors of the default rate.
 MIN_PREFILL_RATE_FACTOR = 0.1
 MAX_PREFILL_RATE_FACTOR = 2.0
 
 
+class SpeedReport(NamedTuple):
+    """Tell other hosts a slowdown in percent of one start of an engine, in Unix milliseconds."""
+
+    instance: InstanceId
+    started_at: int
+    percent: int
+
+
 class Work(NamedTuple):
     """Hold the load that one host's outstanding requests put on an upstream.
 
@@ -66,6 +88,8 @@
     is_refusing: bool = False
     call_seconds: float = DEFAULT_CALL_SECONDS
     tokens_per_second: float = DEFAULT_TOKENS_PER_SECOND
+    speed: EngineSpeed | None = None
+    speed_logged_at: float = -math.inf
 
     @property
     def is_ready(self) -> bool:
@@ -120,6 +144,8 @@
         self._capacities: dict[ServiceName, int] = {}
         self._leaving = RememberedStarts()
         self._unsent_leaving: dict[InstanceId, int] = {}
+        self._speeds: dict[ServiceName, ServiceSpeeds] = {}
+        self._unsent_speeds: dict[InstanceId, SpeedReport] = {}
         self.is_loaded = False
 
     def update(self, entry: UpstreamEntry) -> None:
@@ -145,8 +171,9 @@
     def remove(self, instance: InstanceId) -> None:
         """Remove an upstream whose registration is gone."""
         self._sent_work.pop(instance, None)
-        if self._states.pop(instance, None):
+        if state := self._states.pop(instance, None):
             log_event(Part.ROUTING, "upstream gone", upstream=instance)
+            self._update_usual_slowdown(state.entry.service)
             self._rebuild_service_index()
 
     def supersede(self, instance: InstanceId, address: str) -> bool:
@@ -367,9 +394,104 @@
                 is_leaving=state.is_leaving,
             )
 
-    def record_prefill_rate(self, instance: InstanceId, tokens: int, seconds: float) -> None:
-        """Update the prefill rate with the time to a first token after that many queued tokens."""
+    def find_speeds(self, service: ServiceName) -> ServiceSpeeds | None:
+        """Return what is known of a service's speed, ``None`` if no engine of it reports one."""
+        return self._speeds.get(service)
+
+    def record_load(
+        self, instance: InstanceId, started_at: int, report: LoadReport | None, now: float
+    ) -> None:
+        """Record the load that one start of an upstream reported to this host."""
+        state = self._states.get(instance)
+        if report is None or report.slowdown is None:
+            return
+        if state is None or state.entry.started_at != started_at:
+            return
+        if is_news(state.speed, report.slowdown, now):
+            percent = round(100 * report.slowdown)
+            self._unsent_speeds[instance] = SpeedReport(instance, started_at, percent)
+        self._record_slowdown(state, report.slowdown, now)
+
+    def receive_speeds(self, reports: Iterable[SpeedReport], now: float) -> None:
+        """Record slowdowns that another host has seen; those of other starts are ignored."""
+        for instance, started_at, percent in reports:
+            state = self._states.get(instance)
+            if state and state.entry.started_at == started_at and percent > 0:
+                self._record_slowdown(state, percent / 100, now)
+
+    def take_speeds(self) -> tuple[SpeedReport, ...]:
+        """Return the newest slowdowns that other hosts should know since the last call."""
+        unsent, self._unsent_speeds = self._unsent_speeds, {}
+        return tuple(unsent.values())
+
+    def list_speeds(self) -> tuple[SpeedReport, ...]:
+        """Return the lasting slowdowns of all engines that report theirs."""
+        return tuple(
+            SpeedReport(instance, state.entry.started_at, round(100 * state.speed.lasting))
+            for instance, state in self._states.items()
+            if state.speed
+        )
+
+    def _record_slowdown(self, state: UpstreamState, slowdown: float, now: float) -> None:
+        previous, state.speed = state.speed, record_slowdown(state.speed, slowdown, now)
+        if previous and previous.lasting == state.speed.lasting:
+            return
+        self._update_usual_slowdown(state.entry.service)
+        if now >= state.speed_logged_at + SPEED_LOG_SECONDS:
+            state.speed_logged_at = now
+            log_event(
+                Part.ROUTING,
+                "engine speed changed",
+                engine=state.entry.instance,
+                slowdown=state.speed.lasting,
+                previous=previous.lasting if previous else None,
+                median=self._speeds[state.entry.service].usual_slowdown,
+            )
+
+    def _update_usual_slowdown(self, service: ServiceName) -> None:
+        """Compute the median of a service, or forget a service without a reported speed."""
+        known = [s.speed for s in self._states.values() if s.speed and s.entry.service == service]
+        if known:
+            speeds = self._speeds.setdefault(service, ServiceSpeeds())
+            speeds.usual_slowdown = compute_usual_slowdown(known)
+        else:
+            self._speeds.pop(service, None)
+
+    def list_service_speeds(self) -> dict[ServiceName, ServiceSpeeds]:
+        """Return the services whose engines report their speed."""
+        return dict(self._speeds)
+
+    def open_gaps(self, instance: InstanceId, work: Work, output_tokens: int) -> StreamGaps:
+        """Return what observes the gaps of a stream that has begun, for the figures of a service.
+
+        ``output_tokens`` are those declared for the whole stream, 0 if that isn't known.
+        """
+        state = self._states.get(instance)
+        speeds = self._speeds.get(state.entry.service) if state else None
+        if state is None or speeds is None:
+            return UNOBSERVED
+        speeds.record_prompt(work.pending_prefill_tokens)
+        slowdown = estimate_lasting_slowdown(state.speed, speeds.usual_slowdown)
+        requests = max(0, state.requests - 1)
+
+        def report(gap: float, events: int, seconds: float) -> None:
+            speeds.record_stream(gap, requests, seconds, slowdown)
+            speeds.record_events(output_tokens, events)
+
+        return StreamGaps(report)
+
+    def record_prefill_rate(
+        self, instance: InstanceId, tokens: int, seconds: float, now: float, placed_at: float
+    ) -> None:
+        """Update the prefill rate with the time to a first token after that many queued tokens.
+
+        The rate of a service counts from ``placed_at``, since the queue is before the head of the
+        answer, which came ``seconds`` before the token.
+        """
         state = self._states.get(instance)
+        if state and (speeds := self._speeds.get(state.entry.service)):
+            slowdown = estimate_slowdown(state.speed, speeds.usual_slowdown, now)
+            speeds.record_prefill(tokens, now - placed_at, slowdown)
         if state and seconds > 0:
             rate = tokens / seconds / DEFAULT_TOKENS_PER_SECOND
             rate = (
@@ -397,6 +519,7 @@
                 previous.total_peer_work,
             )
         self._states[entry.instance] = state
+        self._update_usual_slowdown(entry.service)
         self._rebuild_service_index()
 
     def set_capacity(self, service: ServiceName, tokens: int) -> None:
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -7,6 +7,7 @@
 
 from turmericproxy.core import ModelName
 from turmericproxy.core.ids import InstanceId
+from turmericproxy.placement.engine_speeds import estimate_lasting_slowdown, estimate_slowdown
 from turmericproxy.placement.engines import (
     CROSS_DOMAIN_TRANSFER_FACTOR,
     EngineCandidate,
@@ -16,6 +17,7 @@
     choose_engine,
     score_engine,
 )
+from turmericproxy.placement.pauses import StreamRequirements
 from turmericproxy.placement.plain import PlainView
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
 from turmericproxy.placement.registry import UpstreamState
@@ -35,6 +37,7 @@
     ``is_unreachable`` returns whether a failure domain can't be reached. ``isolation_key``
     separates the cache of an isolated account. ``measure_age`` returns for how many seconds a
     version has been outdated; from ``oldest_age`` on, outdated weights are no longer used.
+    ``stream`` is set if engines of the service report their speed.
     """
 
     traits: EngineTraits
@@ -48,6 +51,7 @@
     measure_age: Callable[[int], float]
     oldest_age: float
     now: float
+    stream: StreamRequirements | None = None
 
 
 def build_cache_space(isolation_key: str, model: ModelName, version: int) -> str:
@@ -85,6 +89,7 @@
         output_tokens=prompt.output_tokens,
         shared_parts=prompt.shared_parts,
         affinity_key=prompt.shared_parts[-1].part_id if prompt.shared_parts else prompt.model,
+        stream=context.stream,
     )
     keys_by_version = {
         v: _list_keys_for_version(v, prompt, context)
@@ -188,6 +193,14 @@
     weights_delay = max(0.0, state.loading_until - context.now)
     if context.measure_age(prefix.version) > OLD_WEIGHTS_GRACE_SECONDS:
         weights_delay += OLD_WEIGHTS_PENALTY_SECONDS
+    slowdown, lasting, rate = 1.0, 1.0, state.tokens_per_second
+    if stream := context.stream:
+        slowdown = estimate_slowdown(state.speed, stream.usual_slowdown, context.now)
+        if state.speed is None or not state.speed.raised_reports:
+            lasting = slowdown
+        else:
+            lasting = estimate_lasting_slowdown(state.speed, stream.usual_slowdown)
+        rate = stream.tokens_per_second / slowdown
     return EngineView(
         instance=entry.instance,
         address=entry.address,
@@ -199,10 +212,12 @@
         reserved_tokens=state.reserved_tokens,
         capacity_tokens=context.traits.capacity_tokens,
         cached_parts=prefix.cached_parts,
-        tokens_per_second=state.tokens_per_second,
+        tokens_per_second=rate,
         failure_share=state.health.estimate_failure_share(context.now),
         weights_delay_seconds=weights_delay,
         source=source,
+        slowdown=slowdown,
+        lasting_slowdown=lasting,
     )
 
 
@@ -212,7 +227,8 @@
     kept_parts_by_version: Mapping[int, int],
     context: SelectionContext,
 ) -> FetchSource | None:
-    best: FetchSource | None = None
+    best: _CachedPrefix | None = None
+    best_seconds = 0.0
     for other in sources:
         domain = other.state.entry.domain
         is_compatible = other.version == target.version and other.state is not target.state
@@ -223,9 +239,12 @@
         seconds_per_token = _estimate_seconds_per_token(
             context.traits.link_bytes_per_second, domain, target.state, context
         )
-        source = FetchSource(other.state.entry.address, other.fetchable_parts, seconds_per_token)
-        best = min(best or source, source, key=lambda s: (-s.held_parts, s.seconds_per_token))
-    return best or _find_kept_source(target, kept_parts_by_version[target.version], context)
+        added_parts = other.fetchable_parts - (best.fetchable_parts if best else 0)
+        if added_parts > 0 or (added_parts == 0 and seconds_per_token < best_seconds):
+            best, best_seconds = other, seconds_per_token
+    if best is None:
+        return _find_kept_source(target, kept_parts_by_version[target.version], context)
+    return FetchSource(best.state.entry.address, best.fetchable_parts, best_seconds)
 
 
 def _find_kept_source(
--- a/turmericproxy/platform/codec.py
+++ b/turmericproxy/platform/codec.py
@@ -4,6 +4,7 @@
 from turmericproxy.core.results import NOT_RUN_STATUSES
 from turmericproxy.edge import AnswerHead, ClientRequest, Headers
 from turmericproxy.platform import names
+from turmericproxy.platform.load_reports import LoadReportReader
 from turmericproxy.platform.notices import read_notice
 from turmericproxy.traffic.requests import (
     Dispatch,
@@ -25,6 +26,9 @@
 class PlatformCodec:
     """Decoder and encoder of the platform's header fields."""
 
+    def __init__(self) -> None:
+        self._load_reports = LoadReportReader()
+
     def read_request(self, request: ClientRequest) -> ParsedRequest | Refusal:
         """Parse a client request; return a refusal if its header fields are invalid."""
         headers = request.headers
@@ -68,6 +72,7 @@
             instance=headers.get(names.INSTANCE),
             version=_read_version(headers.get(names.VERSIONS)),
             notice=read_notice(head),
+            load=self._load_reports.read(head),
             has_refusal_status=verdict is Verdict.FAILURE and head.status in NOT_RUN_STATUSES,
         )
 
--- a/turmericproxy/platform/names.py
+++ b/turmericproxy/platform/names.py
@@ -23,6 +23,9 @@
 RETRY_AFTER = "Retry-After"
 # On the answers of a server in need: the requests a second that it takes from all hosts together.
 REQUEST_LIMIT = "Server-Limit"
+# On answers of a server: requests running, requests waiting, slots, and on some servers the time
+# that work takes there now, in percent of the usual time.
+LOAD = "X-Server-Load"
 # On every answer of the store: the number of times that it was restored from an older copy.
 STORE_ERA = "Store-Era"
 
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -13,7 +13,6 @@
 from turmericproxy.limits.permits import Applicant
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
-from turmericproxy.placement.engines import EngineCandidate
 from turmericproxy.placement.health import HealthSignal
 from turmericproxy.placement.plain import choose_plain, estimate_seconds
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
@@ -26,9 +25,12 @@
     list_keys,
     select_engine,
 )
+from turmericproxy.placement.stream_gaps import StreamGaps
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
 from turmericproxy.traffic.isolation import NO_ISOLATION
+from turmericproxy.traffic.pacing import create_stream_requirements
+from turmericproxy.traffic.placement_logs import log_engine
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.site import EngineTraits
@@ -70,6 +72,11 @@
     request_id: RequestId = RequestId("")
     placed_at: float = 0.0
 
+    @property
+    def output_tokens(self) -> int:
+        """Return the declared tokens of the whole answer, 0 if they are not known or left to do."""
+        return self.prompt.output_tokens if self.prompt and not self.dispatch.resume_after else 0
+
     @property
     def engine(self) -> EngineStart:
         """Return the start of the engine that was chosen."""
@@ -319,6 +326,9 @@
             if answer.instance is None:
                 return
             answered_by, started_at = InstanceId(answer.instance), None
+        elif answer.verdict is not Verdict.FOREIGN and answer.instance in (None, answered_by):
+            now, start = self._read_clock(), placement.started_at
+            self._registry.record_load(answered_by, start, answer.load, now)
         # An answer that belongs to another request may be older than it looks.
         is_foreign = answer.verdict is Verdict.FOREIGN
         self._registry.record_notice(
@@ -347,15 +357,18 @@
             _add_prefixes(state.prefixes, placement.keys, placement.prompt, ready_at)
             self._placements.append((placement.instance, placement.keys, placement.prompt, seconds))
 
-    def record_first_event(self, placement: Placement, seconds: float) -> None:
-        """Record that the first event arrived, ``seconds`` after the attempt was sent."""
-        work = placement.work
+    def record_first_event(self, placement: Placement, seconds: float) -> StreamGaps:
+        """Record the first event, ``seconds`` after the head; return what observes later ones."""
+        work, now = placement.work, self._read_clock()
         self._registry.add_work(placement.instance, Work(0, -work.pending_prefill_tokens, 0))
         queued = placement.queued_tokens + work.pending_prefill_tokens
-        self._registry.record_prefill_rate(placement.instance, int(queued), seconds)
+        self._registry.record_prefill_rate(
+            placement.instance, int(queued), seconds, now, placement.placed_at
+        )
         if placement.dispatch.save_to and placement.prompt:
             _add_prefixes(self.kept_prefixes, placement.keys, placement.prompt, 0.0)
             self._saved_parts += placement.keys
+        return self._registry.open_gaps(placement.instance, work, placement.output_tokens)
 
     def record_end(
         self,
@@ -499,7 +512,7 @@
         view = chosen.view
         space = build_cache_space(context.isolation_key, prompt.model, view.version)
         keys = list_keys(space, prompt)
-        _log_engine(request, chosen, context, len(states))
+        log_engine(request, chosen, context, len(states))
         store = context.kept_store
         if store and view.domain != store.domain and self._domains.is_unreachable(store.domain):
             store = None
@@ -554,6 +567,9 @@
             measure_age=lambda version: self._wanted.measure_age(prompt.model, version, now),
             oldest_age=self._max_weights_age,
             now=now,
+            stream=create_stream_requirements(
+                request, traits, prompt, self._registry.find_speeds(request.service.name)
+            ),
         )
 
     def _choose_retry_after(self) -> float:
@@ -581,27 +597,3 @@
 ) -> None:
     parts = [(key, part.tokens) for key, part in zip(keys, prompt.shared_parts, strict=True)]
     tracker.add(parts, ready_at)
-
-
-def _log_engine(
-    request: RoutedRequest, chosen: EngineCandidate, context: SelectionContext, candidates: int
-) -> None:
-    view, prompt = chosen.view, request.parsed.prompt
-    assert prompt is not None
-    log_decision(
-        Part.ROUTING,
-        "engine chosen",
-        request_id=request.parsed.request_id,
-        engine=view.instance,
-        version=view.version,
-        wanted_version=context.wanted_version,
-        expected=round(chosen.expected_seconds, 4),
-        queue=round(chosen.queue_seconds, 4),
-        read=round(chosen.prefill_seconds, 4),
-        memory=round(chosen.memory_seconds, 4),
-        shared=[f"{p.part_id}:{p.tokens}" for p in prompt.shared_parts],
-        cached_parts=view.cached_parts,
-        source_parts=view.source.held_parts if view.source else 0,
-        fetch_from=chosen.fetch_from,
-        candidates=candidates,
-    )
--- a/turmericproxy/traffic/exchange.py
+++ b/turmericproxy/traffic/exchange.py
@@ -14,6 +14,7 @@
 from turmericproxy.edge.upstream import EndKind
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
+from turmericproxy.placement.stream_gaps import UNOBSERVED, StreamGaps
 from turmericproxy.traffic.attempts import (
     AnswerPhase,
     Attempt,
@@ -29,7 +30,7 @@
 from turmericproxy.traffic.events import Events, EventSplitter
 from turmericproxy.traffic.handover import OpenAttempt, open_replacement
 from turmericproxy.traffic.interfaces import MessageCodec, VersionResolver
-from turmericproxy.traffic.requests import ParsedAnswer, Verdict
+from turmericproxy.traffic.requests import ParsedAnswer, Verdict, list_header_fields
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.sending import open_call, read_answer, read_head
 from turmericproxy.traffic.silence import (
@@ -252,6 +253,7 @@
         splitter = EventSplitter(self._request.holding)
         if self._begun and (fault := self._begun.find_fault(answer.head)):
             return Attempt(Outcome.BROKEN, answer, reason=fault)
+        gaps: StreamGaps = UNOBSERVED
         while isinstance(part := await call.read_part(), bytes):
             self._received_at = self._clock()
             events = splitter.feed(part)
@@ -263,7 +265,9 @@
                 if self._begun and not is_continued(self._last_id, events):
                     reason = "the events don't continue the stream"
                     return Attempt(Outcome.BROKEN, answer, reason=reason)
-                self._dependencies.dispatcher.record_first_event(placement, self._clock() - started)
+                seconds = self._clock() - started
+                gaps = self._dependencies.dispatcher.record_first_event(placement, seconds)
+            gaps.record_event(self._received_at)
             self._event_parts += 1
             await self._write_events(answer, events)
         if part is not EndKind.COMPLETE or splitter.has_partial_event:
@@ -274,14 +278,15 @@
             # Only its events could show that such a stream is whole.
             return Attempt(Outcome.BROKEN, answer, reason="the connection ended before any event")
         if not writer.is_started:
-            writer.start(answer.head.status, _list_header_fields(answer), None)
+            writer.start(answer.head.status, list_header_fields(answer), None)
+        gaps.close()
         return Attempt(Outcome.ANSWERED, answer)
 
     async def _write_events(self, answer: ParsedAnswer, events: Events) -> None:
         writer = self._request.writer
         if not writer.is_started:
             self._begun = create_begun_stream(answer.head)
-            writer.start(answer.head.status, _list_header_fields(answer), None)
+            writer.start(answer.head.status, list_header_fields(answer), None)
         self._last_id = events.last_id or self._last_id
         writer.write(events.data)
         await writer.drain()
@@ -435,7 +440,7 @@
                 writer.finish()
             else:
                 writer.send(
-                    attempt.answer.head.status, _list_header_fields(attempt.answer), attempt.body
+                    attempt.answer.head.status, list_header_fields(attempt.answer), attempt.body
                 )
             return CompletedAnswer(attempt.answer.head.status)
         if self._request.attempt_counts.possible_runs:
@@ -507,11 +512,3 @@
 def _log_handover_error(handover: asyncio.Task[None]) -> None:
     if not handover.cancelled() and (error := handover.exception()):
         log_event(Part.CALLERS, "handover failed", reason=repr(error))
-
-
-def _list_header_fields(answer: ParsedAnswer) -> list[tuple[str, str]]:
-    return [
-        (name, value)
-        for name, value in answer.head.headers.list_end_to_end()
-        if name.lower() != "content-length"
-    ]
--- a/turmericproxy/traffic/requests.py
+++ b/turmericproxy/traffic/requests.py
@@ -6,6 +6,7 @@
 from turmericproxy.core import AccountName, ModelName, RequestId
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.edge import AnswerHead, ClientRequest
+from turmericproxy.placement.load_reports import LoadReport
 from turmericproxy.placement.notices import NO_NOTICE, UpstreamNotice
 
 PartId = str
@@ -85,9 +86,10 @@
 class ParsedAnswer:
     """Parsed head of an upstream's answer.
 
-    ``instance`` is the upstream that answered, ``version`` the version of its weights, and
-    ``notice`` what it announces about itself. With ``has_refusal_status``, the status tells callers
-    that the request has not run, although the upstream doesn't state that.
+    ``instance`` is the upstream that answered, ``version`` the version of its weights, ``notice``
+    what it announces about itself, and ``load`` the load that it reports. With
+    ``has_refusal_status``, the status tells callers that the request has not run, although the
+    upstream doesn't state that.
     """
 
     verdict: Verdict
@@ -96,9 +98,19 @@
     version: int | None = None
     notice: UpstreamNotice = NO_NOTICE
     has_refusal_status: bool = False
+    load: LoadReport | None = None
 
     def is_from(self, instance: InstanceId) -> bool:
         """Return whether an upstream gave this answer to the request that was sent to it."""
         if self.verdict is Verdict.WRONG_INSTANCE:
             return self.instance == instance
         return self.verdict is not Verdict.FOREIGN
+
+
+def list_header_fields(answer: ParsedAnswer) -> list[tuple[str, str]]:
+    """Return the fields of an answer that the client gets; its length is stated anew."""
+    return [
+        (name, value)
+        for name, value in answer.head.headers.list_end_to_end()
+        if name.lower() != "content-length"
+    ]
