--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -27,7 +27,7 @@
     decode_permit_grants,
     decode_permit_reports,
 )
-from turmericproxy.placement.registry import Work
+from turmericproxy.placement.registry import SpeedReport, Work
 from turmericproxy.releases.messages import (
     ReleaseNotice,
     ReleaseReport,
@@ -70,7 +70,8 @@
     ``limits`` are limits of upstreams, all that the sender knows in an introduction,
     ``permit_reports`` its totals at limited upstreams, and ``permit_grants`` what it allows hosts
     to send there. ``release_notices`` are decisions on rollouts of software, and
-    ``release_reports`` what the sender has counted for them since their orders.
+    ``release_reports`` what the sender has counted for them since their orders. ``speeds`` are
+    slowdowns that engines report.
     """
 
     work: Mapping[InstanceId, Work] = _NO_WORK
@@ -96,6 +97,7 @@
     permit_grants: tuple[PermitGrant, ...] = ()
     release_notices: tuple[ReleaseNotice, ...] = ()
     release_reports: tuple[ReleaseReport, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
 
 
 # Tells only that the sender is running.
@@ -131,6 +133,7 @@
         permit_grants=first.permit_grants + second.permit_grants,
         release_notices=first.release_notices + second.release_notices,
         release_reports=first.release_reports + second.release_reports,
+        speeds=first.speeds + second.speeds,
     )
 
 
@@ -216,6 +219,7 @@
     ("permit_grants", decode_permit_grants),
     ("release_notices", decode_release_notices),
     ("release_reports", decode_release_reports),
+    ("speeds", lambda v: tuple(SpeedReport(InstanceId(i), int(t), int(p)) for i, t, p in v)),
 )
 # Fields in which false and 0 differ from no value.
 _OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch", "limits"})
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -74,6 +74,7 @@
             leaving=self._registry.list_leaving(),
             kept_epoch=self._cache_pollers.get_kept_epoch(),
             release_notices=self.releases.list_known() if self.releases else (),
+            speeds=self._registry.list_speeds(),
             **_list_crash_fields(self._crashes.create_state(is_introduction=True)),
         )
 
@@ -98,8 +99,9 @@
         has_changed = is_reachable is not self._sent_reachability
         is_restarted = kept_epoch != self._sent_kept_epoch
         self._sent_reachability, self._sent_kept_epoch = is_reachable, kept_epoch
+        speeds = self._registry.take_speeds()
         notices, reports = self.releases.take_messages() if self.releases else ((), ())
-        upstreams = (changing, versions, superseded, leaving, evicted)
+        upstreams = (changing, versions, superseded, leaving, evicted, speeds)
         announced = (*upstreams, has_changed, is_restarted, notices, reports)
         if not any((work, spent, placed, kept, crashes, limits, *announced)):
             return None
@@ -125,6 +127,7 @@
             kept_epoch=kept_epoch if is_restarted else None,
             release_notices=notices,
             release_reports=reports,
+            speeds=speeds,
             **_list_crash_fields(crashes or CrashState()),
             **_list_limit_fields(limits or LimitState()),
         )
@@ -196,6 +199,7 @@
             self._registry.supersede(instance, address)
         for instance, started_at in batch.leaving:
             self._registry.mark_leaving(instance, started_at)
+        self._registry.receive_speeds(batch.speeds, now)
 
     def forget_peer(self, host: HostName) -> None:
         """Discard the state received from a lost peer."""
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -33,6 +33,7 @@
 from turmericproxy.host.fleet_updates import FleetUpdates
 from turmericproxy.host.site_follower import SiteFollower
 from turmericproxy.host.site_settings import SiteHostSettings
+from turmericproxy.host.speed_gauges import set_speed_gauges
 from turmericproxy.limits.controller import FleetView, LimitController
 from turmericproxy.logs import Part, log_decision, log_event
 from turmericproxy.metrics import Metrics
@@ -445,6 +446,7 @@
         self._metrics.set_gauges("upstream_limit", "upstream", named)
         rates = {str(i): rate for i, _, rate in limits}
         self._metrics.set_gauges("upstream_rate", "upstream", rates)
+        set_speed_gauges(self._metrics, self._registry)
         self._metrics.set_gauges("held_bytes", "kind", self._memory.list_held())
         if self._admission:
             self._admission.export_gauges()
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -25,11 +25,13 @@
     list_keys,
     select_engine,
 )
+from turmericproxy.placement.stream_gaps import StreamGaps
 from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
-from turmericproxy.traffic.choice_log import log_engine
 from turmericproxy.traffic.isolation import NO_ISOLATION
+from turmericproxy.traffic.pacing import create_stream_requirements
+from turmericproxy.traffic.placement_logs import log_engine
 from turmericproxy.traffic.placements import Placement, PromptPlacement
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
 from turmericproxy.traffic.routed_request import RoutedRequest
@@ -309,6 +311,9 @@
             if answer.instance is None:
                 return
             answered_by, started_at = InstanceId(answer.instance), None
+        elif answer.verdict is not Verdict.FOREIGN and answer.instance in (None, answered_by):
+            now, start = self._read_clock(), placement.started_at
+            self._registry.record_load(answered_by, start, answer.load, now)
         # An answer that belongs to another request may be older than it looks.
         is_foreign = answer.verdict is Verdict.FOREIGN
         self._registry.record_notice(
@@ -339,17 +344,20 @@
             _add_prefixes(state.prefixes, placement.keys, placement.prompt, ready_at)
             self._placements.append((placement.instance, placement.keys, placement.prompt, seconds))
 
-    def record_first_event(self, placement: Placement, seconds: float) -> None:
-        """Record that the first event arrived, ``seconds`` after the attempt was sent."""
+    def record_first_event(self, placement: Placement, seconds: float) -> StreamGaps:
+        """Record the first event, ``seconds`` after the head; return what observes later ones."""
         if self.admission:
             self.admission.record_first_event(placement)
-        work = placement.work
+        work, now = placement.work, self._read_clock()
         self._registry.add_work(placement.instance, Work(0, -work.pending_prefill_tokens, 0))
         queued = placement.queued_tokens + work.pending_prefill_tokens
-        self._registry.record_prefill_rate(placement.instance, int(queued), seconds)
+        self._registry.record_prefill_rate(
+            placement.instance, int(queued), seconds, now, placement.placed_at
+        )
         if placement.dispatch.save_to and placement.prompt:
             _add_prefixes(self.kept_prefixes, placement.keys, placement.prompt, 0.0)
             self._saved_parts += placement.keys
+        return self._registry.open_gaps(placement.instance, work, placement.output_tokens)
 
     def record_end(
         self,
@@ -554,6 +562,9 @@
             measure_age=lambda version: self._wanted.measure_age(prompt.model, version, now),
             oldest_age=self._max_weights_age,
             now=now,
+            stream=create_stream_requirements(
+                request, traits, prompt, self._registry.find_speeds(request.service.name)
+            ),
         )
 
     def _choose_retry_after(self) -> float:
--- a/turmericproxy/traffic/choice_log.py
+++ b/turmericproxy/traffic/placement_logs.py
@@ -1,4 +1,6 @@
-"""Log why an engine was chosen for a request."""
+"""Log where requests are placed, and the terms that decided."""
+
+from typing import Any
 
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.engines import EngineCandidate
@@ -9,7 +11,7 @@
 def log_engine(
     request: RoutedRequest, chosen: EngineCandidate, context: SelectionContext, candidates: int
 ) -> None:
-    """Log the chosen engine and the terms of its score."""
+    """Log the engine that was chosen for a request with a prompt."""
     view, prompt = chosen.view, request.parsed.prompt
     assert prompt is not None
     log_decision(
@@ -28,4 +30,15 @@
         source_parts=view.source.held_parts if view.source else 0,
         fetch_from=chosen.fetch_from,
         candidates=candidates,
+        **_list_speed_terms(chosen, context),
     )
+
+
+def _list_speed_terms(chosen: EngineCandidate, context: SelectionContext) -> dict[str, Any]:
+    if context.stream is None:
+        return {}
+    return {
+        "slowdown": round(chosen.view.slowdown, 2),
+        "lasting_slowdown": round(chosen.view.lasting_slowdown, 2),
+        "pause_cost": round(chosen.pause_cost_seconds, 4),
+    }
--- a/turmericproxy/traffic/placements.py
+++ b/turmericproxy/traffic/placements.py
@@ -32,6 +32,11 @@
     placed_at: float = 0.0
     route: RouteName = RouteName("")
 
+    @property
+    def output_tokens(self) -> int:
+        """Return the declared tokens of the whole answer, 0 if they are not known or left to do."""
+        return self.prompt.output_tokens if self.prompt and not self.dispatch.resume_after else 0
+
     @property
     def engine(self) -> EngineStart:
         """Return the start of the engine that was chosen."""
