--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -51,9 +51,9 @@
     [
         (None, False),
         ("", False),
-        ("rollout,pressured", False),
+        ("weights,pressured", False),
         ("pressure", True),
-        ("rollout, pressure", True),
+        ("weights, pressure", True),
     ],
 )
 def test_admission_control_is_on_only_if_contracts_ask_for_it(
