Serve chunked bodies of any content in a bounded time, and bound unsent answers in the kernel

A chunked body of 4 MB of empty lines took over 3 s, since the input was split at each of them to find the end of the body. The sizes of chunks are read for that now; the parser still checks them. TCP_NOTSENT_LOWAT bounds what the kernel takes for a client that doesn't read: four answers of 300 KB were begun with none of them read.

Limits of callers of the own interface and their counters are settings too.

--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -22,13 +22,19 @@
 from turmericproxy.callers.streams import ChatDependencies
 from turmericproxy.configuration.controller import ConfigurationController
 from turmericproxy.core import Refusal, RequestId, ResultCode, RunState, create_id, read_boottime
+from turmericproxy.core.memory import MemoryAccount
 from turmericproxy.core.results import refuse
+from turmericproxy.edge import EdgeResources
+from turmericproxy.edge.causes import CauseReporter
+from turmericproxy.edge.connection_table import ConnectionTable
+from turmericproxy.edge.resources import compute_client_connections, read_descriptor_limit
 from turmericproxy.keys import KeyController
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.rates import RateController
 from turmericproxy.routing import FairQueue, RetryBudget, Selector
 from turmericproxy.settings import HostSettings
+from turmericproxy.settings.schema import LimitSettings
 from turmericproxy.web import HttpRequest, HttpResponse, HttpServer, create_json_response
 from turmericproxy.web.refusals import create_refusal_response
 
@@ -98,6 +104,7 @@
             threads=settings.limits.threads,
             timeout=max(1, round(settings.limits.header_timeout)),
             body_bytes=settings.limits.body_bytes,
+            resources=_create_resources(settings.limits, self._metrics),
         )
         self._is_draining = False
         self._is_refusing = False
@@ -187,3 +194,14 @@
     @_relay_call.register
     def _(self, call: PlainCall, exchange: Exchange) -> Answer:
         return self._plain(exchange)
+
+
+def _create_resources(limits: LimitSettings, metrics: Metrics) -> EdgeResources:
+    reporter = CauseReporter(lambda cause: metrics.count("limited_clients", cause=cause.value))
+    connections = limits.client_connections or compute_client_connections(read_descriptor_limit())
+    return EdgeResources(
+        MemoryAccount(limits.held_bytes),
+        ConnectionTable(connections, reporter),
+        reporter,
+        limits.unread_answer_timeout,
+    )
--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -15,6 +15,7 @@
 from turmericproxy.edge.messages import ClientRequest, Headers
 from turmericproxy.edge.receiving import get_receive_buffer
 from turmericproxy.edge.resources import EdgeResources
+from turmericproxy.edge.sockets import limit_unsent
 from turmericproxy.edge.unsent import UnsentWatch
 from turmericproxy.edge.writer import AnswerWriter
 from turmericproxy.logs import Part, log_decision
@@ -122,6 +123,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        limit_unsent(transport, WRITE_BUFFER_BYTES)
         self._heads = self._resources.memory.open(HeldKind.HEADS, self._read_peer())
         self._first_request_due_at = self._loop.time() + FIRST_REQUEST_SECONDS
         self._set_limit_timer(_get_idle_seconds, self._close_silent)
--- a/turmericproxy/edge/input_buffer.py
+++ b/turmericproxy/edge/input_buffer.py
@@ -11,13 +11,12 @@
 # Estimated size of the objects of one parsed header field beyond its text: two strings, a tuple,
 # and the field's entry in the index by name.
 FIELD_BYTES = 400
-# Bytes of a chunked body that are parsed at once, so that its framing is checked in between.
-FRAMING_SLICE_BYTES = 8 * 1024
+# Bytes in which the end of a line of a chunked body's framing is looked for at once.
+LINE_SLICE_BYTES = 256
 # A head ends with an empty line. Line feeds without carriage return are found too: the parser
 # refuses them, while waiting for the rest of the head would end in a timeout.
 _HEAD_END = re.compile(rb"\n\r?\n")
 _EMPTY_LINES = re.compile(rb"[\r\n]*")
-_MESSAGE_END = b"\r\n\r\n"
 
 
 class InputTooLargeError(Exception):
@@ -43,7 +42,10 @@
         # Bytes of the body that are still to come, or ``None`` if the body is chunked.
         self._body_left: int | None = 0
         self._framing_bytes = 0
-        self._tail = b""
+        # Bytes of a chunk's data and of the end of its line that are still to come, or ``None``
+        # after the last chunk.
+        self._chunk_left: int | None = 0
+        self._line = b""
         self._is_closed = False
         self.is_head_waiting = False
 
@@ -60,9 +62,7 @@
     def add(self, data: bytes | memoryview, head_limit: int) -> None:
         """Parse received bytes that belong to a body, and hold the others."""
         if self._is_in_body and not self._raw:
-            data = memoryview(data)
-            while data and self._is_in_body:
-                data = data[self._feed_body(data, head_limit) :]
+            data = self._feed_body(memoryview(data), head_limit)
         if not self._is_closed:
             self._raw += data
 
@@ -76,7 +76,10 @@
         if not self._raw:
             return False
         if self._is_in_body:
-            del self._raw[: self._feed_body(bytes(self._raw), head_limit)]
+            data, self._raw = bytes(self._raw), bytearray()
+            rest = self._feed_body(memoryview(data), head_limit)
+            if not self._is_closed:
+                self._raw += rest
             return True
         return self._advance_head(head_limit, may_begin)
 
@@ -85,7 +88,8 @@
         self._is_in_body = True
         self._body_left = length
         self._framing_bytes = 0
-        self._tail = b""
+        self._chunk_left = 0
+        self._line = b""
 
     def record_body(self) -> None:
         """Record that a part of the body was parsed."""
@@ -146,22 +150,42 @@
         if self._is_in_body and self._body_left == 0:
             raise httptools.HttpParserError("the head has no end")
 
-    def _feed_body(self, data: bytes | memoryview, head_limit: int) -> int:
-        """Parse a part of the body that doesn't go beyond its end; return its size in bytes."""
-        if self._body_left is not None:
-            part = data[: self._body_left]
-            self._body_left -= len(part)
-            self.parser.feed_data(part)
-            return len(part)
+    def _feed_body(self, data: memoryview, head_limit: int) -> memoryview:
+        """Parse input up to the end of the request at most; return the rest."""
+        while data and self._is_in_body:
+            if self._body_left is not None:
+                size = min(self._body_left, len(data))
+                self._body_left -= size
+                self.parser.feed_data(data[:size])
+            elif self._chunk_left:
+                size = min(self._chunk_left, len(data))
+                self._chunk_left -= size
+                self.parser.feed_data(data[:size])
+            else:
+                size = self._feed_line(data, head_limit)
+            data = data[size:]
+        return data
+
+    def _feed_line(self, data: memoryview, head_limit: int) -> int:
+        """Parse up to the end of a line of a chunked body's framing; return the size in bytes.
+
+        The sizes of chunks are read here to find the end of the body; the parser checks them.
+        """
         if self._framing_bytes > head_limit:
             raise InputTooLargeError
-        part = bytes(data[:FRAMING_SLICE_BYTES])
-        # The end of a chunked body, and only it or its content, has an empty line.
-        joined = self._tail + part
-        found = joined.find(_MESSAGE_END)
-        if found >= 0:
-            part = part[: found + len(_MESSAGE_END) - len(self._tail)]
-        self._tail = (self._tail + part)[-len(_MESSAGE_END) + 1 :]
+        start = bytes(data[:LINE_SLICE_BYTES])
+        end = start.find(b"\n") + 1
+        part = start[:end] if end else start
         self._framing_bytes += len(part)
         self.parser.feed_data(part)
+        if self._chunk_left is None:
+            return len(part)  # a trailer
+        self._line = (self._line + part)[:LINE_SLICE_BYTES]
+        if end:
+            try:
+                size = int(self._line.partition(b";")[0], 16)
+            except ValueError:
+                raise httptools.HttpParserError("the size of a chunk can't be read") from None
+            self._chunk_left = size + len(b"\r\n") if size else None
+            self._line = b""
         return len(part)
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -334,7 +334,7 @@
 
     def _answer_without_room(self) -> list[tuple[str, str]]:
         """Return the header fields of the refusal of a body that the host has no room for."""
-        reason = f"no room for the body: {self._memory.describe()}"
+        reason = f"no room for the request: {self._memory.describe()}"
         seconds = round(random.uniform(*NO_ROOM_RETRY_AFTER_SECONDS), 2)
         refusal = refuse(ResultCode.OVERLOADED, reason, retry_after=seconds)
         self._metrics.count("refusals", code=refusal.code.name.lower())
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -47,12 +47,19 @@
 
 
 class LimitSettings(Section):
-    """Limits on the requests of callers; times are in seconds."""
+    """Limits on the requests of callers; times are in seconds.
+
+    ``held_bytes`` bounds what the host holds of requests and unread answers. Without
+    ``client_connections``, half of the process's descriptors that are not reserved are for clients.
+    """
 
     body_bytes: int = Field(default=4 * 1024 * 1024, ge=1024)
     header_timeout: float = Field(default=10.0, gt=0)
     first_token_deadline: float = Field(default=10.0, gt=0)
     threads: int = Field(default=96, ge=4, le=2048)
+    held_bytes: int = Field(default=512 * 1024 * 1024, ge=1024 * 1024)
+    unread_answer_timeout: float = Field(default=60.0, gt=0)
+    client_connections: int | None = Field(default=None, ge=1)
 
 
 class UpstreamSettings(Section):
--- a/turmericproxy/web/server.py
+++ b/turmericproxy/web/server.py
@@ -315,4 +315,7 @@
     refusal = refuse(code, "the request can't be read, or is over a limit")
     log_decision(Part.CALLERS, "request can't be read", request_id=request_id, code=int(code))
     body = json.dumps(describe_refusal(refusal), separators=(",", ":")).encode()
-    return [("Content-Type", "application/json"), ("X-Request-Id", request_id)], body
+    fields = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
+    if code is ResultCode.OVERLOADED:
+        fields.append(("Retry-After", "1"))
+    return fields, body
