--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -12,6 +12,7 @@
     TOKENS_PER_SECOND,
     Fleet,
     Kind,
+    Load,
     Totals,
     create_burst,
     create_request,
@@ -93,6 +94,21 @@
     assert totals.get_share("short") >= 0.9 > totals.get_share("long")
 
 
+def test_larger_flood_of_the_urgent_kind_does_not_lower_the_answers_in_target() -> None:
+    """Load: short prompts at 8, 12 and 20 times their usual, alone up to 2.2 times the capacity.
+
+    Guards against refused urgent requests that return when their target has passed.
+    """
+
+    def create_load(factor: float) -> Load:
+        return lambda now, kind, account: (factor if kind is SHORT and START <= now < END else 0.7)
+
+    reference = count_in_target(Fleet(create_load(8.0)).run(13))
+    for factor in (12.0, 20.0):
+        totals = Fleet(create_load(factor)).run(13)
+        assert count_in_target(totals) >= 0.9 * reference
+
+
 @pytest.mark.parametrize("lag", [0.04, 0.08])
 def test_account_above_its_share_gives_way_before_the_others(lag: float) -> None:
     """Load: one of three accounts at 5.3 times its usual long prompts, within its quota.
--- a/tests/admission/test_shares.py
+++ b/tests/admission/test_shares.py
@@ -105,7 +105,12 @@
 
 def test_retry_after_stays_within_what_clients_honour() -> None:
     """Load: backlogs of 0 to 10 s. Guards against clients that give up instead of returning."""
-    assert compute_retry_after(0.0, 4.0, 0.0) == 0.05
-    assert compute_retry_after(0.3, 4.0, 0.5) == pytest.approx(0.5)
-    assert compute_retry_after(10.0, 3.0, 0.5) <= 1.0
-    assert compute_retry_after(10.0, 100.0, 0.5) <= 3.0
+    assert compute_retry_after(0.0, 0.8, 4.0, 0.0) == 0.05
+    assert compute_retry_after(0.3, 0.8, 4.0, 0.5) == pytest.approx(0.5)
+    assert compute_retry_after(10.0, 0.8, 3.0, 0.5) <= 1.0
+    assert compute_retry_after(10.0, 0.8, 100.0, 0.5) <= 3.0
+
+
+def test_retry_after_leaves_part_of_the_target_without_a_backlog() -> None:
+    """Load: none. Guards against urgent requests that return when their target has passed."""
+    assert compute_retry_after(0.0, 0.265, 4.0, 1.0) <= 0.5 * 0.265 + 0.01
--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -334,6 +334,7 @@
         )
         retry_after = compute_retry_after(
             backlog_seconds,
+            request.route.target_latency,
             request.deadline - self._read_clock(),
             compute_position(request.parsed.request_id, "retry"),
         )
--- a/turmericproxy/admission/decision.py
+++ b/turmericproxy/admission/decision.py
@@ -13,15 +13,19 @@
 # later, so a single threshold would make all of them refuse everything or nothing in turn.
 MIN_BOUND_FACTOR = 0.25
 MAX_BOUND_FACTOR = 1.75
-# Smallest share, by a request's position, of the time left for the queue that the queue may take.
+# Smallest share, by a request's position, of the time left for the queue that the queue may take,
+# where most of it is as urgent. The less of it is, the more other kinds give way instead.
 MIN_ROOM_SHARE = 0.3
+# Share of the queue that is as urgent from which on that applies in full.
+FULL_SPREAD_SHARE = 0.7
 # The same for prompts whose queue is limited by a bound already. They may queue at an engine that
 # has their shared parts while others have less to do.
 MIN_ROOM_SHARE_WITH_BOUND = 0.7
 # Factor of the bound for accounts within their fair share, so that others give way first.
 WITHIN_SHARE_FACTOR = 1.25
-# Range of the spread of Retry-After, from 0.
-SPREAD_SECONDS = 0.4
+# Range of the spread of Retry-After, as a share of the target: clients count from their first
+# attempt, so that a request which returns later is late.
+SPREAD_SHARE = 0.5
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 3.0
 # Largest share of a request's remaining time for Retry-After: clients wait for up to a third of it.
@@ -72,7 +76,11 @@
         return Reason.ACCOUNT_SHARE
     own_seconds = inputs.expected_seconds - inputs.queue_seconds
     room = inputs.target - inputs.age - own_seconds
-    least = MIN_ROOM_SHARE if inputs.bound is None else MIN_ROOM_SHARE_WITH_BOUND
+    if inputs.bound is None:
+        spread = min(1.0, inputs.ahead_share / FULL_SPREAD_SHARE)
+        least = 1.0 - (1.0 - MIN_ROOM_SHARE) * spread
+    else:
+        least = MIN_ROOM_SHARE_WITH_BOUND
     room *= least + inputs.queue_position * (1.0 - least)
     if inputs.queue_seconds * inputs.ahead_share > room:
         return Reason.LATE
@@ -90,8 +98,10 @@
     return zlib.crc32(f"{purpose}/{request_id}".encode()) / CRC32_RANGE
 
 
-def compute_retry_after(backlog_seconds: float, seconds_left: float, position: float) -> float:
+def compute_retry_after(
+    backlog_seconds: float, target: float, seconds_left: float, position: float
+) -> float:
     """Return the seconds until the backlog is prefilled, plus a spread, within what is useful."""
-    seconds = max(0.0, backlog_seconds) + position * SPREAD_SECONDS
+    seconds = max(0.0, backlog_seconds) + position * SPREAD_SHARE * target
     limit = min(MAX_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * seconds_left)
     return round(max(MIN_RETRY_AFTER_SECONDS, min(limit, seconds)), 2)
--- a/turmericproxy/admission/pressure.py
+++ b/turmericproxy/admission/pressure.py
@@ -8,6 +8,8 @@
 # this time, which is within the headroom of a target of 265 ms; a shorter one follows the bursts of
 # single clients.
 SMOOTHING_SECONDS = 0.1
+# The same while pressure falls. Near the capacity queues vary within some tenths of a second.
+FALL_SECONDS = 0.2
 # Ratios of wait to bound from which a service is under pressure, and below which it isn't any more.
 # Refusals keep the ratio between 0.25 and 1.75, so pressure ends only below that.
 ENTER_RATIO = 1.0
@@ -34,7 +36,9 @@
 def update_pressure(pressure: Pressure, sample: float, now: float) -> Pressure:
     """Return the pressure after one more sample of the ratio of wait to bound."""
     elapsed = max(0.0, now - pressure.measured_at)
-    weight = 1.0 - math.exp(-elapsed / SMOOTHING_SECONDS)
+    is_falling = pressure.is_high and sample < pressure.ratio
+    seconds = FALL_SECONDS if is_falling else SMOOTHING_SECONDS
+    weight = 1.0 - math.exp(-elapsed / seconds)
     ratio = pressure.ratio + weight * (min(sample, MAX_SAMPLE_RATIO) - pressure.ratio)
     threshold = LEAVE_RATIO if pressure.is_high else ENTER_RATIO
     return Pressure(ratio, ratio >= threshold, now)
