Export no pressure without recent requests, and test the choice by memory

Pressure is updated by requests only, so the gauge kept its last value after the load had ended; after 2 s without requests it is 0 now. With one engine whose memory is taken, a host with admission control sends a prompt to the other one, a host without it to the same engine as before.

--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -8,6 +8,7 @@
     ENGINES,
     KINDS,
     LONG,
+    SERVICE,
     SHORT,
     TOKENS_PER_SECOND,
     Fleet,
@@ -18,6 +19,7 @@
     create_request,
     create_site,
 )
+from turmericproxy.traffic.attempts import AttemptCounts
 
 START, END = 103.0, 110.0
 
@@ -222,9 +224,26 @@
     waits = []
     for n in range(200):
         request = create_request(fleet.site, LONG, f"x{n}", fleet.now, None)
-        refusal = controller.judge(request, fleet.place(0, request), registry.list_ready("llm"))
+        refusal = controller.judge(request, fleet.place(0, request), registry.list_ready(SERVICE))
         if refusal and refusal.retry_after:
             waits.append(refusal.retry_after)
     assert len(waits) > 100
     assert max(waits) - min(waits) > 0.3
     assert max(waits) <= 4.0 / 3
+
+
+def test_request_that_may_have_run_is_not_refused() -> None:
+    """Load: a retry after a broken attempt, in front of engines with a full queue.
+
+    Guards against a refusal whose client can't be told any more that nothing ran.
+    """
+    fleet = Fleet(lambda now, kind, account: 6.0 if kind is LONG else 0.7)
+    fleet.run_steps(1.0)
+    controller, states = fleet.controllers[0], fleet.registries[0].list_ready(SERVICE)
+    refusals = []
+    for counts in (AttemptCounts(), AttemptCounts(1, 1, 1)):
+        request = create_request(fleet.site, LONG, "x", fleet.now - 2.0, None)
+        request.attempt_counts = counts
+        refusals.append(controller.judge(request, fleet.place(0, request), states))
+    assert refusals[0] is not None
+    assert refusals[1] is None
--- a/tests/host/test_admission.py
+++ b/tests/host/test_admission.py
@@ -105,6 +105,26 @@
     run_host(scenario)
 
 
+@pytest.mark.parametrize(("is_on", "expected"), [(True, "e2"), (False, "e1")])
+def test_prompt_goes_to_another_engine_if_the_best_one_has_no_memory(
+    is_on: bool, expected: str
+) -> None:
+    """Load: one engine without memory that is otherwise idle, one with a queue.
+
+    Guards against refusals while another engine has room, and against a changed choice where the
+    settings don't ask for admission control.
+    """
+
+    async def scenario(environment: HostEnvironment, host: SiteHost) -> None:
+        works = {ENGINES[0]: FULL, ENGINES[1]: Work(1, 10_000, 10_000)}
+        host._registry.set_peer_work(PEER, works)
+        answer = await environment.send_stream_request(wait_ms=4000)
+        assert answer.status == 200
+        assert len(environment.servers[expected].received_requests) == 1
+
+    run_host(scenario, is_on=is_on)
+
+
 def test_pressure_is_exported_by_service() -> None:
     """Load: as above. Guards against refusals whose cause operators can't see."""
 
--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -46,6 +46,8 @@
 MEASURE_INTERVAL_SECONDS = 0.02
 # Interval between two updates of the fair shares.
 SHARES_INTERVAL_SECONDS = 0.1
+# Time after which a pressure that no request has updated is not exported any more.
+GAUGE_SECONDS = 2.0
 # Weight of the newest sample in the smoothed durations of prompts and streams.
 SMOOTHING = 0.1
 
@@ -208,8 +210,12 @@
         return state is not None and state.pressure.is_high
 
     def export_gauges(self) -> None:
-        """Set the gauge of the pressure by service."""
-        ratios = {str(name): state.pressure.ratio for name, state in self._services.items()}
+        """Set the gauge of the pressure by service, 0 for services without recent requests."""
+        oldest = self._read_clock() - GAUGE_SECONDS
+        ratios = {
+            str(name): state.pressure.ratio if state.pressure.measured_at >= oldest else 0.0
+            for name, state in self._services.items()
+        }
         self._metrics.set_gauges("admission_pressure", "service", ratios)
 
     def _find_service(self, request: RoutedRequest) -> _ServiceState:
