--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -8,15 +8,18 @@
     ENGINES,
     KINDS,
     LONG,
+    SERVICE,
     SHORT,
     TOKENS_PER_SECOND,
     Fleet,
     Kind,
+    Load,
     Totals,
     create_burst,
     create_request,
     create_site,
 )
+from turmericproxy.traffic.attempts import AttemptCounts
 
 START, END = 103.0, 110.0
 
@@ -93,6 +96,21 @@
     assert totals.get_share("short") >= 0.9 > totals.get_share("long")
 
 
+def test_larger_flood_of_the_urgent_kind_does_not_lower_the_answers_in_target() -> None:
+    """Load: short prompts at 8, 12 and 20 times their usual, alone up to 2.2 times the capacity.
+
+    Guards against refused urgent requests that return when their target has passed.
+    """
+
+    def create_load(factor: float) -> Load:
+        return lambda now, kind, account: (factor if kind is SHORT and START <= now < END else 0.7)
+
+    reference = count_in_target(Fleet(create_load(8.0)).run(13))
+    for factor in (12.0, 20.0):
+        totals = Fleet(create_load(factor)).run(13)
+        assert count_in_target(totals) >= 0.9 * reference
+
+
 @pytest.mark.parametrize("lag", [0.04, 0.08])
 def test_account_above_its_share_gives_way_before_the_others(lag: float) -> None:
     """Load: one of three accounts at 5.3 times its usual long prompts, within its quota.
@@ -206,9 +224,26 @@
     waits = []
     for n in range(200):
         request = create_request(fleet.site, LONG, f"x{n}", fleet.now, None)
-        refusal = controller.judge(request, fleet.place(0, request), registry.list_ready("llm"))
+        refusal = controller.judge(request, fleet.place(0, request), registry.list_ready(SERVICE))
         if refusal and refusal.retry_after:
             waits.append(refusal.retry_after)
     assert len(waits) > 100
     assert max(waits) - min(waits) > 0.3
     assert max(waits) <= 4.0 / 3
+
+
+def test_request_that_may_have_run_is_not_refused() -> None:
+    """Load: a retry after a broken attempt, in front of engines with a full queue.
+
+    Guards against a refusal whose client can't be told any more that nothing ran.
+    """
+    fleet = Fleet(lambda now, kind, account: 6.0 if kind is LONG else 0.7)
+    fleet.run_steps(1.0)
+    controller, states = fleet.controllers[0], fleet.registries[0].list_ready(SERVICE)
+    refusals = []
+    for counts in (AttemptCounts(), AttemptCounts(1, 1, 1)):
+        request = create_request(fleet.site, LONG, "x", fleet.now - 2.0, None)
+        request.attempt_counts = counts
+        refusals.append(controller.judge(request, fleet.place(0, request), states))
+    assert refusals[0] is not None
+    assert refusals[1] is None
