--- a/turmericproxy/releases/decider.py
+++ b/turmericproxy/releases/decider.py
@@ -67,6 +67,7 @@
     written: ReleaseState | None = None
     stepped: ReleaseState | None = None
     step_totals: Totals = field(default_factory=dict)
+    strata: tuple[Totals, ...] = ()
     recent: list[tuple[float, Totals]] = field(default_factory=list)
     totals: Totals = field(default_factory=dict)
     noticed_at: float = 0.0
@@ -222,23 +223,26 @@
         totals = counts.copy_sums()
         if course.stepped != state:
             # A new decider judges the step anew from here on; failures count since the order.
+            if course.stepped is not None and state.is_of(course.stepped.create_order()):
+                course.strata += (subtract_totals(totals, course.step_totals),)
+            else:
+                course.strata = ()
             course.stepped, course.step_totals, course.recent = state, totals, []
         course.totals = totals
         course.recent = [entry for entry in course.recent if entry[0] > now - RECENT_SECONDS]
         recent = course.recent[0][1] if course.recent else course.step_totals
         course.recent.append((now, totals))
         store_now = now + self._clock_offset
+        in_step = subtract_totals(totals, course.step_totals)
         return Evidence(
             phase=state.phase,
             step=state.step,
             duration=release.order.duration,
             elapsed=store_now - state.started_at,
             in_step=store_now - state.stepped_at,
-            windows=(
-                subtract_totals(totals, course.step_totals),
-                subtract_totals(totals, recent),
-            ),
+            windows=(in_step, subtract_totals(totals, recent)),
             totals=totals,
+            strata=(*course.strata, in_step),
             requests=counts.count_requests(),
             sent=counts.count_sent(),
             has_new_upstreams=release.order.version in versions,
--- a/turmericproxy/releases/steps.py
+++ b/turmericproxy/releases/steps.py
@@ -1,6 +1,6 @@
 """Define the steps in which a new version's share of the traffic grows.
 
-The shares before the last, each times its usual duration, sum up to 0.073 of the order's time. So a
+The shares before the last, each times its usual duration, sum up to 0.076 of the order's time. So a
 version that turns bad at any of them has had less than a tenth of the requests when it is found.
 """
 
@@ -22,17 +22,17 @@
 
 
 STEPS = (
-    Step(0.02, 0.06, 0.16),
-    Step(0.05, 0.06, 0.24),
-    Step(0.10, 0.06, 0.32),
-    Step(0.20, 0.07, 0.40),
-    Step(0.35, 0.07, 0.48),
-    Step(0.60, 0.04, 0.54),
-    Step(1.00, 0.06, 0.60),
+    Step(0.03, 0.05, 0.11),
+    Step(0.06, 0.05, 0.18),
+    Step(0.10, 0.05, 0.25),
+    Step(0.20, 0.06, 0.32),
+    Step(0.35, 0.07, 0.40),
+    Step(0.60, 0.05, 0.46),
+    Step(1.00, 0.06, 0.53),
 )
 LAST_STEP = len(STEPS) - 1
-# Answers of the new version from which on a step counts as tried: of 40 in a hundred bad ones, the
-# chance that fewer than five are among 30 is below 1 in 300.
+# Answers of the new version from which on a step counts as tried: if 40 in a hundred are bad, fewer
+# than five are among 30 in less than 1 of 300 cases.
 MIN_STEP_ANSWERS = 30
 # No step is shorter, so that counts of it reach the decider and a verdict reaches all hosts.
 MIN_STEP_SECONDS = 1.0
@@ -59,6 +59,6 @@
     """Return the least seconds from a step, or 0 during the last one, until old versions stop.
 
     >>> round(compute_least_remaining(0, 100.0))
-    36
+    34
     """
     return sum(max(MIN_STEP_SECONDS, s.dwell * duration) for s in STEPS[step + 1 :])
--- a/turmericproxy/releases/verdict.py
+++ b/turmericproxy/releases/verdict.py
@@ -1,6 +1,7 @@
 """Judge a new version against the old ones, and decide what follows from it."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -18,6 +19,9 @@
 # Chance from which on as many bad answers of the new version are no coincidence. A rollout is
 # judged some thousand times over its routes and windows, and a good version should always complete.
 MAX_COINCIDENCE = 1e-6
+# The same for failures of all routes together. They are one comparison at a time, and the bound
+# that is computed is several times the chance.
+MAX_SPARSE_COINCIDENCE = 1e-5
 # Fewer bad answers than this may be chance whatever the shares.
 MIN_BAD_ANSWERS = 5
 # Smaller differences don't justify a rollback.
@@ -49,8 +53,9 @@
     """Hold what the decider knows of a rollout; times are in seconds.
 
     ``windows`` are counts since the step began and of the last seconds, ``totals`` all since the
-    order. Latencies count from the second step on, since caches are cold at first. ``requests`` of
-    the service and those ``sent`` to the new version count since the order.
+    order, and ``strata`` those of each step, within which the share was constant. Latencies count
+    from the second step on, since caches are cold at first. ``requests`` of the service and those
+    ``sent`` to the new version count since the order.
     """
 
     phase: ReleasePhase
@@ -60,6 +65,7 @@
     in_step: float
     windows: tuple[Totals, ...]
     totals: Totals
+    strata: tuple[Totals, ...]
     requests: int
     sent: int
     has_new_upstreams: bool
@@ -104,7 +110,8 @@
     for window in evidence.windows:
         if fault := find_fault(window, evidence.totals, judges_latency=evidence.step > 0):
             return fault
-    return find_fault(evidence.totals, evidence.totals, judges_latency=False)
+    fault = find_fault(evidence.totals, evidence.totals, judges_latency=False)
+    return fault or find_sparse_fault(evidence.strata, evidence.totals)
 
 
 def find_fault(window: Totals, totals: Totals, *, judges_latency: bool) -> str | None:
@@ -123,6 +130,30 @@
     return None
 
 
+def find_sparse_fault(strata: Iterable[Totals], totals: Totals) -> str | None:
+    """Return why the new version failed too often over all routes and steps together.
+
+    It finds failures that are too few on each route and at each step. If the versions were alike,
+    each failure of a route and step would be the new one's by its share of the answers there. The
+    chance of as many is bounded by Chernoff's inequality, as the shares differ.
+    """
+    bad, expected = 0, 0.0
+    for window in strata:
+        for key, new in window.items():
+            if not key.is_new or not new.answers:
+                continue
+            old = _find_old(window, totals, key.route)
+            bad += new.failures
+            share = new.answers / (new.answers + old.answers)
+            expected += share * (new.failures + old.failures)
+    if bad < MIN_BAD_ANSWERS or bad <= expected:
+        return None
+    exponent = bad * math.log(bad / expected) - bad + expected
+    if exponent < -math.log(MAX_SPARSE_COINCIDENCE):
+        return None
+    return f"all routes: {bad} answers failed, {expected:.1f} would as with old versions"
+
+
 def count_new_answers(totals: Totals) -> int:
     """Return the answers of the new version on all routes."""
     return sum(samples.answers for key, samples in totals.items() if key.is_new)
