Hold a rollout's share while failures make its version suspicious

A step whose time was over grew also with 2 failures of 5 answers (seen in tests/host/test_releases.py).

--- a/tests/releases/test_verdict.py
+++ b/tests/releases/test_verdict.py
@@ -47,6 +47,7 @@
     [
         ({}, Decision.PROCEED),
         ({"in_step": 1.0}, Decision.HOLD),
+        ({"strata": ({NEW: Samples(5, 3), OLD: Samples(600, 3)},)}, Decision.HOLD),
         ({"has_new_upstreams": False}, Decision.HOLD),
         ({"step": LAST_STEP}, Decision.FINISH),
         ({"elapsed": 60.0}, Decision.ROLL_BACK),
--- a/turmericproxy/releases/verdict.py
+++ b/turmericproxy/releases/verdict.py
@@ -22,6 +22,9 @@
 # The same for failures of all routes together. They are one comparison at a time, and the bound
 # that is computed is several times the chance.
 MAX_SPARSE_COINCIDENCE = 1e-5
+# Failures from which on, and chance below which, a version is suspected: its share does not grow.
+MIN_SUSPICIOUS_ANSWERS = 2
+SUSPICIOUS_COINCIDENCE = 1e-3
 # Fewer bad answers than this may be chance whatever the shares.
 MIN_BAD_ANSWERS = 5
 # Smaller differences don't justify a rollback.
@@ -100,9 +103,14 @@
         evidence.step, evidence.duration, evidence.elapsed, evidence.in_step, answers
     ):
         return Verdict(Decision.HOLD, "the step is not over")
+    suspicion = find_sparse_fault(
+        evidence.strata, evidence.totals, MIN_SUSPICIOUS_ANSWERS, SUSPICIOUS_COINCIDENCE
+    )
+    if suspicion:
+        return Verdict(Decision.HOLD, f"more answers are needed; {suspicion}")
     if evidence.step == LAST_STEP:
         return Verdict(Decision.FINISH, "the version is good with all traffic")
-    return Verdict(Decision.PROCEED, f"{answers} answers without a fault")
+    return Verdict(Decision.PROCEED, f"{answers} answers, none of which speaks against the version")
 
 
 def _find_any_fault(evidence: Evidence) -> str | None:
@@ -130,7 +138,12 @@
     return None
 
 
-def find_sparse_fault(strata: Iterable[Totals], totals: Totals) -> str | None:
+def find_sparse_fault(
+    strata: Iterable[Totals],
+    totals: Totals,
+    least: int = MIN_BAD_ANSWERS,
+    coincidence: float = MAX_SPARSE_COINCIDENCE,
+) -> str | None:
     """Return why the new version failed too often over all routes and steps together.
 
     It finds failures that are too few on each route and at each step. If the versions were alike,
@@ -146,10 +159,10 @@
             bad += new.failures
             share = new.answers / (new.answers + old.answers)
             expected += share * (new.failures + old.failures)
-    if bad < MIN_BAD_ANSWERS or bad <= expected:
+    if bad < least or bad <= expected:
         return None
     exponent = bad * math.log(bad / expected) - bad + expected
-    if exponent < -math.log(MAX_SPARSE_COINCIDENCE):
+    if exponent < -math.log(coincidence):
         return None
     return f"all routes: {bad} answers failed, {expected:.1f} would as with old versions"
 
