--- a/tests/fleet/test_batches.py
+++ b/tests/fleet/test_batches.py
@@ -2,8 +2,8 @@
 
 from turmericproxy.core import AccountName
 from turmericproxy.core.ids import InstanceId
-from turmericproxy.fleet.batches import Batch, merge_batches
-from turmericproxy.placement.registry import Work
+from turmericproxy.fleet.batches import Batch, decode_batch, encode_batch, merge_batches
+from turmericproxy.placement.registry import SpeedReport, Work
 
 ONE, TWO = InstanceId("one"), InstanceId("two")
 A = AccountName("a")
@@ -27,3 +27,12 @@
     )
     assert merge_batches(unreachable, unknown).is_kept_store_reachable is False
     assert merge_batches(unreachable, reachable).is_kept_store_reachable is True
+
+
+def test_speeds_are_sent_in_order_and_only_if_there_are_any() -> None:
+    """Guard against additional bytes between hosts where no engine reports its speed."""
+    first = Batch(speeds=(SpeedReport(ONE, 5, 60),))
+    merged = merge_batches(first, Batch(speeds=(SpeedReport(ONE, 5, 170),)))
+    assert merged.speeds == (SpeedReport(ONE, 5, 60), SpeedReport(ONE, 5, 170))
+    assert decode_batch(encode_batch(merged)) == merged
+    assert encode_batch(Batch(work={ONE: Work(1)})) == {0: {ONE: Work(1)}}
--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -38,6 +38,9 @@
 # Age of what a host knows of the choices of others: half an interval of the batches and the way.
 # As many requests as the service gets in it are spread over as many of the best engines.
 UNSEEN_SECONDS = 0.03
+# Least width of that spread: one engine that is ahead of the others by a few milliseconds must not
+# get all requests of these 30 ms.
+SPREAD_SECONDS = 0.01
 # Weight of the queue of an engine where engines report their speed. The queue is longer than known,
 # most of all at the engines that all hosts prefer: 1 made 6 of 100 first events late in a
 # simulation of twice the usual load, 3 made 4.
@@ -222,11 +225,14 @@
 ) -> EngineCandidate:
     """Return a good candidate by hash of the request and the engine.
 
-    Each request adds a time of its own to each score, at most the distance from the best one to
-    that after ``unseen`` others, so that as many requests at once go to different engines.
+    Each request adds a time of its own to each score, so that choices made at once differ. It is at
+    most ``SPREAD_SECONDS`` longer than the distance from the best score to that after ``unseen``
+    others; with none unseen, the best candidate is returned.
     """
     ordered = sorted(scores)
     width = ordered[min(unseen, len(ordered) - 1)] - ordered[0]
+    if unseen:
+        width += SPREAD_SECONDS
     limit = ordered[0] + width
     scale = width / 2**32
     near = [(s, c) for s, c in zip(scores, candidates, strict=True) if s <= limit]
