--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -29,7 +29,7 @@
     unpack_message,
     unpack_update,
 )
-from turmericproxy.placement.registry import Work
+from turmericproxy.placement.registry import SpeedReport, Work
 from turmericproxy.store import ChangedRow, Changes, ReaderUpdate
 from turmericproxy.tables.messages import Row
 
@@ -60,6 +60,7 @@
     ),
     answered_parts=(ModelPart(ModelName("m"), "p"),),
     blocks=(BlockNotice(ModelName("m"), ("p",), 600.0, 1, True),),
+    speeds=(SpeedReport(ONE, 17, 60),),
 )
 SENDER = Hello(HostName("h"), "10.0.0.1:1", "a", Incarnation("i"), 100)
 
--- a/turmericproxy/standins/platform_wire_server.py
+++ b/turmericproxy/standins/platform_wire_server.py
@@ -59,9 +59,9 @@
 class WireServer:
     """Answer requests, reports and orders; ``events`` is the length of a stream.
 
-    While ``is_leaving``, all answers say so, and while ``limit`` is set, all name it. While
-    ``retry_after`` is set, all calls are answered with 503 and this Retry-After; ``calls`` counts
-    all calls. Reports and orders are handled after ``silence_seconds``. An engine ends
+    While ``is_leaving``, all answers say so, and while ``limit`` or ``load`` is set, all name it.
+    While ``retry_after`` is set, all calls are answered with 503 and this Retry-After; ``calls``
+    counts all calls. Reports and orders are handled after ``silence_seconds``. An engine ends
     ``crash_seconds`` after it began an answer on a prompt with one of the ``crashing_parts``, but
     not for the last part; ``on_end`` is then called.
     """
@@ -81,6 +81,7 @@
     is_leaving: bool = False
     retry_after: str | None = None
     limit: str | None = None
+    load: str | None = None
     calls: int = 0
     silence_seconds: float = 0.0
     crashing_parts: frozenset[str] = frozenset()
@@ -268,6 +269,8 @@
 
     def _list_notice_fields(self) -> list[tuple[str, str]]:
         fields = [("Server-Leaving", "1")] if self.is_leaving else []
+        if self.load is not None:
+            fields.append(("X-Server-Load", self.load))
         return fields if self.limit is None else [*fields, ("Server-Limit", self.limit)]
 
     async def _wait_while_silent(self) -> None:
