--- a/tests/placement/test_pauses.py
+++ b/tests/placement/test_pauses.py
@@ -9,6 +9,7 @@
     estimate_longest_gap,
     estimate_pause_cost,
     measure_noise_share,
+    weigh_costs,
 )
 
 FAST, USUAL, SLOW = 0.625, 1.0, 1.67
@@ -63,3 +64,15 @@
 def test_engine_that_is_slowed_now_costs_more() -> None:
     usual = estimate_pause_cost(SHORT, SLOW, 0, 0, 628)
     assert estimate_pause_cost(SHORT, SLOW, 0, 0, 628, is_slowed=True) > usual
+
+
+def test_costs_fade_where_usual_engines_are_late_too() -> None:
+    """Guard against streams that crowd a few engines of a service with slow engines only."""
+    event_gap = SHORT.event_seconds + SHORT.usual_prefill_seconds
+    assert weigh_costs(USUAL * event_gap, 0.25) == 1.0
+    weight = weigh_costs(SLOW * event_gap, 0.25)
+    assert weight < 0.2
+    faded = replace(SHORT, cost_weight=weight)
+    assert estimate_pause_cost(faded, SLOW, 5, 0, 628) < 0.2 * estimate_pause_cost(
+        SHORT, SLOW, 5, 0, 628
+    )
--- a/turmericproxy/placement/pauses.py
+++ b/turmericproxy/placement/pauses.py
@@ -32,7 +32,8 @@
     seconds. ``noise_share`` is the probability that neighbours slow the engine while the stream
     lasts. ``event_prefill_seconds`` is the most prefill between two events, and
     ``usual_prefill_seconds`` that of a prompt as they come in. A request that finds all ``slots``
-    taken waits for a share of ``stream_seconds``. ``spread_key`` differs between requests.
+    taken waits for a share of ``stream_seconds``. ``spread_key`` differs between requests, and
+    ``cost_weight`` is a factor of the costs of late gaps.
     """
 
     target_gap: float
@@ -47,6 +48,7 @@
     slots: int
     stream_seconds: float
     spread_key: str
+    cost_weight: float = 1.0
 
 
 def measure_noise_share(seconds: float) -> float:
@@ -64,6 +66,20 @@
     return min(1.0, max(0.0, share))
 
 
+def weigh_costs(usual_gap: float, target: float) -> float:
+    """Return the factor of the costs of late gaps, from the gap on a usual engine of the service.
+
+    As far as noise makes gaps late there too, no engine is left for whoever avoids others: in a
+    simulation with slow engines only, full costs had more streams late than none.
+
+    >>> weigh_costs(0.06, 0.25), weigh_costs(0.12, 0.25)
+    (1.0, 0.0)
+    """
+    if math.isinf(target):
+        return 1.0
+    return 1.0 - estimate_lateness(NOISE_FACTOR * usual_gap, target)
+
+
 def estimate_longest_gap(
     stream: StreamRequirements, slowdown: float, requests: int, pending_tokens: float
 ) -> float:
@@ -90,6 +106,8 @@
 
     ``slowdown`` is the lasting one; with ``is_slowed``, neighbours slow the engine now.
     """
+    if not stream.cost_weight:
+        return 0.0
     decode = stream.event_seconds + stream.event_seconds_per_request * requests
     queued = _estimate_prefill(stream, pending_tokens)
     gap = slowdown * (decode + max(stream.usual_prefill_seconds, queued))
@@ -104,7 +122,7 @@
             harm = _weigh_noise(after, target, noise_share)
             harm -= _weigh_noise(before, target, noise_share)
             cost += HARM_COST_SECONDS * requests * harm
-    return cost
+    return stream.cost_weight * cost
 
 
 def _estimate_prefill(stream: StreamRequirements, tokens: float) -> float:
