--- a/tests/fleet/test_batches.py
+++ b/tests/fleet/test_batches.py
@@ -6,7 +6,7 @@
 from turmericproxy.core import AccountName, RouteName
 from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.fleet.batches import Batch, decode_batch, encode_batch, merge_batches
-from turmericproxy.placement.registry import Work
+from turmericproxy.placement.registry import SpeedReport, Work
 from turmericproxy.releases.messages import ReleaseNotice, ReleaseReport
 
 ONE, TWO = InstanceId("one"), InstanceId("two")
@@ -52,3 +52,12 @@
     """Guard against an error in the middle of a batch of which a part was applied."""
     with pytest.raises((ValueError, TypeError)):
         decode_batch({21: [[7, ["s", "v2"]]]})
+
+
+def test_speeds_are_sent_in_order_and_only_if_there_are_any() -> None:
+    """Guard against additional bytes between hosts where no engine reports its speed."""
+    first = Batch(speeds=(SpeedReport(ONE, 5, 60),))
+    merged = merge_batches(first, Batch(speeds=(SpeedReport(ONE, 5, 170),)))
+    assert merged.speeds == (SpeedReport(ONE, 5, 60), SpeedReport(ONE, 5, 170))
+    assert decode_batch(encode_batch(merged)) == merged
+    assert encode_batch(Batch(work={ONE: Work(1)})) == {0: {ONE: Work(1)}}
