--- a/turmericproxy/fleet/incoming.py
+++ b/turmericproxy/fleet/incoming.py
@@ -100,6 +100,9 @@
         size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
         if size > limit:
             raise MessageError(f"message of {size} bytes exceeds the limit")
+        if size <= READ_BYTES:
+            # Most messages: no more than what the stream buffers in any case.
+            return unpack_message(await reader.readexactly(size))
         if not self._holding.resize(size):
             self._owner.reporter.report(Cause.LINK_WITHOUT_ROOM, peer=self._peer)
             raise MessageError(f"no room for a message of {size} bytes")
