--- a/turmericproxy/edge/connection.py
+++ b/turmericproxy/edge/connection.py
@@ -10,7 +10,11 @@
 
 from turmericproxy.core.memory import HeldKind, open_unlimited
 from turmericproxy.edge.causes import Cause
+from turmericproxy.edge.failures import answer_failure, log_dropped, refuse_unhandled
+from turmericproxy.edge.head_account import HeadAccount
+from turmericproxy.edge.head_checks import is_chunked, is_head_valid, read_length
 from turmericproxy.edge.input_buffer import InputBuffer, InputTooLargeError
+from turmericproxy.edge.limit_timer import LimitTimer, get_head_seconds, get_idle_seconds
 from turmericproxy.edge.limits import EdgeLimits
 from turmericproxy.edge.messages import ClientRequest, Headers
 from turmericproxy.edge.receiving import get_receive_buffer
@@ -18,15 +22,11 @@
 from turmericproxy.edge.sockets import limit_unsent
 from turmericproxy.edge.unsent import UnsentWatch
 from turmericproxy.edge.writer import AnswerWriter
-from turmericproxy.logs import Part, log_decision
 
 Handler = Callable[[ClientRequest, AnswerWriter], Awaitable[None]]
 
 # Queued pipelined requests at which reading from the connection is paused.
 MAX_QUEUED_REQUESTS = 4
-# Estimated size of the heads that are parsed before it is their turn. Larger ones stay in bytes,
-# which take a fraction of the space; four of ordinary requests fit.
-MAX_PARSED_AHEAD_BYTES = 48 * 1024
 # Bytes behind a request that waits for its turn at which reading is paused. Up to there it goes
 # on, so that the end of the connection is noticed.
 MAX_UNPARSED_BYTES = 16 * 1024
@@ -88,10 +88,8 @@
         resources: EdgeResources | None = None,
     ) -> None:
         self._resources = resources or EdgeResources()
-        self._holding = self._heads = open_unlimited()
-        # Estimated sizes of the parsed heads whose requests are not answered, in order.
-        self._head_costs: deque[int] = deque()
-        self._parsed_bytes = 0
+        self._holding = open_unlimited()
+        self._heads = HeadAccount(self._holding)
         self._handler = handler
         self._get_limits = get_limits
         self._is_draining = is_draining
@@ -101,7 +99,7 @@
         self._input = InputBuffer(self)
         self._unsent: UnsentWatch | None = None
         self._queue: deque[ClientRequest] = deque()
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = LimitTimer(get_limits)
         self._task: asyncio.Task[None] | None = None
         self._answer_writer: AnswerWriter | None = None
         self._transport: asyncio.Transport | None = None
@@ -124,18 +122,17 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         limit_unsent(transport, WRITE_BUFFER_BYTES)
-        self._heads = self._resources.memory.open(HeldKind.HEADS, self._read_peer())
+        self._heads = HeadAccount(self._resources.memory.open(HeldKind.HEADS, self._read_peer()))
         self._first_request_due_at = self._loop.time() + FIRST_REQUEST_SECONDS
-        self._set_limit_timer(_get_idle_seconds, self._close_silent)
+        self._timer.start_limit(get_idle_seconds, self._close_silent)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running handler, whose answer can no longer be delivered."""
         self._is_lost = True
         self._resources.connections.remove(self)
-        self._set_timer(0.0, None)
+        self._timer.cancel()
         self._holding.close()
         self._input.close()
-        self._head_costs.clear()
         self._heads.close()
         for request in self._queue:
             request.holding.close()
@@ -210,27 +207,25 @@
         is_ahead = self._task is not None or bool(self._queue)
         is_ahead = is_ahead or self._is_turn_due or self._is_blocked()
         if is_ahead:
-            is_over = self._parsed_bytes + cost > MAX_PARSED_AHEAD_BYTES
-            if is_over or len(self._queue) >= MAX_QUEUED_REQUESTS:
+            is_full = len(self._queue) >= MAX_QUEUED_REQUESTS
+            if is_full or not self._heads.may_add_ahead(cost):
                 return False
-        if not self._heads.resize(self._parsed_bytes + cost):
-            if not is_ahead:
-                self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
-            return False
-        self._parsed_bytes += cost
-        self._head_costs.append(cost)
-        return True
+        if self._heads.add(cost):
+            return True
+        if not is_ahead:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        return False
 
     def _hold_input(self) -> None:
         """Account for input that is not parsed, and time its head or pause reading."""
-        if not self._heads.resize(self._parsed_bytes + self._input.size):
+        if not self._heads.hold_input(self._input.size):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         if not self._is_receiving:
             self._is_receiving = True
             self._first_request_due_at = None
             if self._task is None and not self._input.is_head_waiting:
-                self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
+                self._timer.start_limit(get_head_seconds, self._refuse_slow_request)
         is_full = self._input.is_head_waiting and self._input.size >= MAX_UNPARSED_BYTES
         if is_full and self._transport:
             self._transport.pause_reading()
@@ -260,16 +255,17 @@
         size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._fields)
         if size > limits.head_bytes:
             self._refuse(431)
-        elif not self._is_head_valid():
+        elif not is_head_valid(
+            self._input.parser, self._target, self._headers, self._singleton_fields
+        ):
             self._refuse(400)
-        elif self._read_length() > limits.body_bytes:
+        elif read_length(self._headers) > limits.body_bytes:
             self._refuse(413)
         else:
             self._hold_body()
         if self._is_input_ignored:
             return  # the timer that closes the refused connection stays
-        is_chunked = self._headers.get("transfer-encoding") is not None
-        self._input.begin_body(None if is_chunked else self._read_length())
+        self._input.begin_body(None if is_chunked(self._headers) else read_length(self._headers))
         self._is_continue_due = (self._headers.get("expect") or "").lower() == "100-continue"
         self._begin_body()
 
@@ -288,10 +284,7 @@
         """Reserve memory for the body whose size is announced, or refuse the request."""
         caller = self._headers.get("authorization") or self._read_peer()
         self._holding = self._resources.memory.open(HeldKind.BODIES, caller)
-        self._resize_holding(self._read_length())
-
-    def _read_length(self) -> int:
-        return int(self._headers.get("content-length") or 0)
+        self._resize_holding(read_length(self._headers))
 
     def _resize_holding(self, body_bytes: int) -> None:
         if not self._holding.resize(BODY_COPIES * body_bytes):
@@ -306,7 +299,7 @@
         self._input.end_message()
         if self._is_input_ignored:
             return
-        self._set_timer(0.0, None)
+        self._timer.cancel()
         parser = self._input.parser
         request = ClientRequest(
             method=parser.get_method().decode("latin-1"),
@@ -334,7 +327,7 @@
         A timer runs after the input that has arrived is read.
         """
         if not self._is_first_request_due() and self._is_idle():
-            self._set_timer(0.0, self._close_silent)
+            self._timer.start(0.0, self._close_silent)
 
     @property
     def is_busy(self) -> bool:
@@ -367,7 +360,7 @@
         """Close the connection at once, discarding unsent data."""
         if self._transport and not self._transport.is_closing():
             unanswered = len(self._queue) + (self._task is not None)
-            self._log_dropped(unanswered, "the server closes its connections")
+            log_dropped(unanswered, "the server closes its connections")
         if self._transport:
             self._transport.abort()
 
@@ -410,7 +403,7 @@
         """Allow the client to send the body once no other answer is due, and time the body."""
         self._body_started_at = self._loop.time()
         if self._is_continue_due and (self._task is not None or self._queue):
-            self._set_timer(0.0, None)
+            self._timer.cancel()
             return
         if self._is_continue_due and self._transport:
             self._is_continue_due = False
@@ -428,22 +421,6 @@
         self._is_receiving = False
         self._body_started_at = 0.0
 
-    def _is_head_valid(self) -> bool:
-        headers = self._headers
-        is_http_11 = self._input.parser.get_http_version() == "1.1"
-        if headers.count("host") != 1 and is_http_11:
-            return False
-        if not self._target.startswith(b"/"):
-            return False
-        if self._input.parser.should_upgrade() and self._is_body_announced():
-            return False  # the parser would not read the body
-        return all(headers.count(name) <= 1 for name in self._singleton_fields)
-
-    def _is_body_announced(self) -> bool:
-        headers = self._headers
-        has_length = int(headers.get("content-length") or 0) > 0
-        return has_length or headers.get("transfer-encoding") is not None
-
     def _run_next(self) -> None:
         may_run = self._is_ending or not (self._is_blocked() or self._is_turn_due)
         if self._task is None and self._queue and self._transport and may_run:
@@ -468,7 +445,7 @@
         reason = "the handler returned before the end of its answer"
         try:
             if self._is_ending:
-                self._refuse_unhandled(request, writer)
+                refuse_unhandled(request, writer)
             else:
                 await self._handler(request, writer)
         except asyncio.CancelledError:
@@ -481,52 +458,20 @@
         finally:
             self._task = None
             request.holding.close()
-            self._release_head()
+            self._heads.release_first(self._input.size)
             if not writer.is_finished and self._transport and not self._transport.is_closing():
-                self._answer_failure(request, writer, reason)
+                answer_failure(request, writer, reason)
             self._end_answer(writer)
 
-    def _release_head(self) -> None:
-        """Release the account of the head whose request is answered."""
-        if self._head_costs:  # none after the connection is lost
-            self._parsed_bytes -= self._head_costs.popleft()
-            self._heads.resize(self._parsed_bytes + self._input.size)
-
-    def _refuse_unhandled(self, request: ClientRequest, writer: AnswerWriter) -> None:
-        log_decision(
-            Part.CALLERS,
-            "request not handled",
-            method=request.method,
-            path=request.path,
-            reason="the host stops",
-        )
-        writer.send(HTTPStatus.SERVICE_UNAVAILABLE, ())
-
-    def _answer_failure(self, request: ClientRequest, writer: AnswerWriter, reason: str) -> None:
-        """Send an answer that doesn't say whether the request ran, or break a started one off."""
-        is_started = writer.is_started
-        log_decision(
-            Part.CALLERS,
-            "handler failed",
-            method=request.method,
-            path=request.path,
-            reason=reason,
-            answer_started=is_started,
-        )
-        if is_started:
-            writer.abort()
-        else:
-            writer.send(HTTPStatus.INTERNAL_SERVER_ERROR, ())
-
     def _end_answer(self, writer: AnswerWriter) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
-            self._log_dropped(len(self._queue), "the answer before them broke off")
+            log_dropped(len(self._queue), "the answer before them broke off")
             return
         if not writer.keep_alive or not self._is_answer_to_follow():
             # While draining, a connection accepts no further request, even if its answer had
             # started before the drain without "Connection: close".
-            self._log_dropped(len(self._queue), "the answer before them closes the connection")
+            log_dropped(len(self._queue), "the answer before them closes the connection")
             self._linger()
             return
         if transport.get_write_buffer_size():
@@ -559,10 +504,6 @@
         if self._input.size and not self._is_input_ignored:
             self._parse()
 
-    def _log_dropped(self, requests: int, reason: str) -> None:
-        if requests:
-            log_decision(Part.CALLERS, "requests dropped", requests=requests, reason=reason)
-
     # Refusals and timeouts
 
     def _refuse(self, status: int) -> None:
@@ -573,9 +514,9 @@
         self._resources.reporter.report(_CAUSES[HTTPStatus(status)], peer=self._read_peer())
         self._input.close()
         self._holding.close()
-        self._heads.resize(self._parsed_bytes)
+        self._heads.hold_input(0)
         self._body = bytearray()
-        self._set_timer(0.0, None)
+        self._timer.cancel()
         self._refusal_status = status
         if self._task is None and not self._queue:
             self._send_refusal(status)
@@ -599,23 +540,18 @@
                 # Fails if the client has already reset the connection.
                 with contextlib.suppress(OSError):
                     self._transport.write_eof()
-            self._set_timer(LINGER_SECONDS, self._transport.close)
-
-    def _set_timer(self, seconds: float, action: Callable[[], None] | None) -> None:
-        if self._timer:
-            self._timer.cancel()
-        self._timer = self._loop.call_later(seconds, action) if action else None
+            self._timer.start(LINGER_SECONDS, self._transport.close)
 
     def _set_input_timer(self) -> None:
         """Start the timer of the next input after an answer."""
         if not self._is_receiving:
-            self._set_limit_timer(_get_idle_seconds, self._close_silent)
+            self._timer.start_limit(get_idle_seconds, self._close_silent)
         elif self._is_continue_due:
             self._begin_body()
         elif self._is_head_complete:
             self._set_body_timer()
         else:
-            self._set_limit_timer(_get_head_seconds, self._refuse_slow_request)
+            self._timer.start_limit(get_head_seconds, self._refuse_slow_request)
 
     def _set_body_timer(self) -> None:
         if self._transport and not self._transport.is_reading():
@@ -626,27 +562,4 @@
             seconds_left = MAX_BODY_TIME_FACTOR * limits.idle_seconds - seconds_since_head
             return min(limits.idle_seconds, max(0.0, seconds_left))
 
-        self._set_limit_timer(get_seconds, self._refuse_slow_request)
-
-    def _set_limit_timer(
-        self, get_seconds: Callable[[EdgeLimits], float], action: Callable[[], None]
-    ) -> None:
-        """Call ``action`` after a time limit, and no sooner if a new configuration raises it."""
-        started = self._loop.time()
-
-        def check() -> None:
-            seconds_left = started + get_seconds(self._get_limits()) - self._loop.time()
-            if seconds_left > 0.0:
-                self._set_timer(seconds_left, check)
-            else:
-                action()
-
-        self._set_timer(get_seconds(self._get_limits()), check)
-
-
-def _get_head_seconds(limits: EdgeLimits) -> float:
-    return limits.head_seconds
-
-
-def _get_idle_seconds(limits: EdgeLimits) -> float:
-    return limits.idle_seconds
+        self._timer.start_limit(get_seconds, self._refuse_slow_request)
