--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,7 @@
     SILENT_SERVICE = "silent_service"
     SLOW_EVENTS = "slow_events"
     CRASHING_PROMPTS = "crashing_prompts"
+    UNTRUSTED_CLIENTS = "untrusted_clients"
 
 
 # Relative frequencies other than 1: all hosts fail at once less often than single components.
@@ -49,6 +50,10 @@
 CRASHING_SECONDS = 5.5
 # Smaller seeds are kept as they were when they found a failure.
 FIRST_CRASHING_SEED = 500
+# Crowds of clients that keep to no limit come for this time, one way after the other.
+UNTRUSTED_SECONDS = 3.0
+UNTRUSTED_CROWDS = 2
+FIRST_UNTRUSTED_SEED = 700
 CHANGES = (FaultKind.NEW_CONFIGURATION, FaultKind.RELOAD_HOST, FaultKind.STOP_HOST)
 SERIES_COUNT, SERIES_SECONDS = 3, 2.5
 SILENCES_PER_SERIES, CHANGES_PER_SERIES = 2, 4
@@ -73,7 +78,7 @@
     Faults and series may overlap.
     """
     rng = random.Random(seed)
-    drawn_apart = {*SILENCE_SECONDS, FaultKind.CRASHING_PROMPTS}
+    drawn_apart = {*SILENCE_SECONDS, FaultKind.CRASHING_PROMPTS, FaultKind.UNTRUSTED_CLIENTS}
     kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     chosen = rng.choices(kinds, [FREQUENCIES.get(kind, 1.0) for kind in kinds], k=count)
     faults = [
@@ -87,6 +92,7 @@
     ]
     faults += _draw_series(seed, phase_seconds)
     faults += _draw_crashing_prompts(seed, phase_seconds)
+    faults += _draw_untrusted_clients(seed, phase_seconds)
     return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
@@ -112,3 +118,19 @@
     rng = random.Random(f"crashing {seed}")
     start = rng.uniform(0, phase_seconds - CRASHING_SECONDS)
     return [Fault(FaultKind.CRASHING_PROMPTS, start, CRASHING_SECONDS, rng.randrange(100))]
+
+
+def _draw_untrusted_clients(seed: int, phase_seconds: float) -> Sequence[Fault]:
+    """Return the times at which crowds of clients that keep to no limit come to a host."""
+    if seed < FIRST_UNTRUSTED_SEED:
+        return []
+    rng = random.Random(f"untrusted {seed}")
+    return [
+        Fault(
+            FaultKind.UNTRUSTED_CLIENTS,
+            rng.uniform(0, phase_seconds - UNTRUSTED_SECONDS),
+            UNTRUSTED_SECONDS,
+            rng.randrange(100),
+        )
+        for _ in range(UNTRUSTED_CROWDS)
+    ]
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
+from tests.host.test_untrusted_clients import CROWDS, Crowd
 from tests.platform.support import CONFIGURATION
 from tests.soak.callers import Caller
 from tests.soak.faults import Fault, FaultKind, draw_faults
@@ -23,6 +24,7 @@
 DOMAINS = ("a",) * 8 + ("b", "c")
 CALLERS_PER_HOST = 3
 CRASHING_INTERVAL_SECONDS = 0.1
+UNTRUSTED_CONNECTIONS = 20
 FAULT_COUNT, FAULT_PHASE_SECONDS = 14, 9.0
 # Required time within which hosts serve all kinds of request again after the last fault.
 RECOVERY_SECONDS = 12.0
@@ -271,6 +273,18 @@
             await asyncio.sleep(CRASHING_INTERVAL_SECONDS)
         await asyncio.gather(*sending)
 
+    async def _send_without_limits(self, fault: Fault) -> None:
+        crowd = Crowd(self._pick_host(fault).callers, [])
+        name = sorted(CROWDS)[fault.pick % len(CROWDS)]
+        try:
+            async with asyncio.timeout(fault.duration_seconds):
+                await crowd.join(CROWDS[name], UNTRUSTED_CONNECTIONS)
+                await asyncio.sleep(fault.duration_seconds)
+        except TimeoutError:
+            pass
+        finally:
+            crowd.close()
+
     async def _change_configuration(self, fault: Fault) -> None:
         content = self._configuration
         content["version"] += 1 + fault.pick % 3
@@ -325,6 +339,7 @@
     FaultKind.SILENT_SERVICE: SoakRun._silence_service,
     FaultKind.SLOW_EVENTS: SoakRun._send_events_slowly,
     FaultKind.CRASHING_PROMPTS: SoakRun._send_crashing_prompts,
+    FaultKind.UNTRUSTED_CLIENTS: SoakRun._send_without_limits,
     FaultKind.NEW_CONFIGURATION: SoakRun._change_configuration,
     FaultKind.NEW_WEIGHTS: SoakRun._change_wanted_version,
 }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
     2: "a reload signal during the start ended the host",
     115: "streams of silent engines were closed since no retry was left",
     500: "prompts on which engines end come beside other faults",
+    700: "clients that keep to no limit come beside other faults",
 }
 
 
