--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -42,9 +42,11 @@
 # get all requests of these 30 ms.
 SPREAD_SECONDS = 0.005
 # Weight of the queue of an engine where engines report their speed. The queue is longer than known,
-# most of all at the engines that all hosts prefer: 1 made 6 of 100 first events late in a
-# simulation of twice the usual load, 3 made 4.
+# most of all at the engines that all hosts prefer.
 QUEUE_WEIGHT = 3.0
+# The same for shared parts that an engine has to compute again: they delay the requests that come
+# after them as well, and take the place of other cached parts.
+RECOMPUTATION_WEIGHT = 3.0
 # Requests below the number of slots from which a wait for a slot is expected, since the known
 # number of running requests is old.
 SLOT_MARGIN = 6
@@ -171,6 +173,7 @@
         pause_cost_seconds=(
             _estimate_pause_cost(view, requirements.stream, prefill_tokens)
             + (QUEUE_WEIGHT - 1.0) * view.pending_prefill_tokens / view.tokens_per_second
+            + (RECOMPUTATION_WEIGHT - 1.0) * recomputed_tokens / view.tokens_per_second
             if requirements.stream
             else 0.0
         ),
