--- a/tests/releases/test_failures.py
+++ b/tests/releases/test_failures.py
@@ -308,18 +308,18 @@
     assert fleet.find_phase() is ReleasePhase.COMPLETED
 
 
-def test_lonely_host_leaves_old_versions_before_others_may_complete() -> None:
+def test_separated_host_leaves_old_versions_before_others_may_complete() -> None:
     """Guard against requests of a host without any contact to old versions that have stopped."""
     fleet = Fleet()
     fleet.order(duration=DURATION)
     fleet.run(8.0)
-    lonely = fleet.hosts[HostName("h05")]
-    fleet.severed, lonely.link.is_up = {lonely.name}, False
+    separated = fleet.hosts[HostName("h05")]
+    fleet.severed, separated.link.is_up = {separated.name}, False
     fleet.run(DURATION - 8, fleet.is_decided)
     assert fleet.find_phase() is ReleasePhase.COMPLETED
     completed_at = fleet.now
     fleet.run(5.0)
-    assert not [v for v in fleet.visits if v.host == lonely.name and v.at > completed_at]
+    assert not [v for v in fleet.visits if v.host == separated.name and v.at > completed_at]
 
 
 def test_host_in_touch_with_the_store_only_learns_that_old_versions_end() -> None:
--- a/turmericproxy/releases/controller.py
+++ b/turmericproxy/releases/controller.py
@@ -38,7 +38,7 @@
 CLEAR_SECONDS = 0.5
 # A host without contact for this long, and for the least time that the steps take, can't know
 # whether old versions still run.
-LONELY_SECONDS = 5.0
+OUT_OF_CONTACT_SECONDS = 5.0
 # Time after which the decider no longer waits for a host that it doesn't hear. The host has used
 # old versions for at most half of it, so the other half is left for its last answers.
 HOST_EXPIRY_SECONDS = 10.0
@@ -141,7 +141,7 @@
             replaces=known.order.version if known else None,
         )
 
-    def doubt_store(self) -> None:
+    def mark_unwritten(self) -> None:
         """Assume that the store may lack the verdicts, after it was restored from a copy."""
         for release in self._releases.values():
             release.is_written = False
@@ -225,7 +225,7 @@
             state.entry.instance not in excluded and not state.is_suspended(now) for state in new
         ):
             return new
-        return [] if self._is_lonely(release, now) else old
+        return [] if self._is_out_of_contact(release, now) else old
 
     def _draw(self, request: RoutedRequest, release: Release, share: float) -> bool:
         """Draw once for each request, and count it."""
@@ -238,7 +238,7 @@
         """Return whether an upstream of an old version is registered, in any state."""
         return any(_is_old(s, release) for s in self._list_registered(release.order.service))
 
-    def _is_lonely(self, release: Release, now: float) -> bool:
+    def _is_out_of_contact(self, release: Release, now: float) -> bool:
         """Return whether the rollout may have been completed without this host's knowledge."""
         if not release.is_open:
             return False
@@ -246,7 +246,7 @@
             self._contact_at = now
         step = release.state.step if release.state else 0
         least = compute_least_remaining(step, release.order.duration)
-        return now - self._contact_at >= max(LONELY_SECONDS, least)
+        return now - self._contact_at >= max(OUT_OF_CONTACT_SECONDS, least)
 
     def record_start(self, instance: InstanceId) -> None:
         """Count an attempt that is about to be sent."""
--- a/turmericproxy/releases/decider.py
+++ b/turmericproxy/releases/decider.py
@@ -60,7 +60,7 @@
 
 
 @dataclass
-class _Course:
+class _OrderProgress:
     """Hold what the decider needs of one order: its row, and counts at earlier times."""
 
     row_version: int | None = None
@@ -105,7 +105,7 @@
         self._create_status = create_status
         self._read_clock = read_clock
         self._metrics = metrics
-        self._courses: dict[ServiceName, _Course] = {}
+        self._progress: dict[ServiceName, _OrderProgress] = {}
         self._is_current = False
         self._known_fence = -1
         self._clock_offset = 0.0
@@ -126,7 +126,7 @@
     def verify(self) -> None:
         """Compare the verdicts in the store with the known ones, after a restoration."""
         self._is_current = False
-        self._controller.doubt_store()
+        self._controller.mark_unwritten()
 
     async def _run(self) -> None:
         await asyncio.sleep(await self.check())
@@ -166,12 +166,12 @@
             return False
         self._clock_offset = table.store_clock - started
         self._known_fence = self._lease.fence
-        for course in self._courses.values():
-            course.row_version = course.written = None
+        for progress in self._progress.values():
+            progress.row_version = progress.written = None
         for row in table.rows:
             state = read_row(row)
-            course = self._courses.setdefault(ServiceName(row.key), _Course())
-            course.row_version, course.written = row.version, state
+            progress = self._progress.setdefault(ServiceName(row.key), _OrderProgress())
+            progress.row_version, progress.written = row.version, state
             if state:
                 self._controller.adopt(state, is_written=True)
         self._controller.is_loaded = self._is_current = True
@@ -186,54 +186,54 @@
 
     async def _advance(self, release: Release) -> None:
         """Begin an order, write what hosts know and the store doesn't, or decide."""
-        course = self._courses.setdefault(release.order.service, _Course())
+        progress = self._progress.setdefault(release.order.service, _OrderProgress())
         state, now = release.state, self._read_clock()
         if state is None:
             registered = self._controller.list_versions(release.order.service)
-            previous = course.written or release.previous
+            previous = progress.written or release.previous
             first = begin_order(release.order, previous, registered, now + self._clock_offset)
-            self._log(release, course, Verdict(Decision.PROCEED, first.reason), first)
-            await self._write(release, course, first)
-        elif course.written != state and _is_missing(course.written, state):
-            await self._write(release, course, state)
+            self._log(release, progress, Verdict(Decision.PROCEED, first.reason), first)
+            await self._write(release, progress, first)
+        elif progress.written != state and _is_missing(progress.written, state):
+            await self._write(release, progress, state)
         elif not state.phase.is_final:
-            await self._decide(release, course, state, now)
-        self._notify(release, course, now)
+            await self._decide(release, progress, state, now)
+        self._notify(release, progress, now)
 
     async def _decide(
-        self, release: Release, course: _Course, state: ReleaseState, now: float
+        self, release: Release, progress: _OrderProgress, state: ReleaseState, now: float
     ) -> None:
-        evidence = self._collect(release, course, state, now)
+        evidence = self._collect(release, progress, state, now)
         verdict = decide(evidence)
         following = self._follow(state, verdict, evidence, now)
-        self._log(release, course, verdict, following)
+        self._log(release, progress, verdict, following)
         if verdict.decision is Decision.ROLL_BACK and self._lease.is_held():
             # Before it is written, since each moment costs requests.
             self._controller.announce(self._lease.fence, following)
         if following is not state:
-            await self._write(release, course, following)
+            await self._write(release, progress, following)
         else:
-            await self._refresh_status(release, course, state)
+            await self._refresh_status(release, progress, state)
 
     def _collect(
-        self, release: Release, course: _Course, state: ReleaseState, now: float
+        self, release: Release, progress: _OrderProgress, state: ReleaseState, now: float
     ) -> Evidence:
         counts = release.counts
         versions = self._controller.list_versions(release.order.service)
         totals = counts.copy_sums()
-        if course.stepped != state:
+        if progress.stepped != state:
             # A new decider judges the step anew from here on; failures count since the order.
-            if course.stepped is not None and state.is_of(course.stepped.create_order()):
-                course.strata += (subtract_totals(totals, course.step_totals),)
+            if progress.stepped is not None and state.is_of(progress.stepped.create_order()):
+                progress.strata += (subtract_totals(totals, progress.step_totals),)
             else:
-                course.strata = ()
-            course.stepped, course.step_totals, course.recent = state, totals, []
-        course.totals = totals
-        course.recent = [entry for entry in course.recent if entry[0] > now - RECENT_SECONDS]
-        recent = course.recent[0][1] if course.recent else course.step_totals
-        course.recent.append((now, totals))
+                progress.strata = ()
+            progress.stepped, progress.step_totals, progress.recent = state, totals, []
+        progress.totals = totals
+        progress.recent = [entry for entry in progress.recent if entry[0] > now - RECENT_SECONDS]
+        recent = progress.recent[0][1] if progress.recent else progress.step_totals
+        progress.recent.append((now, totals))
         store_now = now + self._clock_offset
-        in_step = subtract_totals(totals, course.step_totals)
+        in_step = subtract_totals(totals, progress.step_totals)
         return Evidence(
             phase=state.phase,
             step=state.step,
@@ -242,7 +242,7 @@
             in_step=store_now - state.stepped_at,
             windows=(in_step, subtract_totals(totals, recent)),
             totals=totals,
-            strata=(*course.strata, in_step),
+            strata=(*progress.strata, in_step),
             requests=counts.count_requests(),
             sent=counts.count_sent(),
             has_new_upstreams=release.order.version in versions,
@@ -281,14 +281,14 @@
             reason=verdict.reason,
         )
 
-    async def _write(self, release: Release, course: _Course, state: ReleaseState) -> None:
+    async def _write(self, release: Release, progress: _OrderProgress, state: ReleaseState) -> None:
         """Write a state and what operators see of it, and adopt it once the store has it."""
         if not self._lease.is_held():
             return
-        condition = Condition(RELEASE_TABLE, state.service, course.row_version)
+        condition = Condition(RELEASE_TABLE, state.service, progress.row_version)
         # Last, so that its version is that of the transaction also where each write has its own.
         write = Write(RELEASE_TABLE, state.service, write_state(state))
-        status = self._describe(release, course, state)
+        status = self._describe(release, progress, state)
         result = await self._store.commit(Transaction((condition,), (status, write)))
         if not isinstance(result, Committed):
             # Another decider may have written, or the store may have applied it without answer.
@@ -302,53 +302,55 @@
                 reason=getattr(result, "reason", "conflict"),
             )
             return
-        course.row_version = result.get_version(RELEASE_TABLE, state.service)
-        course.written, course.noticed_at = state, 0.0
-        course.status_at = self._read_clock()
+        progress.row_version = result.get_version(RELEASE_TABLE, state.service)
+        progress.written, progress.noticed_at = state, 0.0
+        progress.status_at = self._read_clock()
         self._controller.adopt(state, is_written=True)
 
-    def _notify(self, release: Release, course: _Course, now: float) -> None:
+    def _notify(self, release: Release, progress: _OrderProgress, now: float) -> None:
         """Tell the other hosts the state in force, and that the decider runs."""
         state = release.state
-        is_known = state is not None and (state == course.written or state.share == 0.0)
+        is_known = state is not None and (state == progress.written or state.share == 0.0)
         if not is_known or not self._lease.is_held() or state is None:
             return
-        if now - course.noticed_at >= NOTICE_SECONDS:
-            course.noticed_at = now
+        if now - progress.noticed_at >= NOTICE_SECONDS:
+            progress.noticed_at = now
             self._controller.announce(self._lease.fence, state)
 
-    async def _refresh_status(self, release: Release, course: _Course, state: ReleaseState) -> None:
+    async def _refresh_status(
+        self, release: Release, progress: _OrderProgress, state: ReleaseState
+    ) -> None:
         """Write the counts again after a time without a new state."""
         now = self._read_clock()
-        if state != course.written or now - course.status_at < STATUS_SECONDS:
+        if state != progress.written or now - progress.status_at < STATUS_SECONDS:
             return
-        condition = Condition(RELEASE_TABLE, state.service, course.row_version)
-        status = self._describe(release, course, state)
+        condition = Condition(RELEASE_TABLE, state.service, progress.row_version)
+        status = self._describe(release, progress, state)
         result = await self._store.commit(Transaction((condition,), (status,)))
-        course.status_at = now
+        progress.status_at = now
         if not isinstance(result, Committed):
             self._is_current = False
 
-    def _describe(self, release: Release, course: _Course, state: ReleaseState) -> Write:
+    def _describe(self, release: Release, progress: _OrderProgress, state: ReleaseState) -> Write:
         """Return the row that operators see."""
         return self._create_status(
             ReleaseStatus(
                 state,
-                count_new_answers(course.totals),
-                count_new_failures(course.totals),
+                count_new_answers(progress.totals),
+                count_new_failures(progress.totals),
                 release.counts.count_requests(),
                 release.counts.count_sent(),
             )
         )
 
     def _log(
-        self, release: Release, course: _Course, verdict: Verdict, state: ReleaseState
+        self, release: Release, progress: _OrderProgress, verdict: Verdict, state: ReleaseState
     ) -> None:
         """Log each decision but a repeated one, and count those that change something."""
         line = f"{verdict.decision.value} {state.step} {verdict.reason}"
-        if line == course.logged:
+        if line == progress.logged:
             return
-        course.logged = line
+        progress.logged = line
         self._metrics.count(
             "release_decisions",
             service=release.order.service,
@@ -364,8 +366,8 @@
             reason=verdict.reason,
             step=state.step,
             share=state.share,
-            answers=count_new_answers(course.totals),
-            failures=count_new_failures(course.totals),
+            answers=count_new_answers(progress.totals),
+            failures=count_new_failures(progress.totals),
             requests=counts.count_requests(),
             sent=counts.count_sent(),
         )
