Use one formula for the gap of a stream, and one choice of the preferred engine

The cost of pauses had its own copy of estimate_longest_gap, which only a test called, and the spread choice one of the preferred engine.

--- a/turmericproxy/placement/engines.py
+++ b/turmericproxy/placement/engines.py
@@ -194,16 +194,23 @@
         return _choose_spread(candidates, requirements, requirements.stream, max_cached_parts)
     if max_cached_parts:
         return min(candidates, key=lambda c: c.expected_seconds)
-    preferred = max(
-        candidates,
-        key=lambda c: _compute_rendezvous_weight(requirements.affinity_key, c.view.instance),
-    )
+    preferred = _find_preferred(candidates, requirements)
     return min(
         candidates,
         key=lambda c: c.expected_seconds - (AFFINITY_BONUS_SECONDS if c is preferred else 0.0),
     )
 
 
+def _find_preferred(
+    candidates: Sequence[EngineCandidate], requirements: PromptRequirements
+) -> EngineCandidate:
+    """Return the engine that all hosts prefer for prompts with the same shared prefix."""
+    return max(
+        candidates,
+        key=lambda c: _compute_rendezvous_weight(requirements.affinity_key, c.view.instance),
+    )
+
+
 def _choose_spread(
     candidates: Sequence[EngineCandidate],
     requirements: PromptRequirements,
@@ -211,13 +218,8 @@
     max_cached_parts: int,
 ) -> EngineCandidate:
     """Return one of the best candidates; each request adds its own small time to each engine's."""
-    scores = [candidate.score for candidate in candidates]
-    if not max_cached_parts:
-        weights = [
-            _compute_rendezvous_weight(requirements.affinity_key, c.view.instance)
-            for c in candidates
-        ]
-        scores[weights.index(max(weights))] -= AFFINITY_BONUS_SECONDS
+    preferred = None if max_cached_parts else _find_preferred(candidates, requirements)
+    scores = [c.score - (AFFINITY_BONUS_SECONDS if c is preferred else 0.0) for c in candidates]
     running = sum(candidate.view.requests for candidate in candidates)
     unseen = int(running / stream.stream_seconds * UNSEEN_SECONDS)
     return choose_near(candidates, scores, stream.spread_key, unseen)
--- a/turmericproxy/placement/pauses.py
+++ b/turmericproxy/placement/pauses.py
@@ -110,7 +110,7 @@
         return 0.0
     decode = stream.event_seconds + stream.event_seconds_per_request * requests
     queued = _estimate_prefill(stream, pending_tokens)
-    gap = slowdown * (decode + max(stream.usual_prefill_seconds, queued))
+    gap = estimate_longest_gap(stream, slowdown, requests, pending_tokens)
     noise_share = 1.0 if is_slowed else stream.noise_share
     cost = LATE_GAP_COST_SECONDS * _weigh_noise(gap, stream.target_gap, noise_share)
     if requests:
