Report a host ready only once it knows a configuration

Callers of a restarted host got 503, code 204 ("no configuration is loaded yet"): /readyz answered 200 as soon as the host listened, so balancers and clients sent it requests that it had to refuse. Cause: the check looked only at the drain, though the host starts to listen while the configuration is still read. It now asks ConfigurationController.is_loaded, the same condition by which keys are refused. An empty platform counts as known once it has answered, so a new fleet starts as before.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -56,3 +56,11 @@
     And hosts "n1, n2, s1" are killed at the same moment
     Then hosts "n1, n2, s1" started at the same moment serve their first requests within 2 seconds
     And no host went to a lower revision
+
+  Scenario: A host that knows no configuration is not ready
+    Given four linked hosts in two domains whose revisions are watched
+    When the platform goes down
+    And hosts "n1, n2, s1, s2" are killed at the same moment
+    Then "s2" is alive and not ready after its start
+    When the platform comes back
+    Then "s2" is ready within 11 seconds and doesn't refuse a key for lack of a configuration
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -19,10 +19,13 @@
 from turmericproxy.bench import partitions
 from turmericproxy.bench.cluster import start_cluster
 from turmericproxy.bench.plan import AccountPlan, ClusterPlan, HostPlan, RoutePlan, ServicePlan
+from turmericproxy.web import CallFailure, HttpClient
 
 SEED = 20261203
 CALLER = "satnica"
 BUCKET_TIMEOUT_SECONDS = 30
+NOT_READY_CHECKS = 5
+CHECK_INTERVAL_SECONDS = 0.1
 FAST_SHUTDOWN_SETTINGS = {"shutdown": {"grace": 0.0}}
 ACCOUNT = {"rate": 100.0, "burst": 1000}
 PLAN = ClusterPlan(
@@ -346,3 +349,30 @@
                 print(f"{host} served after {time.monotonic() - started:.2f} s")
         assert not waiting or time.monotonic() - started < seconds, answer
         time.sleep(0.02)
+
+
+def read_check(cluster, host, path):
+    """Return the status of a check of the host, ``None`` while it doesn't listen."""
+    client = HttpClient(cluster.get_address(host, "callers"), read_timeout=1.0)
+    answer = client.call_json("GET", path, fresh=True)
+    return None if isinstance(answer, CallFailure) else answer[0]
+
+
+@then('"{host}" is alive and not ready after its start')
+def check_not_ready(context, host):
+    """Guard against hosts that get requests although they would refuse each of them."""
+    context.cluster.start_host(host, wait=False)
+    measure_until(11, lambda: read_check(context.cluster, host, "/healthz") == 200)
+    for _ in range(NOT_READY_CHECKS):
+        assert read_check(context.cluster, host, "/readyz") == 503
+        time.sleep(CHECK_INTERVAL_SECONDS)
+
+
+@then(
+    '"{host}" is ready within {seconds:d} seconds and doesn\'t refuse a key for lack of a '
+    "configuration"
+)
+def check_ready(context, host, seconds):
+    measure_until(seconds, lambda: read_check(context.cluster, host, "/readyz") == 200)
+    answer = call_route(context.cluster, host, "/r/hours/x", context.key)
+    assert "keys_too_old" not in str(answer), answer
--- a/tests/keys/test_first_exchange.py
+++ b/tests/keys/test_first_exchange.py
@@ -39,6 +39,8 @@
 class ConfirmedState(ConfigurationState):
     """Stand in for a configuration that the platform has just confirmed."""
 
+    is_loaded = True
+
     def measure_age(self) -> float:
         return 0.0
 
--- a/turmericproxy/callers/api.py
+++ b/turmericproxy/callers/api.py
@@ -63,6 +63,7 @@
 
     def __init__(self, settings: HostSettings, dependencies: CallerDependencies) -> None:
         self._settings = settings
+        self._configuration = dependencies.configuration
         self._metrics = dependencies.metrics
         self._clients = UpstreamClients(settings.upstreams)
         budget = RetryBudget(RETRIES_PER_REQUEST, RETRY_BUDGET_RESERVE)
@@ -137,9 +138,9 @@
         if request.path == "/healthz":
             return create_json_response(200, {"alive": True})
         if request.path == "/readyz":
-            return create_json_response(
-                503 if self._is_draining else 200, {"ready": not self._is_draining}
-            )
+            # Without a configuration each request would be refused.
+            is_ready = self._configuration.is_loaded and not self._is_draining
+            return create_json_response(200 if is_ready else 503, {"ready": is_ready})
         received_at = read_boottime()
         exchange = Exchange(
             request_id=RequestId(create_id()),
--- a/turmericproxy/configuration/controller.py
+++ b/turmericproxy/configuration/controller.py
@@ -81,6 +81,11 @@
         """Call ``callback`` with newer snapshots from now on."""
         self._follower.subscribe(callback)
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether a configuration is known; the platform's may still be empty."""
+        return bool(self.snapshot().revision) or self.measure_age() < float("inf")
+
     def measure_age(self) -> float:
         """Return the seconds since the platform last confirmed the snapshot.
 
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -109,7 +109,7 @@
         )
 
     def start(self) -> None:
-        """Start all components; callers are served last, when the configuration is loaded."""
+        """Start all components, the one for callers last; it is ready with the configuration."""
         self.links.start()
         self.membership.start()
         self.configuration.start()
--- a/turmericproxy/keys/controller.py
+++ b/turmericproxy/keys/controller.py
@@ -167,7 +167,7 @@
 
     def _check_freshness(self) -> Refusal | None:
         age = self._configuration.measure_age()
-        if not self._configuration.snapshot().revision and age == float("inf"):
+        if not self._configuration.is_loaded:
             reason = "no configuration is loaded yet"
             return refuse(ResultCode.KEYS_TOO_OLD, reason, retry_after=RETRY_AFTER_SECONDS)
         is_first_due = not self._exchanged.is_set() and self._links.list_reachable()
