Tell hosts whose own connection was cut which registrations are gone

The host delays removals for 2 s after it reaches the store again, for registrations that expired in an outage of the store, and can't tell that from a cut of its own. Hosts in contact with the store now tell the removals that they have seen, and a delayed one is then carried out at once.

--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -71,7 +71,8 @@
     ``permit_reports`` its totals at limited upstreams, and ``permit_grants`` what it allows hosts
     to send there. ``release_notices`` are decisions on rollouts of software, and
     ``release_reports`` what the sender has counted for them since their orders. ``speeds`` are
-    slowdowns that engines report.
+    slowdowns that engines report. ``removed`` are registrations, with their start times, that a
+    sender in contact with the store has seen removed.
     """
 
     work: Mapping[InstanceId, Work] = _NO_WORK
@@ -98,6 +99,7 @@
     release_notices: tuple[ReleaseNotice, ...] = ()
     release_reports: tuple[ReleaseReport, ...] = ()
     speeds: tuple[SpeedReport, ...] = ()
+    removed: tuple[tuple[InstanceId, int], ...] = ()
 
 
 # Tells only that the sender is running.
@@ -134,6 +136,7 @@
         release_notices=first.release_notices + second.release_notices,
         release_reports=first.release_reports + second.release_reports,
         speeds=first.speeds + second.speeds,
+        removed=first.removed + second.removed,
     )
 
 
@@ -194,6 +197,10 @@
     return {AccountName(name): int(total) for name, total in value.items()}
 
 
+def _decode_starts(value: Any) -> tuple[tuple[InstanceId, int], ...]:
+    return tuple((InstanceId(instance), int(started_at)) for instance, started_at in value)
+
+
 # Fields are sent by their index here; the order must not change.
 _DECODERS: Sequence[tuple[str, Callable[[Any], Any]]] = (
     ("work", _decode_work),
@@ -207,7 +214,7 @@
     ("is_leaving", bool),
     ("is_kept_store_reachable", bool),
     ("is_full_state", bool),
-    ("leaving", lambda v: tuple((InstanceId(i), int(started)) for i, started in v)),
+    ("leaving", _decode_starts),
     ("alive", lambda v: tuple(HostName(str(host)) for host in v)),
     ("evicted", lambda v: tuple((InstanceId(i), str(space), str(part)) for i, space, part in v)),
     ("kept_epoch", int),
@@ -220,6 +227,7 @@
     ("release_notices", decode_release_notices),
     ("release_reports", decode_release_reports),
     ("speeds", lambda v: tuple(SpeedReport(InstanceId(i), int(t), int(p)) for i, t, p in v)),
+    ("removed", _decode_starts),
 )
 # Fields in which false and 0 differ from no value.
 _OPTIONAL_FIELDS = frozenset({"is_kept_store_reachable", "kept_epoch", "limits"})
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -15,6 +15,7 @@
 from turmericproxy.limits.messages import LimitState
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.placement.registry import UpstreamRegistry
+from turmericproxy.placement.removals import RemovalScheduler
 from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.dispatching import Dispatcher
@@ -43,6 +44,8 @@
         self._wanted = wanted
         self._crashes = crashes
         self._limits = limits
+        # Set once the tables of the store are followed.
+        self.removals: RemovalScheduler | None = None
         # Set where the deployment asks for admission control.
         self.admission: AdmissionController | None = None
         # Set where rollouts of software are in force.
@@ -75,6 +78,7 @@
             kept_epoch=self._cache_pollers.get_kept_epoch(),
             release_notices=self.releases.list_known() if self.releases else (),
             speeds=self._registry.list_speeds(),
+            removed=self.removals.list_notices() if self.removals else (),
             **_list_crash_fields(self._crashes.create_state(is_introduction=True)),
         )
 
@@ -101,7 +105,8 @@
         self._sent_reachability, self._sent_kept_epoch = is_reachable, kept_epoch
         speeds = self._registry.take_speeds()
         notices, reports = self.releases.take_messages() if self.releases else ((), ())
-        upstreams = (changing, versions, superseded, leaving, evicted, speeds)
+        removed = self.removals.take_notices() if self.removals else ()
+        upstreams = (changing, versions, superseded, leaving, evicted, speeds, removed)
         announced = (*upstreams, has_changed, is_restarted, notices, reports)
         if not any((work, spent, placed, kept, crashes, limits, *announced)):
             return None
@@ -128,6 +133,7 @@
             release_notices=notices,
             release_reports=reports,
             speeds=speeds,
+            removed=removed,
             **_list_crash_fields(crashes or CrashState()),
             **_list_limit_fields(limits or LimitState()),
         )
@@ -200,6 +206,8 @@
         for instance, started_at in batch.leaving:
             self._registry.mark_leaving(instance, started_at)
         self._registry.receive_speeds(batch.speeds, now)
+        if batch.removed and self.removals:
+            self.removals.receive_notices(batch.removed)
 
     def forget_peer(self, host: HostName) -> None:
         """Discard the state received from a lost peer."""
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -16,7 +16,8 @@
     refuse,
 )
 from turmericproxy.core.budget import RetryBudget
-from turmericproxy.core.ids import ServiceName
+from turmericproxy.core.hashing import choose_by_hash
+from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.core.memory import MemoryAccount
 from turmericproxy.crashes.controller import CrashController
 from turmericproxy.crashes.persistence import BlockKeeper
@@ -179,7 +180,9 @@
             self._dispatcher,
             self._rollout.wake,
             self._metrics,
+            self._is_announcer,
         )
+        self._updates.removals = self._follower.removals
         self._releases = self._create_releases(settings.releases)
         self._version_resolver = EngineVersionResolver(
             self._registry,
@@ -383,6 +386,11 @@
     def _list_local_peers(self) -> list[HostName]:
         return self._links.peers.list_local_peers()
 
+    def _is_announcer(self, instance: InstanceId) -> bool:
+        """Return whether this host of its failure domain announces a removal to other hosts."""
+        hosts = (self._settings.host, *self._links.peers.list_local_peers())
+        return choose_by_hash(instance, hosts) == self._settings.host
+
     def _describe_fleet(self) -> FleetView:
         peers = self._links.peers
         return FleetView(
--- a/turmericproxy/host/site_follower.py
+++ b/turmericproxy/host/site_follower.py
@@ -33,7 +33,8 @@
 class SiteFollower:
     """Keep the site, the wanted model versions and the registry up to date.
 
-    ``site`` is the configuration in force, ``None`` before the first one is read.
+    ``site`` is the configuration in force, ``None`` before the first one is read. ``is_announcer``
+    returns whether this host tells its peers of the removal of an upstream.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         dispatcher: Dispatcher,
         wake_rollout: Callable[[], None],
         metrics: Metrics,
+        is_announcer: Callable[[InstanceId], bool],
     ) -> None:
         self._adapter = adapter
         self._registry = registry
@@ -56,7 +58,7 @@
         self._metrics = metrics
         self._answer_gap = 0.0
         self._restoration = RestorationGuard(registry)
-        self._removals = RemovalScheduler(self._remove_upstream)
+        self.removals = RemovalScheduler(self._remove_upstream, registry.find_start, is_announcer)
         self._upstream_era: int | None = None
         self.site: Site | None = None
         # Set where rollouts of software are in force.
@@ -179,7 +181,7 @@
         present = {entry.instance for entry in entries}
         for state in self._registry.list_states():
             if state.entry.instance not in present:
-                self._removals.record_missing(
+                self.removals.record_missing(
                     state.entry.instance, self._upstream_follower.reconnected_at
                 )
         for entry in entries:
@@ -190,7 +192,7 @@
     def _apply_upstream_change(self, changed: ChangedRow) -> None:
         instance = InstanceId(changed.row.key)
         if changed.is_deleted:
-            self._removals.record_missing(instance, self._upstream_follower.reconnected_at)
+            self.removals.record_missing(instance, self._upstream_follower.reconnected_at)
             return
         entry = self._adapter.read_upstream_row(changed.row)
         if entry:
@@ -200,7 +202,7 @@
     def _apply_upstream(self, entry: UpstreamEntry) -> None:
         if self._restoration.is_outdated(entry, asyncio.get_running_loop().time()):
             return
-        self._removals.record_present(entry.instance)
+        self.removals.record_present(entry.instance)
         self._registry.update(entry)
 
     def _remove_upstream(self, instance: InstanceId) -> None:
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -197,6 +197,11 @@
         """Return the state of an upstream, or ``None`` if it isn't registered."""
         return self._states.get(instance)
 
+    def find_start(self, instance: InstanceId) -> int | None:
+        """Return the start time of a registered upstream, in Unix milliseconds."""
+        state = self._states.get(instance)
+        return state.entry.started_at if state else None
+
     def is_registered(self, instance: InstanceId) -> bool:
         """Return whether there is an upstream of this name."""
         return instance in self._states
