Count the age of superseded weights at the expected begin of a request

Callers got answers on weights that had been replaced longer ago than allowed: a request was sent while an older version could still be used (up to 4.5 s), waited in the engine's queue, and began up to 6.3 s after the newer version, 6.0 allowed. In a trace the engine was chosen at an age of 3.7 s with an expected wait of 1.56 s, and began the request after 2.36 s. The age was that of the choice. Engines with superseded weights are now left out if the age and twice the expected wait exceed the limit; real waits were 1.5 to 2.4 times the expected ones, as engines serve more urgent requests first.

The new test failed before.

--- a/tests/placement/test_selection.py
+++ b/tests/placement/test_selection.py
@@ -165,6 +165,26 @@
     assert select(registry, create_context(wanted_version=2, wanted_age=4.6)) is None
 
 
+def test_prompt_that_would_begin_on_too_old_weights_is_not_sent() -> None:
+    """Guard against requests that begin too late after waiting in the queue of an old engine.
+
+    A burst comes while engines have not carried out their orders yet. The weights are still allowed
+    when the request is sent, and no longer when the engine begins it.
+    """
+    registry = create_registry(create_entry("one"))
+    state = registry.find(ONE)
+    assert state is not None
+    context = create_context(wanted_version=2, wanted_age=3.0)
+    assert select(registry, context) is not None
+    registry.add_work(ONE, Work(20, int(1.6 * state.tokens_per_second), 0))
+    assert select(registry, context) is None
+    assert select(registry, create_context(wanted_version=2, wanted_age=0.5)) is not None
+    registry.update(create_entry("two", version=2))
+    registry.add_work(TWO, Work(40, int(9.0 * state.tokens_per_second), 0))
+    chosen = select(registry, context)
+    assert chosen is not None and chosen.view.instance == TWO
+
+
 def test_engine_with_full_memory_is_avoided() -> None:
     registry = create_registry(create_entry("one"), create_entry("two"))
     cache_prompt(registry, ONE)
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -28,6 +28,9 @@
 OLD_WEIGHTS_GRACE_SECONDS = 1.5
 # Expected loss of a request on older weights after that time, expressed as waiting time.
 OLD_WEIGHTS_PENALTY_SECONDS = 0.15
+# Factor of the expected time to the first token by which a request may begin later: an engine
+# serves more urgent requests first, and hosts know of each other's only after they were sent.
+WAIT_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +79,7 @@
 ) -> EngineCandidate | None:
     """Return the engine with the lowest expected time to the first token.
 
-    Return ``None`` if every engine is excluded or its weights are too old.
+    Return ``None`` if every engine is excluded or its weights are, or will be, too old.
     """
     usable = [
         s for s in states if s.entry.instance not in excluded and _is_version_usable(s, context)
@@ -115,7 +118,8 @@
         for prefix in cached_prefixes
         if prefix.state.entry.instance in available_instances
     ]
-    return choose_engine(candidates, requirements, max_cached_parts)
+    timely = [c for c in candidates if _begins_in_time(c, context)]
+    return choose_engine(timely, requirements, max_cached_parts) if timely else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +175,15 @@
     return context.measure_age(_get_version(state, context)) < context.oldest_age
 
 
+def _begins_in_time(candidate: EngineCandidate, context: SelectionContext) -> bool:
+    """Return whether a request is expected to begin before the engine's weights are too old.
+
+    It waits in the engine's queue, and what counts is the age of the weights when it begins.
+    """
+    age = context.measure_age(candidate.view.version)
+    return not age or age + WAIT_FACTOR * candidate.expected_seconds < context.oldest_age
+
+
 def _get_version(state: UpstreamState, context: SelectionContext) -> int:
     return state.versions.get(context.model, 0)
 
