Conclude that no lease was ever written only from what the host has seen

It judged by a flag of its settings and by whether it had seen the store's era change, which it could not. A host now has to have read the table without a lease within 1 s of its start and in the present era. All hosts read the lease at their start for that.

--- a/tests/releases/support.py
+++ b/tests/releases/support.py
@@ -221,11 +221,12 @@
             name,
             LEASE_GUARD_SECONDS,
             read_clock,
-            eras,
             is_first_start=True,
             table=LEASE_TABLE,
             key=LEASE_KEY,
         )
+        # As at the start of a decider.
+        asyncio.run(lease.observe())
         decider = ReleaseDecider(
             controller,
             BOUNDS,
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -251,8 +251,7 @@
         self._rollout.start()
         if self._releases:
             self._releases.start()
-        if not self._settings.is_first_start:
-            self._rollout.observe_lease()
+        self._rollout.observe_lease()
         self._version_resolver.start()
         await self._callers.start()
         await self._metrics_server.start()
@@ -327,7 +326,6 @@
             settings.links,
             settings.order_guard,
             read_boottime,
-            self._relayed_store.eras,
             is_first_start=settings.is_first_start,
         )
         return RolloutController(
@@ -356,7 +354,6 @@
             settings.links,
             LEASE_GUARD_SECONDS,
             read_boottime,
-            store.eras,
             is_first_start=settings.is_first_start,
             table=LEASE_TABLE,
             key=LEASE_KEY,
--- a/turmericproxy/releases/decider.py
+++ b/turmericproxy/releases/decider.py
@@ -110,18 +110,21 @@
         self._known_fence = -1
         self._clock_offset = 0.0
         self._idle_since = read_clock()
+        self._observation: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Start to decide."""
+        """Start to decide, and read the lease, so that a wait for an unknown holder begins now."""
+        self._observation = asyncio.get_running_loop().create_task(self._lease.observe())
         self._task = asyncio.get_running_loop().create_task(
             repeat(Part.RELEASES, "decide on rollouts", self._run)
         )
 
     async def close(self) -> None:
         """Stop deciding."""
-        if self._task:
-            self._task.cancel()
+        for task in (self._observation, self._task):
+            if task:
+                task.cancel()
 
     def verify(self) -> None:
         """Compare the verdicts in the store with the known ones, after a restoration."""
--- a/turmericproxy/rollout/lease_manager.py
+++ b/turmericproxy/rollout/lease_manager.py
@@ -15,7 +15,7 @@
     Wait,
     decide_claim,
 )
-from turmericproxy.store import StoreEras, TableState, TableStore
+from turmericproxy.store import TableState, TableStore
 from turmericproxy.tables.messages import (
     AnswerLost,
     Committed,
@@ -31,14 +31,18 @@
 EXPIRY_MARGIN_SECONDS = 0.4
 # The lease is extended when less usable time than this remains.
 EXTENSION_SECONDS = 0.8
+# Time after the start of a host, in the first start of the whole fleet, within which a missing
+# lease means that none was written: none can be acquired and lost with a restored store so soon.
+FIRST_START_SECONDS = 1.0
 
 
 class LeaseManager:
     """Acquire and extend the lease; ``read_clock`` counts suspended time too, in seconds.
 
     ``guard_seconds`` is the minimum time between the orders of two holders. ``is_first_start``
-    means that the whole fleet starts for the first time, so a missing lease was never written
-    unless the store's era has changed in ``eras``. ``table`` and ``key`` name the lease's row.
+    means that the whole fleet starts for the first time, so a lease that is missing at the start
+    was never written, nor later in the same era of the store. ``table`` and ``key`` name the
+    lease's row.
     """
 
     def __init__(
@@ -47,7 +51,6 @@
         holder: str,
         guard_seconds: float,
         read_clock: Callable[[], float],
-        eras: StoreEras,
         *,
         is_first_start: bool,
         table: str = LEASE_TABLE,
@@ -56,8 +59,10 @@
     ) -> None:
         self._store = store
         self._table, self._key, self._part = table, key, part
-        self._eras = eras
-        self._is_first_start = is_first_start
+        self._first_start_until = (
+            read_clock() + FIRST_START_SECONDS if is_first_start else -math.inf
+        )
+        self._unwritten_era: int | None = None
         self._unclear: tuple[int, int] | None = None
         self._unclear_since = 0.0
         self._holder = holder
@@ -111,13 +116,17 @@
     def _measure_unclear(self, era: int, row: Row | None, *, is_known: bool) -> float:
         """Return for how many seconds the last lease of the store's era has been missing here.
 
-        A row of an earlier era may also be a late write, after the one of the present holder. So
-        the time starts anew with each version of the row.
+        It is infinite if none was ever written. A host that reaches the store only later can't
+        tell: others may have held leases that were lost with a restored store. A row of an earlier
+        era may also be a late write, after the one of the present holder. So the time starts anew
+        with each version of the row.
         """
         if is_known:
             self._unclear = None
             return 0.0
-        if row is None and self._is_first_start and not self._eras.has_changed:
+        if row is None and self._read_clock() <= self._first_start_until:
+            self._unwritten_era = era
+        if row is None and self._unwritten_era == era:
             return math.inf
         key = (era, row.version if row else 0)
         if key != self._unclear:
--- a/turmericproxy/store/eras.py
+++ b/turmericproxy/store/eras.py
@@ -15,7 +15,6 @@
     def __init__(self) -> None:
         self._listeners: list[Callable[[], None]] = []
         self.current: int | None = None
-        self.has_changed = False
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever the era has changed."""
@@ -27,6 +26,6 @@
             self.current = era
         elif era > self.current:
             log_event(Part.CONFIGURATION, "store restored", era=era, previous=self.current)
-            self.current, self.has_changed = era, True
+            self.current = era
             for listener in self._listeners:
                 listener()
