Keep a bad version of a service with few requests within its exposure

Cause: the comparison over all routes took the old answers of a step once there were 30 on a route. At shares of 0.35 and 0.6 these are few, so each failure of the new version counted as chance by a third to more than a half: 10 failures of 141, beside 470 old answers without one, raised no suspicion, and the share grew to all traffic. A suspected version also stayed at its share without end.

Why this mends it: old answers of a step are used only if the old versions failed more often then than since the order, which is what the step's answers are for. Otherwise all old answers count. A suspected version is rolled back once it would exceed the bound before a rollback is in force (1.5 s).

The fake fleet seeds the source of the hosts' running sums, which made runs differ.

--- a/tests/releases/support.py
+++ b/tests/releases/support.py
@@ -174,6 +174,8 @@
     ) -> None:
         self.now = 100.0
         self.random = random.Random(seed)
+        # Hosts take the start of their running sums from the module's source.
+        random.seed(seed)
         self.rate = rate
         self.services = [ServiceName(name) for name in services]
         self.store = FakeStore(lambda: self.now)
@@ -438,16 +440,19 @@
         ]
 
 
-def check_exposure(fleet: Fleet, ordered_at: float, duration: float, *, share: float = 1.0) -> None:
-    """Check the exposure of v2 since an order, as a share of what is allowed.
+def measure_exposure(fleet: Fleet, ordered_at: float, duration: float) -> float:
+    """Return the requests of v2 since an order, as a share of what is allowed.
 
-    The requests that will reach the service until the deadline are counted at the rate so far.
+    The requests that reach the service until the deadline are counted at the fleet's rate.
     """
-    visits = [visit for visit in fleet.visits if visit.at > ordered_at]
-    requests = fleet.rate * duration
-    allowed = BOUNDS.exposure_share * requests + BOUNDS.exposure_slack
-    exposed = [visit for visit in visits if visit.version == "v2"]
-    assert len(exposed) <= share * allowed, (len(exposed), allowed)
+    allowed = BOUNDS.exposure_share * fleet.rate * duration + BOUNDS.exposure_slack
+    return fleet.count("v2", since=ordered_at) / allowed
+
+
+def check_exposure(fleet: Fleet, ordered_at: float, duration: float, *, share: float = 1.0) -> None:
+    """Check the exposure of v2 since an order, and that it ends soon after 50 bad answers."""
+    assert measure_exposure(fleet, ordered_at, duration) <= share
+    exposed = [v for v in fleet.visits if v.at > ordered_at and v.version == "v2"]
     bad = [visit.at for visit in exposed if visit.result.is_failure or visit.result.seconds > 0.3]
     if len(bad) >= 50:
         assert max(visit.at for visit in exposed) <= bad[49] + BOUNDS.rollback_seconds
--- a/tests/releases/test_fleet.py
+++ b/tests/releases/test_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.releases.support import BOOKING, Fleet, Served, check_exposure
+from tests.releases.support import BOOKING, Fleet, Served, check_exposure, measure_exposure
 from turmericproxy.core import RouteName
 from turmericproxy.releases.orders import ReleasePhase
 
@@ -67,6 +67,33 @@
     assert (status["state"], status["to"]) == ("rolled_back", "v2")
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_version_that_fails_ten_in_a_hundred_of_few_requests_stays_within_its_bound(
+    seed: int,
+) -> None:
+    """Guard against an exposure that grows while few failures leave the verdict open."""
+    fleet = Fleet(seed=seed, rate=20.0)
+    fleet.serve = make_bad(0.1, seed)
+    ordered_at = fleet.now
+    fleet.order(duration=DURATION)
+    fleet.run(DURATION + 1.0, fleet.is_decided)
+    assert fleet.find_phase() is ReleasePhase.ROLLED_BACK
+    fleet.run(2.0)
+    assert measure_exposure(fleet, ordered_at, DURATION) <= 1.0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_good_version_of_a_service_with_few_requests_is_not_rolled_back(seed: int) -> None:
+    """Guard against a verdict on the few failures that all versions have."""
+    fleet = Fleet(seed=seed, rate=20.0)
+    source = random.Random(seed)
+    fleet.serve = lambda *_args: Served(source.random() < 0.01, source.lognormvariate(-3, 0.6))
+    fleet.order(duration=DURATION)
+    seconds = fleet.run(DURATION, fleet.is_decided)
+    assert fleet.find_phase() is ReleasePhase.COMPLETED
+    assert seconds < 0.7 * DURATION
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_version_that_is_bad_only_from_a_share_of_the_traffic_is_rolled_back(seed: int) -> None:
     """Guard against steps that go on before the answers at the new share have come."""
--- a/tests/releases/test_verdict.py
+++ b/tests/releases/test_verdict.py
@@ -35,6 +35,7 @@
         strata=(GOOD,),
         requests=660,
         sent=60,
+        is_exposure_used=False,
         has_new_upstreams=True,
         has_old_upstreams=True,
         are_hosts_clear=False,
@@ -48,6 +49,11 @@
         ({}, Decision.PROCEED),
         ({"in_step": 1.0}, Decision.HOLD),
         ({"strata": ({NEW: Samples(5, 3), OLD: Samples(600, 3)},)}, Decision.HOLD),
+        (
+            {"strata": ({NEW: Samples(5, 3), OLD: Samples(600, 3)},), "is_exposure_used": True},
+            Decision.ROLL_BACK,
+        ),
+        ({"is_exposure_used": True}, Decision.PROCEED),
         ({"has_new_upstreams": False}, Decision.HOLD),
         ({"step": LAST_STEP}, Decision.FINISH),
         ({"elapsed": 60.0}, Decision.ROLL_BACK),
@@ -101,6 +107,14 @@
     assert find_sparse_fault([window], window)
 
 
+def test_few_old_answers_at_the_time_do_not_hide_failures() -> None:
+    """Guard against four failures at a share of 0.6 that count as chance beside 35 good answers."""
+    first = {NEW: Samples(30, 5), OLD: Samples(265, 0)}
+    last = {NEW: Samples(52, 5), OLD: Samples(35, 0)}
+    totals = {NEW: Samples(82, 10), OLD: Samples(300, 0)}
+    assert find_sparse_fault([first, last], totals)
+
+
 def test_different_shares_and_failures_of_steps_are_no_fault() -> None:
     """Guard against Simpson's paradox: the service failed while the version had more traffic."""
     early = {NEW: Samples(20, 0), OLD: Samples(980, 0)}
--- a/turmericproxy/releases/decider.py
+++ b/turmericproxy/releases/decider.py
@@ -9,7 +9,7 @@
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
 from turmericproxy.releases.controller import HOST_EXPIRY_SECONDS, Release, ReleaseController
-from turmericproxy.releases.exposure import limit_share
+from turmericproxy.releases.exposure import is_exposure_used, limit_share
 from turmericproxy.releases.orders import (
     ReleaseBounds,
     ReleasePhase,
@@ -237,17 +237,27 @@
         progress.recent.append((now, totals))
         store_now = now + self._clock_offset
         in_step = subtract_totals(totals, progress.step_totals)
+        elapsed = store_now - state.started_at
+        requests, sent = counts.count_requests(), counts.count_sent()
         return Evidence(
             phase=state.phase,
             step=state.step,
             duration=release.order.duration,
-            elapsed=store_now - state.started_at,
+            elapsed=elapsed,
             in_step=store_now - state.stepped_at,
             windows=(in_step, subtract_totals(totals, recent)),
             totals=totals,
             strata=(*progress.strata, in_step),
-            requests=counts.count_requests(),
-            sent=counts.count_sent(),
+            requests=requests,
+            sent=sent,
+            is_exposure_used=is_exposure_used(
+                state.share,
+                self._bounds,
+                requests=requests,
+                sent=sent,
+                elapsed=elapsed,
+                duration=release.order.duration,
+            ),
             has_new_upstreams=release.order.version in versions,
             has_old_upstreams=bool(versions - {release.order.version, *state.withdrawn}),
             are_hosts_clear=self._controller.is_clear(release)
--- a/turmericproxy/releases/exposure.py
+++ b/turmericproxy/releases/exposure.py
@@ -15,9 +15,47 @@
 # messages, and below half of the time in which a rollback must be in force at all hosts.
 DECIDER_TIMEOUT_SECONDS = 2.0
 
-
 # Seconds in which a version that turns bad at a step is found, and has ended at all hosts.
 DETECTION_SECONDS = 3.0
+# Seconds from a request until a verdict that counts it is in force at all hosts: a report (0.5 s),
+# two ways through the hubs (0.12 s each) and a check of the decider (0.2 s), with a reserve.
+REACTION_SECONDS = 1.5
+
+
+def estimate_allowed(
+    bounds: ReleaseBounds, *, requests: int, elapsed: float, duration: float
+) -> float:
+    """Return the requests that a bad version may get until the deadline, at the rate so far.
+
+    ``requests`` of the service count since the order, ``elapsed`` seconds ago.
+
+    >>> estimate_allowed(ReleaseBounds(0.1, 50, 5.0), requests=200, elapsed=10.0, duration=60.0)
+    170.0
+    """
+    rate = requests / max(elapsed, 1.0)
+    expected = requests + rate * max(0.0, duration - elapsed)
+    return bounds.exposure_share * expected + bounds.exposure_slack
+
+
+def is_exposure_used(
+    share: float,
+    bounds: ReleaseBounds,
+    *,
+    requests: int,
+    sent: int,
+    elapsed: float,
+    duration: float,
+) -> bool:
+    """Return whether a version exceeds the bound if it is not rolled back at once.
+
+    >>> bounds = ReleaseBounds(0.1, 50, 5.0)
+    >>> [is_exposure_used(0.5, bounds, requests=600, sent=sent, elapsed=30.0, duration=60.0)
+    ...  for sent in (150, 160)]
+    [False, True]
+    """
+    allowed = estimate_allowed(bounds, requests=requests, elapsed=elapsed, duration=duration)
+    rate = requests / max(elapsed, 1.0)
+    return sent + rate * share * REACTION_SECONDS >= allowed
 
 
 def limit_share(
@@ -46,8 +84,7 @@
     if step == LAST_STEP:
         return share
     rate = requests / max(elapsed, 1.0)
-    expected = requests + rate * max(0.0, duration - elapsed)
-    allowed = bounds.exposure_share * expected + bounds.exposure_slack
+    allowed = estimate_allowed(bounds, requests=requests, elapsed=elapsed, duration=duration)
     limit = (allowed - sent) / max(1.0, rate * DETECTION_SECONDS)
     return round(max(current, min(share, limit)), 2)
 
--- a/turmericproxy/releases/verdict.py
+++ b/turmericproxy/releases/verdict.py
@@ -22,7 +22,8 @@
 # The same for failures of all routes together. They are one comparison at a time, and the bound
 # that is computed is several times the chance.
 MAX_SPARSE_COINCIDENCE = 1e-5
-# Failures from which on, and chance below which, a version is suspected: its share does not grow.
+# Failures from which on, and chance below which, a version is suspected: its share does not grow,
+# and it is rolled back once a bad version could have had no more requests.
 MIN_SUSPICIOUS_ANSWERS = 2
 SUSPICIOUS_COINCIDENCE = 1e-3
 # Fewer bad answers than this may be chance whatever the shares.
@@ -58,7 +59,8 @@
     ``windows`` are counts since the step began and of the last seconds, ``totals`` all since the
     order, and ``strata`` those of each step, within which the share was constant. Latencies count
     from the second step on, since caches are cold at first. ``requests`` of the service and those
-    ``sent`` to the new version count since the order.
+    ``sent`` to the new version count since the order; ``is_exposure_used`` tells that these are
+    about to exceed what a bad version may get.
     """
 
     phase: ReleasePhase
@@ -71,6 +73,7 @@
     strata: tuple[Totals, ...]
     requests: int
     sent: int
+    is_exposure_used: bool
     has_new_upstreams: bool
     has_old_upstreams: bool
     are_hosts_clear: bool
@@ -103,10 +106,7 @@
         evidence.step, evidence.duration, evidence.elapsed, evidence.in_step, answers
     ):
         return Verdict(Decision.HOLD, "the step is not over")
-    suspicion = find_sparse_fault(
-        evidence.strata, evidence.totals, MIN_SUSPICIOUS_ANSWERS, SUSPICIOUS_COINCIDENCE
-    )
-    if suspicion:
+    if suspicion := _find_suspicion(evidence):
         return Verdict(Decision.HOLD, f"more answers are needed; {suspicion}")
     if evidence.step == LAST_STEP:
         return Verdict(Decision.FINISH, "the version is good with all traffic")
@@ -118,8 +118,20 @@
     for window in evidence.windows:
         if fault := find_fault(window, evidence.totals, judges_latency=evidence.step > 0):
             return fault
-    fault = find_fault(evidence.totals, evidence.totals, judges_latency=False)
-    return fault or find_sparse_fault(evidence.strata, evidence.totals)
+    if fault := find_fault(evidence.totals, evidence.totals, judges_latency=False):
+        return fault
+    if fault := find_sparse_fault(evidence.strata, evidence.totals):
+        return fault
+    if evidence.is_exposure_used and (suspicion := _find_suspicion(evidence)):
+        # No requests are left to find out more with.
+        return f"exposure used up; {suspicion}"
+    return None
+
+
+def _find_suspicion(evidence: Evidence) -> str | None:
+    return find_sparse_fault(
+        evidence.strata, evidence.totals, MIN_SUSPICIOUS_ANSWERS, SUSPICIOUS_COINCIDENCE
+    )
 
 
 def find_fault(window: Totals, totals: Totals, *, judges_latency: bool) -> str | None:
@@ -155,7 +167,7 @@
         for key, new in window.items():
             if not key.is_new or not new.answers:
                 continue
-            old = _find_old(window, totals, key.route)
+            old = _find_sparse_old(window, totals, key.route)
             bad += new.failures
             share = new.answers / (new.answers + old.answers)
             expected += share * (new.failures + old.failures)
@@ -183,6 +195,18 @@
     return current if current.answers >= MIN_OLD_ANSWERS else totals.get(key, NO_SAMPLES)
 
 
+def _find_sparse_old(window: Totals, totals: Totals, route: RouteName) -> Samples:
+    """Return the old versions' answers with the larger share of failures: at the time, or all.
+
+    Those at the time show whether all versions failed then. If they did not, all answers since the
+    order tell more: at a share of 0.6, 4 failures beside 30 good old answers may be chance.
+    """
+    current = _find_old(window, totals, route)
+    total = totals.get(SampleKey(False, route), NO_SAMPLES)
+    is_failing = current.failures * total.answers > total.failures * current.answers
+    return current if is_failing else total
+
+
 def _is_worse(bad: int, answers: int, old_bad: int, old_answers: int) -> bool:
     """Compare two shares of bad answers.
 
