Import admission control and rollouts only where settings ask for them

What operators saw: each start of a host cost more processor time since the packages admission and releases were added, also where no deployment asks for them.

Cause: dispatching, batches, settings and the host imported both, mostly for annotations.

Why this mends it: annotations no longer need the modules at run time, and the places that create or decode something import them then. What creates the parts of rollouts moves from the host to releases/service.py. The bytes that hosts exchange stay the same; a host without rollouts that gets a message of one still decodes it.

--- a/turmericproxy/fleet/batches.py
+++ b/turmericproxy/fleet/batches.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from turmericproxy.core import AccountName, HostName, ModelName
 from turmericproxy.core.ids import InstanceId
@@ -28,12 +28,9 @@
     decode_permit_reports,
 )
 from turmericproxy.placement.registry import SpeedReport, Work
-from turmericproxy.releases.messages import (
-    ReleaseNotice,
-    ReleaseReport,
-    decode_release_notices,
-    decode_release_reports,
-)
+
+if TYPE_CHECKING:
+    from turmericproxy.releases.messages import ReleaseNotice, ReleaseReport
 
 _NO_WORK: Mapping[InstanceId, Work] = MappingProxyType({})
 _NO_TOTALS: Mapping[AccountName, int] = MappingProxyType({})
@@ -96,8 +93,8 @@
     limits: tuple[LimitNotice, ...] | None = None
     permit_reports: Mapping[InstanceId, PermitReport] = NO_REPORTS
     permit_grants: tuple[PermitGrant, ...] = ()
-    release_notices: tuple[ReleaseNotice, ...] = ()
-    release_reports: tuple[ReleaseReport, ...] = ()
+    release_notices: "tuple[ReleaseNotice, ...]" = ()
+    release_reports: "tuple[ReleaseReport, ...]" = ()
     speeds: tuple[SpeedReport, ...] = ()
     removed: tuple[tuple[InstanceId, int], ...] = ()
 
@@ -201,6 +198,20 @@
     return tuple((InstanceId(instance), int(started_at)) for instance, started_at in value)
 
 
+# The decoders of rollouts are imported once a peer sends what they decode: importing them at each
+# start takes processor time, also where no settings ask for rollouts.
+def _decode_release_notices(value: Any) -> "tuple[ReleaseNotice, ...]":
+    from turmericproxy.releases.messages import decode_release_notices
+
+    return decode_release_notices(value)
+
+
+def _decode_release_reports(value: Any) -> "tuple[ReleaseReport, ...]":
+    from turmericproxy.releases.messages import decode_release_reports
+
+    return decode_release_reports(value)
+
+
 # Fields are sent by their index here; the order must not change.
 _DECODERS: Sequence[tuple[str, Callable[[Any], Any]]] = (
     ("work", _decode_work),
@@ -224,8 +235,8 @@
     ("limits", decode_limit_notices),
     ("permit_reports", decode_permit_reports),
     ("permit_grants", decode_permit_grants),
-    ("release_notices", decode_release_notices),
-    ("release_reports", decode_release_reports),
+    ("release_notices", _decode_release_notices),
+    ("release_reports", _decode_release_reports),
     ("speeds", lambda v: tuple(SpeedReport(InstanceId(i), int(t), int(p)) for i, t, p in v)),
     ("removed", _decode_starts),
 )
--- a/turmericproxy/host/adapter.py
+++ b/turmericproxy/host/adapter.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from turmericproxy.placement.cache_poller import CacheEventSource
 from turmericproxy.placement.entries import UpstreamEntry
-from turmericproxy.releases.orders import ReleaseOrder, ReleaseStatus
 from turmericproxy.rollout.interfaces import EngineControl
 from turmericproxy.rollout.wanted import ModelVersion
 from turmericproxy.store.interfaces import TableStore
@@ -13,6 +13,9 @@
 from turmericproxy.traffic.interfaces import MessageCodec
 from turmericproxy.traffic.site import Site
 
+if TYPE_CHECKING:
+    from turmericproxy.releases.orders import ReleaseOrder, ReleaseStatus
+
 
 @dataclass(frozen=True)
 class SiteAdapter:
@@ -31,6 +34,6 @@
     upstream_table: str
     ready_path: str
     singleton_fields: tuple[str, ...]
-    read_configuration_row: Callable[[Row], Site | ModelVersion | ReleaseOrder | None]
+    read_configuration_row: Callable[[Row], "Site | ModelVersion | ReleaseOrder | None"]
     read_upstream_row: Callable[[Row], UpstreamEntry | None]
-    create_release_status: Callable[[ReleaseStatus], Write]
+    create_release_status: "Callable[[ReleaseStatus], Write]"
--- a/turmericproxy/host/fleet_updates.py
+++ b/turmericproxy/host/fleet_updates.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Any
 
-from turmericproxy.admission import AdmissionController
 from turmericproxy.core import HostName, ModelName
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController, CrashState
@@ -16,9 +15,9 @@
 from turmericproxy.placement.prefixes import PartKey
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.placement.removals import RemovalScheduler
-from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.dispatching import Dispatcher
+from turmericproxy.traffic.optional_controllers import AdmissionController, ReleaseController
 
 # Assumed size of a part in the kept store; peers send only its id.
 ASSUMED_KEPT_PART_TOKENS = 2000
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -5,8 +5,8 @@
 import signal
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
-from turmericproxy.admission import AdmissionController
 from turmericproxy.core import (
     HostName,
     Incarnation,
@@ -40,15 +40,6 @@
 from turmericproxy.metrics import Metrics
 from turmericproxy.placement.domains import DomainMonitor
 from turmericproxy.placement.registry import UpstreamRegistry
-from turmericproxy.releases.controller import ReleaseController
-from turmericproxy.releases.decider import (
-    LEASE_GUARD_SECONDS,
-    LEASE_KEY,
-    LEASE_TABLE,
-    ReleaseDecider,
-)
-from turmericproxy.releases.orders import ReleaseBounds
-from turmericproxy.releases.service import ReleaseService
 from turmericproxy.rollout.controller import RolloutController
 from turmericproxy.rollout.lease_manager import LeaseManager
 from turmericproxy.rollout.version_resolver import EngineVersionResolver
@@ -57,8 +48,13 @@
 from turmericproxy.tasks import repeat
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.exchange import ExchangeDependencies
+from turmericproxy.traffic.optional_controllers import AdmissionController
 from turmericproxy.traffic.router import Router
 
+if TYPE_CHECKING:
+    from turmericproxy.releases.orders import ReleaseBounds
+    from turmericproxy.releases.service import ReleaseService
+
 # Fractions of the retry limits that are used. The rest is a margin, since each host counts only its
 # own retries and the limits apply to sliding windows.
 RETRY_SHARE_FRACTION = 0.75
@@ -308,7 +304,10 @@
         """Return the admission control where the settings ask for it."""
         if not self._settings.has_admission_control:
             return None
-        admission = AdmissionController(
+        # Imported only here, since it takes processor time at each start.
+        from turmericproxy.admission import controller
+
+        admission = controller.AdmissionController(
             self._registry,
             self._quotas.list_fleet_spent,
             self._domains.is_unreachable,
@@ -338,43 +337,28 @@
             self._updates,
         )
 
-    def _create_releases(self, bounds: ReleaseBounds | None) -> ReleaseService | None:
+    def _create_releases(self, bounds: "ReleaseBounds | None") -> "ReleaseService | None":
         """Create what rollouts of software need, where they are in force."""
         if bounds is None:
             return None
+        # Imported only here, since it takes processor time at each start.
+        from turmericproxy.releases.service import create_release_service
+
         settings, peers, store = self._settings, self._links.peers, self._relayed_store
-        controller = ReleaseController(
+        service = create_release_service(
             self._registry,
-            read_boottime,
-            lambda: peers.measure_reachable_share() > 0.5,
-            self._metrics,
-        )
-        lease = LeaseManager(
-            store,
-            settings.links,
-            LEASE_GUARD_SECONDS,
-            read_boottime,
-            is_first_start=settings.is_first_start,
-            table=LEASE_TABLE,
-            key=LEASE_KEY,
-            part=Part.RELEASES,
-        )
-        decider = ReleaseDecider(
-            controller,
             bounds,
             store,
-            lease,
             settings.host,
-            peers.list_reachable,
-            peers.list_recent,
+            settings.links,
+            peers,
             self._adapter.create_release_status,
-            read_boottime,
             self._metrics,
+            is_first_start=settings.is_first_start,
         )
-        service = ReleaseService(controller, decider, store)
         store.eras.add_listener(service.verify)
-        self._dispatcher.releases = self._updates.releases = controller
-        self._follower.releases = controller
+        self._dispatcher.releases = self._updates.releases = service.controller
+        self._follower.releases = service.controller
         return service
 
     def _receive_reader_update(self, host: HostName, update: ReaderUpdate) -> None:
--- a/turmericproxy/host/site_follower.py
+++ b/turmericproxy/host/site_follower.py
@@ -12,13 +12,12 @@
 from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.placement.removals import RemovalScheduler
 from turmericproxy.placement.restoration import RESTORATION_SECONDS, RestorationGuard
-from turmericproxy.releases.controller import ReleaseController
-from turmericproxy.releases.orders import ReleaseOrder
 from turmericproxy.rollout.wanted import INITIAL_AGE_SECONDS, ModelVersion, WantedVersions
 from turmericproxy.store import ChangedRow, TableFollower, TableState, TableStore
 from turmericproxy.tables.messages import Row
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.isolation import create_isolation
+from turmericproxy.traffic.optional_controllers import ReleaseController
 from turmericproxy.traffic.site import Site
 
 # Time for which a long poll waits for changes to the configuration.
@@ -122,11 +121,10 @@
         decoded = self._adapter.read_configuration_row(row)
         if isinstance(decoded, Site):
             self._apply_site(decoded)
-        elif isinstance(decoded, ReleaseOrder):
-            if self.releases:
-                self.releases.record_order(decoded, is_new=is_new)
-        elif decoded is not None:
+        elif isinstance(decoded, ModelVersion):
             self._record_wanted(decoded, is_new=is_new)
+        elif decoded is not None and self.releases:
+            self.releases.record_order(decoded, is_new=is_new)
 
     def _apply_site(self, site: Site) -> None:
         if self.site and site.revision < self.site.revision:
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -2,12 +2,15 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from turmericproxy.core import HostName
 from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
 from turmericproxy.fleet.incoming import INTRODUCTION_SECONDS
 from turmericproxy.fleet.quotas import QuotaTolerance
-from turmericproxy.releases.orders import ReleaseBounds
+
+if TYPE_CHECKING:
+    from turmericproxy.releases.orders import ReleaseBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +54,7 @@
     unread_seconds: float = UNREAD_ANSWER_SECONDS
     introduction_seconds: float = INTRODUCTION_SECONDS
     has_admission_control: bool = False
-    releases: ReleaseBounds | None = None
+    releases: "ReleaseBounds | None" = None
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -3,13 +3,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from turmericproxy.core import HostName
 from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
 from turmericproxy.fleet.incoming import INTRODUCTION_SECONDS
 from turmericproxy.fleet.quotas import QuotaTolerance
 from turmericproxy.host.site_settings import SiteHostSettings
-from turmericproxy.releases.orders import ReleaseBounds
+
+if TYPE_CHECKING:
+    from turmericproxy.releases.orders import ReleaseBounds
 
 # Entry of ``contracts`` where rollouts between versions of a service's software are in force.
 RELEASE_CONTRACT = "rollout"
@@ -84,11 +87,14 @@
         return SettingsFault("port_range", str(error))
 
 
-def _read_release_bounds(reader: "_SettingsReader") -> ReleaseBounds | None:
+def _read_release_bounds(reader: "_SettingsReader") -> "ReleaseBounds | None":
     """Return the bounds of rollouts of software, ``None`` where they are not in force."""
     contracts = [name.strip() for name in reader.read_text("contracts", ",").split(",")]
     if RELEASE_CONTRACT not in contracts:
         return None
+    # Imported only here, since it takes processor time at each start.
+    from turmericproxy.releases.orders import ReleaseBounds
+
     return ReleaseBounds(
         exposure_share=reader.read_number("bounds.exposure_share"),
         exposure_slack=reader.read_number("bounds.exposure_slack"),
--- a/turmericproxy/platform/site.py
+++ b/turmericproxy/platform/site.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from turmericproxy.core import AccountName, ModelName, Revision, RouteName
 from turmericproxy.core.documents import decode_json
@@ -10,7 +10,6 @@
 from turmericproxy.edge import EdgeLimits
 from turmericproxy.logs import Part, log_event
 from turmericproxy.platform import names
-from turmericproxy.releases.orders import ReleaseOrder, ReleaseStatus
 from turmericproxy.rollout.wanted import ModelVersion
 from turmericproxy.tables.messages import Row, Write
 from turmericproxy.traffic.site import (
@@ -24,12 +23,15 @@
     Site,
 )
 
+if TYPE_CHECKING:
+    from turmericproxy.releases.orders import ReleaseOrder, ReleaseStatus
+
 BYTES_PER_MEGABIT = 1e6 / 8
 STREAMING_KIND = "streaming"
 TOKEN_UNIT = "token_accounting"
 
 
-def read_configuration_row(row: Row) -> Site | ModelVersion | ReleaseOrder | None:
+def read_configuration_row(row: Row) -> "Site | ModelVersion | ReleaseOrder | None":
     """Decode a row of the operator's table.
 
     Log an invalid row and return ``None``; return ``None`` also for a row with another key.
@@ -53,7 +55,7 @@
     return None
 
 
-def create_release_status(status: ReleaseStatus) -> Write:
+def create_release_status(status: "ReleaseStatus") -> Write:
     """Return the row that shows operators how far the rollout of a service is."""
     state = status.state
     content = {
@@ -71,7 +73,10 @@
     return Write(names.STATUS_TABLE, key, json.dumps(content).encode())
 
 
-def _read_release_order(content: dict[str, Any], row_version: int) -> ReleaseOrder:
+def _read_release_order(content: dict[str, Any], row_version: int) -> "ReleaseOrder":
+    # Imported only here, since it takes processor time at each start.
+    from turmericproxy.releases.orders import ReleaseOrder
+
     service, version = content["service"], content["to"]
     if not isinstance(service, str) or not isinstance(version, str) or not service or not version:
         raise ValueError("service or to is not a non-empty string")
--- a/turmericproxy/releases/service.py
+++ b/turmericproxy/releases/service.py
@@ -1,12 +1,27 @@
 """Run rollouts of software on a host: the controller, the decider and the followed verdicts."""
 
 import asyncio
+from collections.abc import Callable
 
+from turmericproxy.core import HostName, read_boottime
+from turmericproxy.fleet.peers import PeerTable
 from turmericproxy.logs import Part
+from turmericproxy.metrics import Metrics
+from turmericproxy.placement.registry import UpstreamRegistry
 from turmericproxy.releases.controller import ReleaseController
-from turmericproxy.releases.decider import CHECK_SECONDS, RELEASE_TABLE, ReleaseDecider, read_row
+from turmericproxy.releases.decider import (
+    CHECK_SECONDS,
+    LEASE_GUARD_SECONDS,
+    LEASE_KEY,
+    LEASE_TABLE,
+    RELEASE_TABLE,
+    ReleaseDecider,
+    read_row,
+)
+from turmericproxy.releases.orders import ReleaseBounds, ReleaseStatus
+from turmericproxy.rollout.lease_manager import LeaseManager
 from turmericproxy.store import TableFollower, TableState, TableStore
-from turmericproxy.tables.messages import Row
+from turmericproxy.tables.messages import Row, Write
 from turmericproxy.tasks import repeat
 
 # Time for which a call for changed verdicts waits. An answer is also a sign of contact with the
@@ -71,3 +86,44 @@
     def _apply_row(self, row: Row) -> None:
         if state := read_row(row):
             self.controller.adopt(state, is_written=True)
+
+
+def create_release_service(
+    registry: UpstreamRegistry,
+    bounds: ReleaseBounds,
+    store: TableStore,
+    host: HostName,
+    holder: str,
+    peers: PeerTable,
+    create_status: Callable[[ReleaseStatus], Write],
+    metrics: Metrics,
+    *,
+    is_first_start: bool,
+) -> ReleaseService:
+    """Create the parts of a host; ``holder`` names its machine in the lease."""
+    controller = ReleaseController(
+        registry, read_boottime, lambda: peers.measure_reachable_share() > 0.5, metrics
+    )
+    lease = LeaseManager(
+        store,
+        holder,
+        LEASE_GUARD_SECONDS,
+        read_boottime,
+        is_first_start=is_first_start,
+        table=LEASE_TABLE,
+        key=LEASE_KEY,
+        part=Part.RELEASES,
+    )
+    decider = ReleaseDecider(
+        controller,
+        bounds,
+        store,
+        lease,
+        host,
+        peers.list_reachable,
+        peers.list_recent,
+        create_status,
+        read_boottime,
+        metrics,
+    )
+    return ReleaseService(controller, decider, store)
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 
-from turmericproxy.admission.controller import AdmissionController
 from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController
@@ -26,10 +25,10 @@
     select_engine,
 )
 from turmericproxy.placement.stream_gaps import StreamGaps
-from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
 from turmericproxy.traffic.isolation import NO_ISOLATION
+from turmericproxy.traffic.optional_controllers import AdmissionController, ReleaseController
 from turmericproxy.traffic.pacing import create_stream_requirements
 from turmericproxy.traffic.placement_logs import log_engine
 from turmericproxy.traffic.placements import Placement, PromptPlacement
