Send the body of an answer without waiting for the acknowledgement of its head

Callers on persistent connections got the body of an answer up to 40 ms after its head.

Cause: asyncio disables Nagle's algorithm only on sockets whose protocol number is IPPROTO_TCP. edge/accepting.py accepts from a listener made by socket.create_server, whose protocol number is 0, so accepted sockets kept it enabled. Head and body are separate writes: the kernel held the body back until the client acknowledged the head, which a client delays.

TCP_NODELAY read 0 on accepted sockets.

The listener now has TCP_NODELAY, which accepted sockets inherit.

test_accepted_connections_send_small_segments_at_once failed before (assert all([0])).

--- a/tests/edge/test_connection.py
+++ b/tests/edge/test_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import gc
+import socket
 import time
 
 import pytest
@@ -372,3 +373,21 @@
 def test_body_that_trickles_is_refused_in_the_end() -> None:
     answer = asyncio.run(send_body_slowly(100, 0.1, idle_seconds=0.4))
     assert answer.startswith(b"HTTP/1.1 408 ")
+
+
+# Guards against an answer whose body the kernel keeps back until the client has acknowledged its
+# head, which a client on a persistent connection does up to 40 ms later.
+def test_accepted_connections_send_small_segments_at_once() -> None:
+    options: list[int] = []
+
+    async def handle(request: ClientRequest, writer: AnswerWriter) -> None:
+        options.append(writer.connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        writer.send(200, (), b"answer")
+
+    async def run() -> None:
+        server = await start_server(handle)
+        await exchange(server.port, GET, timeout=0.5)
+        server.close()
+
+    asyncio.run(run())
+    assert options and all(options)
--- a/turmericproxy/edge/accepting.py
+++ b/turmericproxy/edge/accepting.py
@@ -56,6 +56,10 @@
         family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
         self._listener = socket.create_server(self._address, family=family, backlog=ACCEPT_BACKLOG)
         self._listener.setblocking(False)
+        # Accepted sockets inherit this. asyncio sets it only on sockets whose protocol number is
+        # known, which those of create_server lack; without it, the body of an answer is sent when
+        # the client has acknowledged the head, up to 40 ms later.
+        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._resume()
 
     def close(self) -> None:
