Count the measured delay of first events in admission under pressure

Callers saw: past capacity of both kinds, short prompts (most urgent, first event due within 265 ms) began late, and fewer requests were answered in target the more were offered.

Cause: the expected time of a prompt ends with its prefill. An engine prefills a chunk of other prompts between two decode steps, and the first event needs eight of them: 138 ms instead of 38 with a chunk in each. The bound of the less urgent kind and the target of the most urgent one left no time for that.

The change measures by how much first events of a priority come later than expected, as mean and mean deviation. The bound of less urgent kinds shrinks by that, and the most urgent kind leaves time for it where most of the admitted requests are as urgent. Decisions outside of pressure are unchanged, and nothing changes where the settings don't ask for admission control.

--- a/tests/admission/support.py
+++ b/tests/admission/support.py
@@ -140,11 +140,11 @@
     """Prefill prompts one after the other, the most urgent first; ``ends`` are those of streams."""
 
     ends: list[tuple[float, int, int, Placement]] = field(default_factory=list)
-    waiting: list[tuple[int, float, "_Sent"]] = field(default_factory=list)
+    waiting: list[tuple[int, float, "Sent"]] = field(default_factory=list)
     free_at: float = 0.0
 
 
-class _Sent(NamedTuple):
+class Sent(NamedTuple):
     kind: Kind
     account: str
     received_at: float
@@ -260,8 +260,12 @@
             return
         self.spent[account.name] += request.cost
         self._change_work(host, placed.instance, placed.work)
-        sent = _Sent(kind, str(account.name), first_at, host, placed)
-        heapq.heappush(self._engines[placed.instance].waiting, (kind.priority, self._number, sent))
+        sent = Sent(kind, str(account.name), first_at, host, placed)
+        self._send(sent)
+
+    def _send(self, sent: Sent) -> None:
+        engine = self._engines[sent.placed.instance]
+        heapq.heappush(engine.waiting, (sent.kind.priority, self._number, sent))
 
     def place(self, host: int, request: RoutedRequest) -> Placement:
         """Choose an engine; hosts prefer different ones among those that are nearly equal."""
--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from turmericproxy.admission.decision import (
     AdmissionInputs,
@@ -10,6 +11,13 @@
     compute_retry_after,
     decide,
 )
+from turmericproxy.admission.delays import (
+    BOUND_DEVIATIONS,
+    NO_DELAY,
+    TARGET_DEVIATIONS,
+    DelayEstimate,
+    update_delay,
+)
 from turmericproxy.admission.memory import LostWorkMonitor, find_full_engines
 from turmericproxy.admission.pressure import (
     LEAVE_RATIO,
@@ -48,6 +56,8 @@
 SHARES_INTERVAL_SECONDS = 0.1
 # Time after which a pressure that no request has updated is not exported any more.
 GAUGE_SECONDS = 2.0
+# Time after which an attempt that has not begun is taken for one that was not sent.
+EXPECTATION_SECONDS = 30.0
 # Weight of the newest sample in the smoothed durations of prompts and streams.
 SMOOTHING = 0.1
 
@@ -56,8 +66,10 @@
 class _ServiceState:
     """State of one service.
 
-    ``admitted`` holds the admitted prefill tokens by priority. ``hold_seconds`` is the smoothed
-    time from the first event of a stream to its end, for which it holds a slot.
+    ``admitted`` holds the admitted prefill tokens by priority and ``admitted_requests`` the number
+    of requests. ``delays`` tells by how much first events come later than expected.
+    ``hold_seconds`` is the smoothed time from the first event of a stream to its end, for which it
+    holds a slot.
     """
 
     site: Site
@@ -67,7 +79,17 @@
     best_wait: float = 0.0
     hold_seconds: float = 0.0
     own_seconds: dict[int, float] = field(default_factory=dict)
+    delays: dict[int, DelayEstimate] = field(default_factory=dict)
     admitted: dict[int, DecayedSum] = field(default_factory=dict)
+    admitted_requests: dict[int, DecayedSum] = field(default_factory=dict)
+
+
+class _Expectation(NamedTuple):
+    """Time to the first event that was expected of a request when it was judged."""
+
+    priority: int
+    seconds: float
+    judged_at: float
 
 
 class AdmissionController:
@@ -97,6 +119,7 @@
         self._levels: dict[bool, float] = {}
         self._shares_at = 0.0
         self._begun_at: dict[tuple[RequestId, InstanceId], float] = {}
+        self._expected: dict[tuple[RequestId, InstanceId], _Expectation] = {}
 
     def find_full(
         self, request: RoutedRequest, placed: Placement | None, states: Sequence[UpstreamState]
@@ -136,9 +159,12 @@
         if request.attempt_counts.possible_runs or request.writer.is_started:
             # Its client can't be told any more that it has not run.
             return None
+        ahead_share = _compute_ahead_share(service.admitted, request.priority, now)
+        expectation = _Expectation(request.priority, own_seconds + ahead_share * queue_seconds, now)
         if not service.pressure.is_high:
-            self._record_admitted(service, request.priority, placed, now)
+            self._record_admitted(service, expectation, placed)
             return None
+        delay = service.delays.get(request.priority, NO_DELAY)
         inputs = AdmissionInputs(
             account_position=compute_position(request.parsed.request_id, "account"),
             queue_position=compute_position(request.parsed.request_id, "queue"),
@@ -146,7 +172,9 @@
             age=now - request.parsed.raw.received_at,
             expected_seconds=own_seconds + queue_seconds,
             queue_seconds=queue_seconds,
-            ahead_share=_compute_ahead_share(service, request.priority, now),
+            margin_seconds=delay.compute_margin(TARGET_DEVIATIONS),
+            requests_share=_compute_ahead_share(service.admitted_requests, request.priority, now),
+            ahead_share=ahead_share,
             target=request.route.target_latency,
             best_wait=service.best_wait,
             bound=service.bounds.find(request.priority),
@@ -154,7 +182,7 @@
         )
         reason = decide(inputs)
         if reason is Reason.ADMITTED:
-            self._record_admitted(service, request.priority, placed, now)
+            self._record_admitted(service, expectation, placed)
             return None
         if is_first and request.account:
             self._meter.record_refused(request.account.name, request.cost, now)
@@ -174,12 +202,22 @@
         return self._refuse(request, reason, text, backlog, terms)
 
     def record_first_event(self, placed: Placement) -> None:
-        """Record that a stream began."""
-        self._begun_at[placed.request_id, placed.instance] = self._read_clock()
+        """Record that a stream began, and how much later than expected."""
+        now, key = self._read_clock(), (placed.request_id, placed.instance)
+        self._begun_at[key] = now
+        expectation = self._expected.pop(key, None)
+        state = self._registry.find(placed.instance)
+        service = self._services.get(state.entry.service) if state else None
+        if expectation is not None and service is not None:
+            delay = service.delays.get(expectation.priority, NO_DELAY)
+            seconds = now - expectation.judged_at - expectation.seconds
+            service.delays[expectation.priority] = update_delay(delay, seconds)
 
     def record_end(self, placed: Placement) -> None:
         """Record that an attempt ended, and for how long its stream held a slot."""
-        begun_at = self._begun_at.pop((placed.request_id, placed.instance), None)
+        key = (placed.request_id, placed.instance)
+        self._expected.pop(key, None)
+        begun_at = self._begun_at.pop(key, None)
         state = self._registry.find(placed.instance)
         service = self._services.get(state.entry.service) if state else None
         if begun_at is not None and service is not None:
@@ -198,6 +236,10 @@
         """Sample the demand of accounts; call this several times a second."""
         now = self._read_clock()
         self._meter.record_totals(self._read_totals(), now)
+        # Attempts that were judged but not sent have no end.
+        oldest = now - EXPECTATION_SECONDS
+        while self._expected and next(iter(self._expected.values())).judged_at < oldest:
+            del self._expected[next(iter(self._expected))]
         for name, service in self._services.items():
             if site is not None and service.site is not site:
                 service.site, service.classes = site, list_classes(site, name)
@@ -244,7 +286,11 @@
             service.best_wait = find_best_wait(
                 [_estimate_wait(state, service.hold_seconds) for state in available]
             )
-        service.bounds = compute_bounds(service.classes, service.own_seconds)
+        seconds = {
+            priority: own + service.delays.get(priority, NO_DELAY).compute_margin(BOUND_DEVIATIONS)
+            for priority, own in service.own_seconds.items()
+        }
+        service.bounds = compute_bounds(service.classes, seconds)
         previous = service.pressure
         sample = service.best_wait / service.bounds.base
         service.pressure = update_pressure(previous, sample, now)
@@ -289,12 +335,15 @@
         service.own_seconds[priority] = known + SMOOTHING * (seconds - known)
 
     def _record_admitted(
-        self, service: _ServiceState, priority: int, placed: Placement, now: float
+        self, service: _ServiceState, expectation: _Expectation, placed: Placement
     ) -> None:
+        priority, now = expectation.priority, expectation.judged_at
+        self._expected[placed.request_id, placed.instance] = expectation
         admitted = service.admitted.get(priority)
         if admitted is None:
             admitted = service.admitted[priority] = DecayedSum()
         admitted.add(placed.work.pending_prefill_tokens, now)
+        service.admitted_requests.setdefault(priority, DecayedSum()).add(1.0, now)
         self._metrics.count("admissions", priority=str(priority))
 
     def _find_account_share(
@@ -365,11 +414,11 @@
     return max(queue, slots)
 
 
-def _compute_ahead_share(service: _ServiceState, priority: int, now: float) -> float:
-    """Return the share of the admitted prompts that engines serve before one of a priority."""
+def _compute_ahead_share(admitted: Mapping[int, DecayedSum], priority: int, now: float) -> float:
+    """Return the share of what was admitted that engines serve before a request of a priority."""
     ahead = total = 0.0
-    for other, admitted in service.admitted.items():
-        tokens = admitted.read(now)
-        total += tokens
-        ahead += tokens if other <= priority else 0.0
+    for other, amounts in admitted.items():
+        amount = amounts.read(now)
+        total += amount
+        ahead += amount if other <= priority else 0.0
     return ahead / total if total > 0.0 else 1.0
--- a/turmericproxy/admission/decision.py
+++ b/turmericproxy/admission/decision.py
@@ -21,6 +21,9 @@
 # The same for prompts whose queue is limited by a bound already. They may queue at an engine that
 # has their shared parts while others have less to do.
 MIN_ROOM_SHARE_WITH_BOUND = 0.7
+# Shares of the admitted requests that are as urgent, from which the margin begins to count for the
+# most urgent kind and from which it counts in full. Below them other kinds give way instead.
+LEAST_MARGIN_SHARE, FULL_MARGIN_SHARE = 0.4, 0.6
 # Factor of the bound for accounts within their fair share, so that others give way first.
 WITHIN_SHARE_FACTOR = 1.25
 # Range of the spread of Retry-After, as a share of the target: clients count from their first
@@ -49,7 +52,9 @@
 
     ``account_position`` and ``queue_position`` are fixed positions of the request from 0 to 1.
     ``expected_seconds`` is the time to the first token, of which ``queue_seconds`` are spent behind
-    other prompts; ``ahead_share`` is the share of them that engines serve before this one.
+    other prompts; ``ahead_share`` is the share of them that engines serve before this one, and
+    ``requests_share`` the same of the admitted requests, which is the share of slots.
+    ``margin_seconds`` is by how much first events of this priority come later than expected.
     ``best_wait`` is the wait at the service's best engines and ``bound`` the one up to which
     prompts of this priority are admitted, ``None`` for the most urgent. ``account_share`` is the
     share of such requests of the account that its fair share has room for.
@@ -62,6 +67,8 @@
     expected_seconds: float
     queue_seconds: float
     ahead_share: float
+    requests_share: float
+    margin_seconds: float
     target: float
     best_wait: float
     bound: float | None
@@ -79,6 +86,7 @@
     if inputs.bound is None:
         spread = min(1.0, inputs.ahead_share / FULL_SPREAD_SHARE)
         least = 1.0 - (1.0 - MIN_ROOM_SHARE) * spread
+        room -= inputs.margin_seconds * _weigh_margin(inputs.requests_share)
     else:
         least = MIN_ROOM_SHARE_WITH_BOUND
     room *= least + inputs.queue_position * (1.0 - least)
@@ -93,6 +101,12 @@
     return Reason.ADMITTED
 
 
+def _weigh_margin(requests_share: float) -> float:
+    """Return the share of the margin that counts for the most urgent kind."""
+    least = LEAST_MARGIN_SHARE
+    return min(1.0, max(0.0, (requests_share - least) / (FULL_MARGIN_SHARE - least)))
+
+
 def compute_position(request_id: RequestId, purpose: str) -> float:
     """Return a fixed position of a request from 0 to 1, independent for each purpose."""
     return zlib.crc32(f"{purpose}/{request_id}".encode()) / CRC32_RANGE
--- a/turmericproxy/admission/priorities.py
+++ b/turmericproxy/admission/priorities.py
@@ -7,6 +7,10 @@
 from turmericproxy.core.ids import ServiceName
 from turmericproxy.traffic.site import Site
 
+# Least share of the target that counts as left, also where first events come later than it. With
+# none left, nothing less urgent would be admitted and no first event would be measured beside it.
+MIN_LEFT_SHARE = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class PriorityClass:
@@ -61,7 +65,7 @@
         return ServiceBounds(float("inf"), {})
     limiting = classes[:-1] or classes
     base = HEADROOM_SHARE * min(
-        max(c.target - own_seconds.get(c.priority, 0.0), HEADROOM_SHARE * c.target)
+        max(c.target - own_seconds.get(c.priority, 0.0), MIN_LEFT_SHARE * c.target)
         for c in limiting
     )
     lower = classes[1:]
