--- a/tests/admission/engine_model.py
+++ b/tests/admission/engine_model.py
@@ -21,8 +21,10 @@
     Kind,
     Load,
     Sent,
+    create_site,
 )
 from tests.admission.support import STEP_SECONDS as ARRIVAL_STEP_SECONDS
+from turmericproxy.admission.memory import find_full_engines
 from turmericproxy.placement.engines import DECODE_STEP_SECONDS, DECODE_STEP_SECONDS_PER_REQUEST
 from turmericproxy.placement.pauses import NOISE_FACTOR, NOISE_INTERVAL_SECONDS
 from turmericproxy.placement.registry import Work
@@ -95,9 +97,16 @@
     """Run random arrivals of a seed through admission in front of engines with decode steps."""
 
     def __init__(
-        self, load: Load, *, seed: int = 1, is_on: bool = True, has_noise: bool = False
+        self,
+        load: Load,
+        *,
+        seed: int = 1,
+        is_on: bool = True,
+        has_noise: bool = False,
+        memory: int = CAPACITY_TOKENS,
     ) -> None:
-        super().__init__(load, is_on=is_on)
+        super().__init__(load, is_on=is_on, site=create_site(memory=memory))
+        self._memory = memory
         self._random = random.Random(seed)
         self._noise = random.Random(seed)
         self._has_noise = has_noise
@@ -114,10 +123,16 @@
         return self.totals.answered[name] / max(1, self.totals.offered[name])
 
     def place(self, host: int, request: RoutedRequest) -> Placement:
-        """Choose an engine as hosts do where engines report no speed: the first token counts."""
+        """Choose an engine as hosts do where engines report no speed: the first token counts.
+
+        With admission control, engines without memory for the request are left out.
+        """
         prompt = request.parsed.prompt
         assert prompt is not None
         output = TRAFFIC[KINDS[str(request.route.name)]].events * EVENT_TOKENS
+        reserved = TRAFFIC[KINDS[str(request.route.name)]].reserved_tokens
+        states = self.registries[host].list_ready(SERVICE)
+        full = find_full_engines(states, reserved, self._memory, {}) if self.is_on else frozenset()
         seconds, state = min(
             (
                 (
@@ -126,7 +141,8 @@
                     + s.requests * DECODE_STEP_SECONDS_PER_REQUEST * output,
                     s,
                 )
-                for s in self.registries[host].list_ready(SERVICE)
+                for s in states
+                if s.entry.instance not in full or len(full) == len(states)
             ),
             key=lambda c: c[0] + zlib.crc32(f"{host}{c[1].entry.instance}".encode()) % 800 / 8e4,
         )
@@ -192,7 +208,7 @@
                 self._finish(engine, run, engine.free_at, is_waiting=True)
                 continue
             used = sum(r.count_tokens() for r in engine.running)
-            if used + TRAFFIC[run.sent.kind].prompt_tokens + EVENT_TOKENS > CAPACITY_TOKENS:
+            if used + TRAFFIC[run.sent.kind].prompt_tokens + EVENT_TOKENS > self._memory:
                 break
             heapq.heappop(engine.waiting)
             run.begun_at = engine.free_at
@@ -216,7 +232,7 @@
 
     def _preempt(self, engine: StepEngine) -> None:
         """Restart the newest of the least urgent requests while memory does not suffice."""
-        while sum(r.count_tokens() for r in engine.running) > CAPACITY_TOKENS:
+        while sum(r.count_tokens() for r in engine.running) > self._memory:
             newest = max(engine.running, key=lambda r: (r.sent.kind.priority, r.number))
             engine.running.remove(newest)
             newest.done = newest.decoded = 0
--- a/tests/admission/support.py
+++ b/tests/admission/support.py
@@ -79,9 +79,11 @@
 
 
 def create_site(
-    kinds: tuple[Kind, ...] = (LONG, SHORT), accounts: tuple[Account, ...] = SERVED_AT_ONCE
+    kinds: tuple[Kind, ...] = (LONG, SHORT),
+    accounts: tuple[Account, ...] = SERVED_AT_ONCE,
+    memory: int = CAPACITY_TOKENS,
 ) -> Site:
-    traits = EngineTraits(SLOTS, CAPACITY_TOKENS, 163_840, 2.75e11, (MODEL,))
+    traits = EngineTraits(SLOTS, memory, 163_840, 2.75e11, (MODEL,))
     services = {SERVICE: Service(SERVICE, 100, traits)}
     routes = tuple(create_route(kind) for kind in kinds)
     return Site(Revision(1), routes, services, accounts, EdgeLimits(), None)
--- a/tests/admission/test_engine_model.py
+++ b/tests/admission/test_engine_model.py
@@ -66,3 +66,22 @@
     for _ in range(100):
         estimate = update_delay(estimate, -0.02)
     assert estimate.compute_margin(2.0) == 0.0
+
+
+@pytest.mark.parametrize("memory", [70_000, 92_192])
+def test_streams_are_not_preempted_or_cut_off_where_memory_is_short(memory: int) -> None:
+    """Load: both kinds at 2.5 times the capacity; memory for 7 or 9 long prompts in 12 slots.
+
+    Guards against streams that are restarted, or still running at their client's deadline.
+    """
+
+    def load(now: float, kind: Kind, account: str) -> float:
+        return 2.5 if START <= now < END else 0.5
+
+    fleet = EngineFleet(load, memory=memory)
+    fleet.run(13)
+    for results in fleet.results.values():
+        assert (results["preempted"], results["unfinished"]) == (0, 0)
+    unmanaged = EngineFleet(load, memory=memory, is_on=False)
+    unmanaged.run(13)
+    assert sum(r["unfinished"] for r in unmanaged.results.values()) > 0
