Let operators limit the share of a service's slots of an account or priority

Operators could not keep an account or a priority from taking most of a service's slots while there is no pressure. The setting `admission.ceilings`, such as `llm account acme 0.3, llm priority 1 0.5`, refuses what exceeds the share: 503, code 302, not run, with Retry-After, and refunded. It is empty by default and needs `pressure` in `contracts`; bad input ends the start with code 700 and names the entry.

Each host grants the part of a ceiling that its running requests are of all, at least one request. Requests count from their admission to their end; attempts that were judged but not sent are forgotten after 30 s.

--- a/tests/host/test_admission.py
+++ b/tests/host/test_admission.py
@@ -6,8 +6,9 @@
 import pytest
 
 from tests.host.support import Answer, HostEnvironment, run_scenario
-from turmericproxy.core import HostName
-from turmericproxy.core.ids import InstanceId
+from turmericproxy.admission.ceilings import Ceiling, CeilingMonitor
+from turmericproxy.core import HostName, RequestId
+from turmericproxy.core.ids import InstanceId, ServiceName
 from turmericproxy.host.site_daemon import SiteHost
 from turmericproxy.placement.registry import Work
 
@@ -125,6 +126,29 @@
     run_host(scenario, is_on=is_on)
 
 
+def test_prompt_beyond_a_ceiling_is_refused_as_not_run_and_refunded() -> None:
+    """Load: one running request of a priority whose ceiling allows a single one.
+
+    Guards against a refusal that may have run, or that the account has paid for.
+    """
+
+    async def scenario(environment: HostEnvironment, host: SiteHost) -> None:
+        assert host._admission is not None
+        service = ServiceName("huvo11a")
+        monitor = CeilingMonitor([Ceiling(service, None, 1, 0.001)])
+        host._admission._ceilings = monitor
+        running = (RequestId("x"), ENGINES[0])
+        monitor.record_start(running, service, None, 1)
+        check_refused(environment, host, await environment.send_stream_request(wait_ms=4000))
+        monitor.record_end(running)
+        # The end of each request makes room for the next one.
+        for n in range(3):
+            answer = await environment.send_stream_request(request_id=f"r{n}", wait_ms=4000)
+            assert answer.status == 200
+
+    run_host(scenario)
+
+
 def test_pressure_is_exported_by_service() -> None:
     """Load: as above. Guards against refusals whose cause operators can't see."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -116,3 +116,35 @@
     """Guard against rollouts without a bound."""
     values = {n: v for n, v in {**VALUES, **RELEASE_VALUES}.items() if n != name}
     assert decode_settings(values) == SettingsFault(name, "is missing")
+
+
+def test_ceilings_are_decoded_where_admission_control_is_on() -> None:
+    text = "llm account acme 0.3, llm priority 1 0.5"
+    settings = decode_settings({**VALUES, "contracts": "pressure", "admission.ceilings": text})
+    assert isinstance(settings, SiteHostSettings)
+    assert [c.share for c in settings.ceilings] == [0.3, 0.5]
+    unset = decode_settings({**VALUES, "contracts": "pressure"})
+    assert isinstance(unset, SiteHostSettings)
+    assert unset.ceilings == ()
+
+
+@pytest.mark.parametrize(
+    ("contracts", "text", "reason"),
+    [
+        ("", "llm account acme 0.3", "needs 'pressure'"),
+        ("pressure", "llm account 0.3", "SERVICE account|priority NAME SHARE"),
+        ("pressure", "llm zone a 0.3", "SERVICE account|priority NAME SHARE"),
+        ("pressure", "llm account acme half", "not a number"),
+        ("pressure", "llm account acme nan", "not above 0"),
+        ("pressure", "llm account acme 0", "not above 0"),
+        ("pressure", "llm account acme 1.1", "not above 0"),
+        ("pressure", "llm priority high 0.3", "not a whole number"),
+        ("pressure", "llm priority 1 0.3, llm priority 1 0.4", "another ceiling"),
+    ],
+)
+def test_bad_ceilings_are_faults_of_their_setting(contracts: str, text: str, reason: str) -> None:
+    """Guards against a ceiling that is silently ignored."""
+    fault = decode_settings({**VALUES, "contracts": contracts, "admission.ceilings": text})
+    assert isinstance(fault, SettingsFault)
+    assert fault.name == "admission.ceilings"
+    assert reason in fault.reason
--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from turmericproxy.admission.ceilings import Ceiling, CeilingMonitor
 from turmericproxy.admission.decision import (
     AdmissionInputs,
     Reason,
@@ -106,7 +107,9 @@
         is_unreachable: Callable[[str], bool],
         read_clock: Callable[[], float],
         metrics: Metrics,
+        ceilings: Sequence[Ceiling] = (),
     ) -> None:
+        self._ceilings = CeilingMonitor(ceilings)
         self._registry = registry
         self._read_totals = read_totals
         self._is_unreachable = is_unreachable
@@ -159,10 +162,12 @@
         if request.attempt_counts.possible_runs or request.writer.is_started:
             # Its client can't be told any more that it has not run.
             return None
+        if refusal := self._check_ceilings(request, service, states):
+            return refusal
         ahead_share = _compute_ahead_share(service.admitted, request.priority, now)
         expectation = _Expectation(request.priority, own_seconds + ahead_share * queue_seconds, now)
         if not service.pressure.is_high:
-            self._record_admitted(service, expectation, placed)
+            self._record_admitted(request, service, expectation, placed)
             return None
         delay = service.delays.get(request.priority, NO_DELAY)
         inputs = AdmissionInputs(
@@ -182,7 +187,7 @@
         )
         reason = decide(inputs)
         if reason is Reason.ADMITTED:
-            self._record_admitted(service, expectation, placed)
+            self._record_admitted(request, service, expectation, placed)
             return None
         if is_first and request.account:
             self._meter.record_refused(request.account.name, request.cost, now)
@@ -217,6 +222,7 @@
         """Record that an attempt ended, and for how long its stream held a slot."""
         key = (placed.request_id, placed.instance)
         self._expected.pop(key, None)
+        self._ceilings.record_end(key)
         begun_at = self._begun_at.pop(key, None)
         state = self._registry.find(placed.instance)
         service = self._services.get(state.entry.service) if state else None
@@ -238,8 +244,9 @@
         self._meter.record_totals(self._read_totals(), now)
         # Attempts that were judged but not sent have no end.
         oldest = now - EXPECTATION_SECONDS
-        while self._expected and next(iter(self._expected.values())).judged_at < oldest:
-            del self._expected[next(iter(self._expected))]
+        for attempt in [a for a, e in self._expected.items() if e.judged_at < oldest]:
+            del self._expected[attempt]
+            self._ceilings.record_end(attempt)
         for name, service in self._services.items():
             if site is not None and service.site is not site:
                 service.site, service.classes = site, list_classes(site, name)
@@ -335,10 +342,19 @@
         service.own_seconds[priority] = known + SMOOTHING * (seconds - known)
 
     def _record_admitted(
-        self, service: _ServiceState, expectation: _Expectation, placed: Placement
+        self,
+        request: RoutedRequest,
+        service: _ServiceState,
+        expectation: _Expectation,
+        placed: Placement,
     ) -> None:
         priority, now = expectation.priority, expectation.judged_at
-        self._expected[placed.request_id, placed.instance] = expectation
+        attempt = (placed.request_id, placed.instance)
+        self._expected[attempt] = expectation
+        # The dispatcher doesn't send what is expected after the deadline; such a one has no end.
+        if placed.expected_seconds <= request.deadline - now:
+            account = request.account.name if request.account else None
+            self._ceilings.record_start(attempt, request.service.name, account, priority)
         admitted = service.admitted.get(priority)
         if admitted is None:
             admitted = service.admitted[priority] = DecayedSum()
@@ -346,6 +362,19 @@
         service.admitted_requests.setdefault(priority, DecayedSum()).add(1.0, now)
         self._metrics.count("admissions", priority=str(priority))
 
+    def _check_ceilings(
+        self, request: RoutedRequest, service: _ServiceState, states: Sequence[UpstreamState]
+    ) -> Refusal | None:
+        """Return a refusal if the request would exceed a ceiling that an operator has set."""
+        name = request.account.name if request.account else None
+        ceiling = self._ceilings.find_exceeded(request.service.name, name, request.priority, states)
+        if ceiling is None:
+            return None
+        text = f"a ceiling of {ceiling.share} of {request.service.name} is reached"
+        return self._refuse(
+            request, Reason.CEILING, text, service.hold_seconds, {"ceiling": ceiling.share}
+        )
+
     def _find_account_share(
         self, request: RoutedRequest, service: _ServiceState, now: float
     ) -> float:
--- a/turmericproxy/admission/decision.py
+++ b/turmericproxy/admission/decision.py
@@ -44,6 +44,7 @@
     HEADROOM = "headroom"
     ACCOUNT_SHARE = "account_share"
     MEMORY = "memory"
+    CEILING = "ceiling"
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -314,6 +314,7 @@
             self._domains.is_unreachable,
             asyncio.get_running_loop().time,
             self._metrics,
+            self._settings.ceilings,
         )
         self._dispatcher.admission = self._updates.admission = admission
         return admission
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from turmericproxy.core import HostName
 from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
@@ -9,6 +10,9 @@
 from turmericproxy.fleet.quotas import QuotaTolerance
 from turmericproxy.releases.orders import ReleaseBounds
 
+if TYPE_CHECKING:
+    from turmericproxy.admission.ceilings import Ceiling
+
 
 @dataclass(frozen=True, slots=True)
 class SiteHostSettings:
@@ -25,8 +29,8 @@
     clients and ``incoming_links`` those of other hosts. An answer of which nothing is read for
     ``unread_seconds`` ends its connection, a stream that has not introduced its host within
     ``introduction_seconds`` is closed. With ``has_admission_control``, requests that can't be
-    answered in time under load are refused. ``releases`` bounds rollouts of software; ``None``
-    means that orders for them are ignored.
+    answered in time under load are refused, and those beyond ``ceilings``. ``releases`` bounds
+    rollouts of software; ``None`` means that orders for them are ignored.
     """
 
     host: HostName
@@ -52,6 +56,7 @@
     introduction_seconds: float = INTRODUCTION_SECONDS
     has_admission_control: bool = False
     releases: ReleaseBounds | None = None
+    ceilings: "tuple[Ceiling, ...]" = ()
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from turmericproxy.core import HostName
 from turmericproxy.edge.resources import UNREAD_ANSWER_SECONDS, read_descriptor_limit
@@ -11,11 +12,15 @@
 from turmericproxy.host.site_settings import SiteHostSettings
 from turmericproxy.releases.orders import ReleaseBounds
 
+if TYPE_CHECKING:
+    from turmericproxy.admission.ceilings import Ceiling
+
 # Entry of ``contracts`` where rollouts between versions of a service's software are in force.
 RELEASE_CONTRACT = "rollout"
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
 # Entry of ``contracts`` that asks for admission control.
 PRESSURE_CONTRACT = "pressure"
+CEILINGS_SETTING = "admission.ceilings"
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +82,7 @@
             / 1000,
             has_admission_control=PRESSURE_CONTRACT in reader.list_contracts(),
             releases=_read_release_bounds(reader),
+            ceilings=_read_ceilings(reader),
         )
     except _SettingError as error:
         return error.fault
@@ -84,6 +90,23 @@
         return SettingsFault("port_range", str(error))
 
 
+def _read_ceilings(reader: "_SettingsReader") -> "tuple[Ceiling, ...]":
+    """Return the ceilings of accounts and priorities, which admission control checks."""
+    text = reader.read_text(CEILINGS_SETTING, ",").strip(" ,")
+    if not text:
+        return ()
+    # Imported only where settings ask for it, since the package adds to the time of a start.
+    from turmericproxy.admission.ceilings import parse_ceilings
+
+    try:
+        ceilings = parse_ceilings(text)
+    except ValueError as error:
+        raise _SettingError(CEILINGS_SETTING, str(error)) from None
+    if PRESSURE_CONTRACT not in reader.list_contracts():
+        raise _SettingError(CEILINGS_SETTING, f"needs {PRESSURE_CONTRACT!r} in contracts")
+    return ceilings
+
+
 def _read_release_bounds(reader: "_SettingsReader") -> ReleaseBounds | None:
     """Return the bounds of rollouts of software, ``None`` where they are not in force."""
     contracts = [name.strip() for name in reader.read_text("contracts", ",").split(",")]
