Keep the bound of less urgent requests beside a flood of them

In such a flood few requests are urgent, and their delay comes from busy engines whatever the bound is.

--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -18,6 +18,7 @@
     TARGET_DEVIATIONS,
     DelayEstimate,
     update_delay,
+    weigh_bound_margin,
 )
 from turmericproxy.admission.memory import LostWorkMonitor, find_full_engines
 from turmericproxy.admission.pressure import (
@@ -293,10 +294,11 @@
             service.best_wait = find_best_wait(
                 [_estimate_wait(state, service.hold_seconds) for state in available]
             )
-        seconds = {
-            priority: own + service.delays.get(priority, NO_DELAY).compute_margin(BOUND_DEVIATIONS)
-            for priority, own in service.own_seconds.items()
-        }
+        seconds = {}
+        for priority, own in service.own_seconds.items():
+            share = _compute_ahead_share(service.admitted_requests, priority, now)
+            margin = service.delays.get(priority, NO_DELAY).compute_margin(BOUND_DEVIATIONS)
+            seconds[priority] = own + weigh_bound_margin(share) * margin
         service.bounds = compute_bounds(service.classes, seconds)
         previous = service.pressure
         sample = service.best_wait / service.bounds.base
--- a/turmericproxy/admission/delays.py
+++ b/turmericproxy/admission/delays.py
@@ -10,6 +10,11 @@
 # 3 to 4% fewer answers in target.
 BOUND_DEVIATIONS = 0.5
 
+# Share of the admitted requests that are as urgent, from which their delay begins to lower the
+# bound of less urgent ones, and from which in full. Beside a flood of less urgent requests it
+# lowered the answers in target by up to 4% and helped no urgent request.
+LEAST_BOUND_SHARE, FULL_BOUND_SHARE = 0.25, 0.4
+
 
 @dataclass(frozen=True, slots=True)
 class DelayEstimate:
@@ -40,3 +45,13 @@
         round(estimate.mean + SAMPLE_WEIGHT * error, 6),
         round(estimate.deviation + SAMPLE_WEIGHT * (abs(error) - estimate.deviation), 6),
     )
+
+
+def weigh_bound_margin(requests_share: float) -> float:
+    """Return the share of the margin that counts for the bound of less urgent requests.
+
+    >>> weigh_bound_margin(0.2), weigh_bound_margin(0.5)
+    (0.0, 1.0)
+    """
+    share = (requests_share - LEAST_BOUND_SHARE) / (FULL_BOUND_SHARE - LEAST_BOUND_SHARE)
+    return min(1.0, max(0.0, share))
