--- a/tests/admission/support.py
+++ b/tests/admission/support.py
@@ -79,9 +79,11 @@
 
 
 def create_site(
-    kinds: tuple[Kind, ...] = (LONG, SHORT), accounts: tuple[Account, ...] = SERVED_AT_ONCE
+    kinds: tuple[Kind, ...] = (LONG, SHORT),
+    accounts: tuple[Account, ...] = SERVED_AT_ONCE,
+    memory: int = CAPACITY_TOKENS,
 ) -> Site:
-    traits = EngineTraits(SLOTS, CAPACITY_TOKENS, 163_840, 2.75e11, (MODEL,))
+    traits = EngineTraits(SLOTS, memory, 163_840, 2.75e11, (MODEL,))
     services = {SERVICE: Service(SERVICE, 100, traits)}
     routes = tuple(create_route(kind) for kind in kinds)
     return Site(Revision(1), routes, services, accounts, EdgeLimits(), None)
@@ -140,11 +142,11 @@
     """Prefill prompts one after the other, the most urgent first; ``ends`` are those of streams."""
 
     ends: list[tuple[float, int, int, Placement]] = field(default_factory=list)
-    waiting: list[tuple[int, float, "_Sent"]] = field(default_factory=list)
+    waiting: list[tuple[int, float, "Sent"]] = field(default_factory=list)
     free_at: float = 0.0
 
 
-class _Sent(NamedTuple):
+class Sent(NamedTuple):
     kind: Kind
     account: str
     received_at: float
@@ -260,8 +262,12 @@
             return
         self.spent[account.name] += request.cost
         self._change_work(host, placed.instance, placed.work)
-        sent = _Sent(kind, str(account.name), first_at, host, placed)
-        heapq.heappush(self._engines[placed.instance].waiting, (kind.priority, self._number, sent))
+        sent = Sent(kind, str(account.name), first_at, host, placed)
+        self._send(sent)
+
+    def _send(self, sent: Sent) -> None:
+        engine = self._engines[sent.placed.instance]
+        heapq.heappush(engine.waiting, (sent.kind.priority, self._number, sent))
 
     def place(self, host: int, request: RoutedRequest) -> Placement:
         """Choose an engine; hosts prefer different ones among those that are nearly equal."""
--- a/turmericproxy/host/site_settings.py
+++ b/turmericproxy/host/site_settings.py
@@ -10,6 +10,7 @@
 from turmericproxy.fleet.quotas import QuotaTolerance
 
 if TYPE_CHECKING:
+    from turmericproxy.admission.ceilings import Ceiling
     from turmericproxy.releases.orders import ReleaseBounds
 
 
@@ -28,8 +29,8 @@
     clients and ``incoming_links`` those of other hosts. An answer of which nothing is read for
     ``unread_seconds`` ends its connection, a stream that has not introduced its host within
     ``introduction_seconds`` is closed. With ``has_admission_control``, requests that can't be
-    answered in time under load are refused. ``releases`` bounds rollouts of software; ``None``
-    means that orders for them are ignored.
+    answered in time under load are refused, and those beyond ``ceilings``. ``releases`` bounds
+    rollouts of software; ``None`` means that orders for them are ignored.
     """
 
     host: HostName
@@ -55,6 +56,7 @@
     introduction_seconds: float = INTRODUCTION_SECONDS
     has_admission_control: bool = False
     releases: "ReleaseBounds | None" = None
+    ceilings: "tuple[Ceiling, ...]" = ()
 
     def __post_init__(self) -> None:
         if min(self.order_guard, self.version_seconds, self.grace) <= 0:
--- a/turmericproxy/platform/settings.py
+++ b/turmericproxy/platform/settings.py
@@ -12,6 +12,7 @@
 from turmericproxy.host.site_settings import SiteHostSettings
 
 if TYPE_CHECKING:
+    from turmericproxy.admission.ceilings import Ceiling
     from turmericproxy.releases.orders import ReleaseBounds
 
 # Entry of ``contracts`` where rollouts between versions of a service's software are in force.
@@ -19,6 +20,7 @@
 SETTINGS_VARIABLE = "TURMERICPROXY_CONFIG"
 # Entry of ``contracts`` that asks for admission control.
 PRESSURE_CONTRACT = "pressure"
+CEILINGS_SETTING = "admission.ceilings"
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +82,7 @@
             / 1000,
             has_admission_control=PRESSURE_CONTRACT in reader.list_contracts(),
             releases=_read_release_bounds(reader),
+            ceilings=_read_ceilings(reader),
         )
     except _SettingError as error:
         return error.fault
@@ -87,10 +90,26 @@
         return SettingsFault("port_range", str(error))
 
 
+def _read_ceilings(reader: "_SettingsReader") -> "tuple[Ceiling, ...]":
+    """Return the ceilings of accounts and priorities, which admission control checks."""
+    text = reader.read_text(CEILINGS_SETTING, ",").strip(" ,")
+    if not text:
+        return ()
+    # Imported only where settings ask for it, since the package adds to the time of a start.
+    from turmericproxy.admission.ceilings import parse_ceilings
+
+    try:
+        ceilings = parse_ceilings(text)
+    except ValueError as error:
+        raise _SettingError(CEILINGS_SETTING, str(error)) from None
+    if PRESSURE_CONTRACT not in reader.list_contracts():
+        raise _SettingError(CEILINGS_SETTING, f"needs {PRESSURE_CONTRACT!r} in contracts")
+    return ceilings
+
+
 def _read_release_bounds(reader: "_SettingsReader") -> "ReleaseBounds | None":
     """Return the bounds of rollouts of software, ``None`` where they are not in force."""
-    contracts = [name.strip() for name in reader.read_text("contracts", ",").split(",")]
-    if RELEASE_CONTRACT not in contracts:
+    if RELEASE_CONTRACT not in reader.list_contracts():
         return None
     # Imported only here, since it takes processor time at each start.
     from turmericproxy.releases.orders import ReleaseBounds
