Divide a service's max_connections among the hosts

Callers saw 502 for requests whose connection a server reset, because all hosts together had opened more connections than it accepts.

Cause: max_connections was read and not used.

--- /dev/null
+++ b/turmericproxy/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Divide the connections that a server accepts among the hosts."""
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 from turmericproxy.admission import AdmissionController
+from turmericproxy.connections.limiter import ConnectionLimiter
 from turmericproxy.core import (
     HostName,
     Incarnation,
@@ -128,6 +129,9 @@
             self._crashes,
             self._limits,
         )
+        self._dispatcher.connections = ConnectionLimiter(
+            settings.host, self._describe_fleet, loop.time, self._metrics
+        )
         self._cache_pollers = CachePollerManager(
             adapter.create_cache_events,
             self._registry,
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 
 from turmericproxy.admission.controller import AdmissionController
+from turmericproxy.connections.limiter import ConnectionLimiter
 from turmericproxy.core import Refusal, ResultCode, refuse
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.crashes.controller import CrashController
-from turmericproxy.crashes.evidence import SOUND_ANSWER_SECONDS, BrokenPrompt
 from turmericproxy.edge.upstream import TIMED_OUT
 from turmericproxy.limits.controller import LimitController
 from turmericproxy.limits.permits import Applicant
@@ -29,12 +29,17 @@
 from turmericproxy.releases.controller import ReleaseController
 from turmericproxy.rollout.wanted import WantedVersions
 from turmericproxy.traffic.attempts import AnswerPhase, Attempt, Outcome
+from turmericproxy.traffic.crash_evidence import record_crash_evidence
 from turmericproxy.traffic.isolation import NO_ISOLATION
 from turmericproxy.traffic.pacing import create_stream_requirements
 from turmericproxy.traffic.placement_logs import log_engine
 from turmericproxy.traffic.placements import Placement, PromptPlacement
 from turmericproxy.traffic.requests import Dispatch, ParsedAnswer, Prompt, Verdict
-from turmericproxy.traffic.routed_request import RoutedRequest
+from turmericproxy.traffic.routed_request import (
+    RoutedRequest,
+    build_private_space,
+    create_applicant,
+)
 from turmericproxy.traffic.site import EngineTraits
 
 # Range of Retry-After while no upstream is available; values are random so that the refused clients
@@ -82,6 +87,8 @@
         self.isolation = NO_ISOLATION
         # Set where the deployment asks for admission control.
         self.admission: AdmissionController | None = None
+        # Set where hosts share the connections of servers.
+        self.connections: ConnectionLimiter | None = None
         # Set where rollouts of software are in force.
         self.releases: ReleaseController | None = None
         self._placements: list[PromptPlacement] = []
@@ -152,6 +159,10 @@
             placed = self._choose(request, states, excluded, resume_after)
             if placed is None:
                 return None, limited
+            if not self._may_connect(request, placed.instance):
+                limited.append(placed)
+                excluded |= {placed.instance}
+                continue
             if self._limits.may_send(placed.instance, placed.started_at, applicant):
                 permitted = self._place_with_permit(request, states, excluded, resume_after)
                 if permitted and permitted.expected_seconds <= (
@@ -170,6 +181,13 @@
             limited.append(placed)
             excluded |= {placed.instance}
 
+    def _may_connect(self, request: RoutedRequest, instance: InstanceId) -> bool:
+        """Return whether this host may open one more connection to an upstream."""
+        state, limit = self._registry.find(instance), request.service.max_connections
+        if self.connections is None or state is None:
+            return True
+        return self.connections.may_open(state, limit, request.parsed.request_id)
+
     def _choose(
         self,
         request: RoutedRequest,
@@ -199,7 +217,8 @@
             if instance in excluded or self._limits.find_limit(instance, started_at) is None:
                 continue
             if self._limits.may_send(instance, started_at, applicant):
-                permitted.append(state)
+                if self._may_connect(request, instance):
+                    permitted.append(state)
             else:
                 self._limits.record_work(instance, started_at)
         if not permitted:
@@ -208,9 +227,11 @@
 
     def _refuse_limited(self, request: RoutedRequest, limited: list[Placement]) -> Refusal:
         """Refuse a request while the limits of all upstreams are reached."""
-        retry_after = self._limits.estimate_retry_after(
-            [(placement.instance, placement.started_at) for placement in limited]
-        )
+        upstreams = [(placement.instance, placement.started_at) for placement in limited]
+        retry_after = self._limits.estimate_retry_after(upstreams)
+        if self._list_full(request, upstreams):
+            # A connection becomes free as soon as a running request ends.
+            retry_after = self._choose_retry_after()
         reason = f"the limits of {len(limited)} upstreams of {request.service.name} are reached"
         return refuse(ResultCode.UPSTREAMS_LIMITED, reason, retry_after=retry_after)
 
@@ -224,10 +245,23 @@
             PERMIT_WAIT_SHARE * (request.deadline - self._read_clock()),
         )
         upstreams = self._list_starts(request, excluded)
+        if self.connections and (states := self._list_full(request, upstreams)):
+            limit, request_id = request.service.max_connections, request.parsed.request_id
+            return await self.connections.wait(states, limit, request_id, seconds)
         return await self._limits.wait_for_permit(upstreams, create_applicant(request), seconds)
 
+    def _list_full(
+        self, request: RoutedRequest, upstreams: list[tuple[InstanceId, int]]
+    ) -> list[UpstreamState]:
+        """Return the upstreams to which this host may open no more connections for now."""
+        states = [state for i, _ in upstreams if (state := self._registry.find(i))]
+        limit, connections = request.service.max_connections, self.connections
+        return connections.list_full(states, limit) if connections else []
+
     def release_permit(self, request: RoutedRequest) -> None:
         """Make the permit that was kept for a request available if it was not used."""
+        if self.connections:
+            self.connections.release(request.parsed.request_id)
         upstreams = self._list_starts(request, frozenset())
         self._limits.release(upstreams, create_applicant(request))
 
@@ -335,6 +369,8 @@
         )
         self._limits.record_sent(placement.instance, placement.started_at, applicant)
         self._registry.add_work(placement.instance, placement.work)
+        if self.connections:
+            self.connections.record_start(placement.instance, placement.request_id)
         if self.releases:
             self.releases.record_start(placement.instance)
         state = self._registry.find(placement.instance)
@@ -377,10 +413,15 @@
         """
         if self.admission:
             self.admission.record_end(placement)
+        if self.connections:
+            self.connections.record_end(placement.instance)
         work = placement.work
         if self.releases:
             self.releases.record_end(placement.instance, placement.route, attempt, seconds)
-        self._record_crash_evidence(placement, attempt, seconds, phase, head_seconds)
+        sent_at = self._read_clock() - seconds
+        record_crash_evidence(
+            self._crashes, placement, attempt, sent_at, seconds, phase, head_seconds
+        )
         prefill_change = 0 if phase is AnswerPhase.STREAMING else -work.pending_prefill_tokens
         self._registry.add_work(placement.instance, Work(-1, prefill_change, -work.reserved_tokens))
         if attempt is None:
@@ -395,33 +436,6 @@
         )
         self._record_version(placement, attempt)
 
-    def _record_crash_evidence(
-        self,
-        placement: Placement,
-        attempt: Attempt | None,
-        seconds: float,
-        phase: AnswerPhase,
-        head_seconds: float | None,
-    ) -> None:
-        """Record whether the prompt was answered, or broke off and may have ended its engine."""
-        prompt = placement.prompt
-        if prompt is None:
-            return
-        parts = prompt.shared_part_ids
-        is_answered = (
-            attempt is not None and attempt.outcome is Outcome.ANSWERED and not attempt.is_failure
-        )
-        has_lasted = head_seconds is not None and head_seconds >= SOUND_ANSWER_SECONDS
-        if is_answered or (phase is AnswerPhase.STREAMING and has_lasted):
-            sent_at = self._read_clock() - seconds
-            self._crashes.record_answer(placement.engine, prompt.model, parts, sent_at)
-        elif attempt is not None and attempt.outcome is Outcome.BROKEN:
-            has_begun = phase is AnswerPhase.BEGUN
-            if attempt.answer is None or phase is not AnswerPhase.WAITING:
-                request_id = placement.request_id
-                broken = BrokenPrompt(request_id, prompt.model, parts, has_begun, seconds)
-                self._crashes.record_broken(placement.engine, broken)
-
     def take_placements(self) -> tuple[list[PromptPlacement], list[PartKey]]:
         """Return and clear the prompts placed and the parts saved since the last call."""
         placed, self._placements = self._placements, []
@@ -475,7 +489,7 @@
             seconds_left=request.deadline - now,
             account=request.account.name if request.account else None,
             priority=request.priority,
-            cache_space=_build_private_space(request),
+            cache_space=build_private_space(request),
             resume_after=resume_after,
         )
         return Placement(
@@ -571,22 +585,6 @@
         return round(self._random.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS), 2)
 
 
-def create_applicant(request: RoutedRequest) -> Applicant:
-    """Return what decides when a request gets a permit for a limited upstream."""
-    account = request.account.name if request.account else None
-    return Applicant(request.parsed.request_id, request.priority, account)
-
-
-def _build_private_space(request: RoutedRequest) -> str | None:
-    """Return a cache space of its own for a request to an engine whose prompt isn't described.
-
-    Without one, engines share its parts with all such requests, whatever their account and version.
-    """
-    if request.service.engine is None:
-        return None
-    return f"request-{request.parsed.request_id}"
-
-
 def _add_prefixes(
     tracker: PrefixTracker, keys: tuple[PartKey, ...], prompt: Prompt, ready_at: float
 ) -> None:
--- a/turmericproxy/traffic/routed_request.py
+++ b/turmericproxy/traffic/routed_request.py
@@ -4,6 +4,7 @@
 
 from turmericproxy.core.memory import Holding, open_unlimited
 from turmericproxy.edge import AnswerWriter
+from turmericproxy.limits.permits import Applicant
 from turmericproxy.traffic.attempts import AttemptCounts
 from turmericproxy.traffic.requests import ParsedRequest
 from turmericproxy.traffic.site import Account, Route, Service, Site
@@ -50,3 +51,19 @@
         if self.account and self.account.priority is not None:
             return self.account.priority
         return self.route.priority
+
+
+def create_applicant(request: RoutedRequest) -> Applicant:
+    """Return what decides when a request gets a permit for a limited upstream."""
+    account = request.account.name if request.account else None
+    return Applicant(request.parsed.request_id, request.priority, account)
+
+
+def build_private_space(request: RoutedRequest) -> str | None:
+    """Return a cache space of its own for a request to an engine whose prompt isn't described.
+
+    Without one, engines share its parts with all such requests, whatever their account and version.
+    """
+    if request.service.engine is None:
+        return None
+    return f"request-{request.parsed.request_id}"
