Count the lease on orders from its write, and extend it without a slow read

Operators saw no engine get new weights while each answer of the store took 1.2 s, and requests were refused once the old weights were too old.

Cause: the lease of 2 s counted from before it was read, and reading and writing it take 2.4 s, so it had expired when it was granted. Each extension read it again.

The row's end now adds the duration of the read to the store's clock, and the holder counts from the end of the read, just before the write. The store's clock can't be past that sum, so the lease still ends here no later than in the store. It also ends within 2 s of its write, so hosts that find no lease after a restoration need not wait longer. Where the read took over 0.4 s, the holder extends a held lease by one write, on the condition that the row is unchanged, and rejects the result if the store's era has changed.

--- a/turmericproxy/rollout/lease.py
+++ b/turmericproxy/rollout/lease.py
@@ -34,7 +34,8 @@
     ``version`` is the store's newest one. ``current`` is the lease there, if any. If it isn't of
     the store's present ``era``, other holders may have followed; ``unclear_seconds`` is for how
     long the host has seen that. With ``is_own_held``, this host has the lease of an earlier era and
-    may still give orders.
+    may still give orders. ``read_seconds`` is the time since the call that returned ``store_clock``
+    was sent, so the store's clock now shows at most their sum.
     """
 
     current: OrderLease | None
@@ -43,6 +44,7 @@
     era: int = 0
     unclear_seconds: float = 0.0
     is_own_held: bool = False
+    read_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +72,8 @@
     >>> decide_claim(LeaseView(None, 10.0, 7, unclear_seconds=9.0), "a", 3.0)
     Claim(lease=OrderLease(holder='a', fence=7, until=12.0, era=0))
     """
-    current, until = view.current, view.store_clock + LEASE_SECONDS
+    # The lease counts from when it is written: a slow read must not use it up.
+    current, until = view.current, view.store_clock + view.read_seconds + LEASE_SECONDS
     if current is None or current.era != view.era:
         wait = 0.0 if view.is_own_held else LEASE_SECONDS + guard_seconds - view.unclear_seconds
     elif current.holder == holder:
--- a/turmericproxy/rollout/lease_manager.py
+++ b/turmericproxy/rollout/lease_manager.py
@@ -3,13 +3,14 @@
 import json
 import math
 from collections.abc import Callable
+from dataclasses import replace
+from typing import NamedTuple
 
 from turmericproxy.core import Refusal
 from turmericproxy.core.documents import decode_json
 from turmericproxy.logs import Part, log_event
 from turmericproxy.rollout.lease import (
     LEASE_SECONDS,
-    Claim,
     LeaseView,
     OrderLease,
     Wait,
@@ -34,6 +35,22 @@
 # Time after the start of a host, in the first start of the whole fleet, within which a missing
 # lease means that none was written: none can be acquired and lost with a restored store so soon.
 FIRST_START_SECONDS = 1.0
+# Duration of a read of the lease above which it is extended without another read: the read and the
+# write together would take longer than the usable part of the lease.
+SLOW_READ_SECONDS = 0.4
+# Time for which one read is used in this way. The host's clock and the store's may drift by some
+# milliseconds meanwhile, which the expiry margin covers.
+MAX_READ_AGE_SECONDS = 10.0
+
+
+class _KnownLease(NamedTuple):
+    """Hold this host's lease and its row's version, and when and at what clock it was read."""
+
+    lease: OrderLease
+    row_version: int
+    read_at: float
+    store_clock: float
+    read_seconds: float
 
 
 class LeaseManager:
@@ -69,6 +86,7 @@
         self._guard_seconds = guard_seconds
         self._read_clock = read_clock
         self._held_until = 0.0
+        self._known: _KnownLease | None = None
         self.fence = 0
 
     def is_held(self) -> bool:
@@ -81,19 +99,44 @@
 
     async def acquire(self) -> float:
         """Acquire or extend the lease; return 0, or the seconds to wait before the next attempt."""
-        # Counted from before the store's clock was read, so that the lease ends here no later than
-        # in the store.
-        started = self._read_clock()
+        if (known := self._take_known()) is not None:
+            return await self._extend(known)
+        read_at = self._read_clock()
         state = await self._store.read_table(self._table)
         if isinstance(state, Refusal):
             log_event(self._part, "lease can't be read", reason=state.reason)
             return EXTENSION_SECONDS / 2
         row = _find_row(state, self._key)
-        view = self._create_view(state, row)
+        # The same time is the start of the lease here and, at the latest, in the store, so that the
+        # lease ends here no later than in the store.
+        started = self._read_clock()
+        view = replace(self._create_view(state, row), read_seconds=started - read_at)
         decision = decide_claim(view, self._holder, self._guard_seconds)
         if isinstance(decision, Wait):
             return decision.seconds
-        return await self._write_lease(decision, row, started)
+        lease = decision.lease
+        known = _KnownLease(
+            lease, row.version if row else 0, read_at, state.store_clock, started - read_at
+        )
+        return await self._write_lease(known, started)
+
+    def _take_known(self) -> _KnownLease | None:
+        """Return and forget this host's lease if it can be extended without a slow read."""
+        known, self._known = self._known, None
+        if known is None or known.read_seconds < SLOW_READ_SECONDS or not self.is_held():
+            return None
+        is_recent = self._read_clock() < known.read_at + MAX_READ_AGE_SECONDS
+        return known if is_recent else None
+
+    async def _extend(self, known: _KnownLease) -> float:
+        """Extend a lease that is held; the write fails if its row or the store's era has changed.
+
+        Where the store answers slowly, the lease would expire between a read and a write.
+        """
+        started = self._read_clock()
+        until = known.store_clock + (started - known.read_at) + LEASE_SECONDS
+        lease = replace(known.lease, until=until)
+        return await self._write_lease(known._replace(lease=lease), started)
 
     async def observe(self) -> None:
         """Read the lease, so that a wait for an unknown holder begins now."""
@@ -133,10 +176,11 @@
             self._unclear, self._unclear_since = key, self._read_clock()
         return self._read_clock() - self._unclear_since
 
-    async def _write_lease(self, claim: Claim, row: Row | None, started: float) -> float:
-        lease = claim.lease
+    async def _write_lease(self, known: _KnownLease, started: float) -> float:
+        """Write a lease in place of the known row; version 0 means that there is none."""
+        lease = known.lease
         value = json.dumps([lease.holder, lease.fence, lease.until, lease.era]).encode()
-        condition = Condition(self._table, self._key, row.version if row else None)
+        condition = Condition(self._table, self._key, known.row_version or None)
         result = await self._store.commit(
             Transaction((condition,), (Write(self._table, self._key, value),))
         )
@@ -145,6 +189,8 @@
                 log_event(self._part, "lease acquired", fence=lease.fence, until=lease.until)
             self._held_until = started + LEASE_SECONDS
             self.fence = lease.fence
+            version = result.get_version(self._table, self._key)
+            self._known = known._replace(row_version=version)
             return 0.0
         if isinstance(result, AnswerLost | Refusal):
             log_event(self._part, "lease not acquired", reason=result.reason)
