Look once more for an accepted connection when the timeout expires

Callers saw 503, code 400 no_upstream, for all requests at once after a host was not scheduled for longer than 0.15 s, although all upstreams were sound.

Cause: the wait that is too short is CONNECT_TIMEOUT_SECONDS (0.15 s, traffic/sending.py), since it also counts time in which the host itself did not run. The kernel completes the connection meanwhile, but the timer has expired in the same pass of the event loop, and the connection is thrown away before its task runs. Each such attempt pauses its upstream.

The timeout stays 0.15 s. When it expires, a few more passes of the event loop let an acceptance that has already arrived become a connection; an upstream that has not accepted still times out.

--- a/tests/host/test_reused_addresses.py
+++ b/tests/host/test_reused_addresses.py
@@ -10,11 +10,12 @@
 import pytest
 
 from tests.host.raw_servers import RawServer, build
-from tests.host.support import HostEnvironment, run_scenario
+from tests.host.support import HostEnvironment, count_outcomes, run_scenario
 from tests.platform.support import CONFIGURATION
 from turmericproxy.standins.platform_wire_server import WireServer
 
 DRAFTS = "drafts"
+SERVED = {(200, None)}
 
 
 def add_draft_service(environment: HostEnvironment, *, has_route: bool) -> None:
@@ -43,15 +44,20 @@
     ]
 
 
-async def stream(environment: HostEnvironment, count: int, prefix: str, index: int = 0) -> set[int]:
-    """Send requests at the same time, so that all engines of their service are used."""
+async def stream(
+    environment: HostEnvironment, count: int, prefix: str, index: int = 0
+) -> set[tuple[int, str | None]]:
+    """Send requests at the same time, so that all engines of their service are used.
+
+    Return the statuses with the result codes, so that a failed check tells why.
+    """
     answers = await asyncio.gather(
         *(
             environment.send_stream_request(request_id=f"{prefix}{n}", index=index)
             for n in range(count)
         )
     )
-    return {answer.status for answer in answers}
+    return set(count_outcomes(answers))
 
 
 # Guards against requests run by a service that no configuration names for them: review case ROUTE,
@@ -66,14 +72,14 @@
         await asyncio.sleep(0.5)
         environment.store.refusal = 503
         await asyncio.sleep(2.0)
-        assert await stream(environment, 1, "first") == {200}
+        assert await stream(environment, 1, "first") == SERVED
         (lost,) = [name for name in ("e1", "e2") if list_runs(environment, name)]
         reuse_address(environment.servers[lost], DRAFTS)
         for index in range(hosts):
             # All of them may be sent to the lost engine first: within the host's retry budget.
-            assert await stream(environment, 4, f"a{index}-", index) == {200}
+            assert await stream(environment, 4, f"a{index}-", index) == SERVED
         await asyncio.sleep(1.5)  # engines are queried once a second
-        assert await stream(environment, 40, "b") == {200}
+        assert await stream(environment, 40, "b") == SERVED
         assert list_runs(environment, lost) == ["first0"]
 
     run_scenario(scenario, hosts=hosts, domains=hosts)
@@ -110,7 +116,7 @@
             environment.store.put("servers", server.instance, server.describe())
         environment.store.refusal = None
         await asyncio.sleep(2.5)
-        assert await stream(environment, 4, "b") == {200}
+        assert await stream(environment, 4, "b") == SERVED
 
     run_scenario(scenario)
 
@@ -147,7 +153,7 @@
             environment.store.put("servers", name, environment.servers[name].describe())
         await environment.add_host("late")
         await asyncio.sleep(6.0)  # outdated weights are no longer used by then
-        assert await stream(environment, 4, "b", index=1) == {200}
+        assert await stream(environment, 4, "b", index=1) == SERVED
         server.close()
 
     run_scenario(scenario)
--- a/turmericproxy/edge/upstream.py
+++ b/turmericproxy/edge/upstream.py
@@ -29,6 +29,9 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # Copies of a body at the same time: its parts while they are joined, then the connection's buffer.
 BODY_COPIES = 2
+# Passes of the event loop in which an acceptance that has arrived becomes an open connection: the
+# socket's event, the transport, its protocol and the result take one each; twice that for safety.
+ACCEPTANCE_PASSES = 8
 # Reason of a ``NotConnected`` whose connection was neither accepted nor refused in time.
 TIMED_OUT = "connection timed out"
 
@@ -303,9 +306,7 @@
     loop = asyncio.get_running_loop()
     try:
         ip, port = split_address(address)
-        transport, _ = await asyncio.wait_for(
-            loop.create_connection(asyncio.Protocol, ip, port), connect_timeout
-        )
+        transport = await _connect(loop, ip, port, connect_timeout)
     except TimeoutError:
         return NotConnected(TIMED_OUT)
     except (OSError, ValueError) as error:
@@ -318,6 +319,31 @@
     return transport
 
 
+async def _connect(
+    loop: asyncio.AbstractEventLoop, ip: str, port: int, connect_timeout: float
+) -> asyncio.Transport:
+    """Open a connection; raise ``TimeoutError`` if the peer has not accepted it in time.
+
+    A host that was not scheduled for longer than the timeout finds the timer expired together with
+    the acceptance, which the kernel has received meanwhile, so it looks once more.
+    """
+    handle: asyncio.Handle
+    async with asyncio.timeout(None) as timeout:
+
+        def expire(passes: int) -> None:
+            nonlocal handle
+            if passes:
+                handle = loop.call_soon(expire, passes - 1)
+            else:
+                timeout.reschedule(loop.time())
+
+        handle = loop.call_later(connect_timeout, expire, ACCEPTANCE_PASSES)
+        try:
+            return (await loop.create_connection(asyncio.Protocol, ip, port))[0]
+        finally:
+            handle.cancel()
+
+
 async def fetch(
     address: str, data: bytes, *, connect_timeout: float, timeout: float
 ) -> tuple[AnswerHead, bytes] | str:
