Explain on site hosts where a request would be placed

POST /v1/explain-placement on the metrics address describes a request and returns where the host would send it now, with the terms of each candidate and the reason why others are left out. The dispatcher of requests decides on copies of the limits, releases, blocks, admission and quotas, so that nothing it records has an effect.

--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -1,7 +1,8 @@
 """Keep the inputs of admission decisions and refuse what can't be answered in time."""
 
+import copy
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from turmericproxy.admission.decision import (
     AdmissionInputs,
@@ -98,6 +99,19 @@
         self._shares_at = 0.0
         self._begun_at: dict[tuple[RequestId, InstanceId], float] = {}
 
+    def create_trial(self, account: AccountName | None) -> "AdmissionController":
+        """Return a copy that can try a request of an account without an effect on this one."""
+        trial = copy.copy(self)
+        trial._metrics = Metrics()
+        trial._lost_work = copy.deepcopy(self._lost_work)
+        trial._meter = self._meter.create_trial(account)
+        trial._demands, trial._levels = dict(self._demands), dict(self._levels)
+        trial._services = {
+            name: replace(s, own_seconds=dict(s.own_seconds), admitted=copy.deepcopy(s.admitted))
+            for name, s in self._services.items()
+        }
+        return trial
+
     def find_full(
         self, request: RoutedRequest, placed: Placement | None, states: Sequence[UpstreamState]
     ) -> frozenset[InstanceId]:
--- a/turmericproxy/admission/shares.py
+++ b/turmericproxy/admission/shares.py
@@ -1,5 +1,6 @@
 """Compute max-min fair shares of client accounts, by weight, from the fleet's recent demand."""
 
+import copy
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -97,6 +98,14 @@
         self._sampled_at: float | None = None
         self._known_since = math.inf
 
+    def create_trial(self, name: AccountName | None) -> "DemandMeter":
+        """Return a copy that can record requests of one account without an effect on this one."""
+        trial = copy.copy(self)
+        trial._accounts = dict(self._accounts)
+        if name is not None and name in self._accounts:
+            trial._accounts[name] = copy.deepcopy(self._accounts[name])
+        return trial
+
     def record_offered(self, name: AccountName, priority: int, cost: float, now: float) -> None:
         """Record a request at this host, whether or not it is admitted."""
         account = self._find(name)
--- a/turmericproxy/crashes/controller.py
+++ b/turmericproxy/crashes/controller.py
@@ -1,5 +1,6 @@
 """Add up what ended engines, over all hosts, and decide which prompts to refuse."""
 
+import copy
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
@@ -85,6 +86,12 @@
 
     # Requests
 
+    def create_trial(self) -> "CrashController":
+        """Return a copy that can try a decision: the trials of blocks stay as they are."""
+        trial = copy.copy(self)
+        trial.blocks = copy.deepcopy(self.blocks)
+        return trial
+
     def find_block(
         self, request_id: RequestId, model: ModelName, parts: Iterable[str]
     ) -> Block | None:
--- a/turmericproxy/fleet/quotas.py
+++ b/turmericproxy/fleet/quotas.py
@@ -5,6 +5,7 @@
 holds and refills only its share of the bucket.
 """
 
+import copy
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
@@ -145,6 +146,26 @@
         self._add_spent(account.name, cost)
         return None
 
+    def create_trial(self) -> "QuotaController":
+        """Return a copy that can try a request: what it charges has no effect on this one."""
+        trial = copy.copy(self)
+        trial._buckets, trial._spent = dict(self._buckets), dict(self._spent)
+        trial._changed = set(self._changed)
+        return trial
+
+    def describe(self, account: Account) -> dict[str, float] | None:
+        """Return what an account may send now, in its unit, ``None`` if it has no limit."""
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            return None
+        level = refill(bucket, self._read_microseconds()).level
+        return {
+            "level": round(level / MICRO, 1),
+            "burst": round(bucket.depth / MICRO, 1),
+            "rate": round(bucket.rate / MICRO, 1),
+            "share": round(self._share, 3),
+        }
+
     def refund(self, account: Account, cost: int) -> None:
         """Refund the cost of a request that has not run."""
         bucket = self._buckets.get(account.name)
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -25,6 +25,13 @@
 from turmericproxy.edge.causes import CauseReporter
 from turmericproxy.edge.connection_table import ConnectionTable
 from turmericproxy.edge.resources import compute_client_connections, compute_incoming_streams
+from turmericproxy.explaining.endpoint import (
+    QUESTION_LIMITS,
+    ExplainEndpoint,
+    build_unreadable,
+)
+from turmericproxy.explaining.questions import EXPLAIN_PATH
+from turmericproxy.explaining.trial import DecisionState
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
 from turmericproxy.fleet.incoming import IncomingStreams
 from turmericproxy.fleet.messages import UpdateBundle
@@ -221,8 +228,13 @@
             settings.readiness, self._answer_readiness, resources=self._edge
         )
         self._metrics_server = EdgeServer(
-            settings.metrics, self._answer_metrics, resources=self._edge
+            settings.metrics,
+            self._answer_metrics,
+            lambda: QUESTION_LIMITS,
+            build_refusal=build_unreadable,
+            resources=self._edge,
         )
+        self._explaining = ExplainEndpoint(settings.host, self._describe_decisions())
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
@@ -281,6 +293,23 @@
         await self._links.close()
         log_event(Part.HOST, "stopped", unfinished=self._callers.active)
 
+    def _describe_decisions(self) -> DecisionState:
+        return DecisionState(
+            self._registry,
+            self._wanted,
+            self._domains,
+            self._settings.domain,
+            self._settings.version_seconds,
+            asyncio.get_running_loop().time,
+            self._crashes,
+            self._limits,
+            self._quotas,
+            self._dispatcher,
+            self._cache_pollers.is_kept_store_reachable,
+            lambda: self._follower.site,
+            self._follower.measure_configuration_age,
+        )
+
     def _create_edge_resources(self) -> EdgeResources:
         settings = self._settings
         reporter = CauseReporter(
@@ -446,6 +475,9 @@
         writer.send(200 if is_ready else 503, ())
 
     async def _answer_metrics(self, request: ClientRequest, writer: AnswerWriter) -> None:
+        if request.path == EXPLAIN_PATH:
+            self._explaining.answer(request, writer)
+            return
         limits = self._limits.list_limits()
         named = {str(i): limit for i, limit, _ in limits if limit is not None}
         self._metrics.set_gauges("upstream_limit", "upstream", named)
@@ -479,10 +511,11 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         log_event(Part.HOST, "draining", active=self._callers.active)
-        self._is_draining = True
+        self._is_draining = self._explaining.is_draining = True
         self._callers.drain()
         await asyncio.sleep(ACCEPT_AFTER_SIGTERM_SECONDS)
         self._callers.close()
+        self._explaining.is_closed = True
         await self._wait_until_idle(started + DRAIN_GRACE_FRACTION * self._settings.grace)
         self._callers.end_requests()
         await self._wait_until_idle(started + SEND_GRACE_FRACTION * self._settings.grace)
--- a/turmericproxy/limits/controller.py
+++ b/turmericproxy/limits/controller.py
@@ -1,8 +1,9 @@
 """Follow the limits that upstreams name, and decide which requests may be sent to them."""
 
+import copy
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from turmericproxy.core import HostName, read_boottime
@@ -99,6 +100,16 @@
         self.is_loaded = True
         self.is_registered: Callable[[InstanceId], bool] = lambda _instance: True
 
+    def create_trial(self) -> "LimitController":
+        """Return a copy that can try a decision: what it records has no effect on this one."""
+        trial = copy.copy(self)
+        trial._metrics, trial._random = Metrics(), random.Random()
+        trial._upstreams = {
+            i: replace(u, allocation=replace(u.allocation), pool=u.pool.create_trial())
+            for i, u in self._upstreams.items()
+        }
+        return trial
+
     # Learning
 
     def start_learning(self) -> None:
--- a/turmericproxy/limits/permits.py
+++ b/turmericproxy/limits/permits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from turmericproxy.core import AccountName, HostName, RequestId
@@ -66,6 +66,17 @@
         """Return the number of requests that wait for a permit."""
         return len(self._waiters)
 
+    def create_trial(self) -> "PermitPool":
+        """Return a copy for which no request waits."""
+        return replace(
+            self,
+            _permits=self._permits.copy(),
+            _reserved=dict(self._reserved),
+            _waiters=[],
+            _turned_away=self._turned_away.copy(),
+            _uses=self._uses.copy(),
+        )
+
     def create_report(self, granted_by: HostName) -> PermitReport:
         """Return the totals for the other hosts, and whose grants this host uses."""
         return PermitReport(
--- a/turmericproxy/placement/selection.py
+++ b/turmericproxy/placement/selection.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from turmericproxy.core import ModelName
 from turmericproxy.core.ids import InstanceId
@@ -71,6 +72,15 @@
     return tuple(PartKey(space, part.part_id) for part in prompt.shared_parts)
 
 
+class ScoredEngines(NamedTuple):
+    """Hold the available engines, and those of them whose weights won't be too old."""
+
+    candidates: list[EngineCandidate]
+    timely: list[EngineCandidate]
+    requirements: PromptRequirements
+    max_cached_parts: int
+
+
 def select_engine(
     states: Sequence[UpstreamState],
     prompt: Prompt,
@@ -81,6 +91,19 @@
 
     Return ``None`` if every engine is excluded or its weights are, or will be, too old.
     """
+    scored = score_engines(states, prompt, context, excluded)
+    if scored is None or not scored.timely:
+        return None
+    return choose_engine(scored.timely, scored.requirements, scored.max_cached_parts)
+
+
+def score_engines(
+    states: Sequence[UpstreamState],
+    prompt: Prompt,
+    context: SelectionContext,
+    excluded: frozenset[InstanceId],
+) -> ScoredEngines | None:
+    """Return the scores of the engines, ``None`` if each is excluded or its weights are too old."""
     usable = [
         s for s in states if s.entry.instance not in excluded and _is_version_usable(s, context)
     ]
@@ -119,7 +142,7 @@
         if prefix.state.entry.instance in available_instances
     ]
     timely = [c for c in candidates if _begins_in_time(c, context)]
-    return choose_engine(timely, requirements, max_cached_parts) if timely else None
+    return ScoredEngines(candidates, timely, requirements, max_cached_parts)
 
 
 @dataclass(frozen=True, slots=True)
--- a/turmericproxy/releases/controller.py
+++ b/turmericproxy/releases/controller.py
@@ -1,8 +1,9 @@
 """Apply orders to move services to another software version to the requests of this host."""
 
+import copy
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from turmericproxy.core import HostName, Incarnation, RouteName
 from turmericproxy.core.ids import InstanceId, ServiceName
@@ -102,6 +103,16 @@
         # False from the start until the verdicts in the store are known.
         self.is_loaded = True
 
+    def create_trial(self) -> "ReleaseController":
+        """Return a copy that can try a decision: what it counts has no effect on this one."""
+        trial = copy.copy(self)
+        trial._metrics = Metrics()
+        trial._releases = {
+            service: replace(r, counts=copy.copy(r.counts), gate=copy.copy(r.gate))
+            for service, r in self._releases.items()
+        }
+        return trial
+
     @property
     def releases(self) -> Sequence[Release]:
         """Return all orders, with and without a verdict."""
