--- a/turmericproxy/cli/app.py
+++ b/turmericproxy/cli/app.py
@@ -5,6 +5,7 @@
 from turmericproxy.cli.bench import run_bench
 from turmericproxy.cli.blocks import blocks_app
 from turmericproxy.cli.explain import explain
+from turmericproxy.cli.explain_placement import explain_placement
 from turmericproxy.cli.keys import keys_app
 from turmericproxy.cli.resources import (
     apply_resources,
@@ -27,6 +28,7 @@
 app.add_typer(blocks_app, name="blocks")
 app.command("serve")(serve_host)
 app.command("explain")(explain)
+app.command("explain-placement")(explain_placement)
 app.command("bench")(run_bench)
 app.add_typer(stand_in_app, name="stand-in")
 
--- a/turmericproxy/cli/client.py
+++ b/turmericproxy/cli/client.py
@@ -11,7 +11,7 @@
 from turmericproxy.web import CallFailure, HttpClient
 
 READ_TIMEOUT_SECONDS = 15.0
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
 OperatorsOption = Annotated[
     str,
@@ -63,7 +63,7 @@
         if isinstance(answer, CallFailure):
             return self._describe_failure(method, answer)
         status, body = answer
-        return body if status < 300 else _decode_refusal(status, body)
+        return body if status < 300 else decode_refusal(status, body)
 
     def _describe_failure(self, method: str, failure: CallFailure) -> Failure:
         if failure.is_unsent or method == "GET":
@@ -73,7 +73,8 @@
         return Failure(ExitCode.UNKNOWN, message)
 
 
-def _decode_refusal(status: int, body: Any) -> Failure:
+def decode_refusal(status: int, body: Any) -> Failure:
+    """Return the failure that a refusal of a host describes."""
     error = body.get("error") if isinstance(body, dict) else None
     if not isinstance(error, dict) or "code" not in error:
         return Failure(ExitCode.FAILED, f"the host answered with status {status}")
@@ -83,7 +84,7 @@
 
 def create_client(address: str, key: str) -> OperatorClient:
     """Create a client; exit the command if the address is malformed."""
-    if not _ADDRESS.fullmatch(address):
+    if not ADDRESS.fullmatch(address):
         exit_with_failure(Failure(ExitCode.USAGE, "--operators must be an address IP:PORT"))
     return OperatorClient(address, key)
 
--- a/turmericproxy/cli/exits.py
+++ b/turmericproxy/cli/exits.py
@@ -22,6 +22,7 @@
 
 _EXIT_CODES = {
     ResultCode.BAD_REQUEST: ExitCode.INVALID,
+    ResultCode.BODY_TOO_LARGE: ExitCode.INVALID,
     ResultCode.RESOURCE_INVALID: ExitCode.INVALID,
     ResultCode.SETTINGS_INVALID: ExitCode.INVALID,
     ResultCode.RESOURCE_CONFLICT: ExitCode.CONFLICT,
--- a/turmericproxy/explaining/questions.py
+++ b/turmericproxy/explaining/questions.py
@@ -2,11 +2,10 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from turmericproxy.core import AccountName, ModelName, Refusal, RequestId, ResultCode, refuse
 from turmericproxy.core.ids import create_id
-from turmericproxy.traffic.requests import Prompt, PromptPart
 
 # Path on the metrics address of a host, and on the operators' API.
 EXPLAIN_PATH = "/v1/explain-placement"
@@ -36,6 +35,22 @@
 )
 
 
+class DescribedPart(NamedTuple):
+    """Hold the identifier and the tokens of one part of a described prompt."""
+
+    part_id: str
+    tokens: int
+
+
+class DescribedPrompt(NamedTuple):
+    """Hold a described prompt; the last part is not shared with other requests."""
+
+    model: ModelName
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[DescribedPart, ...]
+
+
 @dataclass(frozen=True)
 class Question:
     """Describe a request; ``prompt`` is ``None`` for a plain one.
@@ -48,7 +63,7 @@
     path: str
     account: AccountName | None
     key: str | None
-    prompt: Prompt | None
+    prompt: DescribedPrompt | None
     priority: int | None
     deadline_seconds: float
     request_id: RequestId
@@ -104,7 +119,7 @@
     )
 
 
-def _read_prompt(value: dict[str, Any]) -> Prompt | None:
+def _read_prompt(value: dict[str, Any]) -> DescribedPrompt | None:
     model = _read_text(value, "model")
     given = [name for name in ("parts", "prompt_tokens", "output_tokens") if name in value]
     if model is None:
@@ -115,7 +130,7 @@
     total = sum(part.tokens for part in parts)
     prompt_tokens = _read_number(value, "prompt_tokens", 0, MAX_TOKENS)
     output_tokens = _read_number(value, "output_tokens", 0, MAX_TOKENS)
-    return Prompt(
+    return DescribedPrompt(
         ModelName(model),
         total if prompt_tokens is None else int(prompt_tokens),
         int(output_tokens or 0),
@@ -123,7 +138,7 @@
     )
 
 
-def _read_parts(value: object) -> tuple[PromptPart, ...]:
+def _read_parts(value: object) -> tuple[DescribedPart, ...]:
     if not isinstance(value, list):
         raise _FaultError("parts: must be a list")
     parts = []
@@ -131,7 +146,7 @@
         part_id, _, tokens = text.rpartition(":") if isinstance(text, str) else ("", "", "")
         if not part_id or not (tokens.isascii() and tokens.isdecimal()) or len(tokens) > 9:
             raise _FaultError("parts: each must be ID:TOKENS")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(DescribedPart(part_id, int(tokens)))
     return tuple(parts)
 
 
--- a/turmericproxy/explaining/trial.py
+++ b/turmericproxy/explaining/trial.py
@@ -12,7 +12,7 @@
 from turmericproxy.core.ids import InstanceId
 from turmericproxy.edge import AnswerWriter, ClientRequest
 from turmericproxy.edge.messages import Headers
-from turmericproxy.explaining.questions import Question
+from turmericproxy.explaining.questions import DescribedPrompt, Question
 from turmericproxy.explaining.state import DecisionState
 from turmericproxy.logs import CollectedLine, collect_lines
 from turmericproxy.placement.registry import UpstreamState
@@ -21,7 +21,7 @@
 from turmericproxy.traffic.dispatching import Dispatcher
 from turmericproxy.traffic.filters import compute_cost, find_route, identify_account
 from turmericproxy.traffic.placements import Placement
-from turmericproxy.traffic.requests import ParsedRequest
+from turmericproxy.traffic.requests import ParsedRequest, Prompt, PromptPart
 from turmericproxy.traffic.routed_request import RoutedRequest
 from turmericproxy.traffic.site import Site
 
@@ -131,11 +131,20 @@
         host=question.host,
         key=question.key,
         deadline=now + question.deadline_seconds,
-        prompt=question.prompt,
+        prompt=_create_prompt(question.prompt) if question.prompt else None,
         last_event_id=None,
     )
 
 
+def _create_prompt(described: DescribedPrompt) -> Prompt:
+    return Prompt(
+        described.model,
+        described.prompt_tokens,
+        described.output_tokens,
+        tuple(PromptPart(part.part_id, part.tokens) for part in described.parts),
+    )
+
+
 def _create_writer() -> AnswerWriter:
     """Return the writer of a request without a client; a decision only reads its state."""
     return AnswerWriter(asyncio.Transport(), may_keep_alive=lambda: False, is_http_10=False)
