--- a/tests/explaining/test_site_host.py
+++ b/tests/explaining/test_site_host.py
@@ -313,6 +313,25 @@
     run_scenario(scenario)
 
 
+def test_fault_of_the_program_is_answered_without_its_text(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a closed connection, and a key in the text of an exception."""
+
+    def fail(*_arguments: object, **_options: object) -> None:
+        raise ValueError(SECRET)
+
+    monkeypatch.setattr("turmericproxy.explaining.explanation.try_decision", fail)
+
+    async def scenario(environment: HostEnvironment) -> None:
+        answer = await send_question(environment, json.dumps(PLAIN_QUESTION).encode())
+        assert answer.status == 500
+        assert json.loads(answer.body)["error"]["code"] == ResultCode.INTERNAL_ERROR
+        assert SECRET not in answer.body.decode() + caplog.text
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     ("changes", "code"),
     [
--- a/turmericproxy/explaining/endpoint.py
+++ b/turmericproxy/explaining/endpoint.py
@@ -55,7 +55,12 @@
 
     def answer(self, request: ClientRequest, writer: AnswerWriter) -> None:
         """Answer one request to the path for questions."""
-        result = self._explain(request)
+        try:
+            result = self._explain(request)
+        except Exception as error:  # the operator must get a numbered error
+            # The text of an exception may contain a part of the question, which may be a key.
+            reason = f"a fault of the program: {type(error).__name__}"
+            result = refuse(ResultCode.INTERNAL_ERROR, reason)
         if isinstance(result, Refusal):
             fields = [("Content-Type", "application/json")]
             if result.retry_after is not None:
--- a/turmericproxy/explaining/trial.py
+++ b/turmericproxy/explaining/trial.py
@@ -156,7 +156,7 @@
     accounts = [a for a in request.site.accounts if a.name == question.account]
     if not accounts:
         return refuse(ResultCode.RESOURCE_NOT_FOUND, "there is no such client account")
-    (request.account,) = accounts
+    request.account = accounts[0]
     return None
 
 
--- a/turmericproxy/host/site_daemon.py
+++ b/turmericproxy/host/site_daemon.py
@@ -31,7 +31,7 @@
     build_unreadable,
 )
 from turmericproxy.explaining.questions import EXPLAIN_PATH
-from turmericproxy.explaining.trial import DecisionState
+from turmericproxy.explaining.state import DecisionState
 from turmericproxy.fleet import FleetLinks, Hello, QuotaController
 from turmericproxy.fleet.incoming import IncomingStreams
 from turmericproxy.fleet.messages import UpdateBundle
