--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -1,7 +1,8 @@
 """Keep the inputs of admission decisions and refuse what can't be answered in time."""
 
+import copy
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from turmericproxy.admission.ceilings import Ceiling, CeilingMonitor
@@ -85,6 +86,16 @@
     admitted: dict[int, DecayedSum] = field(default_factory=dict)
     admitted_requests: dict[int, DecayedSum] = field(default_factory=dict)
 
+    def copy(self) -> "_ServiceState":
+        """Return a copy that shares nothing that a decision changes."""
+        return replace(
+            self,
+            own_seconds=dict(self.own_seconds),
+            delays=dict(self.delays),
+            admitted=copy.deepcopy(self.admitted),
+            admitted_requests=copy.deepcopy(self.admitted_requests),
+        )
+
 
 class _Expectation(NamedTuple):
     """Time to the first event that was expected of a request when it was judged."""
@@ -125,6 +136,17 @@
         self._begun_at: dict[tuple[RequestId, InstanceId], float] = {}
         self._expected: dict[tuple[RequestId, InstanceId], _Expectation] = {}
 
+    def create_trial(self, account: AccountName | None) -> "AdmissionController":
+        """Return a copy that can try a request of an account without an effect on this one."""
+        trial = copy.copy(self)
+        trial._metrics = Metrics()
+        trial._lost_work = copy.deepcopy(self._lost_work)
+        trial._meter = self._meter.create_trial(account)
+        trial._demands, trial._levels = dict(self._demands), dict(self._levels)
+        trial._expected, trial._ceilings = dict(self._expected), copy.deepcopy(self._ceilings)
+        trial._services = {name: service.copy() for name, service in self._services.items()}
+        return trial
+
     def find_full(
         self, request: RoutedRequest, placed: Placement | None, states: Sequence[UpstreamState]
     ) -> frozenset[InstanceId]:
--- a/turmericproxy/connections/limiter.py
+++ b/turmericproxy/connections/limiter.py
@@ -1,6 +1,7 @@
 """Count this host's connections to servers, and decide whether one more may be opened."""
 
 import asyncio
+import copy
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -68,6 +69,15 @@
         # Connections that are kept for requests that have waited, counted as open.
         self._grants: dict[RequestId, InstanceId] = {}
 
+    def create_trial(self) -> "ConnectionLimiter":
+        """Return a copy that can try a decision: what it records has no effect on this one."""
+        trial = copy.copy(self)
+        trial._metrics = Metrics()
+        trial._open = dict(self._open)
+        trial._newer, trial._older = dict(self._newer), dict(self._older)
+        trial._parts, trial._grants, trial._waiters = dict(self._parts), dict(self._grants), []
+        return trial
+
     def may_open(self, state: UpstreamState, limit: int, request_id: RequestId) -> bool:
         """Return whether a request may be sent; ``limit`` 0 means that the server names none."""
         instance = state.entry.instance
