Learn the duration of plain calls without the load of the upstream

Callers of plain services got 503, code 303, in bursts, though upstreams would have answered in time. The smoothed duration of calls was learned as measured, from calls that waited behind others, and the estimate of the next call multiplied it by the load again: after bursts of 40, 0.10 to 0.32 s were learned in place of 0.02 s, and answers expected in 0.68 to 0.83 s with 0.62 to 0.78 s left (traced in tests/host/test_notices.py). Each measured duration is now divided by the load factor of its own estimate.

--- a/turmericproxy/placement/plain.py
+++ b/turmericproxy/placement/plain.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlainView:
-    """Describe the state of one upstream; ``call_seconds`` is a smoothed duration of calls."""
+    """Describe the state of one upstream; ``call_seconds`` is a smoothed duration without load."""
 
     instance: InstanceId
     address: str
@@ -26,14 +26,20 @@
     failure_share: float
 
 
-def estimate_seconds(view: PlainView) -> float:
-    """Return the expected duration of one more call."""
+def estimate_load_factor(view: PlainView) -> float:
+    """Return how many times as long one more call takes as without other requests.
+
+    Measured durations are divided by it before they are learned, or load would count twice.
+    """
     queue_factor = max(0, view.requests + 1 - view.slots) / max(1, view.slots)
     # Upstreams slow down before all of their slots are taken.
-    load_factor = 1.0 + view.requests / max(1, view.slots)
-    seconds = (
-        view.call_seconds * (load_factor + queue_factor) + view.failure_share * FAILURE_COST_SECONDS
-    )
+    return 1.0 + view.requests / max(1, view.slots) + queue_factor
+
+
+def estimate_seconds(view: PlainView) -> float:
+    """Return the expected duration of one more call."""
+    seconds = view.call_seconds * estimate_load_factor(view)
+    seconds += view.failure_share * FAILURE_COST_SECONDS
     return seconds if view.is_local else seconds + CROSS_DOMAIN_RTT_SECONDS
 
 
--- a/turmericproxy/placement/registry.py
+++ b/turmericproxy/placement/registry.py
@@ -369,7 +369,7 @@
         now: float,
         seconds: float | None = None,
     ) -> None:
-        """Record the result of a request, and the duration of a plain call in seconds."""
+        """Record the result of a request, and the duration of a plain call without load."""
         state = self._states.get(instance)
         if state is None:
             return
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -13,7 +13,7 @@
 from turmericproxy.logs import Part, log_decision
 from turmericproxy.placement.domains import DomainMonitor
 from turmericproxy.placement.health import HealthSignal
-from turmericproxy.placement.plain import choose_plain, estimate_seconds
+from turmericproxy.placement.plain import choose_plain, estimate_load_factor, estimate_seconds
 from turmericproxy.placement.prefixes import PartKey, PrefixTracker
 from turmericproxy.placement.registry import UpstreamRegistry, UpstreamState, Work
 from turmericproxy.placement.selection import (
@@ -429,9 +429,9 @@
         if is_suspected and attempt.outcome is Outcome.TIMED_OUT:
             return
         is_plain_answer = attempt.outcome is Outcome.ANSWERED and placement.prompt is None
-        now = self._read_clock()
+        now, unloaded = self._read_clock(), seconds / placement.load_factor
         self._registry.record_health_signal(
-            placement.instance, attempt.health_signal, now, seconds if is_plain_answer else None
+            placement.instance, attempt.health_signal, now, unloaded if is_plain_answer else None
         )
         self._record_version(placement, attempt)
 
@@ -501,6 +501,7 @@
             request_id=request.parsed.request_id,
             placed_at=now,
             route=request.route.name,
+            load_factor=estimate_load_factor(view),
         )
 
     def _place_at_engine(
--- a/turmericproxy/traffic/placements.py
+++ b/turmericproxy/traffic/placements.py
@@ -16,7 +16,8 @@
 
     ``expected_seconds`` is the time to the first token, or of the whole call for a plain request.
     ``queued_tokens`` are the prompt tokens that the engine had not prefilled at ``placed_at``, a
-    time of the event loop, and ``started_at`` is its start time in Unix milliseconds.
+    time of the event loop, and ``started_at`` is its start time in Unix milliseconds. A plain
+    request is expected to take ``load_factor`` times as long as without the upstream's load.
     """
 
     instance: InstanceId
@@ -31,6 +32,7 @@
     request_id: RequestId = RequestId("")
     placed_at: float = 0.0
     route: RouteName = RouteName("")
+    load_factor: float = 1.0
 
     @property
     def output_tokens(self) -> int:
