Bound the incoming links of the own interface, and keep accepting after a failure

A stranger on the address for hosts could cut a host off from its peers. Each accepted connection kept a thread and a descriptor without limit, its first frame could have 16 MB and be of any kind, and one failed accept (no descriptor left) ended the listener's thread until the host was restarted.

An incoming link must now send a heartbeat of at most 1 KB within links.introduction (3 s); no more is read before, and arrays in it are bounded, since the unpacker allocates them from their headers. links.incoming_links (700, above twice the 330 hosts of the largest fleet) bounds their number: a new link replaces the oldest one without an introduction, else one that has received nothing for 30 s, else it is closed. A failed accept or thread start is counted (limited_clients{cause}), logged at most once in 10 s, and tried again after 0.1 s. Frames of an introduced link are unchanged.

A host used to publish a new outgoing connection before its first heartbeat was written, so that another thread's frame could come first. It is now published when the heartbeat has been written. A host without this change may still send another frame first; its link is then closed and dialled again.

tests/peers/test_strangers.py starts two hosts, limits one to 250 descriptors and opens 400 connections.

The request in that test is repeated on 429 with Retry-After for up to 30 s. After the other host was killed, the first host was seen refusing with "1 of 1 tokens left" and a bucket of depth 0. Why its share was 0 is not traced, and nothing in rates/ is changed here.

--- a/turmericproxy/bench/rate_fleet.py
+++ b/turmericproxy/bench/rate_fleet.py
@@ -22,7 +22,8 @@
         """Return the bytes sent so far on the connections that are now open."""
         with self._lock:
             outbound = [link.connection for link in self._links.values() if link.connection]
-            return sum(connection.sent_bytes for connection in [*outbound, *self._inbound])
+        inbound = self._inbound.list_connections()
+        return sum(connection.sent_bytes for connection in [*outbound, *inbound])
 
 
 class InMemoryConfiguration:
--- a/turmericproxy/host/daemon.py
+++ b/turmericproxy/host/daemon.py
@@ -7,6 +7,7 @@
 from turmericproxy.callers.api import CallerDependencies
 from turmericproxy.configuration.controller import ConfigurationController
 from turmericproxy.core import DomainName, HostName, Incarnation, create_id
+from turmericproxy.edge.causes import CauseReporter
 from turmericproxy.keys import KeyController
 from turmericproxy.logs import Part, log_event
 from turmericproxy.metrics import Metrics
@@ -41,7 +42,14 @@
         self.settings = settings
         self.metrics = Metrics()
         self.platform = PlatformClient(settings.platform, host)
-        self.links = PeerLinks(host, domain, incarnation, settings.listen.peers, settings.links)
+        self.links = PeerLinks(
+            host,
+            domain,
+            incarnation,
+            settings.listen.peers,
+            settings.links,
+            CauseReporter(lambda cause: self.metrics.count("limited_clients", cause=cause.value)),
+        )
         self.membership = MembershipController(
             self.platform,
             self.links,
--- a/turmericproxy/peers/links.py
+++ b/turmericproxy/peers/links.py
@@ -1,6 +1,5 @@
 """Maintain connections to other hosts with heartbeats and exchange frames over them."""
 
-import contextlib
 import logging
 import socket
 import threading
@@ -16,13 +15,14 @@
     read_boottime,
     refuse,
 )
+from turmericproxy.edge.causes import CauseReporter
 from turmericproxy.logs import Part, log_event
 from turmericproxy.peers.connection import Connection
+from turmericproxy.peers.inbound import InboundLinks
+from turmericproxy.peers.introduction import HEARTBEAT_KIND
 from turmericproxy.peers.states import PeerAddress, PeerState, create_state
 from turmericproxy.settings.schema import PeerLinkSettings
 
-HEARTBEAT_KIND = "heartbeat"
-LISTEN_BACKLOG = 512
 TEMPORARY_LINK_IDLE_SECONDS = 30.0
 
 Handler = Callable[[HostName, Any], Any]
@@ -55,21 +55,20 @@
         incarnation: Incarnation,
         address: str,
         settings: PeerLinkSettings,
+        reporter: CauseReporter | None = None,
     ) -> None:
         self.host = host
         self.domain = domain
         self.incarnation = incarnation
-        self._address = address
         self._settings = settings
         self._handlers: dict[str, Handler] = {}
         self._digest: dict[str, Any] = {}
         self._links: dict[HostName, _Link] = {}
         self._temporary_links: dict[HostName, _Link] = {}
         self._directory: dict[HostName, PeerAddress] = {}
-        self._inbound: set[Connection] = set()
         self._lock = threading.Lock()
         self._closed = threading.Event()
-        self._listener: socket.socket | None = None
+        self._inbound = InboundLinks(address, settings, self.handle_frame, reporter)
 
     def register(self, kind: str, handler: Handler) -> None:
         """Call ``handler`` with the sender and body of each received frame of this kind."""
@@ -82,32 +81,22 @@
 
     def start(self) -> None:
         """Start listening for connections of other hosts."""
-        host, _, port = self._address.rpartition(":")
-        self._listener = socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
-        threading.Thread(target=self._accept_connections, name="peer-listener", daemon=True).start()
+        self._inbound.start()
 
     @property
     def port(self) -> int:
         """Return the port that the host listens on for peers."""
-        assert self._listener is not None
-        return int(self._listener.getsockname()[1])
+        return self._inbound.port
 
     def close(self) -> None:
         """Close the listener and every link."""
         self._closed.set()
-        if self._listener:
-            # A thread blocked in accept() keeps the listening socket open until it is shut down.
-            with contextlib.suppress(OSError):
-                self._listener.shutdown(socket.SHUT_RDWR)
-            self._listener.close()
         with self._lock:
             links = [*self._links.values(), *self._temporary_links.values()]
-            inbound = list(self._inbound)
             self._links, self._temporary_links, self._directory = {}, {}, {}
         for link in links:
             self._close_link(link)
-        for connection in inbound:
-            connection.close()
+        self._inbound.close()
 
     def set_peers(self, peers: Iterable[PeerAddress]) -> None:
         """Open and close links so that exactly these hosts are linked."""
@@ -198,15 +187,6 @@
             "digest": digest,
         }
 
-    def _accept_connections(self) -> None:
-        assert self._listener is not None
-        while not self._closed.is_set():
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            _InboundLink(self, sock, self._settings.silence).start()
-
     def _maintain_link(self, link: _Link) -> None:
         while not self._closed.is_set() and link.is_wanted:
             self._exchange_heartbeat(link)
@@ -217,7 +197,13 @@
         if connection is None:
             return
         sent_at = read_boottime()
-        reply = connection.call(HEARTBEAT_KIND, self._create_heartbeat(), self._settings.silence)
+        # Other threads may use the connection from then on: its first frame must be a heartbeat.
+        reply = connection.call(
+            HEARTBEAT_KIND,
+            self._create_heartbeat(),
+            self._settings.silence,
+            lambda: self._publish(link, connection),
+        )
         state = None if isinstance(reply, Refusal) else create_state(reply)
         if state is None or state.host != link.peer.host:
             log_event(Part.PEERS, "link lost", level=logging.WARNING, peer=link.peer.host)
@@ -240,10 +226,15 @@
             self._settings.silence,
         )
         connection.start()
-        link.connection = connection
         log_event(Part.PEERS, "link opened", peer=link.peer.host)
         return connection
 
+    @staticmethod
+    def _publish(link: _Link, connection: Connection) -> None:
+        link.connection = connection
+        if not link.is_wanted:  # closed meanwhile, when the connection was not known yet
+            connection.close()
+
     def _close_link(self, link: _Link) -> None:
         link.is_wanted = False
         link.wake.set()
@@ -264,27 +255,3 @@
                 Part.PEERS, "handler failed", level=logging.ERROR, kind=kind, reason=repr(error)
             )
             return None
-
-    def add_inbound(self, connection: Connection) -> None:
-        """Register a connection opened by another host, to close it with the links."""
-        with self._lock:
-            self._inbound = {c for c in self._inbound if not c.is_closed} | {connection}
-
-
-class _InboundLink:
-    """Answer frames received on a connection opened by another host."""
-
-    def __init__(self, links: PeerLinks, sock: socket.socket, silence: float) -> None:
-        self._links = links
-        self._sender = HostName("")
-        self._connection = Connection(sock, self._handle, silence)
-
-    def start(self) -> None:
-        """Start reading frames."""
-        self._links.add_inbound(self._connection)
-        self._connection.start()
-
-    def _handle(self, kind: str, body: Any) -> Any:
-        if kind == HEARTBEAT_KIND:
-            self._sender = HostName(body["host"])
-        return self._links.handle_frame(self._sender, kind, body)
--- a/turmericproxy/settings/schema.py
+++ b/turmericproxy/settings/schema.py
@@ -75,15 +75,19 @@
 
 
 class PeerLinkSettings(Section):
-    """Timing of the links between hosts, in seconds.
+    """Timing of the links between hosts, in seconds, and the number of incoming links.
 
     ``heartbeat`` is the interval between heartbeats. A host is unreachable if it has not answered
-    one that was sent within the last ``silence`` seconds.
+    one that was sent within the last ``silence`` seconds. An incoming link is closed if it has sent
+    no heartbeat within ``introduction`` seconds. The default of ``incoming_links`` is twice the 330
+    hosts of the largest fleet, since a host may dial again before its old link ends, and some more.
     """
 
     heartbeat: float = Field(default=0.5, gt=0)
     silence: float = Field(default=2.0, gt=0)
     call_timeout: float = Field(default=0.5, gt=0)
+    introduction: float = Field(default=3.0, gt=0)
+    incoming_links: int = Field(default=700, ge=1)
 
 
 class ConfigurationSettings(Section):
