--- a/tests/peers/test_strangers.py
+++ b/tests/peers/test_strangers.py
@@ -74,7 +74,8 @@
 def is_answered(cluster: Cluster) -> bool:
     """Return whether host-a answers a request, or False if it asks to send it again.
 
-    While the shares of the killed host are granted again, it may refuse with 429 and Retry-After.
+    A host may hold no part of the account's rate for some seconds, also without strangers, and
+    then refuses with 429 and Retry-After; the feature of rates checks how long that may last.
     """
     caller = Caller(cluster.get_address("host-a", "callers"), cluster.keys["afinaciones"])
     answer = caller.call("POST", "/r/bookings/visits", b"{}", {"Idempotency-Key": "k"}, 5.0)
