--- a/turmericproxy/explaining/endpoint.py
+++ b/turmericproxy/explaining/endpoint.py
@@ -1,6 +1,7 @@
 """Answer questions for the placement of a request on the metrics address of a host."""
 
 import json
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -9,6 +10,7 @@
 from turmericproxy.edge import AnswerWriter, ClientRequest, EdgeLimits
 from turmericproxy.explaining.questions import MAX_BODY_BYTES
 from turmericproxy.explaining.state import DecisionState
+from turmericproxy.logs import Part, log_event
 
 # Questions that a host answers, as a rate and at once; each looks at all upstreams of a service.
 MAX_PER_SECOND = 5
@@ -60,6 +62,7 @@
         except Exception as error:  # the operator must get a numbered error
             # The text of an exception may contain a part of the question, which may be a key.
             reason = f"a fault of the program: {type(error).__name__}"
+            log_event(Part.ROUTING, "explanation failed", level=logging.ERROR, reason=reason)
             result = refuse(ResultCode.INTERNAL_ERROR, reason)
         if isinstance(result, Refusal):
             fields = [("Content-Type", "application/json")]
