Drop expired expectations from the oldest on, and look a start up in one place

Each end of an attempt looked at all expectations of the host; they are kept in the order of their time now. Dispatcher._find_start repeated UpstreamRegistry.find_start. No behaviour changes.

--- a/turmericproxy/admission/controller.py
+++ b/turmericproxy/admission/controller.py
@@ -267,7 +267,10 @@
         self._meter.record_totals(self._read_totals(), now)
         # Attempts that were judged but not sent have no end.
         oldest = now - EXPECTATION_SECONDS
-        for attempt in [a for a, e in self._expected.items() if e.judged_at < oldest]:
+        while self._expected:
+            attempt, expectation = next(iter(self._expected.items()))
+            if expectation.judged_at >= oldest:
+                break
             del self._expected[attempt]
             self._ceilings.record_end(attempt)
         for name, service in self._services.items():
@@ -374,6 +377,8 @@
     ) -> None:
         priority, now = expectation.priority, expectation.judged_at
         attempt = (placed.request_id, placed.instance)
+        # Moved to the end if it was judged before: the oldest are dropped from the beginning.
+        self._expected.pop(attempt, None)
         self._expected[attempt] = expectation
         # The dispatcher doesn't send what is expected after the deadline; such a one has no end.
         if placed.expected_seconds <= request.deadline - now:
--- a/turmericproxy/traffic/dispatching.py
+++ b/turmericproxy/traffic/dispatching.py
@@ -557,8 +557,7 @@
         )
 
     def _find_start(self, instance: InstanceId) -> int:
-        state = self._registry.find(instance)
-        return state.entry.started_at if state else 0
+        return self._registry.find_start(instance) or 0
 
     def _create_context(
         self, request: RoutedRequest, traits: EngineTraits, prompt: Prompt
