--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -74,7 +74,9 @@
     }
 
 
-def build_configuration(*tenants: dict[str, object]) -> dict[str, object]:
+def build_configuration(
+    *tenants: dict[str, object], is_resumable: bool = False
+) -> dict[str, object]:
     """Return a configuration with a route of streams and one of plain calls."""
     engine = {
         "slots": 64,
@@ -93,10 +95,10 @@
         "target_latency_ms": 600,
         "priority": 1,
         "service": ENGINES,
-        "max_attempts": 1,
+        "max_attempts": 2 if is_resumable else 1,
         "public": False,
         "sticky": True,
-        "resumable": False,
+        "resumable": is_resumable,
         "gap_target_ms": 400,
     }
     plain = {
