--- a/review/harness-2/crashing.py
+++ b/review/harness-2/crashing.py
@@ -240,6 +240,7 @@
 def conclude(deployment: d.Deployment, pool: EnginePool, callers: Callers) -> int:
     """Write what was seen; return the exit code."""
     record = deployment.record
+    deployment.record_runs()
     bad = {sent.request_id for sent in callers.sent if sent.is_bad}
     arrivals = sorted(
         at
--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -128,11 +128,11 @@
 
     def __init__(self, case: Path) -> None:
         self._file = (case / "record.txt").open("w")
-        self._started = time.monotonic()
+        self.started = time.monotonic()
 
     def write(self, text: str) -> None:
         """Write one line with the seconds since the start."""
-        self._file.write(f"{time.monotonic() - self._started:8.3f} {text}\n")
+        self._file.write(f"{time.monotonic() - self.started:8.3f} {text}\n")
         self._file.flush()
 
     def conclude(self, text: str) -> None:
@@ -317,6 +317,14 @@
         self.servers.append(server)
         self.store.put("servers", server.instance, server.describe())
 
+    def record_runs(self, is_recorded: Callable[[str], bool] = lambda _id: True) -> None:
+        """Write which requests reached which server, with the time of the record."""
+        for server in self.servers:
+            for request_id, at in getattr(server, "arrivals", {}).items():
+                if is_recorded(request_id):
+                    seconds = at - self.record.started
+                    self.record.write(f"{request_id} reached {server.instance} at {seconds:.3f}")
+
     def close(self) -> None:
         """End all processes and servers."""
         for task in self._tasks:
